--- /dev/null
+++ b/chivefront/catalog/catalog.h
@@ -0,0 +1,242 @@
+// The catalogue: what teams may use, what models, versions and services exist,
+// which roll-outs run, and what is out of service.
+//
+// A catalogue is built from the key-value entries of the configuration group
+// and never changes afterwards; holders swap a shared pointer when a newer
+// revision arrives.
+//
+//   std::vector<EntryError> errors;
+//   auto catalog = catalog::Build(entries, revision, errors);
+//   if (!catalog) ... print each error with its path ...
+//   absl::Status allowed = catalog::CheckVersionAllowed(*catalog, team,
+//   version);
+//
+// Keys and their JSON objects are described in docs/operators/catalogue.md.
+// Every catalogue entry has "owner", "class" and "limits".
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <absl/status/status.h>
+
+#include "chivefront/base/clock.h"
+#include "chivefront/base/names.h"
+
+namespace chivefront::catalog {
+
+// For a team, its own class. For every other entry, the lowest class that may
+// use it: Free admits both classes.
+enum class CallerClass
+{
+  Paying,
+  Free,
+};
+
+inline constexpr base::NameTable<CallerClass, 2> kCallerClassNames{ {
+  { { CallerClass::Paying, "paying" }, { CallerClass::Free, "free" } },
+} };
+
+struct EntryHead
+{
+  std::string m_id;
+  std::string m_owner;
+  CallerClass m_class = CallerClass::Free;
+};
+
+// Quality and time that a team wants for one kind of task.
+struct TaskTarget
+{
+  double m_quality = 0.8; // share of answers rated acceptable, 0 to 1
+  base::Millis m_latencyBudget{ 30000 };
+};
+
+struct Team : EntryHead
+{
+  std::set<std::string> m_keyHashes; // SHA-256 of caller keys, hexadecimal
+  std::set<std::string> m_models;    // model ids it may use
+  std::set<std::string> m_services;  // service ids it may use
+  TaskTarget m_defaultTarget;
+  std::map<std::string, TaskTarget> m_tasks; // by task kind
+  // Limits over all entry hosts together.
+  double m_requestsPerSecond = 0;
+  uint32_t m_concurrency = 0;
+  uint64_t m_tokensPerMinute = 0;
+};
+
+struct Model : EntryHead
+{
+  std::string m_version; // the version new sessions get outside a roll-out
+  // Models with a higher rank are expected to answer better; used before
+  // there is evidence.
+  int m_rank = 0;
+  uint32_t m_concurrency = 0; // requests at once over all upstreams
+};
+
+struct Version : EntryHead
+{
+  std::string m_model;
+  uint64_t m_promptCost = 0; // millionths of a currency unit per 1000 tokens
+  uint64_t m_answerCost = 0; // likewise
+  // Whether its engines refuse an order that carries an old fencing number.
+  // Absent in the entry means no.
+  bool m_checksFencing = false;
+  uint32_t m_maxAnswerTokens = 0;
+};
+
+struct Service : EntryHead
+{
+  std::set<std::string> m_idempotentMethods; // all others run at most once
+  uint32_t m_concurrency = 0;
+  base::Millis m_deadline{ 10000 };
+  base::Millis m_claimRetention{ 24 * 3600 * 1000 };
+};
+
+// Limits of the upstreams that serve one version or one service.
+struct UpstreamRule : EntryHead
+{
+  std::string m_version; // exactly one of m_version and m_service is set
+  std::string m_service;
+  uint32_t m_coldLimit = 1; // requests at once directly after a start
+  uint32_t m_fullLimit = 8;
+  uint32_t m_rampSuccesses = 4; // successes per step of the limit
+  uint32_t m_queue = 16;        // requests waiting at the agent
+};
+
+enum class RolloutState
+{
+  Running,
+  Paused,
+  Stopped,
+  Done,
+};
+
+inline constexpr base::NameTable<RolloutState, 4> kRolloutStateNames{ {
+  { { RolloutState::Running, "running" },
+    { RolloutState::Paused, "paused" },
+    { RolloutState::Stopped, "stopped" },
+    { RolloutState::Done, "done" } },
+} };
+
+// The id of a roll-out is its model's id.
+struct Rollout : EntryHead
+{
+  std::string m_from; // version ids
+  std::string m_to;
+  std::vector<uint32_t> m_stages; // permille of new sessions, rising
+  uint32_t m_stage = 0;           // index into m_stages
+  RolloutState m_state = RolloutState::Running;
+  uint32_t m_maxExposed = 50; // requests before a verdict on the first stage
+  std::string m_reason;
+};
+
+struct Catalog
+{
+  uint64_t m_revision = 0;
+  std::map<std::string, Team, std::less<>> m_teams;
+  std::map<std::string, Model, std::less<>> m_models;
+  std::map<std::string, Version, std::less<>> m_versions;
+  std::map<std::string, Service, std::less<>> m_services;
+  std::map<std::string, UpstreamRule, std::less<>> m_upstreamRules;
+  std::map<std::string, Rollout, std::less<>> m_rollouts;
+  std::set<std::string, std::less<>> m_domainsOut;
+  std::set<std::string, std::less<>> m_versionsOut;
+  std::set<std::string, std::less<>> m_upstreamsOut;
+  std::set<uint64_t> m_quarantined;                // request fingerprints
+  std::map<std::string, std::string> m_teamByHash; // key hash to team id
+
+  // Null when there is none.
+  const Team* FindTeam(std::string_view aId) const;
+  const Model* FindModel(std::string_view aId) const;
+  const Version* FindVersion(std::string_view aId) const;
+  const Service* FindService(std::string_view aId) const;
+  const Rollout* FindRollout(std::string_view aModel) const;
+  const UpstreamRule* RuleForVersion(std::string_view aVersion) const;
+  const UpstreamRule* RuleForService(std::string_view aService) const;
+  // The team that owns a caller key, or null. Hashes the key first, so the
+  // look-up does not depend on how much of a guess is right.
+  const Team* TeamOfKey(std::string_view aCallerKey) const;
+};
+
+using Pointer = std::shared_ptr<const Catalog>;
+
+// Key to JSON text, as the configuration group holds it.
+using Entries = std::map<std::string, std::string, std::less<>>;
+
+// What is wrong with one entry; m_path is like "team/sales:
+// limits.concurrency".
+struct EntryError
+{
+  std::string m_path;
+  std::string m_problem;
+};
+
+// Null when aErrors is not empty; all errors of all entries are listed.
+Pointer
+Build(const Entries& aEntries,
+      uint64_t aRevision,
+      std::vector<EntryError>& aErrors);
+
+// True for keys that operators may put or remove in a catalogue change.
+bool
+IsOperatorKey(std::string_view aKey);
+// True for keys that only the control process itself writes.
+bool
+IsSystemKey(std::string_view aKey);
+// True for keys that take something out of service.
+bool
+IsOutOfServiceKey(std::string_view aKey);
+
+// --- Rules, used by entries and again by agents ---------------------------
+
+// NotAllowed, UnknownModel or VersionWithdrawn; OK when aTeam may run aVersion
+// now.
+absl::Status
+CheckVersionAllowed(const Catalog& aCatalog,
+                    std::string_view aTeam,
+                    std::string_view aVersion);
+
+// NotAllowed or UnknownRoute; OK when aTeam may call aService.
+absl::Status
+CheckServiceAllowed(const Catalog& aCatalog,
+                    std::string_view aTeam,
+                    std::string_view aService);
+
+// NoUpstream when the upstream or its failure domain is out of service.
+absl::Status
+CheckInService(const Catalog& aCatalog,
+               std::string_view aUpstream,
+               std::string_view aFailureDomain);
+
+// The version that a new session of aModel gets: by the roll-out's share for
+// aSessionHash, else the model's version. Empty for an unknown model.
+std::string
+VersionForSession(const Catalog& aCatalog,
+                  std::string_view aModel,
+                  uint64_t aSessionHash);
+
+// --- Operator's view --------------------------------------------------------
+
+struct EntryChange
+{
+  std::string m_key;
+  std::string m_before; // empty when added
+  std::string m_after;  // empty when removed
+};
+
+// What turns aBefore into aAfter, by key. JSON texts that differ in white
+// space or member order only are equal.
+std::vector<EntryChange>
+Diff(const Entries& aBefore, const Entries& aAfter);
+
+// Reads a catalogue file: one JSON object whose members are keys and whose
+// values are entries. Invalid when it is not that.
+absl::Status
+ParseFile(std::string_view aText, Entries& aEntries);
+
+} // namespace chivefront::catalog
--- /dev/null
+++ b/chivefront/catalog/reader.h
@@ -0,0 +1,88 @@
+// Reads fields of one JSON entry and collects what is wrong with it.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <boost/json/object.hpp>
+
+#include "chivefront/catalog/catalog.h"
+
+namespace chivefront::catalog::detail {
+
+// Every Read function leaves its target unchanged and notes an error when the
+// member is missing (unless optional) or has another type or range. Members
+// that nobody read are errors too, so that a misspelt limit is not ignored.
+class Reader
+{
+public:
+  Reader(const boost::json::object& aObject,
+         std::string aPath,
+         std::vector<EntryError>& aErrors)
+    : m_object(aObject)
+    , m_path(std::move(aPath))
+    , m_errors(aErrors)
+  {
+  }
+
+  enum class Need
+  {
+    Required,
+    Optional,
+  };
+
+  void Text(std::string_view aName, std::string& aTarget, Need aNeed);
+  void Boolean(std::string_view aName, bool& aTarget, Need aNeed);
+  void Number(std::string_view aName,
+              double& aTarget,
+              double aLowest,
+              double aHighest,
+              Need aNeed);
+  template<typename T>
+  void Whole(std::string_view aName,
+             T& aTarget,
+             int64_t aLowest,
+             int64_t aHighest,
+             Need aNeed)
+  {
+    int64_t number = static_cast<int64_t>(aTarget);
+    ReadWhole(aName, number, aLowest, aHighest, aNeed);
+    aTarget = static_cast<T>(number);
+  }
+  void Span(std::string_view aName,
+            base::Millis& aTarget,
+            int64_t aLowest,
+            int64_t aHighest,
+            Need aNeed);
+  void TextSet(std::string_view aName,
+               std::set<std::string>& aTarget,
+               Need aNeed);
+  void WholeList(std::string_view aName,
+                 std::vector<uint32_t>& aTarget,
+                 int64_t aLowest,
+                 int64_t aHighest);
+  // A member object, or null after noting an error when it is required.
+  const boost::json::object* Object(std::string_view aName, Need aNeed);
+
+  void Error(std::string_view aName, std::string aProblem);
+  // Notes every member that no call has read.
+  void Finish();
+
+  std::string PathOf(std::string_view aName) const;
+
+private:
+  const boost::json::value* Find(std::string_view aName, Need aNeed);
+  void ReadWhole(std::string_view aName,
+                 int64_t& aTarget,
+                 int64_t aLowest,
+                 int64_t aHighest,
+                 Need aNeed);
+
+  const boost::json::object& m_object;
+  const std::string m_path;
+  std::vector<EntryError>& m_errors;
+  std::set<std::string, std::less<>> m_read;
+};
+
+} // namespace chivefront::catalog::detail
--- /dev/null
+++ b/chivefront/net/http_server.cc
@@ -0,0 +1,417 @@
+// The HTTP server on Boost.Beast.
+#include "chivefront/net/http_server.h"
+
+#include <optional>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/base/log.h"
+
+namespace chivefront::net {
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+struct HttpServer::Shared
+{
+  Shared(asio::io_context& aContext,
+         HttpLimits aLimits,
+         HttpHandler aHandler,
+         HttpErrorBody aErrorBody)
+    : m_context(aContext)
+    , m_limits(aLimits)
+    , m_handler(std::move(aHandler))
+    , m_errorBody(std::move(aErrorBody))
+    , m_acceptor(asio::make_strand(aContext))
+  {
+  }
+
+  asio::io_context& m_context;
+  const HttpLimits m_limits;
+  const HttpHandler m_handler;
+  const HttpErrorBody m_errorBody;
+  Tcp::acceptor m_acceptor;
+  std::atomic<bool> m_draining{ false };
+  std::atomic<size_t> m_active{ 0 };
+  std::mutex m_lock;
+  std::set<Connection*> m_connections; // guarded by m_lock
+};
+
+namespace detail {
+
+HttpResponse
+DefaultErrorBody(int aStatus, std::string_view aReason)
+{
+  return { aStatus, "text/plain", {}, std::string(aReason) + "\n" };
+}
+
+HttpRequest
+FromBeast(http::request<http::string_body>&& aMessage)
+{
+  HttpRequest request;
+  request.m_method = std::string(aMessage.method_string());
+  request.m_target = std::string(aMessage.target());
+  for (const auto& field : aMessage) {
+    request.m_headers.emplace_back(field.name_string(), field.value());
+  }
+  request.m_body = std::move(aMessage.body());
+  return request;
+}
+
+// The status for a request that broke the parser or one of its bounds.
+int
+StatusOfParseError(const beast::error_code& aError)
+{
+  if (aError == http::error::body_limit) {
+    return 413;
+  }
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    return 431;
+  }
+  return 400;
+}
+
+absl::Status
+ToStatus(const beast::error_code& aError)
+{
+  if (!aError) {
+    return absl::OkStatus();
+  }
+  const auto kind = aError == beast::error::timeout
+                      ? base::ErrorKind::Timeout
+                      : base::ErrorKind::LinkClosed;
+  return base::MakeError(kind, aError.message());
+}
+
+} // namespace detail
+
+// One accepted connection; everything runs on its strand.
+struct HttpServer::Connection final
+  : HttpExchange
+  , std::enable_shared_from_this<HttpServer::Connection>
+{
+  Connection(std::shared_ptr<Shared> aShared, Tcp::socket aSocket)
+    : m_shared(std::move(aShared))
+    , m_stream(std::move(aSocket))
+  {
+  }
+
+  const HttpRequest& Request() const override { return m_request; }
+  bool Started() const override { return m_started; }
+
+  template<typename BodyT>
+  void FillHead(http::response<BodyT>& aMessage,
+                const std::string& aContentType,
+                const HttpHeaders& aHeaders)
+  {
+    aMessage.version(11);
+    aMessage.keep_alive(m_keepAlive);
+    aMessage.set(http::field::server, "chivefront");
+    aMessage.set(http::field::content_type, aContentType);
+    for (const auto& [name, value] : aHeaders) {
+      aMessage.set(name, value);
+    }
+  }
+
+  Task<absl::Status> Respond(HttpResponse aResponse) override
+  {
+    m_started = true;
+    m_ended = true;
+    m_keepAlive = m_keepAlive && !m_shared->m_draining;
+    http::response<http::string_body> message;
+    message.result(static_cast<unsigned>(aResponse.m_status));
+    FillHead(message, aResponse.m_contentType, aResponse.m_headers);
+    message.body() = std::move(aResponse.m_body);
+    message.prepare_payload();
+    m_stream.expires_after(m_shared->m_limits.m_write.ToChrono());
+    beast::error_code error;
+    co_await http::async_write(
+      m_stream, message, asio::redirect_error(asio::use_awaitable, error));
+    m_broken = m_broken || error;
+    co_return detail::ToStatus(error);
+  }
+
+  Task<absl::Status> BeginStream(int aStatus,
+                                 std::string aContentType,
+                                 HttpHeaders aHeaders) override
+  {
+    m_started = true;
+    m_streaming = true;
+    m_keepAlive = m_keepAlive && !m_shared->m_draining;
+    http::response<http::empty_body> message;
+    message.result(static_cast<unsigned>(aStatus));
+    FillHead(message, aContentType, aHeaders);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    m_stream.expires_after(m_shared->m_limits.m_write.ToChrono());
+    beast::error_code error;
+    co_await http::async_write_header(
+      m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+    m_broken = m_broken || error;
+    co_return detail::ToStatus(error);
+  }
+
+  Task<absl::Status> Write(std::string aData) override
+  {
+    if (aData.empty()) {
+      co_return absl::OkStatus(); // an empty chunk would end the response
+    }
+    m_stream.expires_after(m_shared->m_limits.m_write.ToChrono());
+    beast::error_code error;
+    co_await asio::async_write(
+      m_stream,
+      http::make_chunk(asio::buffer(aData)),
+      asio::redirect_error(asio::use_awaitable, error));
+    m_broken = m_broken || error;
+    co_return detail::ToStatus(error);
+  }
+
+  Task<absl::Status> EndStream() override
+  {
+    m_ended = true;
+    m_stream.expires_after(m_shared->m_limits.m_write.ToChrono());
+    beast::error_code error;
+    co_await asio::async_write(
+      m_stream,
+      http::make_chunk_last(),
+      asio::redirect_error(asio::use_awaitable, error));
+    m_broken = m_broken || error;
+    co_return detail::ToStatus(error);
+  }
+
+  // Reads one request into m_request. False ends the connection.
+  Task<bool> ReadRequest()
+  {
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(
+      static_cast<std::uint32_t>(m_shared->m_limits.m_headerBytes));
+    parser.body_limit(m_shared->m_limits.m_bodyBytes);
+    beast::error_code error;
+    auto token = asio::redirect_error(asio::use_awaitable, error);
+    // The idle time ends with the first byte; after it the whole request has
+    // to arrive within the receive time.
+    if (m_buffer.size() == 0) {
+      m_stream.expires_after(m_shared->m_limits.m_idle.ToChrono());
+      const size_t got =
+        co_await m_stream.async_read_some(m_buffer.prepare(kReadBytes), token);
+      if (error) {
+        co_return false;
+      }
+      m_buffer.commit(got);
+    }
+    m_busy = true;
+    m_stream.expires_after(m_shared->m_limits.m_receive.ToChrono());
+    co_await http::async_read_header(m_stream, m_buffer, parser, token);
+    if (!error && parser.get()[http::field::expect] == "100-continue") {
+      co_await asio::async_write(
+        m_stream, asio::buffer(kContinue, sizeof(kContinue) - 1), token);
+    }
+    if (!error) {
+      co_await http::async_read(m_stream, m_buffer, parser, token);
+    }
+    if (error) {
+      co_await RefuseUnparsed(error);
+      co_return false;
+    }
+    m_keepAlive = parser.keep_alive();
+    m_request = detail::FromBeast(parser.release());
+    co_return true;
+  }
+
+  Task<void> RefuseUnparsed(beast::error_code aError)
+  {
+    const bool gone = aError == http::error::end_of_stream ||
+                      aError == http::error::partial_message ||
+                      aError == beast::error::timeout ||
+                      aError.category() == asio::error::get_system_category();
+    if (gone) {
+      co_return;
+    }
+    m_keepAlive = false;
+    const int status = detail::StatusOfParseError(aError);
+    HttpResponse refusal =
+      m_shared->m_errorBody
+        ? m_shared->m_errorBody(status, aError.message())
+        : detail::DefaultErrorBody(status, aError.message());
+    (void)co_await Respond(std::move(refusal));
+    // Reads what the peer is still sending for a moment; closing at once
+    // would reset the connection before the peer has read the response.
+    beast::error_code error;
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    m_stream.expires_after(kLinger.ToChrono());
+    while (!error) {
+      m_buffer.clear();
+      (void)co_await m_stream.async_read_some(
+        m_buffer.prepare(kReadBytes),
+        asio::redirect_error(asio::use_awaitable, error));
+    }
+  }
+
+  Task<void> Run()
+  {
+    do {
+      m_busy = false;
+      m_started = m_ended = m_streaming = false;
+      if (!co_await ReadRequest()) {
+        break;
+      }
+      ++m_shared->m_active;
+      try {
+        co_await m_shared->m_handler(*this);
+      } catch (const std::exception& error) {
+        base::LogError(
+          "http", "handler ended by exception", { { "what", error.what() } });
+        m_broken = true;
+      }
+      --m_shared->m_active;
+      // A response without its end must not look complete: close instead.
+    } while (!m_broken && m_ended && m_keepAlive && !m_shared->m_draining);
+    beast::error_code ignored;
+    m_stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    m_stream.close();
+  }
+
+  static constexpr size_t kReadBytes = 4096;
+  static constexpr base::Millis kLinger{ 500 };
+  static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
+
+  std::shared_ptr<Shared> m_shared;
+  beast::tcp_stream m_stream;
+  beast::flat_buffer m_buffer;
+  HttpRequest m_request;
+  std::atomic<bool> m_busy{ false }; // a request is arriving or running
+  bool m_keepAlive = true;
+  bool m_started = false;
+  bool m_streaming = false;
+  bool m_ended = false;  // the response is complete
+  bool m_broken = false; // the connection can't carry another response
+};
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       HttpLimits aLimits,
+                       HttpHandler aHandler,
+                       HttpErrorBody aErrorBody)
+  : m_shared(std::make_shared<Shared>(aContext,
+                                      aLimits,
+                                      std::move(aHandler),
+                                      std::move(aErrorBody)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+absl::Status
+HttpServer::Listen(const base::Endpoint& aEndpoint)
+{
+  beast::error_code error;
+  const auto address = asio::ip::make_address(aEndpoint.m_address, error);
+  if (error) {
+    return base::MakeError(base::ErrorKind::Unavailable, error.message());
+  }
+  const Tcp::endpoint endpoint(address, aEndpoint.m_port);
+  Tcp::acceptor& acceptor = m_shared->m_acceptor;
+  acceptor.open(endpoint.protocol(), error);
+  acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor.bind(endpoint, error);
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return base::MakeError(base::ErrorKind::Unavailable,
+                           aEndpoint.ToString() + ": " + error.message());
+  }
+  Spawn(acceptor.get_executor(), "http", [this]() -> Task<void> {
+    return AcceptLoop();
+  });
+  return absl::OkStatus();
+}
+
+base::Endpoint
+HttpServer::Bound() const
+{
+  beast::error_code error;
+  const auto endpoint = m_shared->m_acceptor.local_endpoint(error);
+  if (error) {
+    return {};
+  }
+  return { endpoint.address().to_string(), endpoint.port() };
+}
+
+Task<void>
+HttpServer::AcceptLoop()
+{
+  constexpr base::Millis kRetry{ 100 };
+  const auto shared = m_shared;
+  while (shared->m_acceptor.is_open()) {
+    beast::error_code error;
+    auto strand = asio::make_strand(shared->m_context);
+    Tcp::socket socket = co_await shared->m_acceptor.async_accept(
+      strand, asio::redirect_error(asio::use_awaitable, error));
+    if (error == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      base::LogWarning("http", "accept failed", { { "why", error.message() } });
+      co_await Sleep(kRetry);
+      continue;
+    }
+    socket.set_option(Tcp::no_delay(true), error);
+    if (shared->m_limits.m_sendBufferBytes > 0) {
+      socket.set_option(
+        asio::socket_base::send_buffer_size(shared->m_limits.m_sendBufferBytes),
+        error);
+    }
+    const auto connection =
+      std::make_shared<Connection>(shared, std::move(socket));
+    {
+      const std::lock_guard lock(shared->m_lock);
+      if (shared->m_connections.size() >= shared->m_limits.m_connections) {
+        continue; // dropping the socket refuses the connection
+      }
+      shared->m_connections.insert(connection.get());
+    }
+    Spawn(strand, "http", [connection]() -> Task<void> {
+      co_await connection->Run();
+      const std::lock_guard lock(connection->m_shared->m_lock);
+      connection->m_shared->m_connections.erase(connection.get());
+    });
+  }
+}
+
+void
+HttpServer::StopAccepting()
+{
+  m_shared->m_draining = true;
+  asio::post(m_shared->m_acceptor.get_executor(), [shared = m_shared] {
+    beast::error_code ignored;
+    shared->m_acceptor.close(ignored);
+  });
+}
+
+size_t
+HttpServer::ActiveRequests() const
+{
+  return m_shared->m_active;
+}
+
+void
+HttpServer::CloseIdle()
+{
+  const std::lock_guard lock(m_shared->m_lock);
+  for (Connection* connection : m_shared->m_connections) {
+    asio::post(connection->m_stream.get_executor(),
+               [self = connection->shared_from_this()] {
+                 if (!self->m_busy) {
+                   self->m_stream.close();
+                 }
+               });
+  }
+}
+
+} // namespace chivefront::net
