--- /dev/null
+++ b/chivefront/client/watcher_test.cc
@@ -0,0 +1,113 @@
+// Tests of the freshness lease and of the watcher's view.
+// Promises: config, domain-out, withdrawn, leaving
+#define BOOST_TEST_MODULE watcher
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/client/watcher.h"
+
+using namespace chivefront;
+using base::Millis;
+
+namespace {
+
+struct Fixture
+{
+  net::asio::io_context m_context;
+  net::LinkIdentity m_identity;
+  client::ControlLinks m_control{ m_context, m_identity, {} };
+  base::ManualClock m_clock;
+  base::EventLog m_events{ "test", "", 10 };
+  client::Watcher m_watcher{ m_context,         m_control, "entry-1",
+                             wire::Role::Entry, m_clock,   m_events };
+
+  static wire::WatchReplyT Reply(uint64_t aRevision, uint32_t aAge)
+  {
+    wire::WatchReplyT reply;
+    reply.revision = aRevision;
+    reply.age_ms = aAge;
+    reply.fresh = true;
+    reply.live_entries = 1;
+    return reply;
+  }
+
+  static void Put(wire::WatchReplyT& aReply, const std::string& aKey)
+  {
+    auto entry = std::make_unique<wire::ConfigEntryT>();
+    entry->key = aKey;
+    entry->value = "{}";
+    aReply.entries.push_back(std::move(entry));
+  }
+};
+
+} // namespace
+
+// Guards against new work by a process that was cut off: the lease is counted
+// from when the question was sent, less the age in the answer.
+BOOST_FIXTURE_TEST_CASE(LeaseCountsFromTheQuestion, Fixture)
+{
+  m_clock.Advance(Millis(10000));
+  const base::TimePoint asked = m_clock.Now();
+  m_clock.Advance(Millis(700)); // the answer took long
+  BOOST_TEST(m_watcher.Accept(asked, Reply(1, 300)));
+  BOOST_TEST(m_watcher.FreshView().ok());
+  m_clock.Advance(Millis(499));
+  BOOST_TEST(m_watcher.FreshView().ok());
+  m_clock.Advance(Millis(1));
+  BOOST_TEST((base::KindOf(m_watcher.FreshView().status()) ==
+              base::ErrorKind::NotFresh));
+}
+
+// Guards against a late, older answer that shortens or renews the lease.
+BOOST_FIXTURE_TEST_CASE(OlderAnswersChangeNothing, Fixture)
+{
+  m_clock.Advance(Millis(10000));
+  auto newer = Reply(5, 0);
+  Put(newer, "out/domain/a");
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), newer));
+  m_clock.Advance(Millis(1000));
+  // A control process that lags behind revision 5 can't extend the lease.
+  BOOST_TEST(!m_watcher.Accept(m_clock.Now(), Reply(4, 0)));
+  m_clock.Advance(Millis(600));
+  BOOST_TEST(!m_watcher.FreshView().ok());
+  BOOST_TEST(m_watcher.Revision() == 5U);
+  BOOST_TEST(m_watcher.LastView()->m_catalog->m_domainsOut.count("a") == 1U);
+}
+
+// Guards against work before the first confirmed state after a restart.
+BOOST_FIXTURE_TEST_CASE(NothingIsFreshBeforeAnAnswer, Fixture)
+{
+  BOOST_TEST(!m_watcher.FreshView().ok());
+  auto unconfirmed = Reply(3, 0);
+  unconfirmed.fresh = false;
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), unconfirmed));
+  BOOST_TEST(!m_watcher.FreshView().ok());
+}
+
+// Guards against a delta applied to the wrong base, and against entries that
+// survive a snapshot without them.
+BOOST_FIXTURE_TEST_CASE(DeltasAndSnapshots, Fixture)
+{
+  auto first = Reply(1, 0);
+  Put(first, "out/domain/a");
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), first));
+  auto second = Reply(2, 0);
+  Put(second, "out/domain/b");
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), second));
+  BOOST_TEST(m_watcher.LastView()->m_catalog->m_domainsOut.size() == 2U);
+  auto snapshot = Reply(3, 0);
+  snapshot.snapshot = true;
+  Put(snapshot, "out/domain/c");
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), snapshot));
+  BOOST_TEST(m_watcher.LastView()->m_catalog->m_domainsOut.size() == 1U);
+}
+
+// Guards against an invalid configuration replacing a valid one.
+BOOST_FIXTURE_TEST_CASE(InvalidConfigurationIsRefused, Fixture)
+{
+  auto bad = Reply(1, 0);
+  Put(bad, "model/x");
+  BOOST_TEST(!m_watcher.Accept(m_clock.Now(), bad));
+  BOOST_TEST(m_watcher.Revision() == 0U);
+  BOOST_TEST(!m_watcher.FreshView().ok());
+}
