--- /dev/null
+++ b/chivefront/policy/retry_budget.cc
@@ -0,0 +1,51 @@
+// Token bucket filled by new requests.
+#include "chivefront/policy/retry_budget.h"
+
+#include <algorithm>
+
+namespace chivefront::policy {
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+constexpr double kFreeReserve = 0.5; // share of the cap kept for paying work
+
+} // namespace
+
+RetryBudget::RetryBudget(const RetryBudgetRule& aRule)
+  : m_rule(aRule)
+{
+}
+
+void
+RetryBudget::Refill(base::TimePoint aNow)
+{
+  if (m_started) {
+    const auto elapsed = static_cast<double>((aNow - m_refilled).Count());
+    m_tokens += m_rule.m_floorPerSecond * elapsed / kMillisPerSecond;
+    m_tokens = std::min(m_tokens, m_rule.m_cap);
+  }
+  m_started = true;
+  m_refilled = aNow;
+}
+
+void
+RetryBudget::OnNewRequest(base::TimePoint aNow)
+{
+  Refill(aNow);
+  m_tokens = std::min(m_tokens + m_rule.m_ratio, m_rule.m_cap);
+}
+
+bool
+RetryBudget::TryRetry(catalog::CallerClass aClass, base::TimePoint aNow)
+{
+  Refill(aNow);
+  const double reserve =
+    aClass == catalog::CallerClass::Free ? kFreeReserve * m_rule.m_cap : 0.0;
+  if (m_tokens < reserve + 1) {
+    return false;
+  }
+  m_tokens -= 1;
+  return true;
+}
+
+} // namespace chivefront::policy
--- /dev/null
+++ b/chivefront/policy/retry_budget.h
@@ -0,0 +1,44 @@
+// Bounds the retries of one entry to a share of its new requests, so that an
+// outage is not made worse by its own retries.
+//
+//   budget.OnNewRequest(now);
+//   if (budget.TryRetry(catalog::CallerClass::Paying, now)) ... retry ...
+#pragma once
+
+#include "chivefront/base/clock.h"
+#include "chivefront/catalog/catalog.h"
+
+namespace chivefront::policy {
+
+struct RetryBudgetRule
+{
+  double m_ratio = 0.1; // retries per new request
+  // Retries per second allowed without new requests, for entries with little
+  // traffic; it is below a tenth of the traffic of any busy entry.
+  double m_floorPerSecond = 0.05;
+  // Most retries saved up in quiet times; bounds the burst when an outage
+  // begins.
+  double m_cap = 10;
+};
+
+class RetryBudget
+{
+public:
+  explicit RetryBudget(const RetryBudgetRule& aRule = {});
+
+  void OnNewRequest(base::TimePoint aNow);
+  // Takes one retry from the budget. The free class may only use the upper
+  // half of what is saved, so that its failures never exhaust the budget.
+  bool TryRetry(catalog::CallerClass aClass, base::TimePoint aNow);
+  double Available() const { return m_tokens; }
+
+private:
+  void Refill(base::TimePoint aNow);
+
+  RetryBudgetRule m_rule;
+  double m_tokens = 1;
+  base::TimePoint m_refilled;
+  bool m_started = false;
+};
+
+} // namespace chivefront::policy
--- /dev/null
+++ b/chivefront/policy/retry_budget_test.cc
@@ -0,0 +1,59 @@
+// Tests of the retry budget.
+#define BOOST_TEST_MODULE retry_budget
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/policy/retry_budget.h"
+
+using namespace chivefront;
+using catalog::CallerClass;
+
+namespace {
+
+base::TimePoint
+At(int64_t aMs)
+{
+  return base::TimePoint(base::Millis(aMs));
+}
+
+} // namespace
+
+// Guards against an outage amplified by retries: 100 requests a second, all
+// of which fail and ask for retries without end.
+BOOST_AUTO_TEST_CASE(RetriesStayBelowATenthOfNewRequestsInAnOutage)
+{
+  policy::RetryBudget budget;
+  int retries = 0;
+  const int requests = 30000;
+  for (int i = 0; i < requests; ++i) {
+    budget.OnNewRequest(At(i * 10));
+    for (int attempt = 0; attempt < 3; ++attempt) {
+      retries += budget.TryRetry(CallerClass::Paying, At(i * 10)) ? 1 : 0;
+    }
+  }
+  BOOST_TEST(retries <= 0.1 * requests + 0.05 * 300 + 1);
+  BOOST_TEST(retries >= requests / 10 - 10);
+}
+
+// Guards against an idle entry that could never retry at all.
+BOOST_AUTO_TEST_CASE(FloorAllowsRareRetriesWithoutTraffic)
+{
+  policy::RetryBudget budget;
+  BOOST_TEST(budget.TryRetry(CallerClass::Paying, At(0)));
+  BOOST_TEST(!budget.TryRetry(CallerClass::Paying, At(0)));
+  BOOST_TEST(budget.TryRetry(CallerClass::Paying, At(20001)));
+}
+
+// Guards against free retries using up the budget of paying ones.
+BOOST_AUTO_TEST_CASE(FreeRetriesLeaveHalfTheBudget)
+{
+  policy::RetryBudget budget;
+  for (int i = 0; i < 1000; ++i) {
+    budget.OnNewRequest(At(0));
+  }
+  int free = 0;
+  while (budget.TryRetry(CallerClass::Free, At(0))) {
+    ++free;
+  }
+  BOOST_TEST(free == 5);
+  BOOST_TEST(budget.TryRetry(CallerClass::Paying, At(0)));
+}
