--- /dev/null
+++ b/chivefront/policy/cascade.h
@@ -0,0 +1,148 @@
+// Chooses, per team and task kind, the version that answers first and those a
+// rejected draft escalates to, at the lowest expected cost that meets the
+// quality target within the latency budget.
+//
+//   CascadePlan plan = cascade.Plan(request, now);
+//   run plan.m_versions[0]; when plan.m_versions has more, rate the draft and
+//   go on to the next version while it is not acceptable; the answer of the
+//   last version is returned. Rate that one as well if plan.m_sample.
+//   cascade.OnRating(team, task, version, step, acceptable, now);
+//
+// Acceptance rates come from ratings of both kinds. Without evidence plans
+// start from the version of the highest rank. Streamed requests get exactly
+// one version. Not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "chivefront/base/clock.h"
+#include "chivefront/catalog/catalog.h"
+#include "chivefront/policy/evidence.h"
+
+namespace chivefront::policy {
+
+enum class CascadeRule
+{
+  FixedThreshold, // cheapest first, best after a rejection; a baseline
+  Index,          // lower confidence bounds, with bounded exploration
+  Thompson,       // rates drawn from their distributions
+};
+
+struct CascadeSettings
+{
+  CascadeRule m_rule = CascadeRule::Index;
+  // Deviations below the mean at which a rate counts towards the target.
+  double m_caution = 1.0;
+  double m_exploreShare = 0.05; // most requests that explore
+  double m_sampleShare = 0.05;  // finished answers rated for evidence
+  // Below this many ratings, a version's answers are rated more often and
+  // exploration may go to it.
+  double m_wellKnown = 60;
+  double m_ratingCost = 0; // in millionths of a currency unit per rating
+  base::Millis m_ratingLatency{ 300 };
+  // Share of ratings that are wrong, in either direction.
+  double m_ratingError = 0.03;
+  double m_cachedTokenPrice = 0.25; // of the prompt price
+  size_t m_longestPlan = 3;
+  EvidenceSettings m_evidence;
+};
+
+// A version that the team may use now.
+struct CascadeOption
+{
+  std::string m_version;
+  int m_rank = 0;            // of its model; higher answers better
+  uint64_t m_promptCost = 0; // millionths per 1000 tokens
+  uint64_t m_answerCost = 0;
+  uint32_t m_cachedTokens = 0; // of this prompt, at its upstreams
+  base::Millis m_latency;      // expected, of a whole answer
+};
+
+struct CascadeRequest
+{
+  std::string m_team;
+  std::string m_task;
+  catalog::TaskTarget m_target;
+  bool m_stream = false;
+  uint32_t m_promptTokens = 0;
+  uint32_t m_answerTokens = 0; // expected
+  std::vector<CascadeOption> m_options;
+};
+
+struct CascadePlan
+{
+  std::vector<std::string> m_versions; // empty only without options
+  bool m_sample = false;               // rate the last answer for evidence
+  bool m_explores = false;
+  double m_expectedCost = 0; // millionths, ratings included
+  double m_expectedQuality = 0;
+};
+
+class Cascade
+{
+public:
+  explicit Cascade(const CascadeSettings& aSettings = {}, uint64_t aSeed = 1);
+
+  CascadePlan Plan(const CascadeRequest& aRequest, base::TimePoint aNow);
+
+  // aStep is First for m_versions[0], else AfterRejection.
+  void OnRating(std::string_view aTeam,
+                std::string_view aTask,
+                std::string_view aVersion,
+                PlanStep aStep,
+                bool aAcceptable,
+                base::TimePoint aNow);
+  // While ratings are down, estimates stay as they are, nothing is explored
+  // and plans have one version.
+  void SetRatingsUp(bool aUp, base::TimePoint aNow);
+
+  const RatingEvidence& Evidence() const { return m_evidence; }
+  void Forget(std::string_view aVersion) { m_evidence.Forget(aVersion); }
+
+private:
+  // One version with everything known about it for the request at hand.
+  struct Arm
+  {
+    const CascadeOption* m_option = nullptr;
+    double m_cost = 0;
+    Acceptance m_first; // as rated
+    Acceptance m_later;
+    // Rates used to weigh plans, as rated; set by the rule.
+    double m_firstRate = 0;
+    double m_laterRate = 0;
+  };
+  using Chain = std::vector<const Arm*>; // in running order
+  struct Weighed
+  {
+    Chain m_chain;
+    double m_cost = 0;
+    double m_quality = 0; // true acceptance
+  };
+
+  std::vector<Arm> Arms(const CascadeRequest& aRequest, base::TimePoint aNow);
+  void SetRates(std::vector<Arm>& aArms, double aDeviations);
+  void SampleRates(std::vector<Arm>& aArms);
+  Weighed Weigh(const Chain& aChain) const;
+  std::vector<Chain> Chains(const std::vector<Arm>& aArms,
+                            const CascadeRequest& aRequest) const;
+  bool InBudget(const Chain& aChain, const CascadeRequest& aRequest) const;
+  Weighed Choose(const std::vector<Chain>& aChains,
+                 const std::vector<Arm>& aArms,
+                 const CascadeRequest& aRequest) const;
+  bool Explore(std::vector<Arm>& aArms,
+               const std::vector<Chain>& aChains,
+               const CascadeRequest& aRequest,
+               Weighed& aChosen);
+  double TrueRate(double aRated) const;
+  double Uniform();
+
+  const CascadeSettings m_settings;
+  std::mt19937_64 m_random;
+  RatingEvidence m_evidence;
+};
+
+} // namespace chivefront::policy
--- /dev/null
+++ b/chivefront/policy/cascade_test.cc
@@ -0,0 +1,146 @@
+// Tests of the choice of versions by cost, quality and latency.
+#define BOOST_TEST_MODULE cascade
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/policy/cascade.h"
+
+using namespace chivefront;
+using policy::Cascade;
+using policy::CascadeOption;
+using policy::CascadeRequest;
+using policy::PlanStep;
+
+namespace {
+
+base::TimePoint
+At(int64_t aMs)
+{
+  return base::TimePoint(base::Millis(aMs));
+}
+
+CascadeRequest
+Request(bool aStream = false)
+{
+  CascadeRequest request;
+  request.m_team = "sales";
+  request.m_task = "tag";
+  request.m_stream = aStream;
+  request.m_promptTokens = 1000;
+  request.m_answerTokens = 100;
+  request.m_options = {
+    { "large-1", 3, 1000, 3000, 0, base::Millis(3000) },
+    { "small-1", 1, 50, 150, 0, base::Millis(500) },
+    { "mid-1", 2, 200, 600, 0, base::Millis(1000) },
+  };
+  return request;
+}
+
+void
+Rate(Cascade& aCascade,
+     const std::string& aVersion,
+     PlanStep aStep,
+     int aGood,
+     int aBad)
+{
+  for (int i = 0; i < aGood + aBad; ++i) {
+    aCascade.OnRating("sales", "tag", aVersion, aStep, i < aGood, At(0));
+  }
+}
+
+std::vector<std::string>
+Plan(Cascade& aCascade, const CascadeRequest& aRequest)
+{
+  // Exploring plans are bounded by a test of their own.
+  while (true) {
+    const auto plan = aCascade.Plan(aRequest, At(0));
+    if (!plan.m_explores) {
+      return plan.m_versions;
+    }
+  }
+}
+
+using Versions = std::vector<std::string>;
+
+} // namespace
+
+// Guards against a cheap, unknown model answering the first requests.
+BOOST_AUTO_TEST_CASE(StartsFromTheBetterModel)
+{
+  Cascade cascade;
+  BOOST_TEST(Plan(cascade, Request()) == Versions{ "large-1" });
+  BOOST_TEST(Plan(cascade, Request(true)) == Versions{ "large-1" });
+}
+
+// Guards against paying for a better model than the target needs.
+BOOST_AUTO_TEST_CASE(MovesToTheCheapestVersionThatMeetsTheTarget)
+{
+  Cascade cascade;
+  Rate(cascade, "large-1", PlanStep::First, 190, 10);
+  Rate(cascade, "mid-1", PlanStep::First, 180, 20);
+  Rate(cascade, "small-1", PlanStep::First, 100, 100);
+  BOOST_TEST(Plan(cascade, Request(true)) == Versions{ "mid-1" });
+  Rate(cascade, "small-1", PlanStep::First, 195, 5);
+  Rate(cascade, "small-1", PlanStep::First, 195, 5);
+  BOOST_TEST(Plan(cascade, Request(true)) == Versions{ "small-1" });
+}
+
+// Guards against a direct choice where a draft with an escalation is cheaper,
+// and against a draft that the latency budget does not allow.
+BOOST_AUTO_TEST_CASE(DraftsWithinTheLatencyBudget)
+{
+  Cascade cascade;
+  Rate(cascade, "large-1", PlanStep::First, 190, 10);
+  Rate(cascade, "large-1", PlanStep::AfterRejection, 180, 20);
+  Rate(cascade, "mid-1", PlanStep::First, 100, 100);
+  Rate(cascade, "small-1", PlanStep::First, 140, 60);
+  auto request = Request();
+  request.m_target.m_quality = 0.9;
+  const Versions expected{ "small-1", "large-1" };
+  BOOST_TEST(Plan(cascade, request) == expected);
+  request.m_target.m_latencyBudget = base::Millis(3500);
+  BOOST_TEST(Plan(cascade, request) == Versions{ "large-1" });
+}
+
+// Guards against exploration and drafts without a rating service, and against
+// estimates that fade while it is down.
+BOOST_AUTO_TEST_CASE(RatingsDownKeepsEstimatesAndDoesNotExplore)
+{
+  Cascade cascade;
+  Rate(cascade, "large-1", PlanStep::First, 190, 10);
+  Rate(cascade, "mid-1", PlanStep::First, 180, 20);
+  cascade.SetRatingsUp(false, At(0));
+  const auto later = At(30LL * 24 * 3600 * 1000);
+  for (int i = 0; i < 500; ++i) {
+    const auto plan = cascade.Plan(Request(), later);
+    BOOST_TEST_REQUIRE(plan.m_versions == Versions{ "mid-1" });
+    BOOST_TEST_REQUIRE(!plan.m_explores);
+    BOOST_TEST_REQUIRE(!plan.m_sample);
+  }
+}
+
+// Guards against exploration beyond its share, or that returns an unproven
+// answer without a fallback.
+BOOST_AUTO_TEST_CASE(ExplorationIsBoundedAndFallsBack)
+{
+  Cascade cascade;
+  int explored = 0;
+  for (int i = 0; i < 10000; ++i) {
+    const auto plan = cascade.Plan(Request(), At(0));
+    BOOST_TEST_REQUIRE(plan.m_versions.back() == "large-1");
+    explored += plan.m_explores ? 1 : 0;
+  }
+  BOOST_TEST(explored > 0);
+  BOOST_TEST(explored < 600);
+}
+
+// Guards against one team's evidence being useless to another team, which
+// would pay for learning it again.
+BOOST_AUTO_TEST_CASE(EvidenceOfOtherTeamsIsThePrior)
+{
+  Cascade cascade;
+  Rate(cascade, "small-1", PlanStep::First, 190, 10);
+  const auto pooled = cascade.Evidence().Of(
+    "new", "tag", "small-1", PlanStep::First, false, At(0));
+  BOOST_TEST(pooled.Mean() > 0.8);
+  BOOST_TEST(pooled.m_evidence == 0);
+}
--- /dev/null
+++ b/chivefront/policy/suspects.cc
@@ -0,0 +1,105 @@
+// Counting rule for requests that crash upstreams.
+#include "chivefront/policy/suspects.h"
+
+#include <algorithm>
+
+namespace chivefront::policy {
+namespace {
+
+// Bounds of the state. A reporter repeats a loss for seconds, and a day of
+// the design size sees about 3,200 losses.
+constexpr size_t kMaxLossIds = 8192;
+constexpr size_t kMaxSuspects = 65536;
+
+} // namespace
+
+SuspectCounts::Loss
+SuspectCounts::OnLoss(const std::string& aLossId,
+                      const std::vector<uint64_t>& aFingerprints)
+{
+  Loss result;
+  if (!m_lossIds.insert(aLossId).second) {
+    return result;
+  }
+  m_lossOrder.push_back(aLossId);
+  if (m_lossOrder.size() > kMaxLossIds) {
+    m_lossIds.erase(m_lossOrder.front());
+    m_lossOrder.pop_front();
+  }
+  // The same request may be listed twice; it gains once.
+  const std::set<uint64_t> distinct(aFingerprints.begin(), aFingerprints.end());
+  uint32_t highest = 0;
+  for (const uint64_t fingerprint : distinct) {
+    highest = std::max(highest, Losses(fingerprint));
+  }
+  for (const uint64_t fingerprint : distinct) {
+    if (Losses(fingerprint) != highest) {
+      continue;
+    }
+    const uint32_t losses = highest + 1;
+    Set(fingerprint, losses);
+    result.m_suspects.emplace_back(fingerprint, losses);
+    if (losses == kQuarantineLosses) {
+      result.m_quarantined.push_back(fingerprint);
+    }
+  }
+  return result;
+}
+
+void
+SuspectCounts::Set(uint64_t aFingerprint, uint32_t aLosses)
+{
+  Count& count = m_counts[aFingerprint];
+  if (count.m_touched != 0) {
+    m_byTouch.erase(count.m_touched);
+  }
+  count.m_losses = aLosses;
+  count.m_touched = ++m_touches;
+  m_byTouch.emplace(count.m_touched, aFingerprint);
+  if (m_counts.size() > kMaxSuspects) {
+    Clear(m_byTouch.begin()->second);
+  }
+}
+
+void
+SuspectCounts::Clear(uint64_t aFingerprint)
+{
+  const auto found = m_counts.find(aFingerprint);
+  if (found != m_counts.end()) {
+    m_byTouch.erase(found->second.m_touched);
+    m_counts.erase(found);
+  }
+}
+
+uint32_t
+SuspectCounts::Losses(uint64_t aFingerprint) const
+{
+  const auto found = m_counts.find(aFingerprint);
+  return found == m_counts.end() ? 0 : found->second.m_losses;
+}
+
+SuspectCounts::State
+SuspectCounts::Save() const
+{
+  State state;
+  for (const auto& [touch, fingerprint] : m_byTouch) {
+    state.m_counts.emplace_back(fingerprint, Losses(fingerprint));
+  }
+  state.m_lossIds.assign(m_lossOrder.begin(), m_lossOrder.end());
+  return state;
+}
+
+void
+SuspectCounts::Load(const State& aState)
+{
+  *this = SuspectCounts();
+  for (const auto& [fingerprint, losses] : aState.m_counts) {
+    Set(fingerprint, losses);
+  }
+  for (const std::string& id : aState.m_lossIds) {
+    m_lossIds.insert(id);
+    m_lossOrder.push_back(id);
+  }
+}
+
+} // namespace chivefront::policy
--- /dev/null
+++ b/chivefront/policy/suspects_test.cc
@@ -0,0 +1,64 @@
+// Tests of the counting rule for requests that crash upstreams.
+#define BOOST_TEST_MODULE suspects
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/policy/suspects.h"
+
+using namespace chivefront;
+using policy::SuspectCounts;
+
+// Guards against a crashing request that is sent again and again.
+BOOST_AUTO_TEST_CASE(ThirdLossQuarantinesTheCulpritOnly)
+{
+  SuspectCounts suspects;
+  auto loss = suspects.OnLoss("l1", { 1, 2, 3 });
+  BOOST_TEST(loss.m_suspects.size() == 3U);
+  suspects.Clear(2); // the innocent ones complete elsewhere
+  suspects.Clear(3);
+  loss = suspects.OnLoss("l2", { 1, 4, 5 });
+  BOOST_TEST(loss.m_suspects.size() == 1U);
+  BOOST_TEST(suspects.Losses(4) == 0U);
+  BOOST_TEST(loss.m_quarantined.empty());
+  loss = suspects.OnLoss("l3", { 1, 6 });
+  BOOST_TEST(loss.m_quarantined == std::vector<uint64_t>{ 1 });
+  BOOST_TEST(suspects.Losses(6) == 0U);
+  // Later losses do not propose the quarantine again.
+  BOOST_TEST(suspects.OnLoss("l4", { 1 }).m_quarantined.empty());
+}
+
+// Guards against a report that is repeated after a lost reply and would count
+// one loss several times.
+BOOST_AUTO_TEST_CASE(RepeatedReportsCountOnce)
+{
+  SuspectCounts suspects;
+  suspects.OnLoss("l1", { 1, 1 });
+  suspects.OnLoss("l1", { 1 });
+  BOOST_TEST(suspects.Losses(1) == 1U);
+}
+
+// Guards against replicas that differ after a snapshot.
+BOOST_AUTO_TEST_CASE(SaveAndLoadKeepCountsAndLossIds)
+{
+  SuspectCounts suspects;
+  suspects.OnLoss("l1", { 1, 2 });
+  suspects.OnLoss("l2", { 1 });
+  SuspectCounts copy;
+  copy.Load(suspects.Save());
+  BOOST_TEST(copy.Losses(1) == 2U);
+  BOOST_TEST(copy.Losses(2) == 1U);
+  copy.OnLoss("l2", { 1 });
+  BOOST_TEST(copy.Losses(1) == 2U);
+  BOOST_TEST(copy.OnLoss("l3", { 1, 2 }).m_quarantined.size() == 1U);
+}
+
+// Guards against state that grows with every loss for ever.
+BOOST_AUTO_TEST_CASE(StateIsBounded)
+{
+  SuspectCounts suspects;
+  for (uint64_t i = 0; i < 70000; ++i) {
+    suspects.OnLoss(std::to_string(i), { i + 1 });
+  }
+  BOOST_TEST(suspects.Size() == 65536U);
+  BOOST_TEST(suspects.Losses(70000) == 1U);
+  BOOST_TEST(suspects.Losses(1) == 0U);
+}
