--- /dev/null
+++ b/chivefront/consensus/core.cc
@@ -0,0 +1,435 @@
+// Terms, elections and time of the Raft core.
+#include "chivefront/consensus/core.h"
+
+#include <algorithm>
+
+namespace chivefront::consensus {
+
+using base::TimePoint;
+
+RaftCore::RaftCore(CoreOptions aOptions, StoredState aState, TimePoint aNow)
+  : m_options(std::move(aOptions))
+  , m_random(m_options.m_seed)
+  , m_hard(std::move(aState.m_hard))
+  , m_log(aState.m_baseIndex, aState.m_baseTerm, std::move(aState.m_entries))
+  , m_snapshot(std::move(aState.m_snapshot))
+  , m_helloDue(aNow)
+{
+  m_commit = m_snapshot ? m_snapshot->m_index : 0;
+  m_synced = m_log.LastIndex();
+  if (m_snapshot) {
+    m_memberships.emplace_back(m_commit, m_snapshot->m_membership);
+  } else {
+    m_memberships.emplace_back(
+      0, m_hard.m_stage == Stage::Active ? m_hard.m_initial : Membership());
+  }
+  for (uint64_t i = m_commit + 1; i <= m_log.LastIndex(); ++i) {
+    if (m_log.At(i).m_kind == EntryKind::Membership) {
+      m_memberships.emplace_back(i, DecodeMembership(m_log.At(i).m_data));
+    }
+  }
+  ResetElectionTimer(aNow);
+}
+
+const Membership&
+RaftCore::MembersAt(uint64_t aIndex) const
+{
+  auto found = m_memberships.rbegin();
+  while (found->first > aIndex && std::next(found) != m_memberships.rend()) {
+    ++found;
+  }
+  return found->second;
+}
+
+bool
+RaftCore::IsVoter(uint64_t aIdentity) const
+{
+  return std::any_of(
+    Members().begin(), Members().end(), [&](const Replica& aReplica) {
+      return aReplica.m_identity == aIdentity && aReplica.m_voter;
+    });
+}
+
+// A replica outside the last membership it knows must still vote, because the
+// membership that includes it may not have reached it; but one that was never
+// part of any membership may not.
+bool
+RaftCore::MayVote() const
+{
+  return m_hard.m_stage == Stage::Active && !Members().empty();
+}
+
+bool
+RaftCore::IsMajority(const std::set<uint64_t>& aIdentities) const
+{
+  size_t voters = 0;
+  size_t counted = 0;
+  for (const Replica& replica : Members()) {
+    if (replica.m_voter) {
+      ++voters;
+      counted += aIdentities.count(replica.m_identity);
+    }
+  }
+  return counted * 2 > voters;
+}
+
+void
+RaftCore::ResetElectionTimer(TimePoint aNow)
+{
+  const int64_t timeout = m_options.m_electionTimeout.Count();
+  std::uniform_int_distribution<int64_t> more(0, timeout);
+  m_electionDue = aNow + base::Millis(timeout + more(m_random));
+}
+
+void
+RaftCore::Send(const std::string& aTo, Message aMessage, bool aEarly)
+{
+  aMessage.m_from = m_options.m_identity;
+  auto& queue = aEarly ? m_actions.m_early : m_actions.m_late;
+  queue.push_back({ aTo, std::move(aMessage) });
+}
+
+void
+RaftCore::Answer(const std::string& aFrom,
+                 const Message& aQuestion,
+                 Message aReply)
+{
+  aReply.m_to = aQuestion.m_from;
+  aReply.m_term = m_hard.m_term;
+  aReply.m_round = aQuestion.m_round;
+  Send(aFrom, std::move(aReply));
+}
+
+void
+RaftCore::FailConfirmations()
+{
+  for (const uint64_t id : m_questions) {
+    m_actions.m_confirmed.push_back({ id, std::nullopt });
+  }
+  for (const auto& [round, id] : m_asked) {
+    m_actions.m_confirmed.push_back({ id, std::nullopt });
+  }
+  m_questions.clear();
+  m_asked.clear();
+}
+
+void
+RaftCore::BecomeFollower(uint64_t aTerm, const std::string& aLeader)
+{
+  if (aTerm > m_hard.m_term) {
+    m_hard.m_term = aTerm;
+    m_hard.m_vote = 0;
+    m_actions.m_saveHard = true;
+  }
+  if (IsLeader()) {
+    m_actions.m_steppedDown = true;
+    m_peers.clear();
+    m_strangers.clear();
+    m_transferTo = 0;
+    FailConfirmations();
+  }
+  m_role = RaftRole::Follower;
+  m_leader = aLeader;
+  m_votes.clear();
+}
+
+void
+RaftCore::BecomeLeader(TimePoint aNow)
+{
+  m_role = RaftRole::Leader;
+  m_leader = m_options.m_name;
+  m_heardLeader = false;
+  m_heartbeatDue = aNow + m_options.m_heartbeat;
+  m_peers.clear();
+  ArrangePeers();
+  for (auto& [identity, peer] : m_peers) {
+    peer.m_heard = aNow;
+  }
+  m_termStart = m_log.LastIndex() + 1;
+  AppendToLog({ m_hard.m_term, m_termStart, EntryKind::NoOp, "" });
+  m_heartbeatWanted = true;
+}
+
+void
+RaftCore::AskForVotes(uint64_t aTerm, bool aPreVote, bool aForced)
+{
+  for (const Replica& replica : Members()) {
+    if (!replica.m_voter || replica.m_identity == m_options.m_identity) {
+      continue;
+    }
+    Message question;
+    question.m_kind = MessageKind::Vote;
+    question.m_to = replica.m_identity;
+    question.m_term = aTerm;
+    question.m_index = m_log.LastIndex();
+    question.m_logTerm = m_log.LastTerm();
+    question.m_flag = aPreVote;
+    question.m_forced = aForced;
+    Send(replica.m_name, std::move(question));
+  }
+}
+
+void
+RaftCore::StartPreVote(TimePoint aNow)
+{
+  BecomeFollower(m_hard.m_term, "");
+  m_role = RaftRole::Candidate;
+  m_preVote = true;
+  m_votes = { m_options.m_identity };
+  ResetElectionTimer(aNow);
+  AskForVotes(m_hard.m_term + 1, true, false);
+  CheckVotes(aNow);
+}
+
+void
+RaftCore::StartElection(bool aForced, TimePoint aNow)
+{
+  BecomeFollower(m_hard.m_term + 1, "");
+  m_hard.m_vote = m_options.m_identity;
+  m_role = RaftRole::Candidate;
+  m_preVote = false;
+  m_votes = { m_options.m_identity };
+  ResetElectionTimer(aNow);
+  AskForVotes(m_hard.m_term, false, aForced);
+  CheckVotes(aNow);
+}
+
+void
+RaftCore::CheckVotes(TimePoint aNow)
+{
+  if (m_role != RaftRole::Candidate || !IsMajority(m_votes)) {
+    return;
+  }
+  if (m_preVote) {
+    StartElection(false, aNow);
+  } else {
+    BecomeLeader(aNow);
+  }
+}
+
+// A follower that hears a live leader, and a leader that hears a majority,
+// refuse other candidates, so that a replica that comes back does not end a
+// working term.
+bool
+RaftCore::HearsLeader(TimePoint aNow) const
+{
+  return IsLeader() ||
+         (m_heardLeader && aNow < m_leaderHeard + m_options.m_electionTimeout);
+}
+
+bool
+RaftCore::IsUpToDate(const Message& aMessage) const
+{
+  return std::pair(aMessage.m_logTerm, aMessage.m_index) >=
+         std::pair(m_log.LastTerm(), m_log.LastIndex());
+}
+
+void
+RaftCore::OnVote(const std::string& aFrom,
+                 const Message& aMessage,
+                 TimePoint aNow)
+{
+  if (IsLeader()) {
+    NoteStranger(aFrom, aMessage.m_from, aNow);
+  }
+  if (!MayVote() || (!aMessage.m_forced && HearsLeader(aNow))) {
+    return;
+  }
+  Message reply;
+  reply.m_kind = MessageKind::VoteReply;
+  reply.m_flag = aMessage.m_flag;
+  if (aMessage.m_flag) {
+    reply.m_rejected =
+      aMessage.m_term <= m_hard.m_term || !IsUpToDate(aMessage);
+    reply.m_index = aMessage.m_term; // the term that the pre-vote is for
+    Answer(aFrom, aMessage, std::move(reply));
+    return;
+  }
+  if (aMessage.m_term > m_hard.m_term) {
+    BecomeFollower(aMessage.m_term, "");
+  }
+  const bool free = m_hard.m_vote == 0 || m_hard.m_vote == aMessage.m_from;
+  reply.m_rejected =
+    aMessage.m_term < m_hard.m_term || !free || !IsUpToDate(aMessage);
+  if (!reply.m_rejected) {
+    m_actions.m_saveHard = m_actions.m_saveHard || m_hard.m_vote == 0;
+    m_hard.m_vote = aMessage.m_from;
+    ResetElectionTimer(aNow);
+  }
+  Answer(aFrom, aMessage, std::move(reply));
+}
+
+void
+RaftCore::OnVoteReply(const Message& aMessage, TimePoint aNow)
+{
+  if (aMessage.m_term > m_hard.m_term) {
+    BecomeFollower(aMessage.m_term, "");
+    return;
+  }
+  if (m_role != RaftRole::Candidate || aMessage.m_flag != m_preVote ||
+      aMessage.m_rejected) {
+    return;
+  }
+  const bool current = m_preVote ? aMessage.m_index == m_hard.m_term + 1
+                                 : aMessage.m_term == m_hard.m_term;
+  if (current) {
+    m_votes.insert(aMessage.m_from);
+    CheckVotes(aNow);
+  }
+}
+
+// A leader that has heard no majority for an election timeout steps down:
+// others may have elected another one.
+void
+RaftCore::CheckQuorum(TimePoint aNow)
+{
+  std::set<uint64_t> heard{ m_options.m_identity };
+  for (const auto& [identity, peer] : m_peers) {
+    if (aNow < peer.m_heard + m_options.m_electionTimeout) {
+      heard.insert(identity);
+    }
+  }
+  if (!IsMajority(heard)) {
+    BecomeFollower(m_hard.m_term, "");
+    ResetElectionTimer(aNow);
+  }
+}
+
+void
+RaftCore::Receive(const std::string& aFrom,
+                  const Message& aMessage,
+                  TimePoint aNow)
+{
+  if (aMessage.m_from == m_options.m_identity) {
+    return;
+  }
+  if (aMessage.m_to != 0 && aMessage.m_to != m_options.m_identity) {
+    // Meant for a lost replica of this name: tell who is here now.
+    Send(aFrom, Hello(true));
+    return;
+  }
+  switch (aMessage.m_kind) {
+    case MessageKind::Hello:
+      return OnHello(aFrom, aMessage, aNow);
+    case MessageKind::Vote:
+      return OnVote(aFrom, aMessage, aNow);
+    case MessageKind::VoteReply:
+      return OnVoteReply(aMessage, aNow);
+    case MessageKind::Append:
+      return OnAppend(aFrom, aMessage, aNow);
+    case MessageKind::AppendReply:
+      return OnAppendReply(aMessage, aNow);
+    case MessageKind::Snapshot:
+      return OnSnapshot(aFrom, aMessage, aNow);
+    case MessageKind::SnapshotReply:
+      return OnSnapshotReply(aMessage, aNow);
+    case MessageKind::TakeOver:
+      if (aMessage.m_term == m_hard.m_term && !IsLeader() && MayVote() &&
+          IsVoter(m_options.m_identity)) {
+        StartElection(true, aNow);
+      }
+      return;
+  }
+}
+
+void
+RaftCore::Tick(TimePoint aNow)
+{
+  if (aNow >= m_helloDue) {
+    m_helloDue = aNow + m_options.m_heartbeat;
+    if (SeeksAdmission(aNow)) {
+      SayHello();
+    }
+  }
+  if (IsLeader()) {
+    CheckQuorum(aNow);
+  }
+  if (IsLeader()) {
+    if (m_transferTo != 0 && aNow >= m_transferDue) {
+      m_transferTo = 0;
+    }
+    if (aNow >= m_heartbeatDue) {
+      m_heartbeatDue = aNow + m_options.m_heartbeat;
+      m_heartbeatWanted = true;
+      for (auto& [identity, peer] : m_peers) {
+        // Whatever was not answered by now is taken for lost.
+        peer.m_inFlight = 0;
+        peer.m_chunkInFlight = false;
+      }
+    }
+    RepairMembership(aNow);
+  } else if (aNow >= m_electionDue) {
+    ResetElectionTimer(aNow);
+    if (MayVote() && IsVoter(m_options.m_identity)) {
+      StartPreVote(aNow);
+    }
+  }
+}
+
+TimePoint
+RaftCore::NextDeadline() const
+{
+  const TimePoint due = IsLeader() ? m_heartbeatDue : m_electionDue;
+  return std::min(due, m_helloDue);
+}
+
+Actions
+RaftCore::Take(TimePoint aNow)
+{
+  if (IsLeader()) {
+    RepairMembership(aNow);
+    Replicate();
+  }
+  if (m_actions.m_saveHard) {
+    // Nothing of a term may be seen before the term itself is durable.
+    std::move(m_actions.m_early.begin(),
+              m_actions.m_early.end(),
+              std::back_inserter(m_actions.m_late));
+    m_actions.m_early.clear();
+  }
+  return std::exchange(m_actions, {});
+}
+
+void
+RaftCore::Synced(TimePoint aNow)
+{
+  m_synced = m_log.LastIndex();
+  if (IsLeader()) {
+    AdvanceCommit();
+    AnswerConfirmations();
+    RepairMembership(aNow);
+  }
+}
+
+void
+RaftCore::Compact(std::shared_ptr<const Snapshot> aSnapshot)
+{
+  const uint64_t index = aSnapshot->m_index;
+  m_snapshot = std::move(aSnapshot);
+  if (index > m_options.m_trailing) {
+    m_log.DropThrough(index - m_options.m_trailing);
+  }
+  while (m_memberships.size() > 1 && m_memberships[1].first <= index) {
+    m_memberships.erase(m_memberships.begin());
+  }
+}
+
+GroupStatus
+RaftCore::Status(TimePoint aNow) const
+{
+  GroupStatus status;
+  status.m_role = m_role;
+  if (!IsVoter(m_options.m_identity)) {
+    status.m_role = RaftRole::Learner;
+  }
+  status.m_leader = m_leader;
+  status.m_term = m_hard.m_term;
+  status.m_lastIndex = m_log.LastIndex();
+  status.m_committed = m_commit;
+  status.m_replicas = Members();
+  status.m_caughtUp = CountCaughtUp(aNow);
+  status.m_repaired = IsRepaired(aNow);
+  return status;
+}
+
+} // namespace chivefront::consensus
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -60,6 +60,10 @@
   base::Millis m_heartbeat{ 100 };
   // A snapshot is taken after this many applied commands.
   uint64_t m_snapshotEvery = 10000;
+  // Calls taken at once; 0 for all that wait. 1 turns group commit off.
+  uint64_t m_maxBatch = 0;
+  // Size at which a segment of the log is followed by a new one.
+  uint64_t m_segmentBytes = 8 * 1024 * 1024;
 };
 
 enum class RaftRole
@@ -80,7 +84,10 @@
   uint64_t m_applied = 0;
   std::vector<Replica> m_replicas;
   // Replicas that hold everything committed, as far as the leader knows.
-  uint32_t m_caughtUp = 0;
+  uint32_t m_caughtUp = 0; // counts voters only; 0 when not the leader
+  // On the leader: every first member has exactly one replica, which votes and
+  // holds everything committed. Until then a further loss may cost data.
+  bool m_repaired = false;
 };
 
 class Group
--- /dev/null
+++ b/chivefront/consensus/group_test.cc
@@ -0,0 +1,202 @@
+// Tests of the group: three replicas in one process on real files.
+// Promises: config
+#define BOOST_TEST_MODULE group
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <filesystem>
+#include <future>
+#include <thread>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/consensus/group.h"
+
+using namespace chivefront;
+using consensus::Group;
+
+namespace {
+
+// Collects commands; the result of one is the number of commands so far.
+class ListMachine final : public consensus::StateMachine
+{
+public:
+  std::string Apply(uint64_t, std::string_view aCommand) override
+  {
+    const std::lock_guard guard(m_lock);
+    m_text.append(aCommand).append(";");
+    return std::to_string(++m_count);
+  }
+  std::string TakeSnapshot() const override
+  {
+    const std::lock_guard guard(m_lock);
+    return std::to_string(m_count) + ":" + m_text;
+  }
+  absl::Status Restore(std::string_view aSnapshot) override
+  {
+    const std::lock_guard guard(m_lock);
+    const size_t colon = aSnapshot.find(':');
+    m_count = std::stoull(std::string(aSnapshot.substr(0, colon)));
+    m_text = aSnapshot.substr(colon + 1);
+    return absl::OkStatus();
+  }
+  std::string Text() const
+  {
+    const std::lock_guard guard(m_lock);
+    return m_text;
+  }
+
+private:
+  mutable std::mutex m_lock;
+  uint64_t m_count = 0;
+  std::string m_text;
+};
+
+// Replicas a, b and c that reach each other by direct calls.
+class Cluster
+{
+public:
+  explicit Cluster(uint64_t aSnapshotEvery = 10000)
+    : m_snapshotEvery(aSnapshotEvery)
+    , m_root(std::filesystem::temp_directory_path() /
+             ("chivefront-group-" +
+              std::to_string(
+                std::chrono::steady_clock::now().time_since_epoch().count())))
+  {
+    for (const char* name : { "a", "b", "c" }) {
+      Start(name);
+    }
+  }
+  ~Cluster()
+  {
+    for (const char* name : { "a", "b", "c" }) {
+      StopReplica(name);
+    }
+    std::filesystem::remove_all(m_root);
+  }
+
+  void Start(const std::string& aName)
+  {
+    consensus::GroupOptions options;
+    options.m_name = aName;
+    options.m_initial = { "a", "b", "c" };
+    options.m_folder = (m_root / aName).string();
+    options.m_snapshotEvery = m_snapshotEvery;
+    auto machine = std::make_unique<ListMachine>();
+    auto group = std::make_shared<Group>(
+      options,
+      *machine,
+      [this, aName](const std::string& aTo, std::string aPayload) {
+        const std::lock_guard guard(m_lock);
+        const auto found = m_groups.find(aTo);
+        if (found != m_groups.end()) {
+          found->second->Receive(aName, std::move(aPayload));
+        }
+      },
+      [](const absl::Status& aStatus) { BOOST_ERROR(aStatus.ToString()); },
+      m_events);
+    BOOST_REQUIRE(group->Start().ok());
+    const std::lock_guard guard(m_lock);
+    m_groups[aName] = group;
+    m_machines[aName] = std::move(machine);
+  }
+
+  void StopReplica(const std::string& aName)
+  {
+    std::shared_ptr<Group> group;
+    {
+      const std::lock_guard guard(m_lock);
+      group = m_groups[aName];
+      m_groups.erase(aName);
+    }
+    if (group) {
+      group->Stop();
+    }
+  }
+
+  void LoseDisk(const std::string& aName)
+  {
+    StopReplica(aName);
+    std::filesystem::remove_all(m_root / aName);
+    Start(aName);
+  }
+
+  // Waits for a condition that must come true; the bound only ends a hang.
+  template<typename Condition>
+  void Await(Condition aCondition)
+  {
+    for (int i = 0; i < 3000 && !aCondition(); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    BOOST_REQUIRE(aCondition());
+  }
+
+  std::string Leader()
+  {
+    std::string leader;
+    Await([&] {
+      const std::lock_guard guard(m_lock);
+      for (const auto& [name, group] : m_groups) {
+        if (group->IsLeader()) {
+          leader = name;
+        }
+      }
+      return !leader.empty();
+    });
+    return leader;
+  }
+
+  Group& Of(const std::string& aName) { return *m_groups.at(aName); }
+  ListMachine& Machine(const std::string& aName)
+  {
+    return *m_machines.at(aName);
+  }
+
+  // Proposes until some leader accepts.
+  std::string Propose(const std::string& aCommand)
+  {
+    for (;;) {
+      std::promise<absl::StatusOr<std::string>> promise;
+      Of(Leader()).Propose(aCommand, [&](absl::StatusOr<std::string> aResult) {
+        promise.set_value(std::move(aResult));
+      });
+      auto result = promise.get_future().get();
+      if (result.ok()) {
+        return *result;
+      }
+      BOOST_REQUIRE(
+        (base::KindOf(result.status()) == base::ErrorKind::NotLeader));
+    }
+  }
+
+private:
+  const uint64_t m_snapshotEvery;
+  const std::filesystem::path m_root;
+  base::EventLog m_events{ "test", "", 1000 };
+  std::mutex m_lock;
+  std::map<std::string, std::shared_ptr<Group>> m_groups;
+  std::map<std::string, std::unique_ptr<ListMachine>> m_machines;
+};
+
+} // namespace
+
+// Guards against a command acknowledged but not applied everywhere, or lost
+// by a restart of all replicas.
+BOOST_AUTO_TEST_CASE(CommandsReachAllReplicasAndSurviveRestart)
+{
+  Cluster cluster;
+  BOOST_TEST(cluster.Propose("x") == "1");
+  BOOST_TEST(cluster.Propose("y") == "2");
+  for (const char* name : { "a", "b", "c" }) {
+    cluster.Await([&] { return cluster.Machine(name).Text() == "x;y;"; });
+  }
+  for (const char* name : { "a", "b", "c" }) {
+    cluster.StopReplica(name);
+  }
+  for (const char* name : { "a", "b", "c" }) {
+    cluster.Start(name);
+  }
+  BOOST_TEST(cluster.Propose("z") == "3");
+  for (const char* name : { "a", "b", "c" }) {
+    cluster.Await([&] { return cluster.Machine(name).Text() == "x;y;z;"; });
+  }
+}
--- /dev/null
+++ b/chivefront/consensus/membership.cc
@@ -0,0 +1,295 @@
+// The first membership, and the replacement of replicas that lost their disk.
+//
+// First start: a replica that is Empty collects the identities of all initial
+// members while each of them says that it is empty too. It then makes that
+// membership durable (Prepared) and never prepares another one. It votes only
+// when every initial member has said that it prepared the same membership
+// (Active), so stale messages of a lost replica can't give two memberships.
+//
+// Later: a process with the name of a member but another identity becomes a
+// learner. Once it has caught up, the old replica is removed and the new one
+// becomes a voter, each by a single-server change.
+#include <algorithm>
+
+#include "chivefront/consensus/codec.h"
+#include "chivefront/consensus/core.h"
+
+namespace chivefront::consensus {
+
+using base::TimePoint;
+
+Message
+RaftCore::Hello(bool aAnswer) const
+{
+  Message hello;
+  hello.m_kind = MessageKind::Hello;
+  hello.m_flag = aAnswer;
+  hello.m_stage = m_hard.m_stage;
+  hello.m_members = m_hard.m_initial;
+  return hello;
+}
+
+// A replica that is no voter and hears no leader may have been admitted by an
+// entry that was lost with its leader, so it goes on asking.
+bool
+RaftCore::SeeksAdmission(TimePoint aNow) const
+{
+  return m_hard.m_stage != Stage::Active ||
+         (!IsVoter(m_options.m_identity) && !HearsLeader(aNow));
+}
+
+void
+RaftCore::SayHello()
+{
+  for (const std::string& name : m_options.m_initial) {
+    if (name != m_options.m_name) {
+      Send(name, Hello(false));
+    }
+  }
+  Prepare();
+}
+
+// Prepares the first membership once all initial members are known as empty.
+void
+RaftCore::Prepare()
+{
+  m_empty[m_options.m_name] = m_options.m_identity;
+  const bool initial = std::count(m_options.m_initial.begin(),
+                                  m_options.m_initial.end(),
+                                  m_options.m_name) > 0;
+  if (m_hard.m_stage == Stage::Empty && initial &&
+      m_empty.size() == m_options.m_initial.size()) {
+    for (const auto& [name, identity] : m_empty) {
+      m_hard.m_initial.push_back({ name, identity, true });
+    }
+    m_hard.m_stage = Stage::Prepared;
+    m_actions.m_saveHard = true;
+    m_agreed = { m_options.m_name };
+    SayHello();
+  }
+  if (m_hard.m_stage == Stage::Prepared) {
+    m_agreed.insert(m_options.m_name);
+    if (m_agreed.size() == m_options.m_initial.size()) {
+      Activate();
+    }
+  }
+}
+
+void
+RaftCore::Activate()
+{
+  m_hard.m_stage = Stage::Active;
+  m_actions.m_saveHard = true;
+  if (m_memberships.size() == 1 && Members().empty()) {
+    m_memberships.back().second = m_hard.m_initial;
+  }
+}
+
+void
+RaftCore::OnHello(const std::string& aFrom,
+                  const Message& aMessage,
+                  TimePoint aNow)
+{
+  const bool named =
+    std::count(m_options.m_initial.begin(), m_options.m_initial.end(), aFrom) >
+    0;
+  if (m_hard.m_stage == Stage::Empty && named) {
+    // A replica that prepared a membership with this one in it heard it as
+    // empty, and was empty itself until then.
+    const Replica self{ m_options.m_name, m_options.m_identity, true };
+    const bool preparedWithThis =
+      aMessage.m_stage == Stage::Prepared &&
+      std::count(aMessage.m_members.begin(), aMessage.m_members.end(), self) >
+        0;
+    if (aMessage.m_stage == Stage::Empty || preparedWithThis) {
+      m_empty[aFrom] = aMessage.m_from;
+    } else {
+      m_empty.erase(aFrom);
+    }
+    Prepare();
+  } else if (m_hard.m_stage == Stage::Prepared && named &&
+             aMessage.m_members == m_hard.m_initial) {
+    if (aMessage.m_stage == Stage::Active) {
+      Activate();
+    } else if (aMessage.m_stage == Stage::Prepared) {
+      m_agreed.insert(aFrom);
+      Prepare();
+    }
+  }
+  if (!aMessage.m_flag) {
+    Send(aFrom, Hello(true));
+  }
+  if (IsLeader()) {
+    NoteStranger(aFrom, aMessage.m_from, aNow);
+  }
+}
+
+// A process with the name of a member and another identity. It is not admitted
+// while the member itself is heard, so a stale message can't displace it.
+void
+RaftCore::NoteStranger(const std::string& aName,
+                       uint64_t aIdentity,
+                       TimePoint aNow)
+{
+  if (aName == m_options.m_name || m_peers.count(aIdentity) > 0) {
+    return;
+  }
+  for (const auto& [identity, peer] : m_peers) {
+    if (peer.m_name == aName && !HeardRecently(identity, aNow)) {
+      m_strangers[aName] = aIdentity;
+    }
+  }
+}
+
+bool
+RaftCore::HeardRecently(uint64_t aIdentity, TimePoint aNow) const
+{
+  const auto found = m_peers.find(aIdentity);
+  return found != m_peers.end() && found->second.m_heardSinceElected &&
+         aNow < found->second.m_heard + m_options.m_electionTimeout;
+}
+
+bool
+RaftCore::IsCaughtUp(const Peer& aPeer, TimePoint aNow) const
+{
+  return aPeer.m_heardSinceElected && aPeer.m_match >= m_commit &&
+         aNow < aPeer.m_heard + m_options.m_electionTimeout;
+}
+
+uint32_t
+RaftCore::CountCaughtUp(TimePoint aNow) const
+{
+  if (!IsLeader() || m_commit < m_termStart) {
+    return 0;
+  }
+  uint32_t count = 0;
+  for (const Replica& replica : Members()) {
+    const auto peer = m_peers.find(replica.m_identity);
+    const bool holds = peer == m_peers.end() ? m_synced >= m_commit
+                                             : IsCaughtUp(peer->second, aNow);
+    count += replica.m_voter && holds ? 1 : 0;
+  }
+  return count;
+}
+
+// Every first member has one replica, a voter that holds everything committed.
+bool
+RaftCore::IsRepaired(TimePoint aNow) const
+{
+  std::set<std::string> names;
+  for (const Replica& replica : Members()) {
+    names.insert(replica.m_name);
+  }
+  return IsLeader() && m_memberships.back().first <= m_commit &&
+         Members().size() == m_options.m_initial.size() &&
+         names.size() == Members().size() &&
+         CountCaughtUp(aNow) == Members().size();
+}
+
+// The next single-server change that is due, if any. The old voter is removed
+// before the new one is added: a second loss of the same host would otherwise
+// leave two dead voters out of four, which blocks the group for good.
+std::optional<Membership>
+RaftCore::NextMembership(TimePoint aNow) const
+{
+  Membership next = Members();
+  if (!m_strangers.empty()) {
+    const Replica stranger{ m_strangers.begin()->first,
+                            m_strangers.begin()->second,
+                            false };
+    std::erase_if(next, [&](const Replica& aReplica) {
+      return aReplica.m_name == stranger.m_name && !aReplica.m_voter;
+    });
+    next.push_back(stranger);
+    return next;
+  }
+  for (size_t i = 0; i < next.size(); ++i) {
+    const Replica learner = next[i];
+    if (learner.m_voter) {
+      continue;
+    }
+    const auto old =
+      std::find_if(next.begin(), next.end(), [&](const Replica& aReplica) {
+        return aReplica.m_voter && aReplica.m_name == learner.m_name;
+      });
+    if (old != next.end() && HeardRecently(old->m_identity, aNow)) {
+      std::erase(next, learner); // the voter is back
+      return next;
+    }
+    const auto peer = m_peers.find(learner.m_identity);
+    if (peer == m_peers.end() || !IsCaughtUp(peer->second, aNow)) {
+      continue;
+    }
+    if (old != next.end()) {
+      next.erase(old);
+    } else {
+      next[i].m_voter = true;
+    }
+    return next;
+  }
+  return std::nullopt;
+}
+
+void
+RaftCore::RepairMembership(TimePoint aNow)
+{
+  // One change at a time, and only after an entry of this term is committed;
+  // otherwise two majorities without a common replica could exist.
+  if (!IsLeader() || m_commit < m_termStart || m_transferTo != 0 ||
+      m_memberships.back().first > m_commit) {
+    return;
+  }
+  auto next = NextMembership(aNow);
+  if (!next) {
+    return;
+  }
+  const uint64_t index = m_log.LastIndex() + 1;
+  AppendToLog(
+    { m_hard.m_term, index, EntryKind::Membership, EncodeMembership(*next) });
+}
+
+void
+RaftCore::AdoptMembership(uint64_t aIndex, Membership aMembership)
+{
+  const bool included = std::any_of(
+    aMembership.begin(), aMembership.end(), [&](const Replica& aReplica) {
+      return aReplica.m_identity == m_options.m_identity;
+    });
+  if (included && m_hard.m_stage != Stage::Active) {
+    // Admitted by a leader: whatever was prepared here is void.
+    m_hard.m_stage = Stage::Active;
+    m_hard.m_initial.clear();
+    m_actions.m_saveHard = true;
+  }
+  m_memberships.emplace_back(aIndex, std::move(aMembership));
+  if (IsLeader()) {
+    ArrangePeers();
+  }
+}
+
+// Brings the leader's peers in line with the membership.
+void
+RaftCore::ArrangePeers()
+{
+  std::map<uint64_t, Peer> peers;
+  for (const Replica& replica : Members()) {
+    if (replica.m_identity == m_options.m_identity) {
+      continue;
+    }
+    const auto found = m_peers.find(replica.m_identity);
+    if (found != m_peers.end()) {
+      peers.emplace(replica.m_identity, std::move(found->second));
+    } else {
+      Peer peer;
+      peer.m_name = replica.m_name;
+      peer.m_next = m_log.LastIndex() + 1;
+      peers.emplace(replica.m_identity, std::move(peer));
+    }
+  }
+  m_peers = std::move(peers);
+  std::erase_if(m_strangers, [&](const auto& aStranger) {
+    return m_peers.count(aStranger.second) > 0;
+  });
+}
+
+} // namespace chivefront::consensus
--- /dev/null
+++ b/chivefront/consensus/types.h
@@ -0,0 +1,83 @@
+// Values shared by the Raft core, the durable log and the group.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "chivefront/consensus/group.h"
+#include "chivefront/consensus/raft_generated.hpp"
+
+namespace chivefront::consensus {
+
+using raft::EntryKind;
+using raft::MessageKind;
+using raft::Stage;
+
+using Membership = std::vector<Replica>;
+
+struct Entry
+{
+  uint64_t m_term = 0;
+  uint64_t m_index = 0;
+  EntryKind m_kind = EntryKind::NoOp;
+  std::string m_data;
+};
+
+// State that must be durable before any message that depends on it is sent.
+struct HardState
+{
+  uint64_t m_term = 0;
+  uint64_t m_vote = 0; // identity voted for in m_term; 0 for none
+  Stage m_stage = Stage::Empty;
+  // The first membership; empty on a replica that was admitted later.
+  Membership m_initial;
+};
+
+// The machine's state after the entry m_index of term m_term.
+struct Snapshot
+{
+  uint64_t m_index = 0;
+  uint64_t m_term = 0;
+  Membership m_membership;
+  std::string m_data;
+};
+
+// One message between replicas. Fields that a kind does not use are zero.
+struct Message
+{
+  MessageKind m_kind = MessageKind::Hello;
+  uint64_t m_from = 0; // identity of the sender
+  uint64_t m_to = 0;   // identity of the receiver; 0 when not known
+  uint64_t m_term = 0;
+  // Vote: last entry of the candidate. Append: entry before the first one
+  // carried. AppendReply: last entry known to match, or the refused one.
+  // Snapshot: last entry covered.
+  uint64_t m_index = 0;
+  uint64_t m_logTerm = 0;
+  uint64_t m_commit = 0;
+  uint64_t m_round = 0; // confirmation round, echoed in replies
+  // Hello: an answer. Vote: a pre-vote. Snapshot: the last chunk.
+  // SnapshotReply: the snapshot is held.
+  bool m_flag = false;
+  bool m_rejected = false;
+  bool m_forced = false; // Vote: asked for by the leader itself
+  // AppendReply: where to go on after a refusal. Snapshot and SnapshotReply:
+  // offset in bytes.
+  uint64_t m_hint = 0;
+  Stage m_stage = Stage::Empty;
+  Membership m_members;
+  std::vector<Entry> m_entries;
+  std::string m_data;
+};
+
+inline bool
+operator==(const Replica& aLeft, const Replica& aRight)
+{
+  return aLeft.m_name == aRight.m_name &&
+         aLeft.m_identity == aRight.m_identity &&
+         aLeft.m_voter == aRight.m_voter;
+}
+
+} // namespace chivefront::consensus
