--- /dev/null
+++ b/chivefront/control/changes.h
@@ -0,0 +1,63 @@
+// Takes changes of the configuration from a request to its outcome:
+// leadership is confirmed, the whole catalogue validated, the change proposed.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "chivefront/base/events.h"
+#include "chivefront/control/config_store.h"
+#include "chivefront/control/confirmer.h"
+
+namespace chivefront::control {
+
+// Thread-safe. The store, replica and confirmer outlive it.
+class Changes
+{
+public:
+  using Done = std::function<void(wire::ChangeReplyT)>;
+  // Runs a job soon on another thread than the caller's: validation takes
+  // milliseconds and must not hold up the group's thread.
+  using Post = std::function<void(std::function<void()>)>;
+
+  Changes(ConfigStore& aStore,
+          ReplicaPort& aReplica,
+          Confirmer& aConfirmer,
+          base::EventLog& aEvents,
+          Post aPost)
+    : m_store(aStore)
+    , m_replica(aReplica)
+    , m_confirmer(aConfirmer)
+    , m_events(aEvents)
+    , m_post(std::move(aPost))
+  {
+  }
+
+  // aDone is called once. NotLeader: certainly not accepted here.
+  // Unavailable: not known; the sender repeats it with the same change id.
+  void Submit(wire::ChangeRequestT aChange, Proposer aProposer, Done aDone);
+
+private:
+  struct Attempt
+  {
+    wire::ChangeRequestT m_change;
+    Proposer m_proposer;
+    Done m_done;
+    int m_tries = 0;
+  };
+  using AttemptPointer = std::shared_ptr<Attempt>;
+
+  void Validate(const AttemptPointer& aAttempt);
+  void Finish(const AttemptPointer& aAttempt,
+              const absl::StatusOr<std::string>& aResult);
+  void Fail(const AttemptPointer& aAttempt, const absl::Status& aWhy);
+  void Answer(const AttemptPointer& aAttempt, wire::ChangeReplyT aReply);
+
+  ConfigStore& m_store;
+  ReplicaPort& m_replica;
+  Confirmer& m_confirmer;
+  base::EventLog& m_events;
+  const Post m_post;
+};
+
+} // namespace chivefront::control
--- /dev/null
+++ b/chivefront/control/confirmer.h
@@ -0,0 +1,78 @@
+// Shares rounds of leadership confirmation between many askers.
+//
+// A question that arrives while a round is under way waits for the next one,
+// because only a round that begins after the question proves anything for it.
+// So at most one round runs at a time, however many ask.
+#pragma once
+
+#include <memory>
+#include <mutex>
+#include <vector>
+
+#include "chivefront/control/replica_port.h"
+
+namespace chivefront::control {
+
+// Thread-safe. aReplica must stop its callbacks before this is destroyed.
+class Confirmer
+{
+public:
+  explicit Confirmer(ReplicaPort& aReplica)
+    : m_replica(aReplica)
+  {
+  }
+
+  void Ask(consensus::Group::ConfirmCallback aDone)
+  {
+    {
+      const std::lock_guard lock(m_lock);
+      m_next.push_back(std::move(aDone));
+      if (m_running) {
+        return;
+      }
+      m_running = true;
+    }
+    StartRound();
+  }
+
+  uint64_t Rounds() const
+  {
+    const std::lock_guard lock(m_lock);
+    return m_rounds;
+  }
+
+private:
+  using Askers = std::vector<consensus::Group::ConfirmCallback>;
+
+  void StartRound()
+  {
+    auto askers = std::make_shared<Askers>();
+    {
+      const std::lock_guard lock(m_lock);
+      askers->swap(m_next);
+      ++m_rounds;
+    }
+    m_replica.ConfirmLeadership(
+      [this, askers](absl::StatusOr<uint64_t> aIndex) {
+        for (const auto& asker : *askers) {
+          asker(aIndex);
+        }
+        {
+          const std::lock_guard lock(m_lock);
+          m_running = !m_next.empty();
+          if (!m_running) {
+            return;
+          }
+        }
+        StartRound();
+      });
+  }
+
+  ReplicaPort& m_replica;
+  mutable std::mutex m_lock; // guards what follows
+  Askers m_next;             // wait for the next round
+  bool m_running = false;
+  uint64_t m_rounds = 0;
+};
+
+} // namespace chivefront::control
--- /dev/null
+++ b/chivefront/control/holders.cc
@@ -0,0 +1,172 @@
+// Liveness and evidence of the watchers.
+#include "chivefront/control/holders.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace chivefront::control {
+namespace detail {
+
+// Each restart of an entry or agent is a new holder; 330 nodes and 4,000
+// agents with 3,100 restarts a day stay below this for a day.
+constexpr size_t kMaxHolders = 8192;
+constexpr size_t kMaxVersionsPerHolder = 256;
+
+// Totals never fall; an older report that arrives late changes nothing.
+void
+Raise(wire::VersionEvidenceT& aTotal, const wire::VersionEvidenceT& aRow)
+{
+  aTotal.exposed = std::max(aTotal.exposed, aRow.exposed);
+  aTotal.good = std::max(aTotal.good, aRow.good);
+  aTotal.bad = std::max(aTotal.bad, aRow.bad);
+  aTotal.errors = std::max(aTotal.errors, aRow.errors);
+  aTotal.losses = std::max(aTotal.losses, aRow.losses);
+  aTotal.latency_ms_sum = std::max(aTotal.latency_ms_sum, aRow.latency_ms_sum);
+}
+
+void
+Add(wire::VersionEvidenceT& aTotal, const wire::VersionEvidenceT& aRow)
+{
+  aTotal.exposed += aRow.exposed;
+  aTotal.good += aRow.good;
+  aTotal.bad += aRow.bad;
+  aTotal.errors += aRow.errors;
+  aTotal.losses += aRow.losses;
+  aTotal.latency_ms_sum += aRow.latency_ms_sum;
+}
+
+} // namespace detail
+
+void
+Holders::Merge(Holder& aHolder, const Rows& aRows)
+{
+  for (const auto& row : aRows) {
+    if (aHolder.m_evidence.size() >= detail::kMaxVersionsPerHolder &&
+        aHolder.m_evidence.count(row->version) == 0) {
+      continue;
+    }
+    wire::VersionEvidenceT& total = aHolder.m_evidence[row->version];
+    total.version = row->version;
+    detail::Raise(total, *row);
+  }
+}
+
+void
+Holders::ForgetOldest()
+{
+  const auto oldest =
+    std::min_element(m_holders.begin(),
+                     m_holders.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.second.m_seen < aRight.second.m_seen;
+                     });
+  for (const auto& [version, row] : oldest->second.m_evidence) {
+    detail::Add(m_forgotten[version], row);
+  }
+  m_holders.erase(oldest);
+}
+
+Holders::Holder*
+Holders::Find(const std::string& aName, base::TimePoint aNow)
+{
+  if (m_holders.size() >= detail::kMaxHolders && m_holders.count(aName) == 0) {
+    ForgetOldest();
+  }
+  Holder& holder = m_holders[aName];
+  holder.m_seen = aNow;
+  return &holder;
+}
+
+void
+Holders::Polled(const wire::WatchRequestT& aRequest, base::TimePoint aNow)
+{
+  Holder* holder = Find(aRequest.holder, aNow);
+  holder->m_role = aRequest.role;
+  holder->m_revision = aRequest.have_revision;
+  holder->m_polled = aNow;
+  holder->m_direct = true;
+  Merge(*holder, aRequest.evidence);
+}
+
+void
+Holders::Relayed(const wire::HolderReportT& aReport, base::TimePoint aNow)
+{
+  Holder* holder = Find(aReport.holder, aNow);
+  holder->m_role = aReport.role;
+  holder->m_revision = std::max(holder->m_revision, aReport.have_revision);
+  Merge(*holder, aReport.evidence);
+}
+
+std::vector<wire::HolderReportT>
+Holders::ToRelay(base::TimePoint aNow) const
+{
+  // Shorter than the life of a holder at the leader, so that one that has
+  // moved to another control process is not kept alive from here.
+  constexpr base::Millis kRecent{ 1000 };
+  std::vector<wire::HolderReportT> reports;
+  for (const auto& [name, holder] : m_holders) {
+    if (!holder.m_direct || aNow - holder.m_polled > kRecent) {
+      continue;
+    }
+    wire::HolderReportT report;
+    report.holder = name;
+    report.role = holder.m_role;
+    report.have_revision = holder.m_revision;
+    for (const auto& [version, row] : holder.m_evidence) {
+      report.evidence.push_back(std::make_unique<wire::VersionEvidenceT>(row));
+    }
+    reports.push_back(std::move(report));
+  }
+  return reports;
+}
+
+uint32_t
+Holders::LiveEntries(base::TimePoint aNow) const
+{
+  return static_cast<uint32_t>(
+    std::count_if(m_holders.begin(), m_holders.end(), [aNow](const auto& aRow) {
+      return aRow.second.m_role == wire::Role::Entry &&
+             aNow - aRow.second.m_seen < kHolderLife;
+    }));
+}
+
+size_t
+Holders::Live(base::TimePoint aNow) const
+{
+  return static_cast<size_t>(
+    std::count_if(m_holders.begin(), m_holders.end(), [aNow](const auto& aRow) {
+      return aNow - aRow.second.m_seen < kHolderLife;
+    }));
+}
+
+std::vector<std::string>
+Holders::Behind(uint64_t aRevision, base::TimePoint aNow) const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, holder] : m_holders) {
+    if (aNow - holder.m_seen < kHolderLife && holder.m_revision < aRevision) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+wire::VersionEvidenceT
+Holders::Evidence(const std::string& aVersion) const
+{
+  wire::VersionEvidenceT total;
+  const auto forgotten = m_forgotten.find(aVersion);
+  if (forgotten != m_forgotten.end()) {
+    total = forgotten->second;
+  }
+  total.version = aVersion;
+  for (const auto& [name, holder] : m_holders) {
+    const auto row = holder.m_evidence.find(aVersion);
+    if (row != holder.m_evidence.end()) {
+      detail::Add(total, row->second);
+    }
+  }
+  return total;
+}
+
+} // namespace chivefront::control
--- /dev/null
+++ b/chivefront/control/server.cc
@@ -0,0 +1,425 @@
+// Handlers of the control process.
+#include "chivefront/control/server.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
+#include "chivefront/client/lease.h"
+#include "chivefront/control/system_changes.h"
+
+namespace chivefront::control {
+namespace detail {
+
+// The leader confirms itself this often, so the age that its own watchers see
+// stays small against the lease.
+constexpr base::Millis kKeepFreshPeriod{ 100 };
+// A follower asks the leader at every second step: every 200 ms.
+constexpr int kStepsPerQuestion = 2;
+constexpr base::Millis kAskTimeout{ 600 };
+constexpr base::Millis kSystemChangePeriod{ 250 };
+constexpr size_t kMaxSeenRevisions = 4096;
+
+wire::LedgerReplyT
+LedgerFailure(const absl::Status& aWhy, std::string aLeader)
+{
+  wire::LedgerReplyT reply;
+  reply.not_leader = base::KindOf(aWhy) == base::ErrorKind::NotLeader;
+  reply.leader = std::move(aLeader);
+  return reply;
+}
+
+} // namespace detail
+
+Server::Server(net::asio::io_context& aContext,
+               ServerParts aParts,
+               ServerOptions aOptions)
+  : m_context(aContext)
+  , m_parts(aParts)
+  , m_options(std::move(aOptions))
+  , m_started(aParts.m_clock.Now())
+  , m_confirmer(aParts.m_config)
+  , m_changes(aParts.m_store,
+              aParts.m_config,
+              m_confirmer,
+              aParts.m_events,
+              [this](std::function<void()> aJob) {
+                net::asio::post(m_context, std::move(aJob));
+              })
+  , m_watches(aParts.m_metrics.AddCounter("chivefront_control_watches_total",
+                                          "Polls answered."))
+  , m_staleWatches(
+      aParts.m_metrics.AddCounter("chivefront_control_stale_watches_total",
+                                  "Polls answered without freshness."))
+  , m_ledgerCommands(
+      aParts.m_metrics.AddCounter("chivefront_control_ledger_commands_total",
+                                  "Ledger commands received."))
+  , m_changeRequests(
+      aParts.m_metrics.AddCounter("chivefront_control_changes_total",
+                                  "Configuration changes received."))
+  , m_registry(base::RandomBits())
+{
+}
+
+void
+Server::Start()
+{
+  net::SpawnPeriodic(net::asio::make_strand(m_context),
+                     "control",
+                     detail::kKeepFreshPeriod,
+                     [this] { return KeepFresh(); });
+  net::SpawnPeriodic(net::asio::make_strand(m_context),
+                     "control",
+                     detail::kSystemChangePeriod,
+                     [this] { return ProposeSystemChanges(); });
+}
+
+void
+Server::Stop()
+{
+  m_stopped = true;
+}
+
+void
+Server::Handle(const net::Link::Pointer& aLink, wire::MessageT aMessage)
+{
+  const wire::Role role = aLink->Peer().m_role;
+  const uint64_t correlation = aMessage.correlation;
+  wire::BodyUnion& body = aMessage.body;
+  switch (body.type) {
+    case wire::Body::WatchRequest:
+      return OnWatch(aLink, correlation, *body.AsWatchRequest());
+    case wire::Body::AnnounceRequest:
+      if (role == wire::Role::Agent) {
+        OnAnnounce(aLink, correlation, *body.AsAnnounceRequest());
+      }
+      return;
+    case wire::Body::ChangeRequest:
+      if (role == wire::Role::Operator || role == wire::Role::Control) {
+        OnChange(aLink, correlation, std::move(*body.AsChangeRequest()));
+      }
+      return;
+    case wire::Body::LedgerRequest:
+      return OnLedger(aLink, correlation, *body.AsLedgerRequest());
+    case wire::Body::StatusRequest: {
+      wire::StatusReplyT reply;
+      reply.json = StatusJson();
+      (void)aLink->Reply(correlation, std::move(reply));
+      return;
+    }
+    case wire::Body::RaftEnvelope:
+      if (role == wire::Role::Control) {
+        OnEnvelope(aLink, std::move(*body.AsRaftEnvelope()));
+      }
+      return;
+    default:
+      m_parts.m_events.Record("unexpected_message",
+                              { { "peer", aLink->Peer().m_process },
+                                { "body", wire::EnumNameBody(body.type) } });
+  }
+}
+
+void
+Server::OnEnvelope(const net::Link::Pointer& aLink, wire::RaftEnvelopeT aBody)
+{
+  const std::string& from = aLink->Peer().m_process;
+  // The handshake proved that the peer knows the secret, not which name is
+  // its own; only configured members take part in the groups.
+  if (std::find(m_options.m_peers.begin(), m_options.m_peers.end(), from) ==
+        m_options.m_peers.end() ||
+      aBody.from != from) {
+    return;
+  }
+  std::string payload(aBody.payload.begin(), aBody.payload.end());
+  if (aBody.group == kConfigGroup) {
+    m_parts.m_config.Receive(from, std::move(payload));
+  } else if (aBody.group == kLedgerGroup) {
+    m_parts.m_ledgerReplica.Receive(from, std::move(payload));
+  }
+}
+
+wire::WatchReplyT
+Server::WatchAnswer(const wire::WatchRequestT& aRequest)
+{
+  wire::WatchReplyT reply;
+  const base::TimePoint now = m_parts.m_clock.Now();
+  // Freshness is taken before the entries, so that they are at least as new.
+  const uint64_t applied = m_parts.m_store.Revision();
+  {
+    const std::lock_guard lock(m_lock);
+    m_holders.Polled(aRequest, now);
+    const auto asOf = m_freshness.AsOf(applied);
+    reply.fresh = asOf && now - *asOf < client::kLease;
+    reply.age_ms =
+      reply.fresh ? static_cast<uint32_t>((now - *asOf).Count()) : 0;
+    reply.live_entries = LiveEntries(now);
+    reply.registry_epoch = aRequest.registry_epoch;
+    reply.registry_sequence = aRequest.registry_sequence;
+    // A process that has just started, or is cut off, may not have heard of
+    // upstreams that are well; its watchers keep what they know.
+    if (reply.fresh && now - m_started >= kAnnounceLife) {
+      m_registry.Expire(now);
+      RegistryDelta delta =
+        m_registry.Since(aRequest.registry_epoch, aRequest.registry_sequence);
+      reply.registry_epoch = delta.m_epoch;
+      reply.registry_sequence = delta.m_sequence;
+      reply.registry_snapshot = delta.m_snapshot;
+      for (wire::UpstreamInfoT& upstream : delta.m_upstreams) {
+        reply.upstreams.push_back(
+          std::make_unique<wire::UpstreamInfoT>(std::move(upstream)));
+      }
+    }
+  }
+  Delta delta = m_parts.m_store.Since(aRequest.have_revision);
+  reply.revision = delta.m_revision;
+  reply.snapshot = delta.m_snapshot;
+  for (wire::ConfigEntryT& entry : delta.m_entries) {
+    reply.entries.push_back(
+      std::make_unique<wire::ConfigEntryT>(std::move(entry)));
+  }
+  reply.report_sequence = aRequest.report_sequence;
+  return reply;
+}
+
+void
+Server::OnWatch(const net::Link::Pointer& aLink,
+                uint64_t aCorrelation,
+                const wire::WatchRequestT& aRequest)
+{
+  if (aRequest.role == wire::Role::Control) {
+    return OnFollower(aLink, aCorrelation, aRequest);
+  }
+  wire::WatchReplyT reply = WatchAnswer(aRequest);
+  m_watches.Increment();
+  m_staleWatches.Increment(reply.fresh ? 0 : 1);
+  (void)aLink->Reply(aCorrelation, std::move(reply));
+}
+
+// The entries reach a follower by replication; it only asks how fresh the
+// leader's revision is.
+void
+Server::OnFollower(const net::Link::Pointer& aLink,
+                   uint64_t aCorrelation,
+                   const wire::WatchRequestT& aRequest)
+{
+  {
+    const base::TimePoint now = m_parts.m_clock.Now();
+    const std::lock_guard lock(m_lock);
+    for (const auto& report : aRequest.reports) {
+      m_holders.Relayed(*report, now);
+    }
+  }
+  m_confirmer.Ask([this, aLink, aCorrelation](absl::StatusOr<uint64_t> aIndex) {
+    wire::WatchReplyT reply;
+    reply.fresh = aIndex.ok();
+    reply.revision = m_parts.m_store.Revision();
+    {
+      const std::lock_guard lock(m_lock);
+      reply.live_entries = LiveEntries(m_parts.m_clock.Now());
+    }
+    (void)aLink->Reply(aCorrelation, std::move(reply));
+  });
+}
+
+void
+Server::OnAnnounce(const net::Link::Pointer& aLink,
+                   uint64_t aCorrelation,
+                   const wire::AnnounceRequestT& aRequest)
+{
+  size_t left = 0;
+  {
+    const std::lock_guard lock(m_lock);
+    left = m_registry.Announce(aRequest, m_parts.m_clock.Now());
+  }
+  if (left != 0) {
+    m_parts.m_events.Record(
+      "announcement_refused",
+      { { "agent", aRequest.agent }, { "upstreams", std::to_string(left) } });
+  }
+  if (aCorrelation != 0) {
+    wire::AnnounceReplyT reply;
+    reply.time_to_live_ms = static_cast<uint32_t>(kAnnounceLife.Count());
+    (void)aLink->Reply(aCorrelation, std::move(reply));
+  }
+}
+
+void
+Server::OnChange(const net::Link::Pointer& aLink,
+                 uint64_t aCorrelation,
+                 wire::ChangeRequestT aRequest)
+{
+  m_changeRequests.Increment();
+  m_changes.Submit(std::move(aRequest),
+                   Proposer::Operator,
+                   [aLink, aCorrelation](wire::ChangeReplyT aReply) {
+                     (void)aLink->Reply(aCorrelation, std::move(aReply));
+                   });
+}
+
+void
+Server::OnLedger(const net::Link::Pointer& aLink,
+                 uint64_t aCorrelation,
+                 const wire::LedgerRequestT& aRequest)
+{
+  m_ledgerCommands.Increment();
+  uint64_t time = 0;
+  {
+    const base::TimePoint now = m_parts.m_clock.Now();
+    const std::lock_guard lock(m_lock);
+    m_logTime.Observe(m_parts.m_ledger.Time(), now);
+    time = m_logTime.At(now);
+  }
+  m_parts.m_ledgerReplica.Propose(
+    ledger::EncodeCommand(aRequest, time),
+    [this, aLink, aCorrelation](absl::StatusOr<std::string> aResult) {
+      absl::StatusOr<wire::LedgerReplyT> reply =
+        aResult.ok() ? ledger::DecodeReply(*aResult)
+                     : absl::StatusOr<wire::LedgerReplyT>(aResult.status());
+      if (!reply.ok()) {
+        reply = detail::LedgerFailure(
+          reply.status(), m_parts.m_ledgerReplica.Status().m_leader);
+      }
+      (void)aLink->Reply(aCorrelation, std::move(*reply));
+    });
+}
+
+bool
+Server::Fresh()
+{
+  const uint64_t applied = m_parts.m_store.Revision();
+  const std::lock_guard lock(m_lock);
+  const auto asOf = m_freshness.AsOf(applied);
+  return asOf && m_parts.m_clock.Now() - *asOf < client::kLease;
+}
+
+net::Task<bool>
+Server::KeepFresh()
+{
+  const base::TimePoint now = m_parts.m_clock.Now();
+  {
+    const std::lock_guard lock(m_lock);
+    m_registry.Expire(now);
+    m_logTime.Observe(m_parts.m_ledger.Time(), now);
+    NoteRevision(now);
+  }
+  const consensus::GroupStatus status = m_parts.m_config.Status();
+  if (status.m_role == consensus::RaftRole::Leader) {
+    m_confirmer.Ask([this, now](absl::StatusOr<uint64_t> aIndex) {
+      const uint64_t revision = m_parts.m_store.Revision();
+      const std::lock_guard lock(m_lock);
+      if (aIndex.ok()) {
+        m_freshness.Confirm(now, revision);
+      }
+    });
+  } else if (++m_step % detail::kStepsPerQuestion == 0) {
+    if (net::Link::Pointer link = m_options.m_linkTo(status.m_leader)) {
+      net::Spawn(m_context.get_executor(),
+                 "control",
+                 [this, link]() -> net::Task<void> { return AskLeader(link); });
+    }
+  }
+  co_return !m_stopped;
+}
+
+net::Task<void>
+Server::AskLeader(net::Link::Pointer aLink)
+{
+  const base::TimePoint askedAt = m_parts.m_clock.Now();
+  wire::WatchRequestT request;
+  request.holder = m_options.m_name;
+  request.role = wire::Role::Control;
+  request.have_revision = m_parts.m_store.Revision();
+  {
+    const std::lock_guard lock(m_lock);
+    for (wire::HolderReportT& report : m_holders.ToRelay(askedAt)) {
+      request.reports.push_back(
+        std::make_unique<wire::HolderReportT>(std::move(report)));
+    }
+  }
+  auto reply = co_await aLink->Call(wire::MakeMessage(std::move(request)),
+                                    detail::kAskTimeout);
+  const wire::WatchReplyT* answer =
+    reply.ok() ? reply->body.AsWatchReply() : nullptr;
+  if (answer == nullptr || !answer->fresh) {
+    co_return;
+  }
+  const std::lock_guard lock(m_lock);
+  m_freshness.Confirm(askedAt - base::Millis(answer->age_ms), answer->revision);
+  m_leaderEntries = answer->live_entries;
+  m_leaderEntriesAt = m_parts.m_clock.Now();
+}
+
+// A new leader hears of the other processes' pollers only after their next
+// questions; until then the former leader's count stands, because a count that
+// is too low gives each entry too large a share of the teams' limits.
+uint32_t
+Server::LiveEntries(base::TimePoint aNow) const
+{
+  const uint32_t own = m_holders.LiveEntries(aNow);
+  return aNow - m_leaderEntriesAt < kHolderLife ? std::max(m_leaderEntries, own)
+                                                : own;
+}
+
+void
+Server::NoteRevision(base::TimePoint aNow)
+{
+  const uint64_t revision = m_parts.m_store.Revision();
+  if (m_seen.empty() || m_seen.back().m_revision < revision) {
+    m_seen.push_back({ revision, aNow });
+  }
+  if (m_seen.size() > detail::kMaxSeenRevisions) {
+    m_seen.erase(m_seen.begin());
+  }
+  m_inForce = InForce(aNow);
+  const auto old = [&](const Seen& aSeen) {
+    return aSeen.m_revision < m_inForce;
+  };
+  m_seen.erase(std::remove_if(m_seen.begin(), m_seen.end(), old), m_seen.end());
+}
+
+// A revision is in force everywhere once every lease that rests on an older
+// one has ended.
+uint64_t
+Server::InForce(base::TimePoint aNow) const
+{
+  uint64_t revision = m_inForce;
+  for (const Seen& seen : m_seen) {
+    if (aNow - seen.m_at >= client::kLease) {
+      revision = std::max(revision, seen.m_revision);
+    }
+  }
+  return revision;
+}
+
+net::Task<bool>
+Server::ProposeSystemChanges()
+{
+  const bool leads =
+    m_parts.m_config.Status().m_role == consensus::RaftRole::Leader;
+  if (!leads || m_systemChange || !Fresh()) {
+    co_return !m_stopped;
+  }
+  std::vector<wire::ChangeRequestT> changes =
+    QuarantineChanges(m_parts.m_store, m_parts.m_ledger.Crashers());
+  if (changes.empty()) {
+    changes = RolloutChanges(
+      m_parts.m_store, m_parts.m_judge, [this](const std::string& aVersion) {
+        const std::lock_guard lock(m_lock);
+        return m_holders.Evidence(aVersion);
+      });
+  }
+  if (!changes.empty()) {
+    // One at a time: the next step is made from the configuration after it.
+    m_systemChange = true;
+    m_changes.Submit(
+      std::move(changes.front()),
+      Proposer::System,
+      [this](const wire::ChangeReplyT&) { m_systemChange = false; });
+  }
+  co_return !m_stopped;
+}
+
+} // namespace chivefront::control
--- /dev/null
+++ b/chivefront/control/server.h
@@ -0,0 +1,134 @@
+// The control process's answers to links: watch, announcements, changes,
+// ledger commands, status, and the envelopes of the groups.
+//
+//   control::Server server(context, parts, options);
+//   server.Start();
+//   handlers.m_onMessage = [&](auto link, auto message) {
+//     server.Handle(link, std::move(message));
+//   };
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "chivefront/base/events.h"
+#include "chivefront/base/metrics.h"
+#include "chivefront/control/changes.h"
+#include "chivefront/control/freshness.h"
+#include "chivefront/control/holders.h"
+#include "chivefront/control/registry.h"
+#include "chivefront/control/rollout_judge.h"
+#include "chivefront/ledger/ledger.h"
+#include "chivefront/ledger/log_time.h"
+#include "chivefront/net/link.h"
+
+namespace chivefront::control {
+
+// Group numbers in RaftEnvelope.
+inline constexpr uint32_t kConfigGroup = 0;
+inline constexpr uint32_t kLedgerGroup = 1;
+
+// What the server works with; everything outlives it, and the replicas make
+// no more callbacks once it is destroyed.
+struct ServerParts
+{
+  ConfigStore& m_store;
+  ReplicaPort& m_config;
+  ledger::Ledger& m_ledger;
+  ReplicaPort& m_ledgerReplica;
+  RolloutJudge& m_judge;
+  const base::Clock& m_clock;
+  base::EventLog& m_events;
+  base::Metrics& m_metrics;
+};
+
+struct ServerOptions
+{
+  std::string m_name;               // this process
+  std::vector<std::string> m_peers; // the other control processes
+  // The open link to a peer, or null.
+  std::function<net::Link::Pointer(const std::string&)> m_linkTo;
+};
+
+class Server
+{
+public:
+  Server(net::asio::io_context& aContext,
+         ServerParts aParts,
+         ServerOptions aOptions);
+
+  // Starts asking the leader (or confirming, as leader) and proposing system
+  // changes.
+  void Start();
+  void Stop();
+
+  // Thread-safe; runs on the link's strand.
+  void Handle(const net::Link::Pointer& aLink, wire::MessageT aMessage);
+
+  // True while watchers get fresh answers here.
+  bool Fresh();
+  std::string StatusJson();
+
+private:
+  void OnWatch(const net::Link::Pointer& aLink,
+               uint64_t aCorrelation,
+               const wire::WatchRequestT& aRequest);
+  void OnFollower(const net::Link::Pointer& aLink,
+                  uint64_t aCorrelation,
+                  const wire::WatchRequestT& aRequest);
+  wire::WatchReplyT WatchAnswer(const wire::WatchRequestT& aRequest);
+  void OnAnnounce(const net::Link::Pointer& aLink,
+                  uint64_t aCorrelation,
+                  const wire::AnnounceRequestT& aRequest);
+  void OnChange(const net::Link::Pointer& aLink,
+                uint64_t aCorrelation,
+                wire::ChangeRequestT aRequest);
+  void OnLedger(const net::Link::Pointer& aLink,
+                uint64_t aCorrelation,
+                const wire::LedgerRequestT& aRequest);
+  void OnEnvelope(const net::Link::Pointer& aLink, wire::RaftEnvelopeT aBody);
+
+  net::Task<bool> KeepFresh();
+  net::Task<void> AskLeader(net::Link::Pointer aLink);
+  net::Task<bool> ProposeSystemChanges();
+  // Call these with m_lock held.
+  void NoteRevision(base::TimePoint aNow);
+  uint32_t LiveEntries(base::TimePoint aNow) const;
+  uint64_t InForce(base::TimePoint aNow) const;
+
+  net::asio::io_context& m_context;
+  const ServerParts m_parts;
+  const ServerOptions m_options;
+  const base::TimePoint m_started;
+  Confirmer m_confirmer;
+  Changes m_changes;
+  std::atomic<bool> m_stopped{ false };
+  std::atomic<bool> m_systemChange{ false }; // one is under way
+  int m_step = 0; // of KeepFresh; used on its strand only
+
+  base::Counter& m_watches;
+  base::Counter& m_staleWatches;
+  base::Counter& m_ledgerCommands;
+  base::Counter& m_changeRequests;
+
+  std::mutex m_lock; // guards what follows
+  Freshness m_freshness;
+  UpstreamRegistry m_registry;
+  Holders m_holders;
+  ledger::LogTime m_logTime;
+  uint32_t m_leaderEntries = 0; // live entries, as the leader counted
+  base::TimePoint m_leaderEntriesAt;
+  struct Seen
+  {
+    uint64_t m_revision;
+    base::TimePoint m_at;
+  };
+  std::vector<Seen> m_seen; // revisions of the last seconds, rising
+  uint64_t m_inForce = 0;   // never decreases
+};
+
+} // namespace chivefront::control
--- /dev/null
+++ b/chivefront/control/system_changes.cc
@@ -0,0 +1,109 @@
+// Quarantines and roll-out steps.
+#include "chivefront/control/system_changes.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace chivefront::control {
+namespace detail {
+
+constexpr const char* kSystemName = "system";
+
+void
+AddEntry(wire::ChangeRequestT& aChange, std::string aKey, std::string aValue)
+{
+  auto entry = std::make_unique<wire::ConfigEntryT>();
+  entry->key = std::move(aKey);
+  entry->value = std::move(aValue);
+  aChange.entries.push_back(std::move(entry));
+}
+
+// The entry of aRollout after aDecision.
+std::string
+NextEntry(const std::string& aText,
+          const catalog::Rollout& aRollout,
+          const RolloutDecision& aDecision)
+{
+  boost::json::object entry = boost::json::parse(aText).as_object();
+  const bool last = aRollout.m_stage + 1 >= aRollout.m_stages.size();
+  if (aDecision.m_verdict == RolloutVerdict::Stop) {
+    entry["state"] = "stopped";
+  } else if (last) {
+    entry["state"] = "done";
+  } else {
+    entry["stage"] = aRollout.m_stage + 1;
+  }
+  if (!aDecision.m_reason.empty()) {
+    entry["reason"] = aDecision.m_reason;
+  }
+  return boost::json::serialize(entry);
+}
+
+} // namespace detail
+
+std::vector<wire::ChangeRequestT>
+QuarantineChanges(const ConfigStore& aStore,
+                  const std::vector<ledger::Crasher>& aCrashers)
+{
+  std::vector<wire::ChangeRequestT> changes;
+  if (aCrashers.empty()) {
+    return changes;
+  }
+  const catalog::Entries entries = aStore.Entries();
+  for (const ledger::Crasher& crasher : aCrashers) {
+    const std::string key = absl::StrCat(
+      "quarantine/", absl::Hex(crasher.m_fingerprint, absl::kZeroPad16));
+    wire::ChangeRequestT change;
+    change.change_id =
+      absl::StrCat(detail::kSystemName, "/", key, "/", crasher.m_changed);
+    change.operator_name = detail::kSystemName;
+    if (entries.count(key) != 0 || aStore.OutcomeOf(change.change_id)) {
+      continue;
+    }
+    detail::AddEntry(
+      change, key, absl::StrCat("{\"losses\":", crasher.m_losses, "}"));
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+std::vector<wire::ChangeRequestT>
+RolloutChanges(const ConfigStore& aStore,
+               RolloutJudge& aJudge,
+               const EvidenceOf& aEvidence)
+{
+  std::vector<wire::ChangeRequestT> changes;
+  const catalog::Pointer catalog = aStore.Catalog();
+  if (!catalog || catalog->m_rollouts.empty()) {
+    return changes;
+  }
+  const catalog::Entries entries = aStore.Entries();
+  for (const auto& [model, rollout] : catalog->m_rollouts) {
+    if (rollout.m_state != catalog::RolloutState::Running) {
+      continue;
+    }
+    const RolloutDecision decision =
+      aJudge.Judge(rollout, aEvidence(rollout.m_from), aEvidence(rollout.m_to));
+    const std::string key = "rollout/" + model;
+    const auto text = entries.find(key);
+    if (decision.m_verdict == RolloutVerdict::Wait || text == entries.end()) {
+      continue;
+    }
+    wire::ChangeRequestT change;
+    change.change_id =
+      absl::StrCat(detail::kSystemName, "/", key, "/", catalog->m_revision);
+    change.operator_name = detail::kSystemName;
+    change.expected_revision = catalog->m_revision;
+    detail::AddEntry(
+      change, key, detail::NextEntry(text->second, rollout, decision));
+    if (decision.m_verdict == RolloutVerdict::Stop) {
+      detail::AddEntry(change, "out/version/" + rollout.m_to, "{}");
+    }
+    changes.push_back(std::move(change));
+  }
+  return changes;
+}
+
+} // namespace chivefront::control
--- /dev/null
+++ b/chivefront/control/system_changes.h
@@ -0,0 +1,32 @@
+// Changes that the control process itself proposes: quarantines and roll-out
+// steps. Pure: they take the current state and give the change requests.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "chivefront/control/config_store.h"
+#include "chivefront/control/rollout_judge.h"
+#include "chivefront/ledger/ledger.h"
+
+namespace chivefront::control {
+
+// One change per request that crashed often enough and is not quarantined.
+// The change id holds the time of the last loss, so that a quarantine lifted
+// by an operator returns only after another loss.
+std::vector<wire::ChangeRequestT>
+QuarantineChanges(const ConfigStore& aStore,
+                  const std::vector<ledger::Crasher>& aCrashers);
+
+using EvidenceOf =
+  std::function<wire::VersionEvidenceT(const std::string& aVersion)>;
+
+// One change per roll-out that advances, ends or stops. Each expects the
+// current revision, so that a step never meets a catalogue it was not made
+// for.
+std::vector<wire::ChangeRequestT>
+RolloutChanges(const ConfigStore& aStore,
+               RolloutJudge& aJudge,
+               const EvidenceOf& aEvidence);
+
+} // namespace chivefront::control
--- /dev/null
+++ b/chivefront/ledger/ledger.cc
@@ -0,0 +1,296 @@
+// Commands of the ledger.
+#include "chivefront/ledger/ledger.h"
+
+#include <algorithm>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/ledger/state.h"
+#include "chivefront/wire/pack.h"
+
+namespace chivefront::ledger {
+namespace detail {
+
+// Lines in one reply; a frame is bounded.
+constexpr uint32_t kMaxQueriedLines = 10000;
+// Lines in one posted bill and fingerprints in one loss report.
+constexpr size_t kMaxRows = 4096;
+
+} // namespace detail
+
+std::string
+EncodeCommand(const wire::LedgerRequestT& aRequest, uint64_t aLogTime)
+{
+  wire::LedgerLogEntryT entry;
+  entry.time_ms = aLogTime;
+  entry.request = std::make_unique<wire::LedgerRequestT>(aRequest);
+  return wire::Pack<wire::LedgerLogEntry>(entry);
+}
+
+absl::StatusOr<wire::LedgerReplyT>
+DecodeReply(std::string_view aResult)
+{
+  wire::LedgerReplyT reply;
+  if (!wire::Unpack<wire::LedgerReply>(aResult, reply)) {
+    return base::MakeError(base::ErrorKind::Corrupt, "not a ledger reply");
+  }
+  return reply;
+}
+
+void
+Ledger::State::Pin(const wire::PinSessionT& aCommand,
+                   wire::LedgerReplyT& aReply)
+{
+  const PairKey key{ aCommand.team, aCommand.session };
+  const auto found = m_pins.find(key);
+  if (found != m_pins.end()) {
+    m_pinsByUse.erase({ found->second.used_ms, key });
+    found->second.used_ms = m_time;
+    m_pinsByUse.emplace(m_time, key);
+    aReply.version = found->second.version;
+    return;
+  }
+  if (m_pins.size() >= m_bounds.m_pins) {
+    aReply.refused = "too many sessions";
+    return;
+  }
+  wire::PinRecordT& pin = m_pins[key];
+  pin.team = aCommand.team;
+  pin.session = aCommand.session;
+  pin.version = aCommand.version;
+  pin.used_ms = m_time;
+  m_pinsByUse.emplace(m_time, key);
+  aReply.version = pin.version;
+}
+
+void
+Ledger::State::PostBill(const wire::PostBillT& aCommand,
+                        wire::LedgerReplyT& aReply)
+{
+  size_t fresh = 0;
+  for (const auto& line : aCommand.lines) {
+    fresh += m_bills.count({ line->request_id, line->run }) == 0 ? 1 : 0;
+  }
+  // All or nothing: a bill refused in part could never be told apart from one
+  // that was taken.
+  if (aCommand.lines.size() > detail::kMaxRows ||
+      m_bills.size() + fresh > m_bounds.m_bills) {
+    aReply.refused = "too many bill lines";
+    return;
+  }
+  for (const auto& line : aCommand.lines) {
+    const BillKey key{ line->request_id, line->run };
+    const auto [place, added] = m_bills.try_emplace(key);
+    if (!added) {
+      continue;
+    }
+    place->second = { *line, m_time };
+    m_billsByTime.emplace(m_time, key);
+    wire::TeamTotalT& total = m_totals[line->team];
+    total.team = line->team;
+    total.lines += 1;
+    total.cost_micros += line->cost_micros;
+  }
+}
+
+void
+Ledger::State::QueryBills(const wire::QueryBillsT& aCommand,
+                          wire::LedgerReplyT& aReply) const
+{
+  const size_t limit =
+    std::min(aCommand.limit == 0 ? detail::kMaxQueriedLines : aCommand.limit,
+             detail::kMaxQueriedLines);
+  const auto wanted = [&](const wire::BillLineT& aLine) {
+    return (aCommand.team.empty() || aLine.team == aCommand.team) &&
+           (aCommand.request_id.empty() ||
+            aLine.request_id == aCommand.request_id);
+  };
+  // The newest lines first.
+  for (auto row = m_billsByTime.rbegin();
+       row != m_billsByTime.rend() && aReply.lines.size() < limit;
+       ++row) {
+    const wire::BillLineT& line = m_bills.at(row->second).m_line;
+    if (wanted(line)) {
+      aReply.lines.push_back(std::make_unique<wire::BillLineT>(line));
+    }
+  }
+  for (const auto& [team, total] : m_totals) {
+    if (aCommand.team.empty() || team == aCommand.team) {
+      aReply.total_lines += total.lines;
+      aReply.total_cost_micros += total.cost_micros;
+    }
+  }
+}
+
+void
+Ledger::State::ReportLoss(const wire::ReportLossT& aCommand,
+                          wire::LedgerReplyT& aReply)
+{
+  const std::set<uint64_t> inFlight(aCommand.fingerprints.begin(),
+                                    aCommand.fingerprints.end());
+  if (inFlight.size() > detail::kMaxRows) {
+    aReply.refused = "too many fingerprints";
+    return;
+  }
+  if (m_losses.try_emplace(aCommand.loss_id, m_time).second) {
+    m_lossesByTime.emplace(m_time, aCommand.loss_id);
+    uint32_t highest = 0;
+    for (const uint64_t fingerprint : inFlight) {
+      const auto found = m_suspects.find(fingerprint);
+      if (found != m_suspects.end()) {
+        highest = std::max(highest, found->second.losses);
+      }
+    }
+    for (const uint64_t fingerprint : inFlight) {
+      const auto found = m_suspects.find(fingerprint);
+      const uint32_t losses =
+        found == m_suspects.end() ? 0 : found->second.losses;
+      if (losses == highest) {
+        SetSuspect(fingerprint, losses + 1);
+      }
+    }
+  }
+  for (const uint64_t fingerprint : inFlight) {
+    const auto found = m_suspects.find(fingerprint);
+    if (found != m_suspects.end()) {
+      auto row = std::make_unique<wire::SuspectT>();
+      row->fingerprint = fingerprint;
+      row->losses = found->second.losses;
+      aReply.suspects.push_back(std::move(row));
+    }
+  }
+}
+
+void
+Ledger::State::SetSuspect(uint64_t aFingerprint, uint32_t aLosses)
+{
+  const auto found = m_suspects.find(aFingerprint);
+  if (found != m_suspects.end()) {
+    m_suspectsByTime.erase({ found->second.changed_ms, aFingerprint });
+    m_suspects.erase(found);
+  }
+  if (aLosses == 0) {
+    return;
+  }
+  wire::SuspectRecordT& suspect = m_suspects[aFingerprint];
+  suspect.fingerprint = aFingerprint;
+  suspect.losses = aLosses;
+  suspect.changed_ms = m_time;
+  m_suspectsByTime.emplace(m_time, aFingerprint);
+  if (m_suspects.size() > m_bounds.m_suspects) {
+    const uint64_t oldest = m_suspectsByTime.begin()->second;
+    m_suspectsByTime.erase(m_suspectsByTime.begin());
+    m_suspects.erase(oldest);
+  }
+}
+
+void
+Ledger::State::Expire()
+{
+  const auto isOld = [this](uint64_t aSince, uint64_t aRetention) {
+    return aSince + aRetention < m_time;
+  };
+  m_claims.Expire(m_time);
+  while (!m_pinsByUse.empty() &&
+         isOld(m_pinsByUse.begin()->first, m_bounds.m_pinRetentionMs)) {
+    m_pins.erase(m_pinsByUse.begin()->second);
+    m_pinsByUse.erase(m_pinsByUse.begin());
+  }
+  while (!m_billsByTime.empty() &&
+         isOld(m_billsByTime.begin()->first, m_bounds.m_billRetentionMs)) {
+    m_bills.erase(m_billsByTime.begin()->second);
+    m_billsByTime.erase(m_billsByTime.begin());
+  }
+  while (!m_suspectsByTime.empty() && isOld(m_suspectsByTime.begin()->first,
+                                            m_bounds.m_suspectRetentionMs)) {
+    m_suspects.erase(m_suspectsByTime.begin()->second);
+    m_suspectsByTime.erase(m_suspectsByTime.begin());
+  }
+  while (!m_lossesByTime.empty() && (m_losses.size() > m_bounds.m_losses ||
+                                     isOld(m_lossesByTime.begin()->first,
+                                           m_bounds.m_suspectRetentionMs))) {
+    m_losses.erase(m_lossesByTime.begin()->second);
+    m_lossesByTime.erase(m_lossesByTime.begin());
+  }
+}
+
+void
+Ledger::State::Run(const wire::LedgerCommandUnion& aCommand,
+                   wire::LedgerReplyT& aReply)
+{
+  switch (aCommand.type) {
+    case wire::LedgerCommand::PinSession:
+      return Pin(*aCommand.AsPinSession(), aReply);
+    case wire::LedgerCommand::ClaimRequest:
+      return m_claims.Claim(*aCommand.AsClaimRequest(), m_time, aReply);
+    case wire::LedgerCommand::FinishClaim:
+      return m_claims.Finish(*aCommand.AsFinishClaim(), m_time, aReply);
+    case wire::LedgerCommand::PostBill:
+      return PostBill(*aCommand.AsPostBill(), aReply);
+    case wire::LedgerCommand::ReportLoss:
+      return ReportLoss(*aCommand.AsReportLoss(), aReply);
+    case wire::LedgerCommand::ClearSuspect:
+      return SetSuspect(aCommand.AsClearSuspect()->fingerprint, 0);
+    case wire::LedgerCommand::QueryBills:
+      return QueryBills(*aCommand.AsQueryBills(), aReply);
+    default:
+      aReply.refused = "unknown command";
+  }
+}
+
+Ledger::Ledger(LedgerBounds aBounds)
+  : m_bounds(aBounds)
+  , m_state(std::make_unique<State>(m_bounds))
+{
+}
+
+Ledger::~Ledger() = default;
+
+std::string
+Ledger::Apply(uint64_t, std::string_view aCommand)
+{
+  wire::LedgerReplyT reply;
+  wire::LedgerLogEntryT entry;
+  if (!wire::Unpack<wire::LedgerLogEntry>(aCommand, entry) || !entry.request) {
+    reply.refused = "not a ledger command";
+    return wire::Pack<wire::LedgerReply>(reply);
+  }
+  const std::lock_guard lock(m_lock);
+  m_state->m_time = std::max(m_state->m_time, entry.time_ms);
+  m_state->Expire();
+  m_state->Run(entry.request->command, reply);
+  reply.ok = reply.refused.empty();
+  return wire::Pack<wire::LedgerReply>(reply);
+}
+
+uint64_t
+Ledger::Time() const
+{
+  const std::lock_guard lock(m_lock);
+  return m_state->m_time;
+}
+
+std::vector<Crasher>
+Ledger::Crashers() const
+{
+  const std::lock_guard lock(m_lock);
+  std::vector<Crasher> result;
+  for (const auto& [fingerprint, suspect] : m_state->m_suspects) {
+    if (suspect.losses >= kQuarantineLosses) {
+      result.push_back({ fingerprint, suspect.losses, suspect.changed_ms });
+    }
+  }
+  return result;
+}
+
+Ledger::Sizes
+Ledger::CountEntries() const
+{
+  const std::lock_guard lock(m_lock);
+  return { m_state->m_pins.size(),
+           m_state->m_claims.Size(),
+           m_state->m_bills.size(),
+           m_state->m_suspects.size(),
+           m_state->m_claims.ResponseBytes() };
+}
+
+} // namespace chivefront::ledger
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -52,6 +52,10 @@
 struct VersionEvidenceBuilder;
 struct VersionEvidenceT;
 
+struct HolderReport;
+struct HolderReportBuilder;
+struct HolderReportT;
+
 struct WatchRequest;
 struct WatchRequestBuilder;
 struct WatchRequestT;
@@ -2166,6 +2170,120 @@
 
 flatbuffers::Offset<VersionEvidence> CreateVersionEvidence(flatbuffers::FlatBufferBuilder &_fbb, const VersionEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct HolderReportT : public flatbuffers::NativeTable {
+  typedef HolderReport TableType;
+  std::string holder{};
+  chivefront::wire::Role role = chivefront::wire::Role::Entry;
+  uint64_t have_revision = 0;
+  std::vector<std::unique_ptr<chivefront::wire::VersionEvidenceT>> evidence{};
+  HolderReportT() = default;
+  HolderReportT(const HolderReportT &o);
+  HolderReportT(HolderReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  HolderReportT &operator=(HolderReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct HolderReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef HolderReportT NativeTableType;
+  typedef HolderReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDER = 4,
+    VT_ROLE = 6,
+    VT_HAVE_REVISION = 8,
+    VT_EVIDENCE = 10
+  };
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  chivefront::wire::Role role() const {
+    return static_cast<chivefront::wire::Role>(GetField<uint8_t>(VT_ROLE, 0));
+  }
+  uint64_t have_revision() const {
+    return GetField<uint64_t>(VT_HAVE_REVISION, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *evidence() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *>(VT_EVIDENCE);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyField<uint8_t>(verifier, VT_ROLE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_HAVE_REVISION, 8) &&
+           VerifyOffset(verifier, VT_EVIDENCE) &&
+           verifier.VerifyVector(evidence()) &&
+           verifier.VerifyVectorOfTables(evidence()) &&
+           verifier.EndTable();
+  }
+  HolderReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(HolderReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<HolderReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const HolderReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct HolderReportBuilder {
+  typedef HolderReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(HolderReport::VT_HOLDER, holder);
+  }
+  void add_role(chivefront::wire::Role role) {
+    fbb_.AddElement<uint8_t>(HolderReport::VT_ROLE, static_cast<uint8_t>(role), 0);
+  }
+  void add_have_revision(uint64_t have_revision) {
+    fbb_.AddElement<uint64_t>(HolderReport::VT_HAVE_REVISION, have_revision, 0);
+  }
+  void add_evidence(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>> evidence) {
+    fbb_.AddOffset(HolderReport::VT_EVIDENCE, evidence);
+  }
+  explicit HolderReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<HolderReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<HolderReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<HolderReport> CreateHolderReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    chivefront::wire::Role role = chivefront::wire::Role::Entry,
+    uint64_t have_revision = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>> evidence = 0) {
+  HolderReportBuilder builder_(_fbb);
+  builder_.add_have_revision(have_revision);
+  builder_.add_evidence(evidence);
+  builder_.add_holder(holder);
+  builder_.add_role(role);
+  return builder_.Finish();
+}
+
+struct HolderReport::Traits {
+  using type = HolderReport;
+  static auto constexpr Create = CreateHolderReport;
+};
+
+inline flatbuffers::Offset<HolderReport> CreateHolderReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *holder = nullptr,
+    chivefront::wire::Role role = chivefront::wire::Role::Entry,
+    uint64_t have_revision = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *evidence = nullptr) {
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
+  auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
+  return chivefront::wire::CreateHolderReport(
+      _fbb,
+      holder__,
+      role,
+      have_revision,
+      evidence__);
+}
+
+flatbuffers::Offset<HolderReport> CreateHolderReport(flatbuffers::FlatBufferBuilder &_fbb, const HolderReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WatchRequestT : public flatbuffers::NativeTable {
   typedef WatchRequest TableType;
   std::string holder{};
@@ -2175,6 +2293,7 @@
   uint64_t registry_sequence = 0;
   uint64_t report_sequence = 0;
   std::vector<std::unique_ptr<chivefront::wire::VersionEvidenceT>> evidence{};
+  std::vector<std::unique_ptr<chivefront::wire::HolderReportT>> reports{};
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2192,7 +2311,8 @@
     VT_REGISTRY_EPOCH = 10,
     VT_REGISTRY_SEQUENCE = 12,
     VT_REPORT_SEQUENCE = 14,
-    VT_EVIDENCE = 16
+    VT_EVIDENCE = 16,
+    VT_REPORTS = 18
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -2215,6 +2335,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *evidence() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *>(VT_EVIDENCE);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *reports() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *>(VT_REPORTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -2227,6 +2350,9 @@
            VerifyOffset(verifier, VT_EVIDENCE) &&
            verifier.VerifyVector(evidence()) &&
            verifier.VerifyVectorOfTables(evidence()) &&
+           VerifyOffset(verifier, VT_REPORTS) &&
+           verifier.VerifyVector(reports()) &&
+           verifier.VerifyVectorOfTables(reports()) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2259,6 +2385,9 @@
   void add_evidence(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>> evidence) {
     fbb_.AddOffset(WatchRequest::VT_EVIDENCE, evidence);
   }
+  void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>>> reports) {
+    fbb_.AddOffset(WatchRequest::VT_REPORTS, reports);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2278,12 +2407,14 @@
     uint64_t registry_epoch = 0,
     uint64_t registry_sequence = 0,
     uint64_t report_sequence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>> evidence = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>> evidence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>>> reports = 0) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_have_revision(have_revision);
+  builder_.add_reports(reports);
   builder_.add_evidence(evidence);
   builder_.add_holder(holder);
   builder_.add_role(role);
@@ -2303,9 +2434,11 @@
     uint64_t registry_epoch = 0,
     uint64_t registry_sequence = 0,
     uint64_t report_sequence = 0,
-    const std::vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *evidence = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *evidence = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *reports = nullptr) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
+  auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       holder__,
@@ -2314,7 +2447,8 @@
       registry_epoch,
       registry_sequence,
       report_sequence,
-      evidence__);
+      evidence__,
+      reports__);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2960,6 +3094,7 @@
   uint32_t http_status = 0;
   std::string content_type{};
   std::string body{};
+  std::string owner{};
 };
 
 struct FinishClaim FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2973,7 +3108,8 @@
     VT_STATE = 10,
     VT_HTTP_STATUS = 12,
     VT_CONTENT_TYPE = 14,
-    VT_BODY = 16
+    VT_BODY = 16,
+    VT_OWNER = 18
   };
   const flatbuffers::String *team() const {
     return GetPointer<const flatbuffers::String *>(VT_TEAM);
@@ -2996,6 +3132,9 @@
   const flatbuffers::String *body() const {
     return GetPointer<const flatbuffers::String *>(VT_BODY);
   }
+  const flatbuffers::String *owner() const {
+    return GetPointer<const flatbuffers::String *>(VT_OWNER);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TEAM) &&
@@ -3010,6 +3149,8 @@
            verifier.VerifyString(content_type()) &&
            VerifyOffset(verifier, VT_BODY) &&
            verifier.VerifyString(body()) &&
+           VerifyOffset(verifier, VT_OWNER) &&
+           verifier.VerifyString(owner()) &&
            verifier.EndTable();
   }
   FinishClaimT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3042,6 +3183,9 @@
   void add_body(flatbuffers::Offset<flatbuffers::String> body) {
     fbb_.AddOffset(FinishClaim::VT_BODY, body);
   }
+  void add_owner(flatbuffers::Offset<flatbuffers::String> owner) {
+    fbb_.AddOffset(FinishClaim::VT_OWNER, owner);
+  }
   explicit FinishClaimBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3061,8 +3205,10 @@
     chivefront::wire::ClaimState state = chivefront::wire::ClaimState::Granted,
     uint32_t http_status = 0,
     flatbuffers::Offset<flatbuffers::String> content_type = 0,
-    flatbuffers::Offset<flatbuffers::String> body = 0) {
+    flatbuffers::Offset<flatbuffers::String> body = 0,
+    flatbuffers::Offset<flatbuffers::String> owner = 0) {
   FinishClaimBuilder builder_(_fbb);
+  builder_.add_owner(owner);
   builder_.add_body(body);
   builder_.add_content_type(content_type);
   builder_.add_http_status(http_status);
@@ -3086,12 +3232,14 @@
     chivefront::wire::ClaimState state = chivefront::wire::ClaimState::Granted,
     uint32_t http_status = 0,
     const char *content_type = nullptr,
-    const char *body = nullptr) {
+    const char *body = nullptr,
+    const char *owner = nullptr) {
   auto team__ = team ? _fbb.CreateString(team) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto content_type__ = content_type ? _fbb.CreateString(content_type) : 0;
   auto body__ = body ? _fbb.CreateString(body) : 0;
+  auto owner__ = owner ? _fbb.CreateString(owner) : 0;
   return chivefront::wire::CreateFinishClaim(
       _fbb,
       team__,
@@ -3100,7 +3248,8 @@
       state,
       http_status,
       content_type__,
-      body__);
+      body__,
+      owner__);
 }
 
 flatbuffers::Offset<FinishClaim> CreateFinishClaim(flatbuffers::FlatBufferBuilder &_fbb, const FinishClaimT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3793,6 +3942,7 @@
   std::vector<std::unique_ptr<chivefront::wire::SuspectT>> suspects{};
   uint64_t total_lines = 0;
   uint64_t total_cost_micros = 0;
+  std::string refused{};
   LedgerReplyT() = default;
   LedgerReplyT(const LedgerReplyT &o);
   LedgerReplyT(LedgerReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3816,7 +3966,8 @@
     VT_LINES = 22,
     VT_SUSPECTS = 24,
     VT_TOTAL_LINES = 26,
-    VT_TOTAL_COST_MICROS = 28
+    VT_TOTAL_COST_MICROS = 28,
+    VT_REFUSED = 30
   };
   bool ok() const {
     return GetField<uint8_t>(VT_OK, 0) != 0;
@@ -3857,6 +4008,9 @@
   uint64_t total_cost_micros() const {
     return GetField<uint64_t>(VT_TOTAL_COST_MICROS, 0);
   }
+  const flatbuffers::String *refused() const {
+    return GetPointer<const flatbuffers::String *>(VT_REFUSED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_OK, 1) &&
@@ -3881,6 +4035,8 @@
            verifier.VerifyVectorOfTables(suspects()) &&
            VerifyField<uint64_t>(verifier, VT_TOTAL_LINES, 8) &&
            VerifyField<uint64_t>(verifier, VT_TOTAL_COST_MICROS, 8) &&
+           VerifyOffset(verifier, VT_REFUSED) &&
+           verifier.VerifyString(refused()) &&
            verifier.EndTable();
   }
   LedgerReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3931,6 +4087,9 @@
   void add_total_cost_micros(uint64_t total_cost_micros) {
     fbb_.AddElement<uint64_t>(LedgerReply::VT_TOTAL_COST_MICROS, total_cost_micros, 0);
   }
+  void add_refused(flatbuffers::Offset<flatbuffers::String> refused) {
+    fbb_.AddOffset(LedgerReply::VT_REFUSED, refused);
+  }
   explicit LedgerReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3956,10 +4115,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillLine>>> lines = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::Suspect>>> suspects = 0,
     uint64_t total_lines = 0,
-    uint64_t total_cost_micros = 0) {
+    uint64_t total_cost_micros = 0,
+    flatbuffers::Offset<flatbuffers::String> refused = 0) {
   LedgerReplyBuilder builder_(_fbb);
   builder_.add_total_cost_micros(total_cost_micros);
   builder_.add_total_lines(total_lines);
+  builder_.add_refused(refused);
   builder_.add_suspects(suspects);
   builder_.add_lines(lines);
   builder_.add_body(body);
@@ -3993,7 +4154,8 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::BillLine>> *lines = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::Suspect>> *suspects = nullptr,
     uint64_t total_lines = 0,
-    uint64_t total_cost_micros = 0) {
+    uint64_t total_cost_micros = 0,
+    const char *refused = nullptr) {
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto version__ = version ? _fbb.CreateString(version) : 0;
   auto claim_request_id__ = claim_request_id ? _fbb.CreateString(claim_request_id) : 0;
@@ -4001,6 +4163,7 @@
   auto body__ = body ? _fbb.CreateString(body) : 0;
   auto lines__ = lines ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::BillLine>>(*lines) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::Suspect>>(*suspects) : 0;
+  auto refused__ = refused ? _fbb.CreateString(refused) : 0;
   return chivefront::wire::CreateLedgerReply(
       _fbb,
       ok,
@@ -4015,7 +4178,8 @@
       lines__,
       suspects__,
       total_lines,
-      total_cost_micros);
+      total_cost_micros,
+      refused__);
 }
 
 flatbuffers::Offset<LedgerReply> CreateLedgerReply(flatbuffers::FlatBufferBuilder &_fbb, const LedgerReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6234,6 +6398,57 @@
       _latency_ms_sum);
 }
 
+inline HolderReportT::HolderReportT(const HolderReportT &o)
+      : holder(o.holder),
+        role(o.role),
+        have_revision(o.have_revision) {
+  evidence.reserve(o.evidence.size());
+  for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
+}
+
+inline HolderReportT &HolderReportT::operator=(HolderReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(holder, o.holder);
+  std::swap(role, o.role);
+  std::swap(have_revision, o.have_revision);
+  std::swap(evidence, o.evidence);
+  return *this;
+}
+
+inline HolderReportT *HolderReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<HolderReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void HolderReport::UnPackTo(HolderReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = holder(); if (_e) _o->holder = _e->str(); }
+  { auto _e = role(); _o->role = _e; }
+  { auto _e = have_revision(); _o->have_revision = _e; }
+  { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = std::unique_ptr<chivefront::wire::VersionEvidenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<HolderReport> HolderReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HolderReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateHolderReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<HolderReport> CreateHolderReport(flatbuffers::FlatBufferBuilder &_fbb, const HolderReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HolderReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _holder = _o->holder.empty() ? 0 : _fbb.CreateString(_o->holder);
+  auto _role = _o->role;
+  auto _have_revision = _o->have_revision;
+  auto _evidence = _o->evidence.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> (_o->evidence.size(), [](size_t i, _VectorArgs *__va) { return CreateVersionEvidence(*__va->__fbb, __va->__o->evidence[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return chivefront::wire::CreateHolderReport(
+      _fbb,
+      _holder,
+      _role,
+      _have_revision,
+      _evidence);
+}
+
 inline WatchRequestT::WatchRequestT(const WatchRequestT &o)
       : holder(o.holder),
         role(o.role),
@@ -6243,6 +6458,8 @@
         report_sequence(o.report_sequence) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
+  reports.reserve(o.reports.size());
+  for (const auto &reports_ : o.reports) { reports.emplace_back((reports_) ? new chivefront::wire::HolderReportT(*reports_) : nullptr); }
 }
 
 inline WatchRequestT &WatchRequestT::operator=(WatchRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -6253,6 +6470,7 @@
   std::swap(registry_sequence, o.registry_sequence);
   std::swap(report_sequence, o.report_sequence);
   std::swap(evidence, o.evidence);
+  std::swap(reports, o.reports);
   return *this;
 }
 
@@ -6272,6 +6490,7 @@
   { auto _e = registry_sequence(); _o->registry_sequence = _e; }
   { auto _e = report_sequence(); _o->report_sequence = _e; }
   { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = std::unique_ptr<chivefront::wire::VersionEvidenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = reports(); if (_e) { _o->reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->reports[_i] = std::unique_ptr<chivefront::wire::HolderReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6289,6 +6508,7 @@
   auto _registry_sequence = _o->registry_sequence;
   auto _report_sequence = _o->report_sequence;
   auto _evidence = _o->evidence.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> (_o->evidence.size(), [](size_t i, _VectorArgs *__va) { return CreateVersionEvidence(*__va->__fbb, __va->__o->evidence[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _reports = _o->reports.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>> (_o->reports.size(), [](size_t i, _VectorArgs *__va) { return CreateHolderReport(*__va->__fbb, __va->__o->reports[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -6297,7 +6517,8 @@
       _registry_epoch,
       _registry_sequence,
       _report_sequence,
-      _evidence);
+      _evidence,
+      _reports);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -6558,6 +6779,7 @@
   { auto _e = http_status(); _o->http_status = _e; }
   { auto _e = content_type(); if (_e) _o->content_type = _e->str(); }
   { auto _e = body(); if (_e) _o->body = _e->str(); }
+  { auto _e = owner(); if (_e) _o->owner = _e->str(); }
 }
 
 inline flatbuffers::Offset<FinishClaim> FinishClaim::Pack(flatbuffers::FlatBufferBuilder &_fbb, const FinishClaimT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6575,6 +6797,7 @@
   auto _http_status = _o->http_status;
   auto _content_type = _o->content_type.empty() ? 0 : _fbb.CreateString(_o->content_type);
   auto _body = _o->body.empty() ? 0 : _fbb.CreateString(_o->body);
+  auto _owner = _o->owner.empty() ? 0 : _fbb.CreateString(_o->owner);
   return chivefront::wire::CreateFinishClaim(
       _fbb,
       _team,
@@ -6583,7 +6806,8 @@
       _state,
       _http_status,
       _content_type,
-      _body);
+      _body,
+      _owner);
 }
 
 inline BillLineT *BillLine::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6825,7 +7049,8 @@
         content_type(o.content_type),
         body(o.body),
         total_lines(o.total_lines),
-        total_cost_micros(o.total_cost_micros) {
+        total_cost_micros(o.total_cost_micros),
+        refused(o.refused) {
   lines.reserve(o.lines.size());
   for (const auto &lines_ : o.lines) { lines.emplace_back((lines_) ? new chivefront::wire::BillLineT(*lines_) : nullptr); }
   suspects.reserve(o.suspects.size());
@@ -6846,6 +7071,7 @@
   std::swap(suspects, o.suspects);
   std::swap(total_lines, o.total_lines);
   std::swap(total_cost_micros, o.total_cost_micros);
+  std::swap(refused, o.refused);
   return *this;
 }
 
@@ -6871,6 +7097,7 @@
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<chivefront::wire::SuspectT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = total_lines(); _o->total_lines = _e; }
   { auto _e = total_cost_micros(); _o->total_cost_micros = _e; }
+  { auto _e = refused(); if (_e) _o->refused = _e->str(); }
 }
 
 inline flatbuffers::Offset<LedgerReply> LedgerReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const LedgerReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6894,6 +7121,7 @@
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::Suspect>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspect(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _total_lines = _o->total_lines;
   auto _total_cost_micros = _o->total_cost_micros;
+  auto _refused = _o->refused.empty() ? 0 : _fbb.CreateString(_o->refused);
   return chivefront::wire::CreateLedgerReply(
       _fbb,
       _ok,
@@ -6908,7 +7136,8 @@
       _lines,
       _suspects,
       _total_lines,
-      _total_cost_micros);
+      _total_cost_micros,
+      _refused);
 }
 
 inline StatusRequestT *StatusRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
