--- /dev/null
+++ b/chivefront/ctl/catalogue_commands.cc
@@ -0,0 +1,356 @@
+// Catalogue commands and changes of the service state.
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
+#include "chivefront/ctl/commands.h"
+#include "chivefront/ctl/table.h"
+
+namespace chivefront::ctl {
+namespace detail {
+
+// Longer values are shown in full by --json.
+constexpr size_t kShownValue = 100;
+
+std::string
+Shortened(const std::string& aText)
+{
+  return aText.size() <= kShownValue ? aText
+                                     : aText.substr(0, kShownValue) + "...";
+}
+
+boost::json::value
+ParsedOrText(const std::string& aText)
+{
+  boost::json::error_code error;
+  boost::json::value value = boost::json::parse(aText, error);
+  return error ? boost::json::value(aText) : value;
+}
+
+absl::Status
+ReadEntries(const std::string& aPath, catalog::Entries& aEntries)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return base::MakeError(base::ErrorKind::BadRequest,
+                           "cannot read '" + aPath + "'");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return catalog::ParseFile(text.str(), aEntries);
+}
+
+absl::Status
+Validate(const catalog::Entries& aEntries)
+{
+  std::vector<catalog::EntryError> errors;
+  if (catalog::Build(aEntries, 0, errors)) {
+    return absl::OkStatus();
+  }
+  std::string text;
+  for (const catalog::EntryError& error : errors) {
+    text += (text.empty() ? "" : "\n  ") + error.m_path + ": " + error.m_problem;
+  }
+  return base::MakeError(base::ErrorKind::Invalid, text);
+}
+
+bool
+IsCatalogueKey(const std::string& aKey)
+{
+  return catalog::IsOperatorKey(aKey) && !catalog::IsOutOfServiceKey(aKey);
+}
+
+// The roll-out without what the control process changes in it.
+boost::json::value
+RolloutDefinition(const std::string& aText)
+{
+  boost::json::value value = ParsedOrText(aText);
+  if (auto* object = value.if_object()) {
+    for (const char* name : { "stage", "state", "reason" }) {
+      object->erase(name);
+    }
+  }
+  return value;
+}
+
+wire::ChangeRequestT
+MakeChange(const ChangeOptions& aOptions)
+{
+  wire::ChangeRequestT change;
+  change.change_id = aOptions.m_changeId.empty()
+                       ? base::RequestId::Random().ToString()
+                       : aOptions.m_changeId;
+  change.operator_name = aOptions.m_operator;
+  change.expected_revision = aOptions.m_expected;
+  return change;
+}
+
+void
+AddEntry(wire::ChangeRequestT& aChange,
+         const std::string& aKey,
+         const std::string& aValue,
+         bool aRemoved)
+{
+  auto entry = std::make_unique<wire::ConfigEntryT>();
+  entry->key = aKey;
+  entry->value = aValue;
+  entry->removed = aRemoved;
+  aChange.entries.push_back(std::move(entry));
+}
+
+absl::Status
+StatusOf(const wire::ChangeReplyT& aReply)
+{
+  if (aReply.result == wire::ChangeResult::Accepted) {
+    return absl::OkStatus();
+  }
+  if (aReply.result == wire::ChangeResult::Conflict) {
+    return base::MakeError(base::ErrorKind::Conflict,
+                           "another change came first, the revision is " +
+                             std::to_string(aReply.current_revision) +
+                             "; look at it and apply again");
+  }
+  std::string text;
+  for (const std::string& error : aReply.errors) {
+    text += (text.empty() ? "" : "\n  ") + error;
+  }
+  return base::MakeError(base::ErrorKind::Invalid, text);
+}
+
+// Sends aChange and reports its outcome in two steps: accepted, in force.
+absl::Status
+SendChange(Session& aSession,
+           wire::ChangeRequestT aChange,
+           bool aWait,
+           Output aOutput)
+{
+  const std::string id = aChange.change_id;
+  const absl::StatusOr<wire::ChangeReplyT> reply =
+    aSession.Submit(std::move(aChange));
+  if (!reply.ok()) {
+    return base::MakeError(
+      base::ErrorKind::Unavailable,
+      "no outcome in time; it may have been accepted. Run the command again "
+      "with --change-id " +
+        id);
+  }
+  if (absl::Status status = StatusOf(*reply); !status.ok()) {
+    return status;
+  }
+  if (!aOutput.m_json) {
+    aOutput.m_out << "accepted at revision " << reply->revision
+                  << " (change id " << id << ")" << std::endl;
+  }
+  absl::Status inForce = absl::OkStatus();
+  if (aWait) {
+    inForce = aSession.WaitInForce(reply->revision);
+  }
+  if (aOutput.m_json) {
+    const boost::json::object result{ { "result", "accepted" },
+                                      { "revision", reply->revision },
+                                      { "change_id", id },
+                                      { "in_force", aWait && inForce.ok() } };
+    aOutput.m_out << boost::json::serialize(result) << '\n';
+  } else if (aWait && inForce.ok()) {
+    aOutput.m_out << "in force everywhere" << '\n';
+  }
+  return inForce;
+}
+
+void
+PrintPlan(const std::vector<catalog::EntryChange>& aPlan,
+          uint64_t aRevision,
+          Output aOutput)
+{
+  if (aOutput.m_json) {
+    boost::json::array rows;
+    for (const catalog::EntryChange& row : aPlan) {
+      boost::json::object item{ { "key", row.m_key } };
+      item["before"] =
+        row.m_before.empty() ? nullptr : ParsedOrText(row.m_before);
+      item["after"] = row.m_after.empty() ? nullptr : ParsedOrText(row.m_after);
+      rows.push_back(std::move(item));
+    }
+    aOutput.m_out << boost::json::serialize(boost::json::object{
+                       { "revision", aRevision }, { "changes", rows } })
+                  << '\n';
+    return;
+  }
+  Table table({ "CHANGE", "KEY", "BEFORE", "AFTER" });
+  for (const catalog::EntryChange& row : aPlan) {
+    const char* kind = row.m_before.empty()  ? "add"
+                       : row.m_after.empty() ? "remove"
+                                             : "change";
+    table.AddRow(
+      { kind, row.m_key, Shortened(row.m_before), Shortened(row.m_after) });
+  }
+  aOutput.m_out << "against revision " << aRevision << '\n';
+  if (table.Empty()) {
+    aOutput.m_out << "no difference\n";
+  } else {
+    table.Print(aOutput.m_out);
+  }
+}
+
+} // namespace detail
+
+std::vector<catalog::EntryChange>
+PlanApply(const catalog::Entries& aCurrent, const catalog::Entries& aWanted)
+{
+  catalog::Entries current;
+  for (const auto& [key, text] : aCurrent) {
+    if (detail::IsCatalogueKey(key)) {
+      current.emplace(key, text);
+    }
+  }
+  catalog::Entries wanted = aWanted;
+  for (auto& [key, text] : wanted) {
+    const auto before = current.find(key);
+    if (key.rfind("rollout/", 0) == 0 && before != current.end() &&
+        detail::RolloutDefinition(before->second) ==
+          detail::RolloutDefinition(text)) {
+      text = before->second;
+    }
+  }
+  return catalog::Diff(current, wanted);
+}
+
+absl::Status
+ShowCatalogue(Session& aSession, const std::string& aKey, Output aOutput)
+{
+  const absl::StatusOr<Configuration> current = aSession.Fetch();
+  if (!current.ok()) {
+    return current.status();
+  }
+  boost::json::object all;
+  Table table({ "KEY", "VALUE" });
+  for (const auto& [key, text] : current->m_entries) {
+    if (aKey.empty() || key == aKey) {
+      all[key] = detail::ParsedOrText(text);
+      table.AddRow({ key, detail::Shortened(text) });
+    }
+  }
+  if (!aKey.empty() && all.empty()) {
+    return base::MakeError(base::ErrorKind::UnknownRoute,
+                           "no entry '" + aKey + "'");
+  }
+  if (aOutput.m_json) {
+    aOutput.m_out << boost::json::serialize(all) << '\n';
+    return absl::OkStatus();
+  }
+  aOutput.m_out << "revision " << current->m_revision << '\n';
+  table.Print(aOutput.m_out);
+  return absl::OkStatus();
+}
+
+absl::Status
+ValidateFile(const std::string& aPath, Output aOutput)
+{
+  catalog::Entries entries;
+  if (absl::Status status = detail::ReadEntries(aPath, entries); !status.ok()) {
+    return status;
+  }
+  if (absl::Status status = detail::Validate(entries); !status.ok()) {
+    return status;
+  }
+  if (aOutput.m_json) {
+    aOutput.m_out << boost::json::serialize(boost::json::object{
+                       { "valid", true }, { "entries", entries.size() } })
+                  << '\n';
+  } else {
+    aOutput.m_out << "valid, " << entries.size() << " entries\n";
+  }
+  return absl::OkStatus();
+}
+
+absl::Status
+DiffFile(Session& aSession, const std::string& aPath, Output aOutput)
+{
+  catalog::Entries wanted;
+  if (absl::Status status = detail::ReadEntries(aPath, wanted); !status.ok()) {
+    return status;
+  }
+  const absl::StatusOr<Configuration> current = aSession.Fetch();
+  if (!current.ok()) {
+    return current.status();
+  }
+  detail::PrintPlan(
+    PlanApply(current->m_entries, wanted), current->m_revision, aOutput);
+  return absl::OkStatus();
+}
+
+absl::Status
+ApplyFile(Session& aSession,
+          const std::string& aPath,
+          const ChangeOptions& aOptions,
+          Output aOutput)
+{
+  catalog::Entries wanted;
+  if (absl::Status status = detail::ReadEntries(aPath, wanted); !status.ok()) {
+    return status;
+  }
+  for (const auto& [key, text] : wanted) {
+    if (!detail::IsCatalogueKey(key)) {
+      return base::MakeError(base::ErrorKind::Invalid,
+                             key + ": does not belong in a catalogue file; use "
+                                   "the commands out and in");
+    }
+  }
+  const absl::StatusOr<Configuration> current = aSession.Fetch();
+  if (!current.ok()) {
+    return current.status();
+  }
+  const auto plan = PlanApply(current->m_entries, wanted);
+  wire::ChangeRequestT change = detail::MakeChange(aOptions);
+  if (change.expected_revision == 0) {
+    change.expected_revision = current->m_revision;
+  }
+  if (plan.empty() && aOptions.m_changeId.empty()) {
+    aOutput.m_out << (aOutput.m_json ? "{\"result\":\"no difference\"}\n"
+                                     : "no difference, nothing to apply\n");
+    return absl::OkStatus();
+  }
+  for (const catalog::EntryChange& row : plan) {
+    detail::AddEntry(change, row.m_key, row.m_after, row.m_after.empty());
+  }
+  return detail::SendChange(
+    aSession, std::move(change), aOptions.m_wait, aOutput);
+}
+
+absl::Status
+SetService(Session& aSession,
+           Direction aDirection,
+           const std::string& aKind,
+           const std::string& aId,
+           const ChangeOptions& aOptions,
+           Output aOutput)
+{
+  wire::ChangeRequestT change = detail::MakeChange(aOptions);
+  detail::AddEntry(change,
+                   "out/" + aKind + "/" + aId,
+                   aDirection == Direction::Out ? "{}" : "",
+                   aDirection == Direction::In);
+  return detail::SendChange(
+    aSession, std::move(change), aOptions.m_wait, aOutput);
+}
+
+absl::Status
+LiftQuarantine(Session& aSession,
+               const std::string& aFingerprint,
+               const ChangeOptions& aOptions,
+               Output aOutput)
+{
+  wire::ChangeRequestT change = detail::MakeChange(aOptions);
+  detail::AddEntry(change, "quarantine/" + aFingerprint, "", true);
+  return detail::SendChange(
+    aSession, std::move(change), aOptions.m_wait, aOutput);
+}
+
+} // namespace chivefront::ctl
--- /dev/null
+++ b/chivefront/ctl/commands.h
@@ -0,0 +1,103 @@
+// The commands of chivefrontctl, apart from their command-line syntax. Each
+// writes its result to the given stream and returns what went wrong.
+#pragma once
+
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include <absl/status/status.h>
+
+#include "chivefront/ctl/session.h"
+
+namespace chivefront::ctl {
+
+struct Output
+{
+  std::ostream& m_out;
+  bool m_json = false;
+};
+
+// How a change is sent.
+struct ChangeOptions
+{
+  std::string m_changeId;    // generated when empty
+  uint64_t m_expected = 0;   // the current revision when 0
+  bool m_wait = true;        // until it is in force everywhere
+  std::string m_operator;    // for the events
+};
+
+// --- Catalogue ------------------------------------------------------------
+
+// aKey limits the output to one key; empty shows all.
+absl::Status
+ShowCatalogue(Session& aSession, const std::string& aKey, Output aOutput);
+// Needs no control process. Invalid lists every error with its path.
+absl::Status
+ValidateFile(const std::string& aPath, Output aOutput);
+absl::Status
+DiffFile(Session& aSession, const std::string& aPath, Output aOutput);
+absl::Status
+ApplyFile(Session& aSession,
+          const std::string& aPath,
+          const ChangeOptions& aOptions,
+          Output aOutput);
+
+// The entries that turn aCurrent into the catalogue of the file aWanted.
+// Out-of-service and system keys are left alone, and so is the progress
+// (stage, state, reason) of a roll-out whose definition is the same: a file
+// written before it advanced or stopped must not turn it back.
+std::vector<catalog::EntryChange>
+PlanApply(const catalog::Entries& aCurrent, const catalog::Entries& aWanted);
+
+// --- Service state ----------------------------------------------------------
+
+enum class Direction
+{
+  Out,
+  In,
+};
+
+// aKind is "domain", "version" or "upstream".
+absl::Status
+SetService(Session& aSession,
+           Direction aDirection,
+           const std::string& aKind,
+           const std::string& aId,
+           const ChangeOptions& aOptions,
+           Output aOutput);
+// Lifts the quarantine of a request, by its 16 hexadecimal digits.
+absl::Status
+LiftQuarantine(Session& aSession,
+               const std::string& aFingerprint,
+               const ChangeOptions& aOptions,
+               Output aOutput);
+
+// --- Views ------------------------------------------------------------------
+
+absl::Status
+ShowStatus(Session& aSession, Output aOutput);
+absl::Status
+ShowRollouts(Session& aSession, const std::string& aModel, Output aOutput);
+absl::Status
+ShowBills(Session& aSession,
+          const std::string& aTeam,
+          const std::string& aRequest,
+          uint32_t aLimit,
+          Output aOutput);
+
+struct TimelineOptions
+{
+  std::vector<std::string> m_files;
+  std::vector<std::string> m_admin; // IP:PORT
+  std::string m_request;
+  std::string m_team;
+  std::string m_upstream;
+};
+
+// Events of all sources in causal order. A source that can't be read is named
+// on standard error and makes the result Unavailable after the rest is shown.
+absl::Status
+ShowTimeline(const TimelineOptions& aOptions, Output aOutput);
+
+} // namespace chivefront::ctl
