--- a/chivefront/control/changes.cc
+++ b/chivefront/control/changes.cc
@@ -35,6 +35,10 @@
 {
   uint64_t base = m_store.Revision();
   const wire::ChangeRequestT& change = aAttempt->m_change;
+  if (change.entries.empty()) {
+    AnswerKnown(aAttempt);
+    return;
+  }
   // A known change id is answered by the store, and so is an expected revision
   // that is not current, whatever is valid now.
   if (!m_store.OutcomeOf(change.change_id) &&
@@ -57,6 +61,20 @@
                     });
 }
 
+void
+Changes::AnswerKnown(const AttemptPointer& aAttempt)
+{
+  wire::ChangeReplyT reply;
+  if (auto known = m_store.OutcomeOf(aAttempt->m_change.change_id)) {
+    reply = std::move(*known);
+  } else {
+    reply.result = wire::ChangeResult::Invalid;
+    reply.current_revision = m_store.Revision();
+    reply.errors.emplace_back("change_id: is not known");
+  }
+  Answer(aAttempt, std::move(reply));
+}
+
 void
 Changes::Finish(const AttemptPointer& aAttempt,
                 const absl::StatusOr<std::string>& aResult)
--- a/chivefront/control/changes.h
+++ b/chivefront/control/changes.h
@@ -35,6 +35,8 @@
 
   // aDone is called once. NotLeader: certainly not accepted here.
   // Unavailable: not known; the sender repeats it with the same change id.
+  // A change without entries asks for the outcome of its id: Invalid when it
+  // is not known.
   void Submit(wire::ChangeRequestT aChange, Proposer aProposer, Done aDone);
 
 private:
@@ -48,6 +50,7 @@
   using AttemptPointer = std::shared_ptr<Attempt>;
 
   void Validate(const AttemptPointer& aAttempt);
+  void AnswerKnown(const AttemptPointer& aAttempt);
   void Finish(const AttemptPointer& aAttempt,
               const absl::StatusOr<std::string>& aResult);
   void Fail(const AttemptPointer& aAttempt, const absl::Status& aWhy);
--- a/chivefront/control/config_store.h
+++ b/chivefront/control/config_store.h
@@ -110,7 +110,8 @@
 
   const ConfigBounds m_bounds;
   mutable std::mutex m_lock; // guards what follows
-  uint64_t m_revision = 0;
+  // Starts at 1, because an expected revision of 0 means any.
+  uint64_t m_revision = 1;
   std::map<std::string, Value, std::less<>> m_values;
   std::map<uint64_t, std::set<std::string>> m_byRevision; // of m_values
   // Removals, oldest first, as (revision, key).
--- a/chivefront/ctl/catalogue_commands.cc
+++ b/chivefront/ctl/catalogue_commands.cc
@@ -56,7 +56,8 @@
   }
   std::string text;
   for (const catalog::EntryError& error : errors) {
-    text += (text.empty() ? "" : "\n  ") + error.m_path + ": " + error.m_problem;
+    text +=
+      (text.empty() ? "" : "\n  ") + error.m_path + ": " + error.m_problem;
   }
   return base::MakeError(base::ErrorKind::Invalid, text);
 }
@@ -124,38 +125,46 @@
   return base::MakeError(base::ErrorKind::Invalid, text);
 }
 
-// Sends aChange and reports its outcome in two steps: accepted, in force.
+// The outcome of a change that was sent before under the operator's id. Its
+// entries can't be computed again: the configuration may already hold them.
+absl::StatusOr<wire::ChangeReplyT>
+FormerOutcome(Session& aSession, const std::string& aId)
+{
+  wire::ChangeRequestT question;
+  question.change_id = aId;
+  return aSession.Submit(std::move(question));
+}
+
+// Reports an outcome in two steps: accepted, in force.
 absl::Status
-SendChange(Session& aSession,
-           wire::ChangeRequestT aChange,
-           bool aWait,
-           Output aOutput)
+ReportOutcome(Session& aSession,
+              const std::string& aId,
+              const absl::StatusOr<wire::ChangeReplyT>& aReply,
+              bool aWait,
+              Output aOutput)
 {
-  const std::string id = aChange.change_id;
-  const absl::StatusOr<wire::ChangeReplyT> reply =
-    aSession.Submit(std::move(aChange));
-  if (!reply.ok()) {
+  if (!aReply.ok()) {
     return base::MakeError(
       base::ErrorKind::Unavailable,
       "no outcome in time; it may have been accepted. Run the command again "
       "with --change-id " +
-        id);
+        aId);
   }
-  if (absl::Status status = StatusOf(*reply); !status.ok()) {
+  if (absl::Status status = StatusOf(*aReply); !status.ok()) {
     return status;
   }
   if (!aOutput.m_json) {
-    aOutput.m_out << "accepted at revision " << reply->revision
-                  << " (change id " << id << ")" << std::endl;
+    aOutput.m_out << "accepted at revision " << aReply->revision
+                  << " (change id " << aId << ")" << std::endl;
   }
   absl::Status inForce = absl::OkStatus();
   if (aWait) {
-    inForce = aSession.WaitInForce(reply->revision);
+    inForce = aSession.WaitInForce(aReply->revision);
   }
   if (aOutput.m_json) {
     const boost::json::object result{ { "result", "accepted" },
-                                      { "revision", reply->revision },
-                                      { "change_id", id },
+                                      { "revision", aReply->revision },
+                                      { "change_id", aId },
                                       { "in_force", aWait && inForce.ok() } };
     aOutput.m_out << boost::json::serialize(result) << '\n';
   } else if (aWait && inForce.ok()) {
@@ -164,6 +173,25 @@
   return inForce;
 }
 
+absl::Status
+SendChange(Session& aSession,
+           wire::ChangeRequestT aChange,
+           const ChangeOptions& aOptions,
+           Output aOutput)
+{
+  const std::string id = aChange.change_id;
+  absl::StatusOr<wire::ChangeReplyT> reply;
+  bool known = false;
+  if (!aOptions.m_changeId.empty()) {
+    reply = FormerOutcome(aSession, id);
+    known = reply.ok() && reply->result != wire::ChangeResult::Invalid;
+  }
+  if (!known) {
+    reply = aSession.Submit(std::move(aChange));
+  }
+  return ReportOutcome(aSession, id, reply, aOptions.m_wait, aOutput);
+}
+
 void
 PrintPlan(const std::vector<catalog::EntryChange>& aPlan,
           uint64_t aRevision,
@@ -320,8 +348,7 @@
   for (const catalog::EntryChange& row : plan) {
     detail::AddEntry(change, row.m_key, row.m_after, row.m_after.empty());
   }
-  return detail::SendChange(
-    aSession, std::move(change), aOptions.m_wait, aOutput);
+  return detail::SendChange(aSession, std::move(change), aOptions, aOutput);
 }
 
 absl::Status
@@ -337,8 +364,7 @@
                    "out/" + aKind + "/" + aId,
                    aDirection == Direction::Out ? "{}" : "",
                    aDirection == Direction::In);
-  return detail::SendChange(
-    aSession, std::move(change), aOptions.m_wait, aOutput);
+  return detail::SendChange(aSession, std::move(change), aOptions, aOutput);
 }
 
 absl::Status
@@ -349,8 +375,7 @@
 {
   wire::ChangeRequestT change = detail::MakeChange(aOptions);
   detail::AddEntry(change, "quarantine/" + aFingerprint, "", true);
-  return detail::SendChange(
-    aSession, std::move(change), aOptions.m_wait, aOutput);
+  return detail::SendChange(aSession, std::move(change), aOptions, aOutput);
 }
 
 } // namespace chivefront::ctl
--- a/chivefront/ctl/commands.h
+++ b/chivefront/ctl/commands.h
@@ -21,10 +21,10 @@
 // How a change is sent.
 struct ChangeOptions
 {
-  std::string m_changeId;    // generated when empty
-  uint64_t m_expected = 0;   // the current revision when 0
-  bool m_wait = true;        // until it is in force everywhere
-  std::string m_operator;    // for the events
+  std::string m_changeId;  // generated when empty
+  uint64_t m_expected = 0; // the current revision when 0
+  bool m_wait = true;      // until it is in force everywhere
+  std::string m_operator;  // for the events
 };
 
 // --- Catalogue ------------------------------------------------------------
--- a/chivefront/ctl/session.cc
+++ b/chivefront/ctl/session.cc
@@ -32,8 +32,7 @@
       base::Endpoint::Parse(aText.substr(start, end - start));
     if (!endpoint) {
       return base::MakeError(base::ErrorKind::BadRequest,
-                             "--control: '" +
-                               aText.substr(start, end - start) +
+                             "--control: '" + aText.substr(start, end - start) +
                                "' is not IP:PORT");
     }
     endpoints.push_back(*endpoint);
