Let HTTP callers check and abort around the first byte

Cause: the agent has to check its lease directly before the first byte, has to know whether a byte may have been sent, and has to end a request whose header does not come. Change: HttpClientStream::Open takes an optional hook, called once connected and before anything is sent; an error from it proves that nothing was sent. Conclusion: callers without a hook see no change.

--- a/chivefront/net/http_client.cc
+++ b/chivefront/net/http_client.cc
@@ -136,7 +136,8 @@
 Task<absl::StatusOr<std::unique_ptr<HttpClientStream>>>
 HttpClientStream::Open(base::Endpoint aEndpoint,
                        HttpRequest aRequest,
-                       HttpTimeouts aTimeouts)
+                       HttpTimeouts aTimeouts,
+                       BeforeSend aBeforeSend)
 {
   auto stream = std::make_unique<detail::ClientStream>(
     co_await asio::this_coro::executor, aTimeouts);
@@ -144,6 +145,13 @@
       !status.ok()) {
     co_return status;
   }
+  if (aBeforeSend) {
+    const absl::Status status =
+      aBeforeSend([raw = stream.get()] { raw->Cancel(); });
+    if (!status.ok()) {
+      co_return status;
+    }
+  }
   if (const absl::Status status =
         co_await stream->Send(aEndpoint, std::move(aRequest));
       !status.ok()) {
--- a/chivefront/net/http_client.h
+++ b/chivefront/net/http_client.h
@@ -10,6 +10,7 @@
 //   }
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -36,10 +37,19 @@
 public:
   virtual ~HttpClientStream() = default;
 
+  // Called once connected and directly before the first byte is sent. An
+  // error ends Open with it, and proves that nothing was sent. aAbort ends an
+  // Open that waits for the response; call it on Open's executor and only
+  // until Open returned.
+  using BeforeSend = std::function<absl::Status(std::function<void()> aAbort)>;
+
   // Connects, sends aRequest, and reads the response header. Errors:
   // NoUpstream when no byte was sent; Timeout, LinkClosed or BadFrame after.
-  static Task<absl::StatusOr<std::unique_ptr<HttpClientStream>>>
-  Open(base::Endpoint aEndpoint, HttpRequest aRequest, HttpTimeouts aTimeouts);
+  static Task<absl::StatusOr<std::unique_ptr<HttpClientStream>>> Open(
+    base::Endpoint aEndpoint,
+    HttpRequest aRequest,
+    HttpTimeouts aTimeouts,
+    BeforeSend aBeforeSend = {});
 
   virtual int Status() const = 0;
   virtual const HttpHeaders& Headers() const = 0;
