Add the fake model engine and the fake plain service

Cause: the agent and the entry need upstreams to be tested against. Change: fake-engine (continuous batching, bound, cold start, prefix cache, cancel, priorities, orders, faults on demand, history) and fake-service (executions by idempotency id), each as a class and a program, and a stand-in for a control process for tests in one process. Conclusion: enough for the first end-to-end tests.

--- /dev/null
+++ b/fakes/control_stub.h
@@ -0,0 +1,47 @@
+// An in-process stand-in for a control process, for tests of agents and
+// entries: answers watch polls with a catalogue that the test sets, and
+// records announcements and ledger commands.
+#pragma once
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "chivefront/catalog/catalog.h"
+#include "chivefront/net/link.h"
+
+namespace fakes {
+
+using namespace chivefront;
+
+class ControlStub
+{
+public:
+  ControlStub(net::asio::io_context& aContext, const net::LinkIdentity& aSelf);
+
+  absl::Status Start();
+  base::Endpoint Bound() const { return m_server.Bound(); }
+
+  // Each change raises the revision.
+  void Put(const std::string& aKey, const std::string& aValue);
+  void Remove(const std::string& aKey);
+  // No answers while silent, like a partition.
+  void SetSilent(bool aSilent);
+
+  wire::AnnounceRequestT LastAnnounce() const;
+  std::vector<wire::LedgerRequestT> Ledger() const;
+
+private:
+  void Handle(const net::Link::Pointer& aLink, wire::MessageT aMessage);
+
+  net::LinkServer m_server;
+  mutable std::mutex m_lock; // guards what follows
+  catalog::Entries m_entries;
+  uint64_t m_revision = 1;
+  bool m_silent = false;
+  wire::AnnounceRequestT m_announce;
+  std::vector<wire::LedgerRequestT> m_ledger;
+};
+
+} // namespace fakes
--- /dev/null
+++ b/fakes/engine.h
@@ -0,0 +1,119 @@
+// A stand-in for a model engine, over HTTP:
+//   POST   /v1/chat/completions   OpenAI shape, streamed or whole
+//   DELETE /v1/requests/<id>      cancel; answers once the request has left
+//   POST   /v1/orders             orders with fencing numbers
+//   POST   /fake/behave           how to misbehave from now on
+//   GET    /fake/history          what ran, for tests to judge by
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <set>
+#include <string>
+
+#include "chivefront/net/http_server.h"
+#include "fakes/announcer.h"
+#include "fakes/engine_model.h"
+#include "fakes/prefix_cache.h"
+
+namespace fakes {
+
+// Part of an answer that makes the fake rating service rate it low.
+inline constexpr std::string_view kBadMarker = "[bad]";
+
+struct EngineOptions
+{
+  std::string m_name = "engine-1";
+  std::string m_model = "small";
+  std::string m_version = "small-1";
+  base::Endpoint m_listen{ "127.0.0.1", 0 };
+  base::Endpoint m_agent; // none when empty
+  EngineLimits m_limits;
+  uint32_t m_answerTokens = 20; // unless the request has max_tokens
+  uint64_t m_seed = 1;
+  base::Millis m_loadLag; // age of the load that it reports
+  base::Millis m_cacheLag{ 200 };
+  size_t m_cacheBlocks = 4096;
+  uint32_t m_prefillUs = 20;     // per prompt token that is not cached
+  bool m_exitOnOverload = false; // else it refuses everything from then on
+  bool m_checksFencing = true;
+  std::string m_crashMarker;       // a prompt with this text crashes it
+  std::function<void()> m_onCrash; // the program exits here
+};
+
+class FakeEngine
+{
+public:
+  FakeEngine(net::asio::io_context& aContext, EngineOptions aOptions);
+
+  absl::Status Start();
+  base::Endpoint Bound() const { return m_server.Bound(); }
+  // Dies: closes the port, cuts all answers, announces no more.
+  void Crash();
+  // Announces the end to its agent, and announces no more.
+  net::Task<void> Leave() { return m_announcer.Stop(true); }
+  std::string History() const;
+
+private:
+  struct Job
+  {
+    std::string m_id;
+    std::string m_prompt;
+    bool m_stream = false;
+    bool m_paying = false;
+    uint32_t m_tokens = 0;
+    uint32_t m_promptTokens = 0;
+    uint32_t m_cachedTokens = 0;
+  };
+  // How a job stands before its next token.
+  enum class Step
+  {
+    Go,
+    Canceled,
+    Crashed,
+  };
+
+  net::Task<void> Handle(net::HttpExchange& aExchange);
+  net::Task<void> HandleChat(net::HttpExchange& aExchange);
+  net::Task<void> HandleCancel(net::HttpExchange& aExchange, std::string aId);
+  net::Task<void> Behave(net::HttpExchange& aExchange);
+  net::Task<void> Order(net::HttpExchange& aExchange);
+  net::Task<bool> Generate(net::HttpExchange& aExchange, const Job& aJob);
+  net::Task<Step> WaitForBatch(const Job& aJob);
+  net::Task<Step> WaitForToken(const Job& aJob);
+  net::Task<bool> SendEvent(net::HttpExchange& aExchange,
+                            boost::json::object aEvent);
+  net::Task<void> WhileFrozen();
+  Step StepOf(const Job& aJob) const;
+  Job ReadJob(const net::HttpRequest& aRequest);
+  void ReportCache(std::vector<uint64_t> aAdded);
+  boost::json::object Usage(const Job& aJob) const;
+  std::string Word(const Job& aJob, uint32_t aIndex) const;
+  ReportedLoad LoadWithLag();
+
+  net::asio::io_context& m_context;
+  const EngineOptions m_options;
+  const std::string m_incarnation;
+  net::HttpServer m_server;
+  const absl::Status m_listening; // bound before the address is announced
+  Announcer m_announcer;
+
+  mutable std::mutex m_lock; // guards what follows
+  EngineModel m_model;
+  PrefixCache m_cache;
+  bool m_bad = false;
+  bool m_frozen = false;
+  bool m_refusing = false;
+  bool m_crashed = false;
+  bool m_checksFencing;
+  std::string m_crashMarker;
+  uint32_t m_answerTokens;
+  uint64_t m_fence = 0;
+  uint64_t m_refusedOrders = 0;
+  uint64_t m_cacheSequence = 0;
+  uint32_t m_unnamed = 0;
+  std::deque<std::pair<base::TimePoint, ReportedLoad>> m_loads;
+};
+
+} // namespace fakes
--- /dev/null
+++ b/fakes/engine_model.cc
@@ -0,0 +1,130 @@
+// Batching and bounds of the fake engine.
+#include "fakes/engine_model.h"
+
+#include <algorithm>
+
+namespace fakes {
+namespace {
+
+void
+EraseOne(std::deque<std::string>& aLane, const std::string& aId)
+{
+  const auto found = std::find(aLane.begin(), aLane.end(), aId);
+  if (found != aLane.end()) {
+    aLane.erase(found);
+  }
+}
+
+bool
+Contains(const std::deque<std::string>& aLane, const std::string& aId)
+{
+  return std::find(aLane.begin(), aLane.end(), aId) != aLane.end();
+}
+
+} // namespace
+
+EngineModel::EngineModel(EngineLimits aLimits, base::TimePoint aStartedAt)
+  : m_limits(aLimits)
+  , m_startedAt(aStartedAt)
+{
+}
+
+uint32_t
+EngineModel::Waiting() const
+{
+  return static_cast<uint32_t>(m_paying.size() + m_free.size());
+}
+
+uint32_t
+EngineModel::BoundAt(base::TimePoint aNow) const
+{
+  const bool cold = m_completed < m_limits.m_coldRequests ||
+                    aNow - m_startedAt < m_limits.m_cold;
+  return cold ? std::min(m_limits.m_coldBound, m_limits.m_bound)
+              : m_limits.m_bound;
+}
+
+void
+EngineModel::BecomeCold(base::TimePoint aNow)
+{
+  m_startedAt = aNow;
+  m_completed = 0;
+}
+
+bool
+EngineModel::Enter(const std::string& aId, bool aPaying, base::TimePoint aNow)
+{
+  (aPaying ? m_paying : m_free).push_back(aId);
+  const uint32_t held = Running() + Waiting();
+  m_largestHeld = std::max(m_largestHeld, held);
+  const bool tooMany = held > BoundAt(aNow);
+  m_exceeded = m_exceeded || tooMany;
+  Fill();
+  return !tooMany;
+}
+
+void
+EngineModel::Fill()
+{
+  while (Running() < m_limits.m_batch && Waiting() > 0) {
+    auto& lane = m_paying.empty() ? m_free : m_paying;
+    const std::string id = lane.front();
+    lane.pop_front();
+    m_batch.insert(id);
+    ++m_ran[id];
+    m_startOrder.push_back(id);
+  }
+}
+
+bool
+EngineModel::InBatch(const std::string& aId) const
+{
+  return m_batch.count(aId) != 0;
+}
+
+bool
+EngineModel::Holds(const std::string& aId) const
+{
+  return InBatch(aId) || Contains(m_paying, aId) || Contains(m_free, aId);
+}
+
+void
+EngineModel::Leave(const std::string& aId, bool aCompleted)
+{
+  const auto found = m_batch.find(aId);
+  if (found != m_batch.end()) {
+    m_batch.erase(found);
+  } else {
+    EraseOne(m_paying, aId);
+    EraseOne(m_free, aId);
+  }
+  m_canceled.erase(aId);
+  m_completed += aCompleted ? 1 : 0;
+  Fill();
+}
+
+void
+EngineModel::Cancel(const std::string& aId)
+{
+  if (Holds(aId)) {
+    m_canceled.insert(aId);
+    ++m_canceledCount;
+  }
+}
+
+bool
+EngineModel::Canceled(const std::string& aId) const
+{
+  return m_canceled.count(aId) != 0;
+}
+
+base::Millis
+EngineModel::TokenTime() const
+{
+  constexpr int64_t kMicrosPerMilli = 1000;
+  const int64_t extra =
+    static_cast<int64_t>(m_limits.m_tokenPerRequestUs) * Running();
+  return m_limits.m_tokenBase + base::Millis(extra / kMicrosPerMilli);
+}
+
+} // namespace fakes
--- /dev/null
+++ b/fakes/service.h
@@ -0,0 +1,56 @@
+// A stand-in for a plain service (bookings, paper orders), over HTTP:
+//   any    /v1/services/<service>/...   executes once per call
+//   POST   /fake/behave                 {"slow_ms","die_after_execute","down"}
+//   GET    /fake/history                executions by idempotency id
+// The idempotency id is the Idempotency-Key header, else X-Request-Id.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+
+#include "chivefront/net/http_server.h"
+#include "fakes/announcer.h"
+
+namespace fakes {
+
+struct ServiceOptions
+{
+  std::string m_name = "service-1";
+  std::string m_service = "booking";
+  base::Endpoint m_listen{ "127.0.0.1", 0 };
+  base::Endpoint m_agent;        // none when empty
+  base::Millis m_slow;           // time that each execution takes
+  std::function<void()> m_onDie; // the program exits here
+};
+
+class FakeService
+{
+public:
+  FakeService(net::asio::io_context& aContext, ServiceOptions aOptions);
+
+  absl::Status Start();
+  base::Endpoint Bound() const { return m_server.Bound(); }
+  std::string History() const;
+
+private:
+  net::Task<void> Handle(net::HttpExchange& aExchange);
+  net::Task<void> Behave(net::HttpExchange& aExchange);
+  net::Task<void> Execute(net::HttpExchange& aExchange);
+
+  const ServiceOptions m_options;
+  net::HttpServer m_server;
+  const absl::Status m_listening; // bound before the address is announced
+  Announcer m_announcer;
+
+  mutable std::mutex m_lock; // guards what follows
+  std::map<std::string, uint32_t> m_executed;
+  uint32_t m_running = 0;
+  uint32_t m_largestRunning = 0;
+  base::Millis m_slow;
+  bool m_dieAfterExecute = false;
+  bool m_dead = false;
+};
+
+} // namespace fakes
