Add the agent: announce, dispatch, stream, end, reject

Cause: upstreams are to be reached through one process that checks again, limits, streams under credit and keeps results until they are settled. Change: pure classes for acceptance, queue, stream buffer, answer scan, settlement and upstream state, with the link, HTTP and timers around them. The limit is the rule's fixed cold limit for now. Conclusion: thin but whole path; resume, settlement, losses and drain are written and not yet tested.

--- /dev/null
+++ b/chivefront/agent/answer_scanner.h
@@ -0,0 +1,62 @@
+// Reads an upstream's answer on its way through: keeps back the terminator of
+// an event stream, finds the usage, and keeps a copy where a claim needs one.
+// Pure.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <absl/status/status.h>
+
+namespace chivefront::agent {
+
+struct Usage
+{
+  uint32_t m_promptTokens = 0;
+  uint32_t m_answerTokens = 0;
+  uint32_t m_cachedTokens = 0;
+};
+
+enum class AnswerForm
+{
+  EventStream, // SSE of a model engine
+  Json,        // whole answer of a model engine
+  Raw,         // anything of a plain service
+};
+
+class AnswerScanner
+{
+public:
+  // aKeepCopy: keep the bytes for Copy(), up to a bound.
+  AnswerScanner(AnswerForm aForm, bool aKeepCopy);
+
+  // Takes a piece and appends what may be passed on to aOut. BadFrame when an
+  // event is larger than the bound.
+  absl::Status Take(std::string_view aPiece, std::string& aOut);
+
+  // After the last piece: AnswerIncomplete when the upstream ended the body
+  // before the answer was complete.
+  absl::Status Finish(std::string& aOut);
+
+  const Usage& GetUsage() const { return m_usage; }
+  const std::string& Copy() const { return m_copy; }
+  // False when the answer did not fit into the copy.
+  bool CopyComplete() const { return m_copyComplete; }
+
+private:
+  void TakeEvent(std::string_view aEvent, std::string& aOut);
+  void Keep(std::string_view aPiece);
+
+  const AnswerForm m_form;
+  const bool m_keepCopy;
+  std::string m_partial; // begin of an event whose end has not arrived
+  std::string m_copy;
+  bool m_copyComplete = true;
+  bool m_done = false; // the terminator was seen
+  uint32_t m_deltas = 0;
+  bool m_reported = false; // the upstream itself gave the usage
+  Usage m_usage;
+};
+
+} // namespace chivefront::agent
--- /dev/null
+++ b/chivefront/agent/settlement.cc
@@ -0,0 +1,106 @@
+// When the agent settles by itself.
+#include "chivefront/agent/settlement.h"
+
+#include <algorithm>
+
+namespace chivefront::agent {
+namespace detail {
+
+constexpr base::Millis kFirstBackoff{ 200 };
+constexpr uint32_t kMaxDoublings = 6; // 12.8 s at most
+
+} // namespace detail
+
+void
+SettlementBook::Add(const SettlementKey& aKey,
+                    Settlement aWhat,
+                    std::string aEntry,
+                    base::TimePoint aNow)
+{
+  Record record;
+  record.m_what = std::move(aWhat);
+  record.m_entry = std::move(aEntry);
+  record.m_added = aNow;
+  m_records.insert_or_assign(aKey, std::move(record));
+}
+
+void
+SettlementBook::EntryGone(const std::string& aEntry, base::TimePoint aNow)
+{
+  m_gone.emplace(aEntry, aNow);
+}
+
+bool
+SettlementBook::Due(const Record& aRecord, base::TimePoint aNow) const
+{
+  if (aRecord.m_posting || aNow < aRecord.m_notBefore) {
+    return false;
+  }
+  if (aRecord.m_graceOver || aNow - aRecord.m_added >= kAttachedGrace) {
+    return true;
+  }
+  const auto gone = m_gone.find(aRecord.m_entry);
+  return gone != m_gone.end() && aNow - gone->second >= kDetachedGrace;
+}
+
+std::vector<SettlementKey>
+SettlementBook::TakeDue(base::TimePoint aNow)
+{
+  std::vector<SettlementKey> due;
+  for (auto& [key, record] : m_records) {
+    if (Due(record, aNow)) {
+      record.m_posting = true;
+      due.push_back(key);
+    }
+  }
+  return due;
+}
+
+const Settlement*
+SettlementBook::Find(const SettlementKey& aKey) const
+{
+  const auto found = m_records.find(aKey);
+  return found == m_records.end() ? nullptr : &found->second.m_what;
+}
+
+void
+SettlementBook::PostFailed(const SettlementKey& aKey,
+                           base::TimePoint aNow,
+                           uint64_t aRandom)
+{
+  const auto found = m_records.find(aKey);
+  if (found == m_records.end()) {
+    return;
+  }
+  Record& record = found->second;
+  const uint32_t doublings = std::min(record.m_failures, detail::kMaxDoublings);
+  const base::Millis ceiling =
+    detail::kFirstBackoff * (int64_t{ 1 } << doublings);
+  const auto span = static_cast<uint64_t>(ceiling.Count()) + 1;
+  record.m_notBefore =
+    aNow + base::Millis(static_cast<int64_t>(aRandom % span));
+  ++record.m_failures;
+  record.m_posting = false;
+}
+
+base::Millis
+SettlementBook::OldestAge(base::TimePoint aNow) const
+{
+  base::Millis oldest;
+  for (const auto& [key, record] : m_records) {
+    oldest = std::max(oldest, aNow - record.m_added);
+  }
+  return oldest;
+}
+
+void
+SettlementBook::ExpireGraces(base::TimePoint aNow)
+{
+  for (auto& [key, record] : m_records) {
+    record.m_graceOver = record.m_graceOver ||
+                         aNow - record.m_added >= kDetachedGrace ||
+                         m_gone.count(record.m_entry) != 0;
+  }
+}
+
+} // namespace chivefront::agent
--- /dev/null
+++ b/chivefront/agent/testing/bench.h
@@ -0,0 +1,134 @@
+// Frame of the agent's tests: one agent, a control stub, fakes, and a link as
+// an entry has it, all in one process over loopback.
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <future>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include "chivefront/agent/agent.h"
+#include "fakes/control_stub.h"
+
+namespace chivefront::agent::testing {
+
+// What the entry's side received for one attempt.
+struct Received
+{
+  bool m_started = false;
+  std::optional<wire::RejectedT> m_rejected;
+  std::optional<wire::EndT> m_end;
+  std::string m_bytes;
+  uint32_t m_chunks = 0;
+  bool m_outOfOrder = false;
+};
+
+class Bench
+{
+public:
+  Bench();
+  ~Bench();
+
+  net::asio::io_context& Context() { return m_context; }
+  Agent& Subject() { return *m_agent; }
+  fakes::ControlStub& Control() { return *m_control; }
+  base::Metrics& Metrics() { return m_metrics; }
+
+  // Makes a fake upstream that lives until the bench's threads have ended.
+  template<typename FakeT, typename OptionsT>
+  FakeT& Add(OptionsT aOptions)
+  {
+    aOptions.m_agent = m_agent->UpstreamEndpoint();
+    const std::string name = aOptions.m_name;
+    auto fake = std::make_shared<FakeT>(m_context, std::move(aOptions));
+    m_fakes.push_back(fake);
+    (void)fake->Start();
+    WaitAnnounced(name);
+    return *fake;
+  }
+
+  // A dispatch of team "sales" to aUpstream; streamed, paying, full credit.
+  static wire::DispatchT Chat(const std::string& aId,
+                              const std::string& aUpstream,
+                              uint32_t aTokens = 20,
+                              const std::string& aPrompt = "hello");
+  static wire::DispatchT Booking(const std::string& aId,
+                                 const std::string& aUpstream);
+
+  template<typename BodyT>
+  void Send(BodyT aBody)
+  {
+    (void)Link()->Send(wire::MakeMessage(std::move(aBody)));
+  }
+  // The entry's present link, waiting for one.
+  net::Link::Pointer Link();
+  // Ends the entry's link; the connector makes a new one.
+  void CutLink();
+  // Ends the entry's link for good.
+  void StopEntry() { m_connector->Stop(); }
+  // Grants credit for what arrives, like an entry with a fast caller.
+  void AutoCredit(bool aOn) { m_autoCredit = aOn; }
+  // Tells the agent that a result is in the ledger as soon as it ends.
+  void AutoSettle(bool aOn) { m_autoSettle = aOn; }
+
+  // Waits until aDone holds for what came for aId; returns it.
+  Received WaitFor(const std::string& aId,
+                   const std::function<bool(const Received&)>& aDone);
+  // Waits for End or Rejected.
+  Received WaitEnd(const std::string& aId);
+  // Waits until aDone holds; false when it never does.
+  static bool Eventually(const std::function<bool()>& aDone);
+  // Waits until the agent knows and may use aUpstream.
+  void WaitAnnounced(const std::string& aUpstream);
+
+  template<typename T>
+  T Await(std::function<net::Task<T>()> aBody)
+  {
+    std::promise<T> promise;
+    net::Spawn(m_context.get_executor(), "test", [&]() -> net::Task<void> {
+      return Fulfil(aBody, promise);
+    });
+    return promise.get_future().get();
+  }
+  // GET or POST to a fake; the body of its response.
+  std::string Http(const base::Endpoint& aEndpoint,
+                   const std::string& aMethod,
+                   const std::string& aTarget,
+                   const std::string& aBody = {});
+
+private:
+  template<typename T>
+  static net::Task<void> Fulfil(std::function<net::Task<T>()>& aBody,
+                                std::promise<T>& aPromise)
+  {
+    aPromise.set_value(co_await aBody());
+  }
+  void OnMessage(const net::Link::Pointer& aLink, wire::MessageT aMessage);
+
+  net::asio::io_context m_context;
+  net::asio::executor_work_guard<net::asio::io_context::executor_type> m_guard;
+  net::LinkIdentity m_agentSelf;
+  net::LinkIdentity m_entrySelf;
+  net::LinkIdentity m_controlSelf;
+  base::EventLog m_events{ "agent-1", "", 1000 };
+  base::Metrics m_metrics;
+  std::unique_ptr<fakes::ControlStub> m_control;
+  std::unique_ptr<Agent> m_agent;
+  std::vector<std::shared_ptr<void>> m_fakes;
+  std::shared_ptr<net::LinkConnector> m_connector;
+  std::atomic<bool> m_autoCredit{ true };
+  std::atomic<bool> m_autoSettle{ true };
+
+  std::mutex m_lock;
+  std::condition_variable m_changed;
+  std::map<std::string, Received> m_received; // guarded by m_lock
+  std::vector<std::thread> m_threads;
+};
+
+} // namespace chivefront::agent::testing
--- /dev/null
+++ b/chivefront/agent/upstream_http.h
@@ -0,0 +1,27 @@
+// The HTTP form of UpstreamEvents.
+#pragma once
+
+#include "chivefront/agent/upstream_events.h"
+#include "chivefront/net/http_server.h"
+
+namespace chivefront::agent {
+
+class UpstreamHttp
+{
+public:
+  UpstreamHttp(net::asio::io_context& aContext, UpstreamEvents& aEvents);
+
+  absl::Status Listen(const base::Endpoint& aEndpoint)
+  {
+    return m_server.Listen(aEndpoint);
+  }
+  base::Endpoint Bound() const { return m_server.Bound(); }
+
+private:
+  net::Task<void> Handle(net::HttpExchange& aExchange);
+
+  UpstreamEvents& m_events;
+  net::HttpServer m_server;
+};
+
+} // namespace chivefront::agent
