--- /dev/null
+++ b/bench/report.h
@@ -0,0 +1,60 @@
+// Collects measurements over many seeds and prints them as JSON and a table.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+namespace chivefront::bench {
+
+enum class Better
+{
+  AtMost,
+  AtLeast,
+};
+
+// A bound from section 3 of the design page.
+struct Goal
+{
+  Better m_better = Better::AtMost;
+  double m_bound = 0;
+};
+
+// One measure of one variant; one sample per seed.
+struct Measure
+{
+  std::string m_case;
+  std::string m_variant;
+  std::string m_name;
+  std::vector<double> m_samples;
+  std::optional<Goal> m_goal;
+
+  double Mean() const;
+  // Nearest-rank quantile, aShare from 0 to 1.
+  double Quantile(double aShare) const;
+  // Seeds that miss the goal.
+  size_t Misses() const;
+};
+
+class Report
+{
+public:
+  void Add(const std::string& aCase,
+           const std::string& aVariant,
+           const std::string& aName,
+           double aSample,
+           std::optional<Goal> aGoal = std::nullopt);
+  void PrintTable(std::ostream& aOut) const;
+  void PrintJson(std::ostream& aOut) const;
+
+private:
+  std::vector<Measure> m_measures; // in order of first use
+};
+
+// Nearest-rank quantile of unsorted values; 0 when there are none.
+double
+QuantileOf(std::vector<double> aValues, double aShare);
+
+} // namespace chivefront::bench
