Add chivefront-entry: routing of chat requests and service calls

Cause: callers need an HTTP port in front of the agents. Change: strict parsing, authentication, session pins, claims, dispatch over links to the agents of the registry, relay under byte credit, resume over new links, the retry rule as a table, bills before the end of an answer. Conclusion: a thin path works against stand-ins; not yet run against the real agent.

--- /dev/null
+++ b/chivefront/entry/answer_sinks.h
@@ -0,0 +1,68 @@
+// Where answers go: to a caller piece by piece, or into memory.
+#pragma once
+
+#include <string>
+
+#include "chivefront/entry/runner.h"
+#include "chivefront/net/http_server.h"
+
+namespace chivefront::entry {
+
+// Relays server-sent events to the caller. The response begins with the first
+// data, so that a failure before it is an ordinary JSON error. Memory: one cut
+// event of at most kMaxCutEventBytes.
+class StreamSink final : public AnswerSink
+{
+public:
+  static constexpr size_t kMaxCutEventBytes = 8 * 1024;
+
+  StreamSink(net::HttpExchange& aExchange, net::HttpHeaders aHeaders)
+    : m_exchange(aExchange)
+    , m_headers(std::move(aHeaders))
+    , m_cutter(kMaxCutEventBytes)
+  {
+  }
+
+  net::Task<absl::Status> OnData(std::string aData) override;
+  bool Begun() const override { return m_begun; }
+  void Restart() override { m_cutter = EventCutter(kMaxCutEventBytes); }
+
+  // Sends what is left, aTrailer and the end marker, and completes the
+  // response.
+  net::Task<absl::Status> Finish(std::string aTrailer);
+  // Sends the error as the last event; the response stays incomplete.
+  net::Task<absl::Status> Fail(std::string aErrorEvent);
+
+private:
+  net::Task<absl::Status> Write(std::string aData);
+
+  net::HttpExchange& m_exchange;
+  const net::HttpHeaders m_headers;
+  EventCutter m_cutter;
+  bool m_begun = false;
+};
+
+// Collects an answer that is not streamed, up to a bound.
+class BufferSink final : public AnswerSink
+{
+public:
+  explicit BufferSink(size_t aMaxBytes)
+    : m_maxBytes(aMaxBytes)
+  {
+  }
+
+  net::Task<absl::Status> OnData(std::string aData) override;
+  bool Begun() const override { return false; }
+  void Restart() override { m_data.clear(); }
+
+  const std::string& Data() const { return m_data; }
+  std::string Take() { return std::move(m_data); }
+  bool Overflowed() const { return m_overflowed; }
+
+private:
+  const size_t m_maxBytes;
+  std::string m_data; // at most m_maxBytes
+  bool m_overflowed = false;
+};
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/billing.h
@@ -0,0 +1,40 @@
+// Bills: one line per run, durable before the end of the answer is released.
+#pragma once
+
+#include <vector>
+
+#include "chivefront/entry/runner.h"
+
+namespace chivefront::entry {
+
+// Millionths of a currency unit, rounded up: the sum of both products is
+// divided once, so a line is less than one millionth above the exact cost.
+uint64_t
+CostMicros(const catalog::Version& aVersion,
+           uint32_t aPromptTokens,
+           uint32_t aAnswerTokens);
+
+// The line of one run. A version that left the catalogue meanwhile, or a
+// plain service, costs nothing.
+wire::BillLineT
+MakeLine(const catalog::Catalog& aCatalog,
+         const RunSpec& aSpec,
+         const RunResult& aResult);
+
+class Billing
+{
+public:
+  explicit Billing(EntryParts& aParts);
+
+  // Returns once a majority holds aLines, or BillingUnavailable when that was
+  // not confirmed in time. All lines are of one request.
+  net::Task<absl::Status> Post(std::vector<wire::BillLineT> aLines);
+
+private:
+  EntryParts& m_parts;
+  base::Counter& m_lines;
+  base::Counter& m_failures;
+  base::Summary& m_wait;
+};
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/caller_request.cc
@@ -0,0 +1,378 @@
+// Checks of routes, headers and bodies.
+#include "chivefront/entry/caller_request.h"
+
+#include <algorithm>
+#include <charconv>
+#include <functional>
+#include <map>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
+
+namespace chivefront::entry {
+namespace detail {
+
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kModelsPath = "/v1/models";
+constexpr std::string_view kServicesPath = "/v1/services/";
+constexpr std::string_view kBearer = "Bearer ";
+constexpr size_t kMaxHeaderText = 128;
+constexpr int64_t kMaxDeadlineMs = 3600 * 1000;
+constexpr int64_t kMaxAnswerTokens = 1000000;
+constexpr double kMaxTemperature = 2;
+constexpr double kMaxPenalty = 2;
+
+absl::Status
+BadHeader(std::string_view aName, std::string_view aProblem)
+{
+  return base::MakeError(base::ErrorKind::BadHeader,
+                         std::string(aName) + " " + std::string(aProblem));
+}
+
+bool
+StartsWith(std::string_view aText, std::string_view aPrefix)
+{
+  return aText.substr(0, aPrefix.size()) == aPrefix;
+}
+
+bool
+IsPrintable(std::string_view aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    return aByte > 0x20 && aByte < 0x7f;
+  });
+}
+
+// Reads a header that may be given at most once.
+absl::Status
+ReadOnce(const net::HttpRequest& aRequest,
+         std::string_view aName,
+         std::string& aTarget)
+{
+  size_t count = 0;
+  for (const auto& header : aRequest.m_headers) {
+    const net::HttpHeaders one{ header };
+    if (!net::FindHeader(one, aName).empty()) {
+      ++count;
+    }
+  }
+  if (count == 0) {
+    return absl::OkStatus();
+  }
+  if (count > 1) {
+    return BadHeader(aName, "is given more than once");
+  }
+  aTarget = std::string(aRequest.Header(aName));
+  if (aTarget.size() > kMaxHeaderText || !IsPrintable(aTarget)) {
+    return BadHeader(aName,
+                     "must be at most " + std::to_string(kMaxHeaderText) +
+                       " printable characters without spaces");
+  }
+  return absl::OkStatus();
+}
+
+using Value = boost::json::value;
+// What is wrong with a value, empty when it is valid.
+using FieldCheck = std::function<std::string(const Value&)>;
+
+FieldCheck
+Text()
+{
+  return [](const Value& aValue) {
+    return aValue.is_string() ? "" : "must be a string";
+  };
+}
+FieldCheck
+Boolean()
+{
+  return [](const Value& aValue) {
+    return aValue.is_bool() ? "" : "must be a boolean";
+  };
+}
+FieldCheck
+Object()
+{
+  return [](const Value& aValue) {
+    return aValue.is_object() ? "" : "must be an object";
+  };
+}
+FieldCheck
+List()
+{
+  return [](const Value& aValue) {
+    return aValue.is_array() ? "" : "must be a list";
+  };
+}
+FieldCheck
+Number(double aLowest, double aHighest)
+{
+  return [=](const Value& aValue) -> std::string {
+    boost::json::error_code error;
+    const double number = aValue.to_number<double>(error);
+    return !error && number >= aLowest && number <= aHighest
+             ? ""
+             : "must be a number in range";
+  };
+}
+FieldCheck
+Whole(int64_t aLowest, int64_t aHighest)
+{
+  return [=](const Value& aValue) -> std::string {
+    boost::json::error_code error;
+    const int64_t number = aValue.to_number<int64_t>(error);
+    return !error && !aValue.is_double() && number >= aLowest &&
+               number <= aHighest
+             ? ""
+             : "must be a whole number from " + std::to_string(aLowest) +
+                 " to " + std::to_string(aHighest);
+  };
+}
+FieldCheck
+StopWords()
+{
+  return [](const Value& aValue) {
+    const bool good =
+      aValue.is_string() ||
+      (aValue.is_array() &&
+       std::all_of(aValue.get_array().begin(),
+                   aValue.get_array().end(),
+                   [](const Value& aItem) { return aItem.is_string(); }));
+    return good ? "" : "must be a string or a list of strings";
+  };
+}
+
+// Every message has a role and a text; other members belong to tools and
+// names and are passed on.
+std::string
+CheckMessages(const Value& aValue)
+{
+  if (!aValue.is_array() || aValue.get_array().empty()) {
+    return "must be a non-empty list";
+  }
+  for (const Value& item : aValue.get_array()) {
+    const boost::json::object* message = item.if_object();
+    if (message == nullptr) {
+      return "must hold objects";
+    }
+    const Value* role = message->if_contains("role");
+    const Value* content = message->if_contains("content");
+    if (role == nullptr || !role->is_string() || content == nullptr ||
+        !(content->is_string() || content->is_array())) {
+      return "must hold objects with role and content";
+    }
+  }
+  return {};
+}
+
+const std::map<std::string, FieldCheck, std::less<>>&
+ChatFields()
+{
+  static const std::map<std::string, FieldCheck, std::less<>> fields{
+    { "model", Text() },
+    { "messages", CheckMessages },
+    { "stream", Boolean() },
+    { "stream_options", Object() },
+    { "max_tokens", Whole(1, kMaxAnswerTokens) },
+    { "max_completion_tokens", Whole(1, kMaxAnswerTokens) },
+    { "temperature", Number(0, kMaxTemperature) },
+    { "top_p", Number(0, 1) },
+    { "frequency_penalty", Number(-kMaxPenalty, kMaxPenalty) },
+    { "presence_penalty", Number(-kMaxPenalty, kMaxPenalty) },
+    { "n", Whole(1, 1) },
+    { "seed", Whole(INT64_MIN, INT64_MAX) },
+    { "stop", StopWords() },
+    { "user", Text() },
+    { "response_format", Object() },
+    { "tools", List() },
+  };
+  return fields;
+}
+
+std::string
+CheckChatBody(const boost::json::object& aBody)
+{
+  std::string problems;
+  const auto note = [&](std::string_view aField, std::string_view aProblem) {
+    problems += (problems.empty() ? "" : "; ") + std::string(aField) + " " +
+                std::string(aProblem);
+  };
+  for (const auto& member : aBody) {
+    const std::string_view name(member.key().data(), member.key().size());
+    const auto field = ChatFields().find(name);
+    if (field == ChatFields().end()) {
+      note(name, "is not known");
+    } else if (const std::string why = field->second(member.value());
+               !why.empty()) {
+      note(name, why);
+    }
+  }
+  for (const char* required : { "model", "messages" }) {
+    if (aBody.if_contains(required) == nullptr) {
+      note(required, "is missing");
+    }
+  }
+  return problems;
+}
+
+} // namespace detail
+
+absl::StatusOr<Route>
+ParseRoute(const net::HttpRequest& aRequest)
+{
+  const std::string_view path = aRequest.Path();
+  if (path == detail::kChatPath && aRequest.m_method == "POST") {
+    return Route::Chat;
+  }
+  if (path == detail::kModelsPath && aRequest.m_method == "GET") {
+    return Route::Models;
+  }
+  if (detail::StartsWith(path, detail::kServicesPath)) {
+    return Route::Service;
+  }
+  return base::MakeError(base::ErrorKind::UnknownRoute,
+                         "no such path or method");
+}
+
+absl::StatusOr<CallerHeaders>
+ParseHeaders(const net::HttpRequest& aRequest)
+{
+  CallerHeaders headers;
+  const std::string_view authorization = aRequest.Header("Authorization");
+  if (!detail::StartsWith(authorization, detail::kBearer)) {
+    return base::MakeError(base::ErrorKind::UnknownTeam,
+                           "Authorization must be 'Bearer <caller key>'");
+  }
+  headers.m_callerKey =
+    std::string(authorization.substr(detail::kBearer.size()));
+  std::string deadline;
+  for (const auto& [name, target] :
+       { std::pair{ "X-Chivefront-Session", &headers.m_session },
+         std::pair{ "X-Chivefront-Task", &headers.m_task },
+         std::pair{ "Idempotency-Key", &headers.m_idempotencyKey },
+         std::pair{ "X-Chivefront-Deadline-Ms", &deadline } }) {
+    if (const auto status = detail::ReadOnce(aRequest, name, *target);
+        !status.ok()) {
+      return status;
+    }
+  }
+  if (!deadline.empty()) {
+    int64_t number = 0;
+    const char* end = deadline.data() + deadline.size();
+    const auto [stop, error] = std::from_chars(deadline.data(), end, number);
+    if (error != std::errc() || stop != end || number < 1 ||
+        number > detail::kMaxDeadlineMs) {
+      return detail::BadHeader("X-Chivefront-Deadline-Ms",
+                               "must be a whole number from 1 to " +
+                                 std::to_string(detail::kMaxDeadlineMs));
+    }
+    headers.m_deadline = base::Millis(number);
+  }
+  return headers;
+}
+
+absl::StatusOr<ChatRequest>
+ParseChat(const net::HttpRequest& aRequest)
+{
+  const std::string_view type = aRequest.Header("Content-Type");
+  if (!type.empty() && !detail::StartsWith(type, "application/json")) {
+    return detail::BadHeader("Content-Type", "must be application/json");
+  }
+  boost::json::error_code error;
+  boost::json::value value = boost::json::parse(aRequest.m_body, error);
+  if (error || !value.is_object()) {
+    return base::MakeError(base::ErrorKind::BadRequest,
+                           "the body must be a JSON object");
+  }
+  ChatRequest chat;
+  chat.m_body = std::move(value.get_object());
+  if (const std::string problems = detail::CheckChatBody(chat.m_body);
+      !problems.empty()) {
+    return base::MakeError(base::ErrorKind::BadRequest, problems);
+  }
+  chat.m_model = std::string(chat.m_body["model"].get_string());
+  if (const auto* stream = chat.m_body.if_contains("stream")) {
+    chat.m_stream = stream->get_bool();
+  }
+  for (const char* name : { "max_tokens", "max_completion_tokens" }) {
+    if (const auto* tokens = chat.m_body.if_contains(name)) {
+      chat.m_maxTokens = tokens->to_number<uint32_t>();
+    }
+  }
+  return chat;
+}
+
+absl::StatusOr<ServiceRequest>
+ParseService(const net::HttpRequest& aRequest)
+{
+  const std::string_view rest =
+    std::string_view(aRequest.m_target).substr(detail::kServicesPath.size());
+  const size_t end = rest.find_first_of("/?");
+  ServiceRequest service;
+  service.m_service = std::string(rest.substr(0, end));
+  service.m_target =
+    end == std::string_view::npos ? "/" : std::string(rest.substr(end));
+  if (service.m_target.front() != '/') {
+    service.m_target.insert(0, "/");
+  }
+  if (service.m_service.empty()) {
+    return base::MakeError(base::ErrorKind::UnknownRoute, "no service named");
+  }
+  if (service.m_target.find("/..") != std::string::npos) {
+    return base::MakeError(base::ErrorKind::BadRequest,
+                           "the path must not contain '..'");
+  }
+  return service;
+}
+
+std::string
+EngineBody(const ChatRequest& aRequest,
+           std::string_view aVersion,
+           uint32_t aMaxAnswerTokens,
+           bool aStream)
+{
+  boost::json::object body = aRequest.m_body;
+  body["model"] = std::string(aVersion);
+  body["stream"] = aStream;
+  body.erase("stream_options");
+  body.erase("max_completion_tokens");
+  uint32_t tokens = aRequest.m_maxTokens;
+  if (aMaxAnswerTokens != 0) {
+    tokens =
+      tokens == 0 ? aMaxAnswerTokens : std::min(tokens, aMaxAnswerTokens);
+  }
+  if (tokens != 0) {
+    body["max_tokens"] = tokens;
+  }
+  return boost::json::serialize(body);
+}
+
+std::string
+PromptText(const ChatRequest& aRequest)
+{
+  std::string text;
+  for (const auto& message : aRequest.m_body.at("messages").as_array()) {
+    const auto& content = message.as_object().at("content");
+    text += content.is_string() ? std::string(content.get_string())
+                                : boost::json::serialize(content);
+    text += '\n';
+  }
+  return text;
+}
+
+uint64_t
+Fingerprint(std::string_view aTeam,
+            std::string_view aPath,
+            std::string_view aBody)
+{
+  std::string text(aTeam);
+  text += '\0';
+  text += aPath;
+  text += '\0';
+  text += aBody;
+  return base::StableHash(text);
+}
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/claims.cc
@@ -0,0 +1,120 @@
+// Claims in the ledger.
+#include "chivefront/entry/claims.h"
+
+#include "chivefront/base/errors.h"
+
+namespace chivefront::entry {
+namespace detail {
+
+std::string
+ShardKey(const RunSpec& aSpec)
+{
+  return aSpec.m_team + "/" + aSpec.m_claimKey;
+}
+
+} // namespace detail
+
+ClaimOutcome
+InterpretClaim(const wire::LedgerReplyT& aReply)
+{
+  switch (aReply.claim) {
+    case wire::ClaimState::Granted:
+      return ClaimGranted{};
+    case wire::ClaimState::Done: {
+      net::HttpResponse response;
+      response.m_status = static_cast<int>(aReply.http_status);
+      response.m_contentType = aReply.content_type;
+      response.m_body = aReply.body;
+      return response;
+    }
+    case wire::ClaimState::InProgress:
+      return CallerError(base::ErrorKind::InProgress,
+                         "a request with this key is in progress");
+    case wire::ClaimState::BodyMismatch:
+      return CallerError(base::ErrorKind::KeyReused,
+                         "this key was used with another request");
+    default:
+      return CallerError(base::ErrorKind::OutcomeUnknown,
+                         "the outcome of the request with this key is not "
+                         "known; it was not run again");
+  }
+}
+
+wire::ClaimState
+StateAfter(const RunResult& aResult)
+{
+  if (aResult.m_done) {
+    return wire::ClaimState::Done;
+  }
+  return aResult.m_error.m_outcome == base::Outcome::NotRun
+           ? wire::ClaimState::Released
+           : wire::ClaimState::Unknown;
+}
+
+Claims::Claims(EntryParts& aParts)
+  : m_parts(aParts)
+{
+}
+
+net::Task<ClaimOutcome>
+Claims::Take(const RunSpec& aSpec,
+             std::string aOwner,
+             uint64_t aBodyHash,
+             base::Millis aRetention)
+{
+  wire::ClaimRequestT claim;
+  claim.team = aSpec.m_team;
+  claim.key = aSpec.m_claimKey;
+  claim.body_hash = aBodyHash;
+  claim.owner = std::move(aOwner);
+  claim.request_id = aSpec.m_requestId;
+  claim.retention_ms = static_cast<uint64_t>(aRetention.Count());
+  const base::TimePoint until = std::min(
+    aSpec.m_deadline, m_parts.m_clock.Now() + m_parts.m_limits.m_ledger);
+  const auto reply = co_await m_parts.m_ledger.Run(
+    detail::ShardKey(aSpec), std::move(claim), until);
+  if (!reply.ok()) {
+    // The claim may be held now and nobody will run it under this owner; the
+    // caller's next try is told what the ledger knows.
+    ClaimOutcome refused = CallerError::BeforeDispatch(reply.status());
+    co_return refused;
+  }
+  ClaimOutcome outcome = InterpretClaim(*reply);
+  m_parts.m_events.Record(
+    "claim",
+    { { "team", aSpec.m_team },
+      { "state", wire::EnumNameClaimState(reply->claim) } },
+    aSpec.m_requestId);
+  co_return outcome;
+}
+
+net::Task<absl::Status>
+Claims::Finish(const RunSpec& aSpec,
+               wire::ClaimState aState,
+               const net::HttpResponse& aResponse)
+{
+  wire::FinishClaimT finish;
+  finish.team = aSpec.m_team;
+  finish.key = aSpec.m_claimKey;
+  finish.request_id = aSpec.m_requestId;
+  finish.state = aState;
+  if (aState == wire::ClaimState::Done) {
+    finish.http_status = static_cast<uint32_t>(aResponse.m_status);
+    finish.content_type = aResponse.m_contentType;
+    finish.body = aResponse.m_body;
+  }
+  const auto reply = co_await m_parts.m_ledger.Run(detail::ShardKey(aSpec),
+                                                   std::move(finish),
+                                                   m_parts.m_clock.Now() +
+                                                     m_parts.m_limits.m_ledger);
+  if (!reply.ok()) {
+    co_return reply.status();
+  }
+  m_parts.m_events.Record(
+    "claim_finished",
+    { { "team", aSpec.m_team }, { "state", wire::EnumNameClaimState(aState) } },
+    aSpec.m_requestId);
+  co_return absl::OkStatus();
+}
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/claims.h
@@ -0,0 +1,47 @@
+// Claims of non-idempotent calls by (team, Idempotency-Key).
+#pragma once
+
+#include <variant>
+
+#include "chivefront/entry/runner.h"
+#include "chivefront/net/http.h"
+
+namespace chivefront::entry {
+
+// The claim is held: run the call, then finish the claim.
+struct ClaimGranted
+{};
+using ClaimOutcome = std::variant<ClaimGranted, net::HttpResponse, CallerError>;
+
+// What the ledger's reply means for this caller: run it, answer with the
+// stored response, or refuse. Pure.
+ClaimOutcome
+InterpretClaim(const wire::LedgerReplyT& aReply);
+
+// How a claim is finished after its call ended. Pure. Granted means that the
+// claim is left as it is, because the outcome is not ours to say.
+wire::ClaimState
+StateAfter(const RunResult& aResult);
+
+class Claims
+{
+public:
+  explicit Claims(EntryParts& aParts);
+
+  // aRequest identifies this caller request, so that the ledger can tell a
+  // repeated command from a second sender of the same key.
+  net::Task<ClaimOutcome> Take(const RunSpec& aSpec,
+                               std::string aOwner,
+                               uint64_t aBodyHash,
+                               base::Millis aRetention);
+
+  // Commits the result; OK once a majority holds it.
+  net::Task<absl::Status> Finish(const RunSpec& aSpec,
+                                 wire::ClaimState aState,
+                                 const net::HttpResponse& aResponse);
+
+private:
+  EntryParts& m_parts;
+};
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/flows.h
@@ -0,0 +1,62 @@
+// The course of one caller request from its checks to the end of its answer.
+#pragma once
+
+#include <atomic>
+
+#include "chivefront/entry/answer_sinks.h"
+#include "chivefront/entry/billing.h"
+#include "chivefront/entry/caller_request.h"
+#include "chivefront/entry/claims.h"
+#include "chivefront/entry/evidence.h"
+#include "chivefront/entry/sessions.h"
+
+namespace chivefront::entry {
+
+// The parts that flows use beside those of EntryParts.
+struct FlowParts
+{
+  explicit FlowParts(EntryParts& aParts)
+    : m_entry(aParts)
+    , m_runner(aParts)
+    , m_billing(aParts)
+    , m_claims(aParts)
+    , m_sessions(aParts)
+  {
+  }
+
+  EntryParts& m_entry;
+  Runner m_runner;
+  Billing m_billing;
+  Claims m_claims;
+  SessionPins m_sessions;
+  Evidence m_evidence;
+};
+
+// An authenticated request before its body is looked at.
+struct Caller
+{
+  std::string m_requestId;
+  std::string m_team;
+  wire::CallerClass m_class = wire::CallerClass::Free;
+  CallerHeaders m_headers;
+  base::TimePoint m_receivedAt;
+  base::TimePoint m_deadline;
+};
+
+// POST /v1/chat/completions. Answers the exchange in every case.
+net::Task<void>
+ServeChat(FlowParts& aParts, Caller aCaller, net::HttpExchange& aExchange);
+
+// /v1/services/<service>/<rest>. Answers the exchange in every case.
+net::Task<void>
+ServeService(FlowParts& aParts, Caller aCaller, net::HttpExchange& aExchange);
+
+// Sends a failure to the caller and records it.
+net::Task<void>
+Refuse(EntryParts& aParts,
+       const std::string& aRequestId,
+       const std::string& aTeam,
+       const CallerError& aError,
+       net::HttpExchange& aExchange);
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/runner.h
@@ -0,0 +1,109 @@
+// Runs one request on one version or service: attempts at upstreams, relaying
+// of the answer, resumption over new links, retries.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "chivefront/entry/caller_error.h"
+#include "chivefront/entry/parts.h"
+#include "chivefront/entry/retry_rule.h"
+#include "chivefront/entry/stream_assembler.h"
+
+namespace chivefront::entry {
+
+struct RunSpec
+{
+  std::string m_requestId;
+  uint32_t m_run = 0;
+  uint32_t m_firstAttempt = 1; // attempts of one request never repeat a number
+  std::string m_team;
+  wire::CallerClass m_class = wire::CallerClass::Paying;
+  std::string m_model;
+  std::string m_version; // set for models, m_service for plain services
+  std::string m_service;
+  std::string m_session;
+  bool m_idempotent = true;
+  std::string m_claimKey; // set when a claim was granted
+  uint64_t m_fingerprint = 0;
+  base::TimePoint m_deadline;
+  std::string m_method;
+  std::string m_target;
+  std::string m_contentType;
+  std::string m_body;
+  bool m_stream = false;
+};
+
+// Where the data of an answer goes.
+class AnswerSink
+{
+public:
+  virtual ~AnswerSink() = default;
+
+  // Takes the next data; returns when the reader has taken it. An error means
+  // that the reader is gone or refuses more.
+  virtual net::Task<absl::Status> OnData(std::string aData) = 0;
+  // True once the caller may have seen a part of the answer.
+  virtual bool Begun() const = 0;
+  // Forgets what was taken so far; called only while Begun() is false.
+  virtual void Restart() = 0;
+};
+
+struct RunResult
+{
+  bool m_done = false;       // the answer is whole
+  bool m_readerGone = false; // the sink refused data
+  CallerError m_error;       // when not done
+  uint32_t m_nextAttempt = 1;
+  std::string m_upstream; // of the last attempt
+  std::string m_agentAddress;
+  base::Millis m_elapsed;
+  // From the agent's End, zero without one.
+  uint32_t m_httpStatus = 0;
+  std::string m_contentType;
+  uint32_t m_promptTokens = 0;
+  uint32_t m_answerTokens = 0;
+};
+
+class Runner
+{
+public:
+  explicit Runner(EntryParts& aParts);
+
+  net::Task<RunResult> Run(const RunSpec& aSpec, AnswerSink& aSink);
+
+  // Tells the agent that the bill and the claim result are durable.
+  void Settle(const RunSpec& aSpec, const RunResult& aResult);
+
+private:
+  struct Attempt;
+
+  absl::Status Dispatch(const RunSpec& aSpec,
+                        const std::set<std::string>& aTried,
+                        Attempt& aAttempt);
+  net::Task<FailurePoint> Relay(const RunSpec& aSpec,
+                                Attempt& aAttempt,
+                                AnswerSink& aSink,
+                                RunResult& aResult);
+  net::Task<std::optional<FailurePoint>> OnChunk(const wire::ChunkT& aChunk,
+                                                 Attempt& aAttempt,
+                                                 AnswerSink& aSink,
+                                                 RunResult& aResult);
+  std::optional<FailurePoint> OnEnd(const wire::EndT& aEnd,
+                                    Attempt& aAttempt,
+                                    RunResult& aResult);
+  std::optional<FailurePoint> OnLinkUp(const net::Link::Pointer& aLink,
+                                       Attempt& aAttempt);
+  void OnReaderGone(Attempt& aAttempt);
+  void AskResume(Attempt& aAttempt);
+  void SendCancel(Attempt& aAttempt);
+
+  EntryParts& m_parts;
+  base::Counter& m_attempts;
+  base::Counter& m_retries;
+  base::Counter& m_resumes;
+  base::Counter& m_staleChunks;
+  base::Summary& m_firstChunk;
+};
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/server.h
@@ -0,0 +1,34 @@
+// The callers' port: authentication, routes, and the list of models.
+#pragma once
+
+#include "chivefront/entry/flows.h"
+
+namespace chivefront::entry {
+
+class EntryServer
+{
+public:
+  EntryServer(net::asio::io_context& aContext,
+              FlowParts& aParts,
+              const net::HttpLimits& aLimits);
+
+  absl::Status Listen(const base::Endpoint& aEndpoint)
+  {
+    return m_server.Listen(aEndpoint);
+  }
+  base::Endpoint Bound() const { return m_server.Bound(); }
+  net::HttpServer& Http() { return m_server; }
+
+private:
+  net::Task<void> Handle(net::HttpExchange& aExchange);
+  absl::StatusOr<Caller> Authenticate(const net::HttpRequest& aRequest,
+                                      std::string aRequestId) const;
+  net::Task<void> ServeModels(const Caller& aCaller,
+                              net::HttpExchange& aExchange);
+
+  FlowParts& m_parts;
+  base::Counter& m_received;
+  net::HttpServer m_server;
+};
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/sessions.cc
@@ -0,0 +1,144 @@
+// Session pins.
+#include "chivefront/entry/sessions.h"
+
+#include "chivefront/base/errors.h"
+
+namespace chivefront::entry {
+namespace detail {
+
+// At about 100 bytes a pin this bounds the cache to some 20 MB.
+constexpr size_t kMaxPins = 200000;
+
+std::string
+PinKey(const std::string& aTeam, const std::string& aSession)
+{
+  return aTeam + "/" + aSession;
+}
+
+} // namespace detail
+
+size_t
+PinCache::IndexOf(const std::string& aKey) const
+{
+  return std::hash<std::string>()(aKey) % kShards;
+}
+
+std::optional<std::string>
+PinCache::Find(const std::string& aKey) const
+{
+  const Shard& shard = m_shards[IndexOf(aKey)];
+  const std::lock_guard lock(shard.m_lock);
+  const auto found = shard.m_pins.find(aKey);
+  if (found == shard.m_pins.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+void
+PinCache::Insert(const std::string& aKey, const std::string& aVersion)
+{
+  Shard& shard = m_shards[IndexOf(aKey)];
+  const std::lock_guard lock(shard.m_lock);
+  if (!shard.m_pins.emplace(aKey, aVersion).second) {
+    return;
+  }
+  shard.m_order.push_back(aKey);
+  if (shard.m_order.size() > m_maxPerShard) {
+    shard.m_pins.erase(shard.m_order.front());
+    shard.m_order.pop_front();
+  }
+}
+
+absl::StatusOr<std::string>
+ProposeVersion(const catalog::Catalog& aCatalog,
+               const std::string& aTeam,
+               const std::string& aModel,
+               uint64_t aHash)
+{
+  const std::string chosen =
+    catalog::VersionForSession(aCatalog, aModel, aHash);
+  if (chosen.empty()) {
+    return base::MakeError(base::ErrorKind::UnknownModel,
+                           "no model '" + aModel + "'");
+  }
+  const absl::Status allowed =
+    catalog::CheckVersionAllowed(aCatalog, aTeam, chosen);
+  if (base::KindOf(allowed) != base::ErrorKind::VersionWithdrawn) {
+    if (!allowed.ok()) {
+      return allowed;
+    }
+    return chosen;
+  }
+  std::vector<std::string> others{ aCatalog.FindModel(aModel)->m_version };
+  if (const catalog::Rollout* rollout = aCatalog.FindRollout(aModel)) {
+    others.push_back(rollout->m_from);
+  }
+  for (const std::string& other : others) {
+    if (catalog::CheckVersionAllowed(aCatalog, aTeam, other).ok()) {
+      return other;
+    }
+  }
+  return allowed;
+}
+
+absl::Status
+CheckPinned(const catalog::Catalog& aCatalog,
+            const std::string& aTeam,
+            const std::string& aVersion,
+            const std::string& aModel)
+{
+  const catalog::Version* version = aCatalog.FindVersion(aVersion);
+  if (version != nullptr && !aModel.empty() && version->m_model != aModel) {
+    return base::MakeError(base::ErrorKind::Conflict,
+                           "the session is pinned to version '" + aVersion +
+                             "' of another model");
+  }
+  return catalog::CheckVersionAllowed(aCatalog, aTeam, aVersion);
+}
+
+SessionPins::SessionPins(EntryParts& aParts)
+  : m_parts(aParts)
+  , m_cache(detail::kMaxPins)
+{
+}
+
+std::optional<std::string>
+SessionPins::Cached(const std::string& aTeam, const std::string& aSession) const
+{
+  return m_cache.Find(detail::PinKey(aTeam, aSession));
+}
+
+net::Task<absl::StatusOr<std::string>>
+SessionPins::Pin(std::string aTeam,
+                 std::string aSession,
+                 std::string aProposed,
+                 base::TimePoint aDeadline)
+{
+  const std::string key = detail::PinKey(aTeam, aSession);
+  if (auto cached = m_cache.Find(key)) {
+    co_return std::move(*cached);
+  }
+  wire::PinSessionT pin;
+  pin.team = aTeam;
+  pin.session = aSession;
+  pin.version = aProposed;
+  const auto reply =
+    co_await m_parts.m_ledger.Run(key, std::move(pin), aDeadline);
+  if (!reply.ok()) {
+    co_return reply.status();
+  }
+  if (reply->version.empty()) {
+    co_return base::MakeError(base::ErrorKind::Unavailable,
+                              "the ledger confirmed a pin without a version");
+  }
+  m_cache.Insert(key, reply->version);
+  m_parts.m_events.Record("session_pinned",
+                          { { "team", aTeam },
+                            { "session", aSession },
+                            { "version", reply->version },
+                            { "proposed", aProposed } });
+  co_return reply->version;
+}
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/sessions.h
@@ -0,0 +1,84 @@
+// Which version a session is pinned to.
+//
+// A pin is committed in the ledger before the first dispatch of its session;
+// the first commit wins, and a committed pin never changes, so pins may be
+// cached without asking again.
+#pragma once
+
+#include <array>
+#include <deque>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "chivefront/entry/parts.h"
+
+namespace chivefront::entry {
+
+// Committed pins; the oldest are forgotten first. Thread-safe.
+class PinCache
+{
+public:
+  explicit PinCache(size_t aMaxPins)
+    : m_maxPerShard(aMaxPins / kShards + 1)
+  {
+  }
+
+  std::optional<std::string> Find(const std::string& aKey) const;
+  void Insert(const std::string& aKey, const std::string& aVersion);
+
+private:
+  static constexpr size_t kShards = 16;
+  struct Shard
+  {
+    mutable std::mutex m_lock;
+    std::unordered_map<std::string, std::string> m_pins;
+    std::deque<std::string> m_order; // keys of m_pins, oldest first
+  };
+
+  size_t IndexOf(const std::string& aKey) const;
+
+  const size_t m_maxPerShard;
+  std::array<Shard, kShards> m_shards;
+};
+
+// The version that a request without a pin gets, now: the roll-out's choice
+// for aHash, or another version of the model that new work may use when that
+// one is withdrawn. Errors as catalog::CheckVersionAllowed, or UnknownModel.
+absl::StatusOr<std::string>
+ProposeVersion(const catalog::Catalog& aCatalog,
+               const std::string& aTeam,
+               const std::string& aModel,
+               uint64_t aHash);
+
+// Whether a pinned session may go on: NotAllowed and VersionWithdrawn as
+// catalog::CheckVersionAllowed; Conflict when aModel, if given, is not the
+// model of the pinned version.
+absl::Status
+CheckPinned(const catalog::Catalog& aCatalog,
+            const std::string& aTeam,
+            const std::string& aVersion,
+            const std::string& aModel);
+
+class SessionPins
+{
+public:
+  explicit SessionPins(EntryParts& aParts);
+
+  // The version the session is pinned to, after committing aProposed when it
+  // had none. Unavailable when the ledger did not confirm in time; nothing may
+  // be dispatched then. An empty aProposed only looks into the cache.
+  net::Task<absl::StatusOr<std::string>> Pin(std::string aTeam,
+                                             std::string aSession,
+                                             std::string aProposed,
+                                             base::TimePoint aDeadline);
+  std::optional<std::string> Cached(const std::string& aTeam,
+                                    const std::string& aSession) const;
+
+private:
+  EntryParts& m_parts;
+  PinCache m_cache;
+};
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/test_bench.h
@@ -0,0 +1,453 @@
+// Stand-ins for a control process and agents, and an entry connected to them,
+// all in one test process over loopback. Used by tests only.
+#pragma once
+
+#include <functional>
+#include <future>
+#include <map>
+#include <thread>
+#include <vector>
+
+#include "chivefront/base/ids.h"
+#include "chivefront/entry/server.h"
+#include "chivefront/net/http_client.h"
+
+namespace chivefront::entry::bench {
+
+inline const base::Endpoint kAnyPort{ "127.0.0.1", 0 };
+
+inline net::LinkIdentity
+Identity(wire::Role aRole, const std::string& aName, uint64_t aIncarnation)
+{
+  net::LinkIdentity identity;
+  identity.m_role = aRole;
+  identity.m_cluster = "test";
+  identity.m_process = aName;
+  identity.m_failureDomain = "a";
+  identity.m_secret = "test-secret";
+  identity.m_incarnation = aIncarnation;
+  return identity;
+}
+
+// An event loop on three threads for the length of a test.
+class Loop
+{
+public:
+  Loop()
+    : m_guard(net::asio::make_work_guard(m_context))
+  {
+    for (int i = 0; i < 3; ++i) {
+      m_threads.emplace_back([this] { m_context.run(); });
+    }
+  }
+  ~Loop() { Stop(); }
+  void Stop()
+  {
+    m_context.stop();
+    for (std::thread& thread : m_threads) {
+      thread.join();
+    }
+    m_threads.clear();
+  }
+  net::asio::io_context& Context() { return m_context; }
+
+private:
+  net::asio::io_context m_context;
+  net::asio::executor_work_guard<net::asio::io_context::executor_type> m_guard;
+  std::vector<std::thread> m_threads;
+};
+
+inline catalog::Entries
+SampleEntries()
+{
+  const std::string free = R"({"owner":"ops","class":"free",)";
+  const auto model = [&](const std::string& aVersion, int aRank) {
+    return free + R"("version":")" + aVersion + R"(","rank":)" +
+           std::to_string(aRank) + R"(,"limits":{"concurrency":100}})";
+  };
+  const auto version = [&](const std::string& aModel, int aCost) {
+    return free + R"("model":")" + aModel + R"(","prompt_cost":)" +
+           std::to_string(aCost) + R"(,"answer_cost":)" +
+           std::to_string(aCost) + R"(,"limits":{"answer_tokens":100}})";
+  };
+  return {
+    { "team/sales",
+      R"({"owner":"ops","class":"paying","key_hashes":[")" +
+        base::Sha256Hex("sales-key") +
+        R"("],"models":["small","large"],"services":["booking"],"limits":{)"
+        R"("requests_per_second":1000,"concurrency":100,)"
+        R"("tokens_per_minute":1000000}})" },
+    { "model/small", model("small-1", 1) },
+    { "model/large", model("large-1", 2) },
+    { "version/small-1", version("small", 1000) },
+    { "version/small-2", version("small", 1000) },
+    { "version/large-1", version("large", 9000) },
+    { "service/booking",
+      free + R"("idempotent_methods":["GET"],"limits":{"concurrency":10}})" },
+  };
+}
+
+// Answers watch and ledger requests from memory.
+class ControlStandIn
+{
+public:
+  explicit ControlStandIn(net::asio::io_context& aContext)
+    : m_identity(Identity(wire::Role::Control, "control-1", 1))
+    , m_server(aContext, m_identity, Handlers())
+  {
+    (void)m_server.Listen(kAnyPort);
+  }
+  base::Endpoint Bound() const { return m_server.Bound(); }
+
+  // Changes what is served; call with the function that does it.
+  void Change(const std::function<void(ControlStandIn&)>& aChange)
+  {
+    const std::lock_guard lock(m_lock);
+    aChange(*this);
+    ++m_revision;
+  }
+  size_t BillLines() const
+  {
+    const std::lock_guard lock(m_lock);
+    return m_bills.size();
+  }
+
+  // Guarded by m_lock; use Change.
+  catalog::Entries m_entries = SampleEntries();
+  std::vector<wire::UpstreamInfoT> m_upstreams;
+  bool m_fresh = true;
+  bool m_billsUp = true;
+  std::map<std::string, std::string> m_pins;
+  std::map<std::string, wire::FinishClaimT> m_finished;
+  std::map<std::string, std::string> m_claimOwners;
+  std::map<std::string, wire::BillLineT> m_bills; // by request and run
+  std::vector<wire::ReportLossT> m_losses;
+
+private:
+  net::Link::Handlers Handlers()
+  {
+    net::Link::Handlers handlers;
+    handlers.m_onOpen = [](const net::Link::Pointer&) {};
+    handlers.m_onClose = [](const net::Link::Pointer&, const absl::Status&) {};
+    handlers.m_onMessage = [this](const net::Link::Pointer& aLink,
+                                  wire::MessageT aMessage) {
+      const std::lock_guard lock(m_lock);
+      if (const auto* watch = aMessage.body.AsWatchRequest()) {
+        (void)aLink->Reply(aMessage.correlation, OnWatch(*watch));
+      } else if (auto* ledger = aMessage.body.AsLedgerRequest()) {
+        (void)aLink->Reply(aMessage.correlation, OnLedger(*ledger));
+      }
+    };
+    return handlers;
+  }
+
+  wire::WatchReplyT OnWatch(const wire::WatchRequestT& aRequest)
+  {
+    wire::WatchReplyT reply;
+    reply.fresh = m_fresh;
+    reply.revision = m_revision;
+    reply.live_entries = 1;
+    reply.registry_epoch = 1;
+    reply.registry_sequence = m_revision;
+    if (aRequest.have_revision == m_revision) {
+      return reply;
+    }
+    reply.snapshot = true;
+    reply.registry_snapshot = true;
+    for (const auto& [key, value] : m_entries) {
+      auto entry = std::make_unique<wire::ConfigEntryT>();
+      entry->key = key;
+      entry->value = value;
+      reply.entries.push_back(std::move(entry));
+    }
+    for (const auto& upstream : m_upstreams) {
+      reply.upstreams.push_back(
+        std::make_unique<wire::UpstreamInfoT>(upstream));
+    }
+    return reply;
+  }
+
+  wire::LedgerReplyT OnLedger(wire::LedgerRequestT& aRequest)
+  {
+    wire::LedgerReplyT reply;
+    reply.ok = true;
+    if (const auto* pin = aRequest.command.AsPinSession()) {
+      reply.version =
+        m_pins.emplace(pin->team + "/" + pin->session, pin->version)
+          .first->second;
+    } else if (const auto* claim = aRequest.command.AsClaimRequest()) {
+      OnClaim(*claim, reply);
+    } else if (const auto* finish = aRequest.command.AsFinishClaim()) {
+      if (finish->state == wire::ClaimState::Released) {
+        m_claimOwners.erase(finish->key);
+      } else {
+        m_finished[finish->key] = *finish;
+      }
+    } else if (const auto* bill = aRequest.command.AsPostBill()) {
+      reply.ok = m_billsUp;
+      for (const auto& line : bill->lines) {
+        if (m_billsUp) {
+          m_bills.emplace(line->request_id + "/" + std::to_string(line->run),
+                          *line);
+        }
+      }
+    } else if (const auto* loss = aRequest.command.AsReportLoss()) {
+      m_losses.push_back(*loss);
+    }
+    return reply;
+  }
+
+  void OnClaim(const wire::ClaimRequestT& aClaim, wire::LedgerReplyT& aReply)
+  {
+    const auto finished = m_finished.find(aClaim.key);
+    if (finished != m_finished.end()) {
+      aReply.claim = finished->second.state;
+      aReply.http_status = finished->second.http_status;
+      aReply.content_type = finished->second.content_type;
+      aReply.body = finished->second.body;
+      return;
+    }
+    const auto [held, fresh] = m_claimOwners.emplace(aClaim.key, aClaim.owner);
+    aReply.claim = fresh || held->second == aClaim.owner
+                     ? wire::ClaimState::Granted
+                     : wire::ClaimState::InProgress;
+  }
+
+  mutable std::mutex m_lock;
+  uint64_t m_revision = 1;
+  const net::LinkIdentity m_identity;
+  net::LinkServer m_server;
+};
+
+// An agent whose behaviour is a function of each message it gets.
+class AgentStandIn
+{
+public:
+  using Behaviour = std::function<void(net::Link&, wire::MessageT&)>;
+
+  AgentStandIn(net::asio::io_context& aContext,
+               const std::string& aName,
+               uint64_t aIncarnation,
+               Behaviour aBehaviour,
+               const base::Endpoint& aEndpoint = kAnyPort)
+    : m_identity(Identity(wire::Role::Agent, aName, aIncarnation))
+    , m_behaviour(std::move(aBehaviour))
+    , m_server(aContext, m_identity, Handlers())
+  {
+    m_listening = m_server.Listen(aEndpoint).ok();
+  }
+  base::Endpoint Bound() const { return m_server.Bound(); }
+  bool Listening() const { return m_listening; }
+  void Stop() { m_server.Stop(); }
+
+  wire::UpstreamInfoT Upstream(const std::string& aName,
+                               const std::string& aVersion,
+                               const std::string& aService = {}) const
+  {
+    wire::UpstreamInfoT info;
+    info.name = aName;
+    info.agent = m_identity.m_process;
+    info.agent_address = Bound().ToString();
+    info.failure_domain = "a";
+    info.kind =
+      aService.empty() ? wire::UpstreamKind::Model : wire::UpstreamKind::Plain;
+    info.version = aVersion;
+    info.service = aService;
+    info.limit = 1000;
+    return info;
+  }
+
+  size_t Count(wire::Body aType) const
+  {
+    const std::lock_guard lock(m_lock);
+    const auto found = m_counts.find(aType);
+    return found == m_counts.end() ? 0 : found->second;
+  }
+
+private:
+  net::Link::Handlers Handlers()
+  {
+    net::Link::Handlers handlers;
+    handlers.m_onOpen = [](const net::Link::Pointer&) {};
+    handlers.m_onClose = [](const net::Link::Pointer&, const absl::Status&) {};
+    handlers.m_onMessage = [this](const net::Link::Pointer& aLink,
+                                  wire::MessageT aMessage) {
+      {
+        const std::lock_guard lock(m_lock);
+        ++m_counts[aMessage.body.type];
+      }
+      m_behaviour(*aLink, aMessage);
+    };
+    return handlers;
+  }
+
+  const net::LinkIdentity m_identity;
+  const Behaviour m_behaviour;
+  mutable std::mutex m_lock;
+  std::map<wire::Body, size_t> m_counts;
+  bool m_listening = false;
+  net::LinkServer m_server;
+};
+
+// --- Messages of agents ----------------------------------------------------
+
+inline void
+SendChunk(net::Link& aLink,
+          const std::string& aRequest,
+          uint32_t aAttempt,
+          uint32_t aSequence,
+          std::string aData)
+{
+  wire::ChunkT chunk;
+  chunk.request_id = aRequest;
+  chunk.attempt = aAttempt;
+  chunk.sequence = aSequence;
+  chunk.data = std::move(aData);
+  (void)aLink.Send(wire::MakeMessage(std::move(chunk)));
+}
+
+inline void
+SendEnd(net::Link& aLink,
+        const std::string& aRequest,
+        uint32_t aAttempt,
+        uint32_t aChunks,
+        wire::Outcome aOutcome = wire::Outcome::Done)
+{
+  wire::EndT end;
+  end.request_id = aRequest;
+  end.attempt = aAttempt;
+  end.chunks = aChunks;
+  end.outcome = aOutcome;
+  end.http_status = 200;
+  end.content_type = "application/json";
+  end.prompt_tokens = 3;
+  end.answer_tokens = aOutcome == wire::Outcome::Done ? 2 : 0;
+  (void)aLink.Send(wire::MakeMessage(std::move(end)));
+}
+
+inline void
+SendRejected(net::Link& aLink, const wire::DispatchT& aDispatch)
+{
+  wire::RejectedT rejected;
+  rejected.request_id = aDispatch.request_id;
+  rejected.attempt = aDispatch.attempt;
+  rejected.kind = "overloaded";
+  rejected.message = "the upstream is full";
+  (void)aLink.Send(wire::MakeMessage(std::move(rejected)));
+}
+
+// A whole answer in two chunks; both are one event each when streamed.
+inline void
+AnswerWhole(net::Link& aLink, const wire::DispatchT& aDispatch)
+{
+  const std::string& id = aDispatch.request_id;
+  SendChunk(aLink, id, aDispatch.attempt, 0, "data: {\"part\":1}\n\n");
+  SendChunk(aLink, id, aDispatch.attempt, 1, "data: {\"part\":2}\n\n");
+  SendEnd(aLink, id, aDispatch.attempt, 2);
+}
+
+// --- The entry under test ----------------------------------------------------
+
+class EntryBench
+{
+public:
+  explicit EntryBench(const EntryLimits& aLimits = {},
+                      const net::HttpLimits& aHttp = {})
+    : m_control(m_loop.Context())
+    , m_identity(Identity(wire::Role::Entry, "entry-1", 7))
+    , m_links(m_loop.Context(), m_identity, { m_control.Bound() })
+    , m_watcher(m_loop.Context(),
+                m_links,
+                "entry-1#7",
+                wire::Role::Entry,
+                base::SteadyClock::Instance(),
+                m_events)
+    , m_ledger(m_links)
+    , m_agents(m_loop.Context(),
+               m_identity,
+               m_running,
+               [](uint64_t, const std::vector<RunningAttempt>&) {})
+    , m_parts{ "entry-1", "a",
+               aLimits,   m_watcher,
+               m_ledger,  m_agents,
+               m_running, m_events,
+               m_metrics, base::SteadyClock::Instance() }
+    , m_flows(m_parts)
+    , m_server(m_loop.Context(), m_flows, aHttp)
+  {
+    m_watcher.OnChange(
+      [this](const client::ViewPointer& aView) { m_agents.Update(*aView); });
+    (void)m_server.Listen(kAnyPort);
+    m_links.Start();
+    m_watcher.Start();
+  }
+  ~EntryBench()
+  {
+    // No coroutine runs any more when the parts are destroyed.
+    m_loop.Stop();
+  }
+
+  // Waits until the entry has this many links to agents and a fresh view.
+  bool WaitReady(size_t aAgents)
+  {
+    for (int i = 0; i < 1000; ++i) {
+      if (m_watcher.Fresh() && m_agents.Connected() >= aAgents) {
+        return true;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+
+  absl::StatusOr<net::HttpResponse> Call(net::HttpRequest aRequest)
+  {
+    std::promise<absl::StatusOr<net::HttpResponse>> promise;
+    net::Spawn(
+      m_loop.Context().get_executor(), "test", [&]() -> net::Task<void> {
+        promise.set_value(co_await net::HttpCall(
+          m_server.Bound(), aRequest, net::HttpTimeouts()));
+      });
+    return promise.get_future().get();
+  }
+
+  static net::HttpRequest Chat(bool aStream, const std::string& aSession = {})
+  {
+    net::HttpRequest request("POST", "/v1/chat/completions");
+    request.m_headers = { { "Authorization", "Bearer sales-key" },
+                          { "Content-Type", "application/json" } };
+    if (!aSession.empty()) {
+      request.m_headers.emplace_back("X-Chivefront-Session", aSession);
+    }
+    request.m_body =
+      std::string(R"({"model":"small","messages":[{"role":"user",)") +
+      R"("content":"hello"}],"stream":)" + (aStream ? "true}" : "false}");
+    return request;
+  }
+  static net::HttpRequest Booking(const std::string& aKey,
+                                  const std::string& aBody = "{}")
+  {
+    net::HttpRequest request("POST", "/v1/services/booking/orders?x=1");
+    request.m_headers = { { "Authorization", "Bearer sales-key" } };
+    if (!aKey.empty()) {
+      request.m_headers.emplace_back("Idempotency-Key", aKey);
+    }
+    request.m_body = aBody;
+    return request;
+  }
+
+  Loop m_loop;
+  ControlStandIn m_control;
+  const net::LinkIdentity m_identity;
+  base::EventLog m_events{ "entry-1", "", 10000 };
+  base::Metrics m_metrics;
+  client::ControlLinks m_links;
+  client::Watcher m_watcher;
+  client::LedgerClient m_ledger;
+  RunningRequests m_running;
+  AgentLinks m_agents;
+  EntryParts m_parts;
+  FlowParts m_flows;
+  EntryServer m_server;
+};
+
+} // namespace chivefront::entry::bench
--- a/chivefront/net/task.cc
+++ b/chivefront/net/task.cc
@@ -17,7 +17,12 @@
 Task<void>
 RunPeriodic(base::Millis aPeriod, std::function<Task<bool>()> aStep)
 {
-  while (co_await aStep()) {
+  // GCC 12 corrupts the frame when the condition of a loop awaits.
+  while (true) {
+    const bool again = co_await aStep();
+    if (!again) {
+      co_return;
+    }
     co_await Sleep(aPeriod);
   }
 }
