Test sessions, claims, bills, retries and resume of the entry

Cause: the promises of the entry need a test each at the points where a process can die or a link can be cut.

--- a/chivefront/entry/billing.cc
+++ b/chivefront/entry/billing.cc
@@ -74,7 +74,7 @@
     requestId, std::move(bill), began + m_parts.m_limits.m_ledger);
   const base::Millis waited = m_parts.m_clock.Now() - began;
   m_wait.Observe(static_cast<double>(waited.Count()));
-  if (!reply.ok()) {
+  if (!reply.ok() || !reply->refused.empty()) {
     m_failures.Increment();
     m_parts.m_events.Record(
       "bill_unconfirmed", { { "team", team } }, requestId);
--- a/chivefront/entry/claims.cc
+++ b/chivefront/entry/claims.cc
@@ -17,6 +17,9 @@
 ClaimOutcome
 InterpretClaim(const wire::LedgerReplyT& aReply)
 {
+  if (!aReply.refused.empty()) {
+    return CallerError(base::ErrorKind::Overloaded, aReply.refused);
+  }
   switch (aReply.claim) {
     case wire::ClaimState::Granted:
       return ClaimGranted{};
@@ -58,7 +61,7 @@
 
 net::Task<ClaimOutcome>
 Claims::Take(const RunSpec& aSpec,
-             std::string aOwner,
+             const std::string& aOwner,
              uint64_t aBodyHash,
              base::Millis aRetention)
 {
@@ -66,7 +69,7 @@
   claim.team = aSpec.m_team;
   claim.key = aSpec.m_claimKey;
   claim.body_hash = aBodyHash;
-  claim.owner = std::move(aOwner);
+  claim.owner = aOwner;
   claim.request_id = aSpec.m_requestId;
   claim.retention_ms = static_cast<uint64_t>(aRetention.Count());
   const base::TimePoint until = std::min(
@@ -90,6 +93,7 @@
 
 net::Task<absl::Status>
 Claims::Finish(const RunSpec& aSpec,
+               const std::string& aOwner,
                wire::ClaimState aState,
                const net::HttpResponse& aResponse)
 {
@@ -98,6 +102,7 @@
   finish.key = aSpec.m_claimKey;
   finish.request_id = aSpec.m_requestId;
   finish.state = aState;
+  finish.owner = aOwner;
   if (aState == wire::ClaimState::Done) {
     finish.http_status = static_cast<uint32_t>(aResponse.m_status);
     finish.content_type = aResponse.m_contentType;
--- a/chivefront/entry/claims.h
+++ b/chivefront/entry/claims.h
@@ -18,8 +18,8 @@
 ClaimOutcome
 InterpretClaim(const wire::LedgerReplyT& aReply);
 
-// How a claim is finished after its call ended. Pure. Granted means that the
-// claim is left as it is, because the outcome is not ours to say.
+// How a claim is finished after its call ended. Pure. Only a call that
+// certainly did not run gives its claim back.
 wire::ClaimState
 StateAfter(const RunResult& aResult);
 
@@ -28,15 +28,16 @@
 public:
   explicit Claims(EntryParts& aParts);
 
-  // aRequest identifies this caller request, so that the ledger can tell a
+  // aOwner is unique to this caller request, so that the ledger can tell a
   // repeated command from a second sender of the same key.
   net::Task<ClaimOutcome> Take(const RunSpec& aSpec,
-                               std::string aOwner,
+                               const std::string& aOwner,
                                uint64_t aBodyHash,
                                base::Millis aRetention);
 
   // Commits the result; OK once a majority holds it.
   net::Task<absl::Status> Finish(const RunSpec& aSpec,
+                                 const std::string& aOwner,
                                  wire::ClaimState aState,
                                  const net::HttpResponse& aResponse);
 
--- a/chivefront/entry/flow_test.cc
+++ b/chivefront/entry/flow_test.cc
@@ -85,3 +85,162 @@
   BOOST_TEST(first->m_body == second->m_body);
   BOOST_TEST(world.m_agent.Count(wire::Body::Dispatch) == 1U);
 }
+
+// Guards against an answer that ends although its bill may be lost.
+BOOST_AUTO_TEST_CASE(EndIsWithheldWithoutABill)
+{
+  entry::EntryLimits limits;
+  limits.m_ledger = base::Millis(300);
+  OneAgent world(AnswerDispatch, limits);
+  world.m_bench.m_control.Change(
+    [](ControlStandIn& aControl) { aControl.m_billsUp = false; });
+  const auto streamed = world.m_bench.Call(EntryBench::Chat(true));
+  // The connection closes without the end of the response.
+  BOOST_TEST(
+    (base::KindOf(streamed.status()) == base::ErrorKind::AnswerIncomplete));
+  const auto whole = world.m_bench.Call(EntryBench::Chat(false));
+  BOOST_REQUIRE(whole.ok());
+  BOOST_TEST(whole->m_status == 503);
+  BOOST_TEST(Contains(whole->m_body, "billing_unavailable"));
+  BOOST_TEST(!Contains(whole->m_body, "part"));
+  BOOST_TEST(world.m_agent.Count(wire::Body::Settled) == 0U);
+}
+
+// Guards against "not run" after a run, and a retry of what may have run.
+BOOST_AUTO_TEST_CASE(RejectionIsNotRunAndUnknownIsNotRetriedForServices)
+{
+  OneAgent world([](net::Link& aLink, wire::MessageT& aMessage) {
+    if (const auto* dispatch = aMessage.body.AsDispatch()) {
+      if (dispatch->service.empty()) {
+        SendRejected(aLink, *dispatch);
+      } else {
+        SendEnd(aLink,
+                dispatch->request_id,
+                dispatch->attempt,
+                0,
+                wire::Outcome::Unknown);
+      }
+    }
+  });
+  const auto chat = world.m_bench.Call(EntryBench::Chat(true));
+  BOOST_REQUIRE(chat.ok());
+  BOOST_TEST(chat->m_status == 503);
+  BOOST_TEST(Contains(chat->m_body, R"("type":"overloaded")"));
+  BOOST_TEST(Contains(chat->m_body, R"("run":"not_run")"));
+  BOOST_TEST(world.m_agent.Count(wire::Body::Dispatch) == 1U);
+  for (int i = 0; i < 2; ++i) {
+    const auto call = world.m_bench.Call(EntryBench::Booking("key-2"));
+    BOOST_REQUIRE(call.ok());
+    BOOST_TEST(Contains(call->m_body, R"("run":"unknown")"));
+  }
+  BOOST_TEST(world.m_agent.Count(wire::Body::Dispatch) == 2U);
+}
+
+// Guards against a retry that shows a caller parts of two answers, and
+// against a failed upstream that fails requests which could run elsewhere.
+BOOST_AUTO_TEST_CASE(FailureBeforeTheFirstDataIsRetriedElsewhere)
+{
+  std::atomic<bool> first{ true };
+  OneAgent world([&](net::Link& aLink, wire::MessageT& aMessage) {
+    if (const auto* dispatch = aMessage.body.AsDispatch()) {
+      if (first.exchange(false)) {
+        SendEnd(aLink,
+                dispatch->request_id,
+                dispatch->attempt,
+                0,
+                wire::Outcome::Unknown);
+      } else {
+        // Late data of the failed attempt must not be mixed in.
+        SendChunk(aLink, dispatch->request_id, dispatch->attempt - 1, 0, "old");
+        AnswerWhole(aLink, *dispatch);
+      }
+    }
+  });
+  world.m_bench.m_control.Change([&](ControlStandIn& aControl) {
+    aControl.m_upstreams.push_back(world.m_agent.Upstream("e2", "small-1"));
+  });
+  while (world.m_bench.m_watcher.LastView()->m_registry->count("e2") == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  const auto answer = world.m_bench.Call(EntryBench::Chat(true));
+  BOOST_REQUIRE(answer.ok());
+  BOOST_TEST(answer->m_body.find("data: {\"part\":1}") == 0U);
+  BOOST_TEST(Contains(answer->m_body, "[DONE]"));
+  BOOST_TEST(world.m_agent.Count(wire::Body::Dispatch) == 2U);
+  BOOST_TEST(world.m_bench.m_control.BillLines() == 1U);
+}
+
+// Guards against an answer lost with a link although the agent goes on.
+BOOST_AUTO_TEST_CASE(StreamGoesOnOverANewLink)
+{
+  std::atomic<uint32_t> asked{ 99 };
+  OneAgent world([&](net::Link& aLink, wire::MessageT& aMessage) {
+    if (const auto* dispatch = aMessage.body.AsDispatch()) {
+      const std::string& id = dispatch->request_id;
+      SendChunk(aLink, id, dispatch->attempt, 0, "data: 1\n\n");
+      SendChunk(aLink, id, dispatch->attempt, 2, "data: 3\n\n"); // 1 is lost
+    } else if (const auto* resume = aMessage.body.AsResume()) {
+      if (asked.exchange(resume->next_sequence) == 99) {
+        aLink.Close(base::MakeError(base::ErrorKind::LinkClosed, "test"));
+        return;
+      }
+      const std::string& id = resume->request_id;
+      SendChunk(aLink, id, resume->attempt, 1, "data: 2\n\n");
+      SendChunk(aLink, id, resume->attempt, 2, "data: 3\n\n");
+      SendEnd(aLink, id, resume->attempt, 3);
+    }
+  });
+  const auto answer = world.m_bench.Call(EntryBench::Chat(true));
+  BOOST_REQUIRE(answer.ok());
+  BOOST_TEST(answer->m_body.find("data: 1\n\ndata: 2\n\ndata: 3\n\n") == 0U);
+  BOOST_TEST(Contains(answer->m_body, "[DONE]"));
+  BOOST_TEST(asked == 1U);
+}
+
+// Guards against a part of an answer that looks complete after its agent was
+// replaced by another incarnation.
+BOOST_AUTO_TEST_CASE(RestartedAgentEndsTheAnswerVisibly)
+{
+  OneAgent world([&](net::Link& aLink, wire::MessageT& aMessage) {
+    if (const auto* dispatch = aMessage.body.AsDispatch()) {
+      SendChunk(
+        aLink, dispatch->request_id, dispatch->attempt, 0, "data: 1\n\n");
+      world.m_agent.Stop();
+      aLink.Close(base::MakeError(base::ErrorKind::LinkClosed, "test"));
+    }
+  });
+  const base::Endpoint place = world.m_agent.Bound();
+  auto pending = std::async(std::launch::async, [&] {
+    return world.m_bench.Call(EntryBench::Chat(true));
+  });
+  std::unique_ptr<AgentStandIn> second;
+  while (!second || !second->Listening()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    second = std::make_unique<AgentStandIn>(
+      world.m_bench.m_loop.Context(),
+      "agent-1",
+      12,
+      [](net::Link&, wire::MessageT&) {},
+      place);
+  }
+  BOOST_TEST((base::KindOf(pending.get().status()) ==
+              base::ErrorKind::AnswerIncomplete));
+  BOOST_TEST(Contains(world.m_bench.m_events.Dump(), "agent_restarted"));
+  world.m_bench.m_loop.Stop();
+}
+
+// Guards against work by a stale view, and against a wrong "run" in refusals.
+BOOST_AUTO_TEST_CASE(NoDispatchWithoutAFreshView)
+{
+  OneAgent world(AnswerDispatch);
+  world.m_bench.m_control.Change(
+    [](ControlStandIn& aControl) { aControl.m_fresh = false; });
+  while (world.m_bench.m_watcher.Fresh()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const auto chat = world.m_bench.Call(EntryBench::Chat(false));
+  BOOST_REQUIRE(chat.ok());
+  BOOST_TEST(Contains(chat->m_body, R"("type":"not_fresh")"));
+  BOOST_TEST(Contains(chat->m_body, R"("run":"not_run")"));
+  BOOST_TEST(world.m_agent.Count(wire::Body::Dispatch) == 0U);
+}
--- a/chivefront/entry/service_flow.cc
+++ b/chivefront/entry/service_flow.cc
@@ -32,6 +32,7 @@
   Caller m_caller;
   net::HttpExchange& m_exchange;
   RunSpec m_spec;
+  std::string m_owner; // of the claim
   base::Millis m_retention;
 };
 
@@ -87,7 +88,7 @@
 ServiceFlow::TakeClaim()
 {
   m_spec.m_claimKey = m_caller.m_headers.m_idempotencyKey;
-  const std::string owner = m_parts.m_entry.m_name + "/" + m_spec.m_requestId;
+  m_owner = m_parts.m_entry.m_name + "/" + m_spec.m_requestId;
   // A resent call gets the identity of the first one, so that it meets its
   // claim at every agent too. Attempt numbers of an earlier, released run must
   // not come again, hence the random start.
@@ -99,7 +100,7 @@
                             m_exchange.Request().m_target + "\n" +
                             m_spec.m_contentType + "\n" + m_spec.m_body;
   const ClaimOutcome outcome = co_await m_parts.m_claims.Take(
-    m_spec, owner, base::StableHash(whole), m_retention);
+    m_spec, m_owner, base::StableHash(whole), m_retention);
   if (const auto* stored = std::get_if<net::HttpResponse>(&outcome)) {
     net::HttpResponse replay = *stored;
     replay.m_headers.emplace_back("X-Chivefront-Request", m_caller.m_requestId);
@@ -123,7 +124,7 @@
     co_return absl::OkStatus();
   }
   co_return co_await m_parts.m_claims.Finish(
-    m_spec, StateAfter(aResult), aResponse);
+    m_spec, m_owner, StateAfter(aResult), aResponse);
 }
 
 net::Task<void>
--- a/chivefront/entry/sessions.cc
+++ b/chivefront/entry/sessions.cc
@@ -128,6 +128,9 @@
   if (!reply.ok()) {
     co_return reply.status();
   }
+  if (!reply->refused.empty()) {
+    co_return base::MakeError(base::ErrorKind::Overloaded, reply->refused);
+  }
   if (reply->version.empty()) {
     co_return base::MakeError(base::ErrorKind::Unavailable,
                               "the ledger confirmed a pin without a version");
--- /dev/null
+++ b/chivefront/entry/sessions_test.cc
@@ -0,0 +1,107 @@
+// Tests of session pins.
+// Promises: session, withdrawn, allowed
+#define BOOST_TEST_MODULE sessions
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/entry/test_bench.h"
+
+using namespace chivefront;
+using namespace chivefront::entry::bench;
+
+namespace {
+
+catalog::Pointer
+Build(const catalog::Entries& aEntries)
+{
+  std::vector<catalog::EntryError> errors;
+  return catalog::Build(aEntries, 1, errors);
+}
+
+} // namespace
+
+// Guards against a pin that changes once it is known.
+BOOST_AUTO_TEST_CASE(CacheKeepsTheFirstPin)
+{
+  entry::PinCache cache(100);
+  cache.Insert("sales/s1", "small-1");
+  cache.Insert("sales/s1", "small-2");
+  BOOST_TEST(cache.Find("sales/s1").value() == "small-1");
+  for (int i = 0; i < 10000; ++i) {
+    cache.Insert("sales/x" + std::to_string(i), "small-1");
+  }
+  BOOST_TEST(!cache.Find("sales/s1").has_value()); // bounded
+}
+
+// Guards against new work on a withdrawn version, and a session moved to
+// another one without a word.
+BOOST_AUTO_TEST_CASE(WithdrawnVersions)
+{
+  auto entries = SampleEntries();
+  entries["out/version/small-1"] = "{}";
+  entries["rollout/small"] =
+    R"({"owner":"ops","class":"free","from":"small-1","to":"small-2",)"
+    R"("stages":[1],"limits":{}})";
+  auto built = Build(entries);
+  BOOST_REQUIRE(built);
+  const auto none = entry::ProposeVersion(*built, "sales", "small", 5);
+  BOOST_TEST(
+    (base::KindOf(none.status()) == base::ErrorKind::VersionWithdrawn));
+  const auto pinned = entry::CheckPinned(*built, "sales", "small-1", "small");
+  BOOST_TEST((base::KindOf(pinned) == base::ErrorKind::VersionWithdrawn));
+  BOOST_TEST(base::MessageOf(pinned).find("small-1") != std::string::npos);
+  BOOST_TEST(
+    (base::KindOf(entry::CheckPinned(*built, "sales", "small-2", "large")) ==
+     base::ErrorKind::Conflict));
+  entries.erase("out/version/small-1");
+  entries["out/version/small-2"] = "{}";
+  entries["rollout/small"] =
+    R"({"owner":"ops","class":"free","from":"small-1","to":"small-2",)"
+    R"("stages":[1000],"limits":{}})";
+  built = Build(entries);
+  BOOST_REQUIRE(built);
+  BOOST_TEST(entry::ProposeVersion(*built, "sales", "small", 5).value() ==
+             "small-1");
+}
+
+// Guards against two versions for one session when another entry pinned it
+// first, and when the roll-out moves on.
+BOOST_AUTO_TEST_CASE(FirstCommittedPinWins)
+{
+  EntryBench bench;
+  AgentStandIn agent(bench.m_loop.Context(),
+                     "agent-1",
+                     11,
+                     [](net::Link& aLink, wire::MessageT& aMessage) {
+                       if (const auto* dispatch = aMessage.body.AsDispatch()) {
+                         AnswerWhole(aLink, *dispatch);
+                       }
+                     });
+  bench.m_control.Change([&](ControlStandIn& aControl) {
+    aControl.m_upstreams = { agent.Upstream("e1", "small-1"),
+                             agent.Upstream("e2", "small-2") };
+    aControl.m_pins["sales/s1"] = "small-2";
+  });
+  BOOST_REQUIRE(bench.WaitReady(1));
+  const auto version = [&](const std::string& aSession) {
+    const auto answer = bench.Call(EntryBench::Chat(false, aSession));
+    BOOST_REQUIRE(answer.ok());
+    return std::string(
+      net::FindHeader(answer->m_headers, "X-Chivefront-Version"));
+  };
+  BOOST_TEST(version("s1") == "small-2");
+  BOOST_TEST(version("s2") == "small-1");
+  bench.m_control.Change([&](ControlStandIn& aControl) {
+    aControl.m_entries["rollout/small"] =
+      R"({"owner":"ops","class":"free","from":"small-1","to":"small-2",)"
+      R"("stages":[1000],"limits":{}})";
+  });
+  while (bench.m_watcher.LastView()->m_catalog->m_rollouts.empty()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST(version("s2") == "small-1");
+  BOOST_TEST(version("s3") == "small-2");
+  bench.m_control.Change([&](ControlStandIn& aControl) {
+    BOOST_TEST(aControl.m_pins["sales/s2"] == "small-1");
+  });
+  bench.m_loop.Stop();
+}
