--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -97,7 +97,7 @@
         domain = DOMAINS[self.entries.index(name) % len(DOMAINS)]
         options = list(self.entry_options)
         if "rating" in self.processes:
-            options += ["--rating", self.processes["rating"].fields["address"]]
+            options += ["--rating", self.processes["rating"].fields["listen"]]
         callers = self.processes[name].fields["callers"] \
             if name in self.processes else "127.0.0.1:0"
         return self.add(name, [
@@ -134,7 +134,7 @@
     def start(self):
         for name in self.controls:
             self.start_control(name)
-        if self.rating:
+        if self.rating and os.path.exists(self.program("fake-rating")):
             self.add("rating", [self.program("fake-rating")]).start()
         for upstream in self.upstreams:
             self.start_agent(upstream)
@@ -173,7 +173,7 @@
         return json.loads(done.stdout) if done.returncode == 0 else {}
 
     def announced(self):
-        return {u.get("name") for u in self.status().get("upstreams", [])}
+        return {u["name"] for u in self.status().get("upstream_list", [])}
 
     def ctl(self, *arguments, seconds=30):
         return subprocess.run(
@@ -202,10 +202,10 @@
 
     def history(self, name):
         return json.loads(http(
-            "GET", self.address(name, "address"), "/fake/history")[2])
+            "GET", self.address(name, "listen"), "/fake/history")[2])
 
     def behave(self, name, **what):
-        return http("POST", self.address(name, "address"), "/fake/behave", what)
+        return http("POST", self.address(name, "listen"), "/fake/behave", what)
 
     # --- ending --------------------------------------------------------------
 
