--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -99,6 +99,7 @@
   void Compact(std::shared_ptr<const Snapshot> aSnapshot);
 
   const HardState& Hard() const { return m_hard; }
+  uint64_t Identity() const { return m_options.m_identity; }
   const Log& Entries() const { return m_log; }
   uint64_t Committed() const { return m_commit; }
   bool IsLeader() const { return m_role == RaftRole::Leader; }
--- /dev/null
+++ b/chivefront/consensus/core_test.cc
@@ -0,0 +1,386 @@
+// Tables for the rules of the Raft core: votes, log matching, quorum, first
+// membership, admission.
+// Promises: config
+#define BOOST_TEST_MODULE core
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/consensus/core.h"
+
+using namespace chivefront;
+using namespace chivefront::consensus;
+
+namespace {
+
+constexpr uint64_t kSelf = 1;
+constexpr uint64_t kB = 2;
+constexpr uint64_t kC = 3;
+const base::TimePoint kStart{ base::Millis(1000) };
+constexpr base::Millis kTimeout{ 400 };
+
+base::TimePoint
+After(int64_t aMillis)
+{
+  return kStart + base::Millis(aMillis);
+}
+
+CoreOptions
+Options()
+{
+  CoreOptions options;
+  options.m_name = "a";
+  options.m_identity = kSelf;
+  options.m_initial = { "a", "b", "c" };
+  return options;
+}
+
+const Membership kThree{ { "a", kSelf, true },
+                         { "b", kB, true },
+                         { "c", kC, true } };
+
+// Replica a of three in term 5 with entries of these terms.
+StoredState
+Stored(const std::vector<uint64_t>& aTerms)
+{
+  StoredState state;
+  state.m_identity = kSelf;
+  state.m_hard = { 5, 0, Stage::Active, kThree };
+  for (const uint64_t term : aTerms) {
+    state.m_entries.push_back(
+      { term, state.m_entries.size() + 1, EntryKind::Command, "x" });
+  }
+  return state;
+}
+
+Message
+Make(MessageKind aKind, uint64_t aFrom, uint64_t aTerm)
+{
+  Message message;
+  message.m_kind = aKind;
+  message.m_from = aFrom;
+  message.m_to = kSelf;
+  message.m_term = aTerm;
+  return message;
+}
+
+// Everything the core sends until it has nothing more to do.
+std::vector<Message>
+Drain(RaftCore& aCore, base::TimePoint aNow)
+{
+  std::vector<Message> sent;
+  for (Actions actions = aCore.Take(aNow); !actions.Empty();
+       actions = aCore.Take(aNow)) {
+    aCore.Synced(aNow);
+    for (auto* queue : { &actions.m_early, &actions.m_late }) {
+      for (Envelope& envelope : *queue) {
+        sent.push_back(std::move(envelope.m_message));
+      }
+    }
+  }
+  return sent;
+}
+
+std::vector<Message>
+Ask(RaftCore& aCore, const Message& aMessage, base::TimePoint aNow)
+{
+  aCore.Receive(aMessage.m_from == kB ? "b" : "c", aMessage, aNow);
+  return Drain(aCore, aNow);
+}
+
+// Brings a to leadership at After(2000) by the votes of b.
+void
+Elect(RaftCore& aCore)
+{
+  aCore.Tick(After(2000));
+  Drain(aCore, After(2000));
+  Message reply = Make(MessageKind::VoteReply, kB, 5);
+  reply.m_flag = true;
+  reply.m_index = 6;
+  Ask(aCore, reply, After(2000));
+  Ask(aCore, Make(MessageKind::VoteReply, kB, 6), After(2000));
+  BOOST_REQUIRE(aCore.IsLeader());
+}
+
+Message
+Acknowledge(uint64_t aFrom, uint64_t aIndex, uint64_t aRound = 0)
+{
+  Message reply = Make(MessageKind::AppendReply, aFrom, 6);
+  reply.m_index = aIndex;
+  reply.m_round = aRound;
+  return reply;
+}
+
+} // namespace
+
+// Guards against a vote for a candidate that lacks committed entries, against
+// two votes in one term, and against candidates that end a working term.
+BOOST_AUTO_TEST_CASE(Votes)
+{
+  struct Row
+  {
+    const char* m_what;
+    uint64_t m_voted; // in term 5
+    bool m_hearsLeader;
+    bool m_preVote;
+    bool m_forced;
+    uint64_t m_term;
+    uint64_t m_logTerm;
+    uint64_t m_index;
+    bool m_granted;
+  };
+  const Row rows[] = {
+    { "equal log", 0, false, false, false, 6, 3, 3, true },
+    { "longer log", 0, false, false, false, 6, 3, 4, true },
+    { "shorter log", 0, false, false, false, 6, 3, 2, false },
+    { "longer log of an older term", 0, false, false, false, 6, 2, 9, false },
+    { "shorter log of a newer term", 0, false, false, false, 6, 4, 1, true },
+    { "old term", 0, false, false, false, 4, 3, 3, false },
+    { "voted for another", kC, false, false, false, 5, 3, 3, false },
+    { "voted for the same", kB, false, false, false, 5, 3, 3, true },
+    { "voted in an older term", kC, false, false, false, 6, 3, 3, true },
+    { "hears a leader", 0, true, false, false, 6, 3, 3, false },
+    { "leader asks for it", 0, true, false, true, 6, 3, 3, true },
+    { "pre-vote", 0, false, true, false, 6, 3, 3, true },
+    { "pre-vote, hears a leader", 0, true, true, false, 6, 3, 3, false },
+    { "pre-vote of the current term", 0, false, true, false, 5, 3, 3, false },
+    { "pre-vote, shorter log", 0, false, true, false, 6, 3, 2, false },
+  };
+  for (const Row& row : rows) {
+    StoredState state = Stored({ 1, 2, 3 });
+    state.m_hard.m_vote = row.m_voted;
+    RaftCore core(Options(), state, kStart);
+    if (row.m_hearsLeader) {
+      Ask(core, Make(MessageKind::Append, kC, 5), kStart);
+    }
+    Message vote = Make(MessageKind::Vote, kB, row.m_term);
+    vote.m_flag = row.m_preVote;
+    vote.m_forced = row.m_forced;
+    vote.m_logTerm = row.m_logTerm;
+    vote.m_index = row.m_index;
+    const auto sent = Ask(core, vote, After(10));
+    const bool granted = sent.size() == 1 && !sent[0].m_rejected;
+    BOOST_TEST(granted == row.m_granted, row.m_what);
+    if (row.m_preVote) {
+      BOOST_TEST(core.Hard().m_term == 5U, row.m_what);
+      BOOST_TEST(core.Hard().m_vote == row.m_voted, row.m_what);
+    }
+  }
+}
+
+// Guards against a replica that votes before it is part of any membership.
+BOOST_AUTO_TEST_CASE(NoVoteBeforeMembership)
+{
+  for (const Stage stage : { Stage::Empty, Stage::Prepared }) {
+    StoredState state = Stored({});
+    state.m_hard.m_stage = stage;
+    RaftCore core(Options(), state, kStart);
+    BOOST_TEST(Ask(core, Make(MessageKind::Vote, kB, 9), kStart).empty());
+    core.Tick(After(5000));
+    for (const Message& message : Drain(core, After(5000))) {
+      BOOST_TEST((message.m_kind == MessageKind::Hello));
+    }
+  }
+}
+
+// Guards against a log that diverges from the leader's, and against refusals
+// that go back one entry at a time.
+BOOST_AUTO_TEST_CASE(AppendRules)
+{
+  struct Row
+  {
+    const char* m_what;
+    uint64_t m_index;
+    uint64_t m_logTerm;
+    std::vector<uint64_t> m_terms; // of the entries carried
+    bool m_rejected;
+    uint64_t m_hint;
+    std::vector<uint64_t> m_log; // afterwards
+  };
+  const Row rows[] = {
+    { "next entry", 5, 4, { 5 }, false, 0, { 1, 1, 4, 4, 4, 5 } },
+    { "gap", 7, 5, { 5 }, true, 5, { 1, 1, 4, 4, 4 } },
+    { "conflict skips the term", 5, 5, { 5 }, true, 2, { 1, 1, 4, 4, 4 } },
+    { "replaces a conflict", 2, 1, { 5 }, false, 0, { 1, 1, 5 } },
+    { "old message keeps the tail", 2, 1, { 4 }, false, 0, { 1, 1, 4, 4, 4 } },
+    { "from the start", 0, 0, { 1, 1 }, false, 0, { 1, 1, 4, 4, 4 } },
+  };
+  for (const Row& row : rows) {
+    RaftCore core(Options(), Stored({ 1, 1, 4, 4, 4 }), kStart);
+    Message append = Make(MessageKind::Append, kB, 5);
+    append.m_index = row.m_index;
+    append.m_logTerm = row.m_logTerm;
+    append.m_commit = 100;
+    for (const uint64_t term : row.m_terms) {
+      append.m_entries.push_back({ term,
+                                   row.m_index + append.m_entries.size() + 1,
+                                   EntryKind::Command,
+                                   "x" });
+    }
+    const auto sent = Ask(core, append, kStart);
+    BOOST_TEST_REQUIRE(sent.size() == 1U, row.m_what);
+    BOOST_TEST(sent[0].m_rejected == row.m_rejected, row.m_what);
+    BOOST_TEST(sent[0].m_hint == row.m_hint, row.m_what);
+    std::vector<uint64_t> terms;
+    for (uint64_t i = 1; i <= core.Entries().LastIndex(); ++i) {
+      terms.push_back(core.Entries().TermAt(i));
+    }
+    BOOST_TEST(terms == row.m_log, row.m_what);
+    // No more may be committed than this message proves to match.
+    const uint64_t proven =
+      row.m_rejected ? 0 : row.m_index + row.m_terms.size();
+    BOOST_TEST(core.Committed() == proven, row.m_what);
+  }
+}
+
+// Guards against committing an entry of an older term that a majority holds:
+// a newer leader may still replace it (figure 8 of the paper).
+BOOST_AUTO_TEST_CASE(CommitsOnlyEntriesOfItsOwnTerm)
+{
+  RaftCore core(Options(), Stored({ 1, 2 }), kStart);
+  Elect(core);
+  Ask(core, Acknowledge(kB, 2), After(2001));
+  BOOST_TEST(core.Committed() == 0U);
+  Ask(core, Acknowledge(kB, 3), After(2002));
+  BOOST_TEST(core.Committed() == 3U);
+}
+
+// Guards against a leader that counts itself before its own entry is synced.
+BOOST_AUTO_TEST_CASE(LeaderCountsItselfAfterSync)
+{
+  RaftCore core(Options(), Stored({}), kStart);
+  Elect(core);
+  Ask(core, Acknowledge(kB, 1), After(2001));
+  core.Propose("x");
+  const Actions actions = core.Take(After(2001));
+  BOOST_TEST(!actions.m_early.empty()); // sent while the sync is under way
+  core.Receive("b", Acknowledge(kB, 2), After(2002));
+  BOOST_TEST(core.Committed() == 1U);
+  core.Synced(After(2003));
+  BOOST_TEST(core.Committed() == 2U);
+}
+
+// Guards against a leader that goes on without a majority, or that confirms
+// its leadership from answers to older rounds.
+BOOST_AUTO_TEST_CASE(QuorumAndConfirmation)
+{
+  RaftCore core(Options(), Stored({}), kStart);
+  Elect(core);
+  Ask(core, Acknowledge(kB, 1), After(2100));
+  core.Confirm(7);
+  Actions actions = core.Take(After(2100));
+  BOOST_TEST(actions.m_confirmed.empty());
+  const uint64_t round = actions.m_early.front().m_message.m_round;
+  core.Receive("b", Acknowledge(kB, 1, round - 1), After(2101));
+  BOOST_TEST(core.Take(After(2101)).m_confirmed.empty());
+  core.Receive("c", Acknowledge(kC, 0, round), After(2102));
+  actions = core.Take(After(2102));
+  BOOST_TEST_REQUIRE(actions.m_confirmed.size() == 1U);
+  BOOST_TEST((actions.m_confirmed[0].m_index == 1U));
+  core.Confirm(8);
+  core.Tick(After(2500));
+  BOOST_TEST(core.IsLeader());
+  core.Take(After(2500));
+  core.Tick(After(2502));
+  BOOST_TEST(!core.IsLeader());
+  actions = core.Take(After(2502));
+  BOOST_TEST(actions.m_steppedDown);
+  BOOST_TEST_REQUIRE(actions.m_confirmed.size() == 1U);
+  BOOST_TEST(!actions.m_confirmed[0].m_index.has_value());
+}
+
+// Guards against a term that rises while a replica is cut off, which would end
+// the term of a working leader when it returns.
+BOOST_AUTO_TEST_CASE(IsolatedReplicaKeepsItsTerm)
+{
+  RaftCore core(Options(), Stored({}), kStart);
+  for (int64_t i = 0; i < 20; ++i) {
+    core.Tick(After(i * 1000));
+    Drain(core, After(i * 1000));
+  }
+  BOOST_TEST(core.Hard().m_term == 5U);
+}
+
+// Guards against two first memberships after a disk is lost during the first
+// start: messages of the lost replica may still arrive.
+BOOST_AUTO_TEST_CASE(StaleGreetingGivesNoSecondMembership)
+{
+  StoredState empty;
+  empty.m_identity = kSelf;
+  RaftCore core(Options(), empty, kStart);
+  const auto greet = [&](uint64_t aFrom, Stage aStage, Membership aMembers) {
+    Message hello = Make(MessageKind::Hello, aFrom, 0);
+    hello.m_to = 0;
+    hello.m_stage = aStage;
+    hello.m_members = std::move(aMembers);
+    core.Receive(aFrom == kC ? "c" : "b", hello, kStart);
+    Drain(core, kStart);
+  };
+  core.Tick(kStart);
+  greet(kB, Stage::Empty, {});
+  BOOST_TEST((core.Hard().m_stage == Stage::Empty));
+  greet(kC, Stage::Empty, {});
+  BOOST_TEST((core.Hard().m_stage == Stage::Prepared));
+  // Replica b lost its disk; its successor prepared nothing, c another set.
+  Membership other = kThree;
+  other[1].m_identity = 22;
+  greet(kC, Stage::Prepared, other);
+  greet(22, Stage::Prepared, other);
+  greet(kC, Stage::Active, other);
+  BOOST_TEST((core.Hard().m_stage == Stage::Prepared));
+  BOOST_TEST(core.Members().empty());
+  greet(kB, Stage::Prepared, kThree);
+  BOOST_TEST((core.Hard().m_stage == Stage::Prepared));
+  greet(kC, Stage::Prepared, kThree);
+  BOOST_TEST((core.Hard().m_stage == Stage::Active));
+  BOOST_TEST((core.Members() == kThree));
+}
+
+// Guards against a replica with a lost disk that counts as a voter before it
+// holds everything, and against a repair that is reported too early.
+BOOST_AUTO_TEST_CASE(LostDiskIsReplacedStepByStep)
+{
+  constexpr uint64_t kNewB = 22;
+  RaftCore core(Options(), Stored({ 1, 2 }), kStart);
+  Elect(core);
+  int64_t now = 2000;
+  const auto settle = [&](uint64_t aNewBHolds) {
+    now += 500;
+    Ask(core, Acknowledge(kC, core.Entries().LastIndex()), After(now));
+    if (aNewBHolds > 0) {
+      Ask(core, Acknowledge(kNewB, aNewBHolds), After(now));
+    }
+    Ask(core, Acknowledge(kC, core.Entries().LastIndex()), After(now));
+  };
+  const auto voters = [&] {
+    std::set<uint64_t> found;
+    for (const Replica& replica : core.Members()) {
+      if (replica.m_voter) {
+        found.insert(replica.m_identity);
+      }
+    }
+    return found;
+  };
+  settle(0);
+  Message hello = Make(MessageKind::Hello, kNewB, 0);
+  hello.m_to = 0;
+  core.Receive("b", hello, After(now));
+  Drain(core, After(now));
+  BOOST_TEST(core.Members().size() == 4U);
+  settle(0);
+  settle(1); // a learner that lacks entries
+  BOOST_TEST((voters() == std::set<uint64_t>{ kSelf, kB, kC }));
+  BOOST_TEST(!core.Status(After(now)).m_repaired);
+  settle(core.Entries().LastIndex());
+  BOOST_TEST((voters() == std::set<uint64_t>{ kSelf, kC }));
+  BOOST_TEST(!core.Status(After(now)).m_repaired);
+  settle(core.Entries().LastIndex());
+  BOOST_TEST((voters() == std::set<uint64_t>{ kSelf, kC, kNewB }));
+  settle(core.Entries().LastIndex() - 1);
+  BOOST_TEST(!core.Status(After(now)).m_repaired);
+  settle(core.Entries().LastIndex());
+  BOOST_TEST(core.Status(After(now)).m_repaired);
+  BOOST_TEST(core.Status(After(now)).m_caughtUp == 3U);
+  // Silence of the new replica ends the report.
+  now += kTimeout.Count() + 1;
+  Ask(core, Acknowledge(kC, core.Entries().LastIndex()), After(now));
+  BOOST_TEST(!core.Status(After(now)).m_repaired);
+}
--- /dev/null
+++ b/chivefront/consensus/driver.h
@@ -0,0 +1,84 @@
+// Everything of a group but its thread and clock: connects the Raft core with
+// the durable log, the machine and the callbacks. Tests run it over a disk in
+// memory and time of their own.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "chivefront/base/events.h"
+#include "chivefront/consensus/core.h"
+#include "chivefront/consensus/disk.h"
+#include "chivefront/consensus/group.h"
+#include "chivefront/consensus/store.h"
+
+namespace chivefront::consensus {
+
+// Not thread-safe. Callbacks run inside Propose, Confirm, Process and FailAll
+// and must not call back into the driver.
+class Driver
+{
+public:
+  Driver(const GroupOptions& aOptions,
+         StateMachine& aMachine,
+         Disk& aDisk,
+         Group::SendFunction aSend,
+         base::EventLog& aEvents);
+
+  // Reads the folder and restores the machine. An empty folder gets the
+  // identity aNewIdentity.
+  absl::Status Open(uint64_t aNewIdentity,
+                    uint64_t aSeed,
+                    base::TimePoint aNow);
+
+  void Propose(std::string aCommand, Group::ProposeCallback aDone);
+  void Confirm(Group::ConfirmCallback aDone);
+  void Receive(const std::string& aFrom,
+               std::string_view aPayload,
+               base::TimePoint aNow);
+  void Transfer(base::TimePoint aNow);
+
+  // Lets time pass and does all that is due: sends, writes, syncs, applies.
+  // After a failure the driver must not be used but for FailAll.
+  absl::Status Process(base::TimePoint aNow);
+  // Answers all waiting callbacks with aStatus.
+  void FailAll(const absl::Status& aStatus);
+
+  base::TimePoint NextDeadline() const { return m_raft->NextDeadline(); }
+  GroupStatus Status(base::TimePoint aNow) const;
+  const RaftCore& Raft() const { return *m_raft; }
+
+private:
+  struct Waiting
+  {
+    uint64_t m_term = 0;
+    Group::ProposeCallback m_done;
+  };
+
+  absl::Status Do(Actions& aActions, base::TimePoint aNow);
+  absl::Status Persist(Actions& aActions);
+  void SendAll(const std::vector<Envelope>& aEnvelopes);
+  void Settle(const Actions& aActions);
+  void Apply();
+  void AnswerProposal(const Entry& aEntry, std::string aResult);
+  void AnswerConfirmed();
+  absl::Status TakeSnapshotIfDue();
+
+  const GroupOptions m_options;
+  StateMachine& m_machine;
+  const Group::SendFunction m_send;
+  base::EventLog& m_events;
+  Store m_store;
+  std::unique_ptr<RaftCore> m_raft; // set by Open
+  uint64_t m_applied = 0;
+  uint64_t m_sinceSnapshot = 0;            // commands applied
+  std::map<uint64_t, Waiting> m_proposals; // by index
+  uint64_t m_lastQuestion = 0;
+  std::map<uint64_t, Group::ConfirmCallback> m_questions; // by id
+  // Confirmed, waiting until the index has been applied.
+  std::multimap<uint64_t, Group::ConfirmCallback> m_confirmed;
+};
+
+} // namespace chivefront::consensus
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -64,6 +64,11 @@
   uint64_t m_maxBatch = 0;
   // Size at which a segment of the log is followed by a new one.
   uint64_t m_segmentBytes = 8 * 1024 * 1024;
+  // Entries kept in the log behind a snapshot, so that a replica that is a
+  // little behind needs no snapshot.
+  uint64_t m_trailing = 1000;
+  // Bytes of a snapshot in one message.
+  uint64_t m_chunkBytes = 256 * 1024;
 };
 
 enum class RaftRole
--- a/chivefront/consensus/group_test.cc
+++ b/chivefront/consensus/group_test.cc
@@ -55,8 +55,9 @@
 class Cluster
 {
 public:
-  explicit Cluster(uint64_t aSnapshotEvery = 10000)
+  explicit Cluster(uint64_t aSnapshotEvery = 10000, uint64_t aTrailing = 1000)
     : m_snapshotEvery(aSnapshotEvery)
+    , m_trailing(aTrailing)
     , m_root(std::filesystem::temp_directory_path() /
              ("chivefront-group-" +
               std::to_string(
@@ -81,6 +82,7 @@
     options.m_initial = { "a", "b", "c" };
     options.m_folder = (m_root / aName).string();
     options.m_snapshotEvery = m_snapshotEvery;
+    options.m_trailing = m_trailing;
     auto machine = std::make_unique<ListMachine>();
     auto group = std::make_shared<Group>(
       options,
@@ -170,6 +172,7 @@
 
 private:
   const uint64_t m_snapshotEvery;
+  const uint64_t m_trailing;
   const std::filesystem::path m_root;
   base::EventLog m_events{ "test", "", 1000 };
   std::mutex m_lock;
@@ -200,3 +203,91 @@
     cluster.Await([&] { return cluster.Machine(name).Text() == "x;y;z;"; });
   }
 }
+
+// Guards against a replica that stays without data after its disk was lost, and
+// against a repair reported before the copies exist. Snapshots are taken often,
+// so that the new replica needs one.
+BOOST_AUTO_TEST_CASE(LostDiskIsRepaired)
+{
+  Cluster cluster(/*aSnapshotEvery=*/50, /*aTrailing=*/5);
+  std::string expected;
+  for (int i = 0; i < 200; ++i) {
+    cluster.Propose(std::to_string(i));
+    expected += std::to_string(i) + ";";
+  }
+  const auto identities = [&] {
+    std::map<std::string, uint64_t> found;
+    for (const auto& replica :
+         cluster.Of(cluster.Leader()).Status().m_replicas) {
+      found[replica.m_name] = replica.m_identity;
+    }
+    return found;
+  };
+  const auto repaired = [&] {
+    return cluster.Of(cluster.Leader()).Status().m_repaired;
+  };
+  cluster.Await(repaired);
+  // Every replica in turn: each loss comes right after a reported repair.
+  for (const char* name : { "a", "b", "c" }) {
+    const uint64_t lost = identities()[name];
+    cluster.LoseDisk(name);
+    cluster.Await([&] { return repaired() && identities()[name] != lost; });
+    BOOST_TEST(cluster.Machine(name).Text() == expected);
+  }
+  BOOST_TEST(cluster.Propose("z") == "201");
+}
+
+// Guards against a planned stop that leaves the group without a leader until a
+// timeout, and against a leader that never hands over.
+BOOST_AUTO_TEST_CASE(LeadershipIsTransferred)
+{
+  Cluster cluster;
+  cluster.Propose("x");
+  const std::string first = cluster.Leader();
+  cluster.Await([&] { return cluster.Of(first).Status().m_repaired; });
+  cluster.Of(first).TransferLeadership();
+  cluster.Await([&] { return !cluster.Of(first).IsLeader(); });
+  cluster.Await([&] { return cluster.Leader() != first; });
+  BOOST_TEST(cluster.Propose("y") == "2");
+}
+
+// Guards against a read that is answered by a replica that does not lead.
+BOOST_AUTO_TEST_CASE(OnlyTheLeaderConfirms)
+{
+  Cluster cluster;
+  cluster.Propose("x");
+  const std::string leader = cluster.Leader();
+  for (const char* name : { "a", "b", "c" }) {
+    std::promise<absl::StatusOr<uint64_t>> promise;
+    cluster.Of(name).ConfirmLeadership(
+      [&](absl::StatusOr<uint64_t> aIndex) { promise.set_value(aIndex); });
+    const auto index = promise.get_future().get();
+    if (name == leader) {
+      BOOST_TEST_REQUIRE(index.ok());
+      BOOST_TEST(*index >= 2U); // the leader's first entry and the command
+    } else {
+      BOOST_TEST((base::KindOf(index.status()) == base::ErrorKind::NotLeader));
+    }
+  }
+}
+
+// Guards against callbacks that are never answered when a group stops.
+BOOST_AUTO_TEST_CASE(StopAnswersPendingCallbacks)
+{
+  Cluster cluster;
+  cluster.Propose("x");
+  const std::string leader = cluster.Leader();
+  for (const char* name : { "a", "b", "c" }) {
+    if (name != leader) {
+      cluster.StopReplica(name);
+    }
+  }
+  std::promise<absl::Status> promise;
+  cluster.Of(leader).Propose("y", [&](absl::StatusOr<std::string> aResult) {
+    promise.set_value(aResult.status());
+  });
+  cluster.Of(leader).Stop();
+  const absl::Status status = promise.get_future().get();
+  BOOST_TEST((base::KindOf(status) == base::ErrorKind::Unavailable ||
+              base::KindOf(status) == base::ErrorKind::NotLeader));
+}
--- /dev/null
+++ b/chivefront/consensus/simulation.cc
@@ -0,0 +1,325 @@
+// Steps, faults and checks of the simulation.
+#include "chivefront/consensus/simulation.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace chivefront::consensus {
+namespace {
+
+constexpr int64_t kLateMillis = 300;
+
+GroupOptions
+OptionsOf(const std::string& aName, const std::vector<std::string>& aNames)
+{
+  GroupOptions options;
+  options.m_name = aName;
+  options.m_initial = aNames;
+  // Small bounds, so that short histories rotate, compact and send snapshots.
+  options.m_snapshotEvery = 20;
+  options.m_trailing = 5;
+  options.m_segmentBytes = 2000;
+  options.m_chunkBytes = 200;
+  return options;
+}
+
+} // namespace
+
+std::string
+Simulation::Machine::Apply(uint64_t, std::string_view aCommand)
+{
+  m_applied.emplace_back(aCommand);
+  auto& order = m_owner->m_order;
+  if (m_applied.size() > order.size()) {
+    order.emplace_back(aCommand);
+    m_owner->Expect(m_owner->m_known.insert(order.back()).second,
+                    "a command is applied twice");
+    m_owner->Expect(m_owner->m_refused.count(order.back()) == 0,
+                    "a refused command is applied");
+  }
+  m_owner->Expect(order[m_applied.size() - 1] == aCommand,
+                  "applied sequences are prefixes of each other");
+  return std::to_string(m_applied.size());
+}
+
+std::string
+Simulation::Machine::TakeSnapshot() const
+{
+  std::string text;
+  for (const std::string& command : m_applied) {
+    text += command + "\n";
+  }
+  return text;
+}
+
+absl::Status
+Simulation::Machine::Restore(std::string_view aSnapshot)
+{
+  m_applied.clear();
+  std::istringstream lines{ std::string(aSnapshot) };
+  for (std::string line; std::getline(lines, line);) {
+    m_applied.push_back(line);
+  }
+  m_owner->Expect(
+    m_applied.size() <= m_owner->m_order.size() &&
+      std::equal(m_applied.begin(), m_applied.end(), m_owner->m_order.begin()),
+    "a snapshot is a prefix of the applied commands");
+  return absl::OkStatus();
+}
+
+Simulation::Simulation(uint64_t aSeed, std::vector<std::string> aNames)
+  : m_random(aSeed)
+  , m_names(std::move(aNames))
+{
+  for (const std::string& name : m_names) {
+    m_hosts[name].m_disk = std::make_unique<MemoryDisk>();
+    Restart(name);
+  }
+}
+
+void
+Simulation::Expect(bool aHolds, const std::string& aRule)
+{
+  if (!aHolds) {
+    m_violations.push_back(aRule + " at " +
+                           std::to_string(m_now.SinceBoot().Count()) + " ms");
+  }
+}
+
+void
+Simulation::Deliver(const std::string& aFrom,
+                    const std::string& aTo,
+                    std::string aPayload)
+{
+  const uint32_t copies = Chance(m_faults.m_duplicatePercent) ? 2 : 1;
+  for (uint32_t i = 0; i < copies; ++i) {
+    if (Chance(m_faults.m_lossPercent)) {
+      continue;
+    }
+    const int64_t delay =
+      Chance(m_faults.m_latePercent)
+        ? kLateMillis
+        : 1 + static_cast<int64_t>(m_random() % m_faults.m_delayMillis);
+    m_network.emplace(m_now + base::Millis(delay),
+                      InFlight{ aFrom, aTo, aPayload });
+  }
+}
+
+void
+Simulation::Restart(const std::string& aName)
+{
+  Host& host = m_hosts.at(aName);
+  host.m_machine = std::make_unique<Machine>();
+  host.m_machine->m_owner = this;
+  host.m_driver = std::make_unique<Driver>(
+    OptionsOf(aName, m_names),
+    *host.m_machine,
+    *host.m_disk,
+    [this, aName](const std::string& aTo, std::string aPayload) {
+      Deliver(aName, aTo, std::move(aPayload));
+    },
+    m_events);
+  const absl::Status status =
+    host.m_driver->Open(m_random(), m_random(), m_now);
+  Expect(status.ok(), "a log opens after a crash: " + status.ToString());
+  if (!status.ok()) {
+    host.m_driver.reset();
+    return;
+  }
+  host.m_identity = host.m_driver->Raft().Identity();
+  host.m_checked = host.m_driver->Raft().Committed();
+}
+
+void
+Simulation::Crash(const std::string& aName)
+{
+  Host& host = m_hosts.at(aName);
+  host.m_driver.reset();
+  host.m_disk->Crash(m_random);
+}
+
+void
+Simulation::CrashInsideWrite(const std::string& aName)
+{
+  if (!IsUp(aName)) {
+    return;
+  }
+  MemoryDisk& disk = *m_hosts.at(aName).m_disk;
+  disk.FailFrom(disk.Operations() + 1 + m_random() % 6);
+}
+
+void
+Simulation::LoseDisk(const std::string& aName)
+{
+  Host& host = m_hosts.at(aName);
+  host.m_driver.reset();
+  host.m_disk = std::make_unique<MemoryDisk>();
+}
+
+void
+Simulation::Process(const std::string& aName)
+{
+  Host& host = m_hosts.at(aName);
+  if (!host.m_driver->Process(m_now).ok()) {
+    Crash(aName);
+    return;
+  }
+  const RaftCore& raft = host.m_driver->Raft();
+  if (raft.IsLeader()) {
+    const auto [leader, isNew] =
+      m_leaders.emplace(raft.Hard().m_term, host.m_identity);
+    Expect(leader->second == host.m_identity, "one leader per term");
+  }
+  CheckCommitted(aName);
+}
+
+void
+Simulation::CheckCommitted(const std::string& aName)
+{
+  Host& host = m_hosts.at(aName);
+  const RaftCore& raft = host.m_driver->Raft();
+  const uint64_t first =
+    std::max(host.m_checked, raft.Entries().BaseIndex()) + 1;
+  for (uint64_t i = first; i <= raft.Committed(); ++i) {
+    const Entry& entry = raft.Entries().At(i);
+    const std::pair held(entry.m_term, entry.m_data);
+    const auto [known, isNew] = m_committed.emplace(i, held);
+    Expect(known->second == held, "a committed entry never changes");
+  }
+  host.m_checked = raft.Committed();
+}
+
+void
+Simulation::Step()
+{
+  m_now = m_now + base::Millis(1);
+  std::set<std::string> busy;
+  while (!m_network.empty() && m_network.begin()->first <= m_now) {
+    const InFlight message = std::move(m_network.begin()->second);
+    m_network.erase(m_network.begin());
+    Host& host = m_hosts.at(message.m_to);
+    if (host.m_driver && m_isolated.count(message.m_from) == 0 &&
+        m_isolated.count(message.m_to) == 0) {
+      host.m_driver->Receive(message.m_from, message.m_payload, m_now);
+      busy.insert(message.m_to);
+    }
+  }
+  for (const std::string& name : m_names) {
+    const Host& host = m_hosts.at(name);
+    if (host.m_driver &&
+        (busy.count(name) > 0 || host.m_driver->NextDeadline() <= m_now ||
+         host.m_driver->Raft().IsLeader())) {
+      Process(name);
+    }
+  }
+}
+
+void
+Simulation::Write()
+{
+  const std::string& name = m_names[m_random() % m_names.size()];
+  if (!IsUp(name)) {
+    return;
+  }
+  const std::string command = "w" + std::to_string(++m_writes);
+  const size_t before = m_horizon;
+  Of(name).Propose(command, [=, this](absl::StatusOr<std::string> aResult) {
+    if (aResult.ok()) {
+      const size_t position = std::stoull(*aResult);
+      Expect(m_order[position - 1] == command, "a result is for its command");
+      Expect(position > before, "a write follows all calls completed before");
+      m_horizon = std::max(m_horizon, position);
+      ++m_acknowledged;
+    } else if (base::KindOf(aResult.status()) == base::ErrorKind::NotLeader) {
+      Expect(m_known.count(command) == 0, "a refused command is not applied");
+      m_refused.insert(command);
+    }
+  });
+}
+
+void
+Simulation::Read()
+{
+  const std::string& name = m_names[m_random() % m_names.size()];
+  if (!IsUp(name)) {
+    return;
+  }
+  const size_t before = m_horizon;
+  const Machine* machine = m_hosts.at(name).m_machine.get();
+  Of(name).Confirm([=, this](absl::StatusOr<uint64_t> aIndex) {
+    if (aIndex.ok()) {
+      const size_t seen = machine->m_applied.size();
+      Expect(seen >= before, "a read sees all calls completed before");
+      m_horizon = std::max(m_horizon, seen);
+      ++m_reads;
+    }
+  });
+}
+
+std::string
+Simulation::Leader()
+{
+  std::string leader;
+  uint64_t term = 0;
+  for (const std::string& name : m_names) {
+    if (IsUp(name) && Of(name).Raft().IsLeader() &&
+        Of(name).Raft().Hard().m_term > term) {
+      leader = name;
+      term = Of(name).Raft().Hard().m_term;
+    }
+  }
+  return leader;
+}
+
+bool
+Simulation::ReportsRepair()
+{
+  const std::string leader = Leader();
+  if (leader.empty() || !StatusOf(leader).m_repaired) {
+    return false;
+  }
+  for (const Replica& replica : StatusOf(leader).m_replicas) {
+    if (m_hosts.at(replica.m_name).m_identity != replica.m_identity) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+Simulation::Converged()
+{
+  return ReportsRepair() &&
+         std::all_of(
+           m_names.begin(), m_names.end(), [&](const std::string& aName) {
+             return IsUp(aName) &&
+                    m_hosts.at(aName).m_machine->m_applied == m_order &&
+                    m_order.size() >= m_horizon;
+           });
+}
+
+void
+Simulation::CheckLogMatching()
+{
+  for (const std::string& one : m_names) {
+    for (const std::string& other : m_names) {
+      if (one >= other || !IsUp(one) || !IsUp(other)) {
+        continue;
+      }
+      const Log& left = Of(one).Raft().Entries();
+      const Log& right = Of(other).Raft().Entries();
+      bool matched = false;
+      for (uint64_t i = std::min(left.LastIndex(), right.LastIndex());
+           i > std::max(left.BaseIndex(), right.BaseIndex());
+           --i) {
+        const bool same = left.TermAt(i) == right.TermAt(i);
+        Expect(same || !matched, "logs with an equal entry match before it");
+        Expect(!same || left.At(i).m_data == right.At(i).m_data,
+               "entries of one index and term are equal");
+        matched = matched || same;
+      }
+    }
+  }
+}
+
+} // namespace chivefront::consensus
--- /dev/null
+++ b/chivefront/consensus/simulation.h
@@ -0,0 +1,130 @@
+// Runs replicas of one group over disks in memory, a network and a clock that
+// are all driven by one seed, and checks what must hold after every step.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chivefront/consensus/driver.h"
+#include "chivefront/consensus/memory_disk.h"
+
+namespace chivefront::consensus {
+
+class Simulation
+{
+public:
+  struct Faults
+  {
+    uint32_t m_lossPercent = 0;
+    uint32_t m_duplicatePercent = 0;
+    int64_t m_delayMillis = 5;
+    uint32_t m_latePercent = 0; // messages that arrive 300 ms late
+  };
+
+  explicit Simulation(uint64_t aSeed, std::vector<std::string> aNames);
+
+  // One millisecond.
+  void Step();
+  void Run(int64_t aMillis)
+  {
+    for (int64_t i = 0; i < aMillis; ++i) {
+      Step();
+    }
+  }
+
+  // Faults.
+  void Crash(const std::string& aName);
+  void CrashInsideWrite(const std::string& aName);
+  void Restart(const std::string& aName);
+  void LoseDisk(const std::string& aName);
+  void Isolate(const std::string& aName) { m_isolated.insert(aName); }
+  void Heal() { m_isolated.clear(); }
+  void SetFaults(Faults aFaults) { m_faults = aFaults; }
+
+  // Clients.
+  void Write();
+  void Read();
+
+  bool IsUp(const std::string& aName)
+  {
+    return m_hosts.at(aName).m_driver != nullptr;
+  }
+  Driver& Of(const std::string& aName) { return *m_hosts.at(aName).m_driver; }
+  GroupStatus StatusOf(const std::string& aName)
+  {
+    return Of(aName).Status(m_now);
+  }
+  std::string Leader();
+  // A leader says so about exactly the disks that exist now.
+  bool ReportsRepair();
+  // All replicas are up, agree and hold every acknowledged write.
+  bool Converged();
+  void CheckLogMatching();
+
+  base::TimePoint Now() const { return m_now; }
+  std::mt19937_64& Random() { return m_random; }
+  bool Chance(uint32_t aPercent) { return m_random() % 100 < aPercent; }
+  const std::vector<std::string>& Names() const { return m_names; }
+  const std::vector<std::string>& Violations() const { return m_violations; }
+  size_t Acknowledged() const { return m_acknowledged; }
+  size_t Reads() const { return m_reads; }
+
+private:
+  // The commands applied so far, in order.
+  struct Machine final : StateMachine
+  {
+    Simulation* m_owner = nullptr;
+    std::vector<std::string> m_applied;
+
+    std::string Apply(uint64_t aIndex, std::string_view aCommand) override;
+    std::string TakeSnapshot() const override;
+    absl::Status Restore(std::string_view aSnapshot) override;
+  };
+  struct Host
+  {
+    std::unique_ptr<MemoryDisk> m_disk;
+    std::unique_ptr<Machine> m_machine;
+    std::unique_ptr<Driver> m_driver; // null while down
+    uint64_t m_identity = 0;
+    uint64_t m_checked = 0; // committed entries compared so far
+  };
+  struct InFlight
+  {
+    std::string m_from;
+    std::string m_to;
+    std::string m_payload;
+  };
+
+  void Expect(bool aHolds, const std::string& aRule);
+  void Deliver(const std::string& aFrom,
+               const std::string& aTo,
+               std::string aPayload);
+  void Process(const std::string& aName);
+  void CheckCommitted(const std::string& aName);
+
+  std::mt19937_64 m_random;
+  const std::vector<std::string> m_names;
+  base::EventLog m_events{ "simulation", "", 1 };
+  base::TimePoint m_now;
+  std::map<std::string, Host> m_hosts;
+  std::multimap<base::TimePoint, InFlight> m_network;
+  std::set<std::string> m_isolated;
+  Faults m_faults;
+
+  std::map<uint64_t, uint64_t> m_leaders; // identity by term
+  std::map<uint64_t, std::pair<uint64_t, std::string>> m_committed;
+  std::vector<std::string> m_order; // commands in applied order
+  std::set<std::string> m_known;    // the same, to search
+  std::set<std::string> m_refused;  // answered NotLeader
+  uint64_t m_writes = 0;
+  size_t m_acknowledged = 0;
+  size_t m_reads = 0;
+  size_t m_horizon = 0; // longest order that a completed call has seen
+  std::vector<std::string> m_violations;
+};
+
+} // namespace chivefront::consensus
--- a/chivefront/consensus/store.cc
+++ b/chivefront/consensus/store.cc
@@ -82,12 +82,14 @@
 {
   aState.m_hard = aRecord.m_hard;
   if (aRecord.m_header) {
-    if (aFirstSegment || aRecord.m_reset) {
+    // A header from before the state's base replaces all entries; the segments
+    // between are left over from a removal that a crash cut short.
+    if (aFirstSegment || aRecord.m_reset ||
+        aRecord.m_baseIndex < aState.m_baseIndex) {
       aState.m_baseIndex = aRecord.m_baseIndex;
       aState.m_baseTerm = aRecord.m_baseTerm;
       aState.m_entries.clear();
-    } else if (aRecord.m_baseIndex < aState.m_baseIndex ||
-               aRecord.m_baseIndex > LastIndex(aState) ||
+    } else if (aRecord.m_baseIndex > LastIndex(aState) ||
                TermAt(aState, aRecord.m_baseIndex) != aRecord.m_baseTerm) {
       return false;
     }
@@ -432,9 +434,22 @@
   if (!m_failed.ok()) {
     return m_failed;
   }
-  while (m_segments.size() > 1 && m_segments[1].m_base <= aIndex) {
+  // Bases don't always rise: a segment that replaces conflicting entries starts
+  // before the end of earlier ones. The last one that starts at or before
+  // aIndex holds or precedes everything that is still needed.
+  size_t first = m_segments.size() - 1;
+  while (first > 0 && m_segments[first].m_base > aIndex) {
+    --first;
+  }
+  for (; first > 0; --first) {
     const std::string name = Numbered(kLogPrefix, m_segments.front().m_number);
-    if (auto status = m_disk.Remove(name); !status.ok()) {
+    absl::Status status = m_disk.Remove(name);
+    if (status.ok()) {
+      // A later removal must not become durable before this one: the gap would
+      // be taken for a lost segment.
+      status = m_disk.SyncFolder();
+    }
+    if (!status.ok()) {
       return Keep(status);
     }
     m_segments.pop_front();
