--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -37,6 +37,8 @@
 // The first must fit within its exposure bound; later stages see more.
 constexpr std::array<double, 4> kStageRatio{ 0.5, 0.7, 0.8, 0.85 };
 constexpr double kMoreFailuresCap = 0.9;
+// Arrivals are about Poisson; the bound is to hold in nearly all cases.
+constexpr double kArrivalDeviations = 2;
 constexpr int kBisections = 40;
 
 double
@@ -311,8 +313,9 @@
     return { JudgeAction::Advance, JudgeReason::Ratings, 0 };
   }
   // Requests that are dispatched before a pause is in force count too.
-  const double coming =
+  const double mean =
     perMs * static_cast<double>(m_settings.m_reaction.Count());
+  const double coming = mean + kArrivalDeviations * std::sqrt(mean);
   if (aStage == 0 && static_cast<double>(aVersion.m_exposed) + coming >=
                        static_cast<double>(aMaxExposed)) {
     return AtBound(aVersion, aPrevious, aNow);
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -82,9 +82,9 @@
   double m_previousError = 0.001;
   // Probability of advancing a version that is as bad as the stage's ratio.
   double m_advanceError = 0.001;
-  // Time from a dispatch until a pause is in force at the entries: the watch
-  // interval twice, a commit, and the lease.
-  base::Millis m_reaction{ 1000 };
+  // Time from a dispatch until a pause that it caused is in force at the
+  // entries: report and look intervals, a commit, and at most the lease.
+  base::Millis m_reaction{ 1500 };
   // Wait for missing ratings at the exposure bound before they are taken to
   // be lost.
   base::Millis m_ratingWait{ 30000 };
