--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -39,6 +39,7 @@
 constexpr double kMoreFailuresCap = 0.9;
 // Arrivals are about Poisson; the bound is to hold in nearly all cases.
 constexpr double kArrivalDeviations = 2;
+constexpr double kShortestRunMs = 1000;
 constexpr int kBisections = 40;
 
 double
@@ -248,20 +249,20 @@
          -std::log(m_settings.m_advanceError);
 }
 
+// The rate over all time in which the entries sent new sessions; shorter
+// means vary too much at a few requests a second.
 double
 RolloutJudge::ExposedPerMs(const VersionCounts& aVersion, base::TimePoint aNow)
 {
-  constexpr double kWeight = 0.3; // of the newest interval
-  if (m_lastLook && aNow > *m_lastLook && aVersion.m_exposed >= m_lastExposed) {
-    const double rate =
-      static_cast<double>(aVersion.m_exposed - m_lastExposed) /
-      static_cast<double>((aNow - *m_lastLook).Count());
-    m_exposedPerMs += kWeight * (rate - m_exposedPerMs);
-    m_exposedPerMs = std::max(m_exposedPerMs, 0.0);
+  if (!m_lastLook) {
+    m_firstExposed = aVersion.m_exposed;
+  } else if (!m_heldSince) {
+    m_runningMs += static_cast<double>((aNow - *m_lastLook).Count());
   }
   m_lastLook = aNow;
-  m_lastExposed = aVersion.m_exposed;
-  return m_exposedPerMs;
+  const uint64_t exposed =
+    aVersion.m_exposed - std::min(m_firstExposed, aVersion.m_exposed);
+  return static_cast<double>(exposed) / std::max(m_runningMs, kShortestRunMs);
 }
 
 Verdict
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -135,8 +135,8 @@
                   base::TimePoint aNow);
 
   JudgeSettings m_settings;
-  uint64_t m_lastExposed = 0;
-  double m_exposedPerMs = 0;
+  uint64_t m_firstExposed = 0; // at the first look
+  double m_runningMs = 0;      // time not held
   std::optional<base::TimePoint> m_lastLook;
   std::optional<base::TimePoint> m_heldSince;
 };
