--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -39,6 +39,10 @@
 constexpr double kMoreFailuresCap = 0.9;
 // Arrivals are about Poisson; the bound is to hold in nearly all cases.
 constexpr double kArrivalDeviations = 2;
+// Without a proof at the exposure bound, a version passes only if it is this
+// many times likelier to be as good as its predecessor than half as good. A
+// bad version that passes costs more than a good one that is stopped.
+constexpr double kHalfAtBound = 0.1;
 constexpr double kShortestRunMs = 1000;
 constexpr int kBisections = 40;
 
@@ -164,6 +168,40 @@
   return 1 - LowerBound(aBad, aGood, aError);
 }
 
+double
+EvidenceWorse(const VersionCounts& aVersion,
+              const VersionCounts& aPrevious,
+              double aEnough)
+{
+  const auto good = static_cast<double>(aPrevious.m_good);
+  const auto bad = static_cast<double>(aPrevious.m_bad);
+  const double known = LogMixture(good, bad);
+  const auto at = [&](double aRate) {
+    return std::log(EvidenceBelow(aVersion.m_good, aVersion.m_bad, aRate)) +
+           known - LogLikelihood(good, bad, aRate);
+  };
+  // The rate as seen is near the least, and settles most looks.
+  if (good + bad > 0) {
+    const double seen = at(Clamped(good / (good + bad)));
+    if (seen < std::log(aEnough)) {
+      return std::exp(seen);
+    }
+  }
+  // Both terms are convex in the rate, so a ternary search finds the least.
+  double low = kMinRate;
+  double high = kMaxRate;
+  for (int i = 0; i < kBisections; ++i) {
+    const double left = low + (high - low) / 3;
+    const double right = high - (high - low) / 3;
+    if (at(left) < at(right)) {
+      high = right;
+    } else {
+      low = left;
+    }
+  }
+  return std::exp(at(low));
+}
+
 RolloutJudge::RolloutJudge(const JudgeSettings& aSettings)
   : m_settings(aSettings)
 {
@@ -176,14 +214,10 @@
   const auto stop = [](JudgeReason aReason, double aEvidence) {
     return Verdict{ JudgeAction::Stop, aReason, aEvidence };
   };
-  const double rate =
-    LowerBound(aPrevious.m_good, aPrevious.m_bad, m_settings.m_previousError);
-  if (rate > kMinRate) {
-    const double evidence =
-      EvidenceBelow(aVersion.m_good, aVersion.m_bad, rate);
-    if (evidence >= 1 / m_settings.m_ratingError) {
-      return stop(JudgeReason::Ratings, evidence);
-    }
+  const double enough = 1 / m_settings.m_ratingError;
+  const double ratings = EvidenceWorse(aVersion, aPrevious, enough);
+  if (ratings >= enough) {
+    return stop(JudgeReason::Ratings, ratings);
   }
   const auto worseFailures =
     [&](uint64_t aNew, uint64_t aOld, double aTolerated) {
@@ -293,7 +327,7 @@
   const double half =
     std::exp(LogLikelihood(good, bad, kStageRatio[0] * known) -
              LogLikelihood(good, bad, known));
-  return { half > 1 ? JudgeAction::Stop : JudgeAction::Advance,
+  return { half > kHalfAtBound ? JudgeAction::Stop : JudgeAction::Advance,
            JudgeReason::ExposureBound,
            half };
 }
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -104,6 +104,15 @@
 // Evidence that a failure rate is above aRate.
 double
 EvidenceAbove(uint64_t aFailures, uint64_t aOthers, double aRate);
+// Evidence that a version's acceptance rate is below its predecessor's, when
+// that is known by its counts only: the least product, over all rates, of the
+// evidence that the version is below the rate and that the predecessor is not
+// at it. The product at the true rate is a supermartingale. A result below
+// aEnough may be above the least.
+double
+EvidenceWorse(const VersionCounts& aVersion,
+              const VersionCounts& aPrevious,
+              double aEnough);
 // Ends of a confidence sequence for a success rate: over all times, the true
 // rate is ever outside with probability at most aError (each side).
 double
