--- a/bench/case_rollout.cc
+++ b/bench/case_rollout.cc
@@ -135,7 +135,7 @@
       std::lognormal_distribution<double>(std::log(900), 0.5)(random));
     outcome.m_exposed += toNew ? 1 : 0;
     // All answers of a version under roll-out are rated, others by sample.
-    if (toNew || uniform(random) < 0.05) {
+    if (toNew || uniform(random) < policy::kPredecessorSampleShare) {
       const double delay =
         std::exponential_distribution<double>(1 / kRatingMeanMs)(random);
       pending.push_back(
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -36,6 +36,10 @@
   VersionCounts operator-(const VersionCounts& aOther) const;
 };
 
+// Share of the predecessor's answers to rate while a roll-out runs. What is
+// known of the predecessor limits how soon a verdict can come.
+inline constexpr double kPredecessorSampleShare = 0.2;
+
 enum class JudgeAction
 {
   Continue, // nothing proved yet
