--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace chivefront::policy {
 namespace {
@@ -44,6 +45,7 @@
 // bad version that passes costs more than a good one that is stopped.
 constexpr double kHalfAtBound = 0.1;
 constexpr double kShortestRunMs = 1000;
+constexpr int kRateSteps = 100; // of the search in EvidenceAsGood
 constexpr int kBisections = 40;
 
 double
@@ -202,6 +204,27 @@
   return std::exp(at(low));
 }
 
+double
+EvidenceAsGood(const VersionCounts& aVersion,
+               const VersionCounts& aPrevious,
+               double aRatio)
+{
+  const auto newGood = static_cast<double>(aVersion.m_good);
+  const auto newBad = static_cast<double>(aVersion.m_bad);
+  const auto good = static_cast<double>(aPrevious.m_good);
+  const auto bad = static_cast<double>(aPrevious.m_bad);
+  const double known = LogMixture(good, bad);
+  double least = std::numeric_limits<double>::infinity();
+  for (int i = 1; i < kRateSteps; ++i) {
+    const double rate = static_cast<double>(i) / kRateSteps;
+    const double evidence = LogLikelihood(newGood, newBad, rate) -
+                            LogLikelihood(newGood, newBad, aRatio * rate) +
+                            known - LogLikelihood(good, bad, rate);
+    least = std::min(least, evidence);
+  }
+  return std::exp(least);
+}
+
 RolloutJudge::RolloutJudge(const JudgeSettings& aSettings)
   : m_settings(aSettings)
 {
@@ -262,25 +285,10 @@
                          const VersionCounts& aPrevious,
                          uint32_t aStage) const
 {
-  // The predecessor's rate may be higher than seen, so its upper end counts.
-  const double rate =
-    UpperBound(aPrevious.m_good, aPrevious.m_bad, m_settings.m_previousError);
   const double ratio =
     kStageRatio[std::min<size_t>(aStage, kStageRatio.size() - 1)];
-  const double rejected = Clamped(ratio * rate);
-  const auto good = static_cast<double>(aVersion.m_good);
-  const auto bad = static_cast<double>(aVersion.m_bad);
-  if (good + bad == 0 || good / (good + bad) <= rejected) {
-    return false;
-  }
-  // The expected alternative is a version as good as the predecessor; one
-  // that is better only ends the stage sooner.
-  const double expected =
-    Clamped(static_cast<double>(aPrevious.m_good) /
-            static_cast<double>(aPrevious.m_good + aPrevious.m_bad));
-  return LogLikelihood(good, bad, expected) -
-           LogLikelihood(good, bad, rejected) >=
-         -std::log(m_settings.m_advanceError);
+  return EvidenceAsGood(aVersion, aPrevious, ratio) >=
+         1 / m_settings.m_advanceError;
 }
 
 // The rate over all time in which the entries sent new sessions; shorter
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -117,6 +117,12 @@
 EvidenceWorse(const VersionCounts& aVersion,
               const VersionCounts& aPrevious,
               double aEnough);
+// Evidence that a version's acceptance rate is above aRatio of its
+// predecessor's, likewise.
+double
+EvidenceAsGood(const VersionCounts& aVersion,
+               const VersionCounts& aPrevious,
+               double aRatio);
 // Ends of a confidence sequence for a success rate: over all times, the true
 // rate is ever outside with probability at most aError (each side).
 double
