Keep an undecided version in the first stage instead of passing it

Cause: bad versions that passed by the tie rule were exposed to up to 150 requests, good ones were stopped by it.

--- a/bench/case_rollout.cc
+++ b/bench/case_rollout.cc
@@ -32,6 +32,8 @@
 constexpr double kShares[] = { 0.02, 0.1, 0.3, 1.0 };
 constexpr double kLongestMs = 3600 * 1000.0;
 
+constexpr double kStrongRate = 0.8;
+
 enum class Method
 {
   Judge,
@@ -199,6 +201,8 @@
   std::vector<double> exposed;
   double passed = 0;
   double within = 0;
+  double strong = 0;
+  double strongWithin = 0;
   for (int run = 0; run < kBadRunsPerSeed; ++run) {
     const double rate = RateOf(random);
     const double traffic = TrafficOf(random);
@@ -206,7 +210,10 @@
       RunRollout(rate, rate / 2, traffic, Method::Judge, 100000, random());
     exposed.push_back(static_cast<double>(outcome.m_exposed));
     passed += outcome.m_stage > 0 || !outcome.m_stopped ? 1 : 0;
-    within += outcome.m_stopped && outcome.m_exposed <= kMaxExposed ? 1 : 0;
+    const bool kept = outcome.m_stopped && outcome.m_exposed <= kMaxExposed;
+    within += kept ? 1 : 0;
+    strong += rate >= kStrongRate ? 1 : 0;
+    strongWithin += kept && rate >= kStrongRate ? 1 : 0;
   }
   const auto add = [&](const char* aName,
                        double aValue,
@@ -218,6 +225,7 @@
       QuantileOf(exposed, 1),
       Goal{ Better::AtMost, static_cast<double>(kMaxExposed) });
   add("stopped within 50 exposed, share", within / kBadRunsPerSeed);
+  add("same, predecessor at least 80% good", strongWithin / strong);
   add("passed the first stage, share", passed / kBadRunsPerSeed);
 }
 
--- a/chivefront/policy/cascade.h
+++ b/chivefront/policy/cascade.h
@@ -34,7 +34,7 @@
 
 struct CascadeSettings
 {
-  CascadeRule m_rule = CascadeRule::Index;
+  CascadeRule m_rule = CascadeRule::Thompson;
   // Deviations below the mean at which a rate counts towards the target.
   double m_caution = 1.0;
   double m_exploreShare = 0.05; // most requests that explore
--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -40,10 +40,10 @@
 constexpr double kMoreFailuresCap = 0.9;
 // Arrivals are about Poisson; the bound is to hold in nearly all cases.
 constexpr double kArrivalDeviations = 2;
-// Without a proof at the exposure bound, a version passes only if it is this
-// many times likelier to be as good as its predecessor than half as good. A
-// bad version that passes costs more than a good one that is stopped.
-constexpr double kHalfAtBound = 0.1;
+// Without a proof at the exposure bound, a version that is likelier half as
+// good is stopped; another one stays in the first stage for this many more
+// requests, then the question is asked again.
+constexpr uint64_t kExtension = 10;
 constexpr double kShortestRunMs = 1000;
 constexpr int kRateSteps = 100; // of the search in EvidenceAsGood
 constexpr int kBisections = 40;
@@ -335,9 +335,12 @@
   const double half =
     std::exp(LogLikelihood(good, bad, kStageRatio[0] * known) -
              LogLikelihood(good, bad, known));
-  return { half > kHalfAtBound ? JudgeAction::Stop : JudgeAction::Advance,
-           JudgeReason::ExposureBound,
-           half };
+  if (half > 1) {
+    return { JudgeAction::Stop, JudgeReason::ExposureBound, half };
+  }
+  m_extension += kExtension;
+  m_heldSince.reset();
+  return { JudgeAction::Continue, JudgeReason::ExposureBound, half };
 }
 
 Verdict
@@ -360,7 +363,7 @@
     perMs * static_cast<double>(m_settings.m_reaction.Count());
   const double coming = mean + kArrivalDeviations * std::sqrt(mean);
   if (aStage == 0 && static_cast<double>(aVersion.m_exposed) + coming >=
-                       static_cast<double>(aMaxExposed)) {
+                       static_cast<double>(aMaxExposed + m_extension)) {
     return AtBound(aVersion, aPrevious, aNow);
   }
   m_heldSince.reset();
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -155,6 +155,7 @@
 
   JudgeSettings m_settings;
   uint64_t m_firstExposed = 0; // at the first look
+  uint64_t m_extension = 0;    // of the exposure bound
   double m_runningMs = 0;      // time not held
   std::optional<base::TimePoint> m_lastLook;
   std::optional<base::TimePoint> m_heldSince;
