--- a/chivefront/catalog/catalog_test.cc
+++ b/chivefront/catalog/catalog_test.cc
@@ -147,6 +147,19 @@
   BOOST_TEST(moved < kSessions / 8);
 }
 
+// Guards against a held roll-out that goes on exposing new sessions.
+BOOST_AUTO_TEST_CASE(PausedRolloutTakesNoNewSessions)
+{
+  auto entries = Sample();
+  entries["rollout/small"] =
+    R"({"owner":"ops","class":"free","from":"small-1","to":"small-2",)"
+    R"("stages":[1000],"state":"paused","limits":{}})";
+  const auto built = MustBuild(entries);
+  for (uint64_t i = 0; i < 100; ++i) {
+    BOOST_REQUIRE(catalog::VersionForSession(*built, "small", i) == "small-1");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DiffIgnoresMemberOrder)
 {
   const catalog::Entries before{ { "a/1", R"({"x":1,"y":2})" },
--- a/chivefront/catalog/rules.cc
+++ b/chivefront/catalog/rules.cc
@@ -193,6 +193,9 @@
   if (rollout->m_state == RolloutState::Done) {
     return rollout->m_to;
   }
+  if (rollout->m_state == RolloutState::Paused) {
+    return rollout->m_from; // sessions that have the new version keep it
+  }
   const std::string_view bytes(reinterpret_cast<const char*>(&aSessionHash),
                                sizeof(aSessionHash));
   const uint64_t place =
--- a/chivefront/control/control_main.cc
+++ b/chivefront/control/control_main.cc
@@ -6,6 +6,7 @@
 #include "chivefront/base/errors.h"
 #include "chivefront/base/log.h"
 #include "chivefront/control/peers.h"
+#include "chivefront/control/policy_judge.h"
 #include "chivefront/control/server.h"
 #include "chivefront/net/process.h"
 
@@ -190,7 +191,7 @@
   consensus::Group m_ledgerGroup;
   control::GroupReplica m_configReplica;
   control::GroupReplica m_ledgerReplica;
-  control::WaitingJudge m_judge;
+  control::PolicyJudge m_judge;
   control::Server m_server;
 };
 
--- /dev/null
+++ b/chivefront/control/policy_judge.cc
@@ -0,0 +1,67 @@
+// Translation between catalogue, evidence rows and the sequential test.
+#include "chivefront/control/policy_judge.h"
+
+namespace chivefront::control {
+namespace detail {
+
+// A held roll-out goes on after this time when the test no longer asks for the
+// hold; without it, hold and resume would alternate with every report.
+constexpr base::Millis kShortestHold{ 5000 };
+
+policy::VersionCounts
+CountsOf(const wire::VersionEvidenceT& aRow)
+{
+  policy::VersionCounts counts;
+  counts.m_exposed = aRow.exposed;
+  counts.m_good = aRow.good;
+  counts.m_bad = aRow.bad;
+  counts.m_errors = aRow.errors;
+  counts.m_losses = aRow.losses;
+  counts.m_latencyMsSum = aRow.latency_ms_sum;
+  return counts;
+}
+
+} // namespace detail
+
+RolloutDecision
+PolicyJudge::Judge(const catalog::Rollout& aRollout,
+                   const wire::VersionEvidenceT& aFrom,
+                   const wire::VersionEvidenceT& aTo,
+                   base::TimePoint aNow)
+{
+  const std::pair key{ aRollout.m_id, aRollout.m_to };
+  Test& test =
+    m_tests.try_emplace(key, Test{ policy::RolloutJudge(m_settings), aNow })
+      .first->second;
+  const policy::Verdict verdict = test.m_judge.Look(detail::CountsOf(aTo),
+                                                    detail::CountsOf(aFrom),
+                                                    aRollout.m_stage,
+                                                    aRollout.m_maxExposed,
+                                                    aNow);
+  const bool held = aRollout.m_state == catalog::RolloutState::Paused;
+  if (!held) {
+    test.m_heldAt = aNow;
+  }
+  RolloutDecision decision;
+  decision.m_reason =
+    std::string(policy::kJudgeReasonNames.Name(verdict.m_reason));
+  switch (verdict.m_action) {
+    case policy::JudgeAction::Stop:
+      decision.m_verdict = RolloutVerdict::Stop;
+      break;
+    case policy::JudgeAction::Advance:
+      decision.m_verdict = RolloutVerdict::Advance;
+      break;
+    case policy::JudgeAction::Hold:
+      decision.m_verdict = held ? RolloutVerdict::Wait : RolloutVerdict::Hold;
+      break;
+    case policy::JudgeAction::Continue:
+      if (held && aNow - test.m_heldAt >= detail::kShortestHold) {
+        decision.m_verdict = RolloutVerdict::Resume;
+      }
+      break;
+  }
+  return decision;
+}
+
+} // namespace chivefront::control
--- a/chivefront/control/rollout_judge.h
+++ b/chivefront/control/rollout_judge.h
@@ -11,6 +11,8 @@
 enum class RolloutVerdict
 {
   Wait,    // not enough evidence yet
+  Hold,    // no new sessions until ratings of those exposed have come in
+  Resume,  // end a hold without a further stage
   Advance, // to the next stage, or done after the last one
   Stop,    // the new version is bad: stop and withdraw it
 };
@@ -27,23 +29,12 @@
   virtual ~RolloutJudge() = default;
 
   // aFrom and aTo are totals over all holders since they started. Called for
-  // running roll-outs only, as often as evidence arrives, so the decision must
-  // be valid at any time it is asked for.
+  // running roll-outs and those held by an earlier verdict, as often as
+  // evidence arrives, so the decision must be valid whenever it is asked for.
   virtual RolloutDecision Judge(const catalog::Rollout& aRollout,
                                 const wire::VersionEvidenceT& aFrom,
-                                const wire::VersionEvidenceT& aTo) = 0;
-};
-
-// Never decides; roll-outs stay where the operator put them.
-class WaitingJudge final : public RolloutJudge
-{
-public:
-  RolloutDecision Judge(const catalog::Rollout&,
-                        const wire::VersionEvidenceT&,
-                        const wire::VersionEvidenceT&) override
-  {
-    return {};
-  }
+                                const wire::VersionEvidenceT& aTo,
+                                base::TimePoint aNow) = 0;
 };
 
 } // namespace chivefront::control
--- a/chivefront/control/server.cc
+++ b/chivefront/control/server.cc
@@ -406,10 +406,13 @@
     QuarantineChanges(m_parts.m_store, m_parts.m_ledger.Crashers());
   if (changes.empty()) {
     changes = RolloutChanges(
-      m_parts.m_store, m_parts.m_judge, [this](const std::string& aVersion) {
+      m_parts.m_store,
+      m_parts.m_judge,
+      [this](const std::string& aVersion) {
         const std::lock_guard lock(m_lock);
         return m_holders.Evidence(aVersion);
-      });
+      },
+      m_parts.m_clock.Now());
   }
   if (!changes.empty()) {
     // One at a time: the next step is made from the configuration after it.
--- a/chivefront/control/system_changes.cc
+++ b/chivefront/control/system_changes.cc
@@ -28,19 +28,41 @@
 {
   boost::json::object entry = boost::json::parse(aText).as_object();
   const bool last = aRollout.m_stage + 1 >= aRollout.m_stages.size();
-  if (aDecision.m_verdict == RolloutVerdict::Stop) {
-    entry["state"] = "stopped";
-  } else if (last) {
-    entry["state"] = "done";
-  } else {
-    entry["stage"] = aRollout.m_stage + 1;
+  entry["state"] = "running";
+  entry["reason"] = aDecision.m_reason;
+  switch (aDecision.m_verdict) {
+    case RolloutVerdict::Stop:
+      entry["state"] = "stopped";
+      break;
+    case RolloutVerdict::Hold:
+      entry["state"] = "paused";
+      entry["reason"] = kHeldReason;
+      break;
+    case RolloutVerdict::Advance:
+      if (last) {
+        entry["state"] = "done";
+      } else {
+        entry["stage"] = aRollout.m_stage + 1;
+      }
+      break;
+    case RolloutVerdict::Resume:
+    case RolloutVerdict::Wait:
+      break;
   }
-  if (!aDecision.m_reason.empty()) {
-    entry["reason"] = aDecision.m_reason;
+  if (entry["reason"].as_string().empty()) {
+    entry.erase("reason");
   }
   return boost::json::serialize(entry);
 }
 
+bool
+IsJudged(const catalog::Rollout& aRollout)
+{
+  return aRollout.m_state == catalog::RolloutState::Running ||
+         (aRollout.m_state == catalog::RolloutState::Paused &&
+          aRollout.m_reason == kHeldReason);
+}
+
 } // namespace detail
 
 std::vector<wire::ChangeRequestT>
@@ -72,7 +94,8 @@
 std::vector<wire::ChangeRequestT>
 RolloutChanges(const ConfigStore& aStore,
                RolloutJudge& aJudge,
-               const EvidenceOf& aEvidence)
+               const EvidenceOf& aEvidence,
+               base::TimePoint aNow)
 {
   std::vector<wire::ChangeRequestT> changes;
   const catalog::Pointer catalog = aStore.Catalog();
@@ -81,11 +104,11 @@
   }
   const catalog::Entries entries = aStore.Entries();
   for (const auto& [model, rollout] : catalog->m_rollouts) {
-    if (rollout.m_state != catalog::RolloutState::Running) {
+    if (!detail::IsJudged(rollout)) {
       continue;
     }
-    const RolloutDecision decision =
-      aJudge.Judge(rollout, aEvidence(rollout.m_from), aEvidence(rollout.m_to));
+    const RolloutDecision decision = aJudge.Judge(
+      rollout, aEvidence(rollout.m_from), aEvidence(rollout.m_to), aNow);
     const std::string key = "rollout/" + model;
     const auto text = entries.find(key);
     if (decision.m_verdict == RolloutVerdict::Wait || text == entries.end()) {
--- a/chivefront/control/system_changes.h
+++ b/chivefront/control/system_changes.h
@@ -21,12 +21,17 @@
 using EvidenceOf =
   std::function<wire::VersionEvidenceT(const std::string& aVersion)>;
 
-// One change per roll-out that advances, ends or stops. Each expects the
-// current revision, so that a step never meets a catalogue it was not made
-// for.
+// The reason of a roll-out that the judge paused. One that an operator paused
+// has another reason and is left alone.
+inline constexpr const char* kHeldReason = "held until ratings come in";
+
+// One change per roll-out that is held, resumes, advances, ends or stops. Each
+// expects the current revision, so that a step never meets a catalogue it was
+// not made for.
 std::vector<wire::ChangeRequestT>
 RolloutChanges(const ConfigStore& aStore,
                RolloutJudge& aJudge,
-               const EvidenceOf& aEvidence);
+               const EvidenceOf& aEvidence,
+               base::TimePoint aNow);
 
 } // namespace chivefront::control
