--- a/chivefront/control/freshness.h
+++ b/chivefront/control/freshness.h
@@ -19,9 +19,13 @@
   // aRevision was current at aAsOf (local steady clock).
   void Confirm(base::TimePoint aAsOf, uint64_t aRevision)
   {
-    if (m_waiting.empty() || aAsOf > m_waiting.back().m_asOf) {
-      m_waiting.push_back({ aAsOf, aRevision });
+    // Answers may arrive out of order; an older one proves nothing new.
+    const bool older = m_waiting.empty() ? m_asOf && aAsOf <= *m_asOf
+                                         : aAsOf <= m_waiting.back().m_asOf;
+    if (older) {
+      return;
     }
+    m_waiting.push_back({ aAsOf, aRevision });
     // A replica that lags this far behind is not fresh anyway; the lease of
     // its watchers ends before.
     if (m_waiting.size() > kMaxWaiting) {
