Test roll-outs, registry and live entries on three nodes

Cause: pooling over followers and the steps of a roll-out were proved only in parts. Change: a shared fixture of three control nodes; a bad version is withdrawn from evidence that two followers pass on, a good one advances although the judging leader dies, and entries and upstreams are known on every node.

--- a/chivefront/ctl/cluster_test.cc
+++ b/chivefront/ctl/cluster_test.cc
@@ -4,188 +4,20 @@
 #define BOOST_TEST_MODULE cluster
 #include <boost/test/unit_test.hpp>
 
-#include <filesystem>
-#include <fstream>
 #include <future>
 #include <sstream>
-#include <thread>
 
-#include "chivefront/base/ids.h"
-#include "chivefront/client/watcher.h"
-#include "chivefront/control/node.h"
 #include "chivefront/ctl/commands.h"
-#include "chivefront/ctl/exit_code.h"
+#include "chivefront/ctl/test_cluster.h"
 
 using namespace chivefront;
+using ctl::Cluster;
+using ctl::Host;
+using ctl::kCatalogue;
+using ctl::WaitFor;
 
 namespace {
 
-constexpr base::Millis kPatience{ 20000 };
-
-const char* const kCatalogue =
-  R"({"model/small":{"owner":"ops","class":"free","version":"s1",)"
-  R"("limits":{"concurrency":8}},"version/s1":{"owner":"ops","class":"free",)"
-  R"("model":"small","prompt_cost":1,"answer_cost":2,)"
-  R"("limits":{"answer_tokens":100}}})";
-
-net::LinkIdentity
-IdentityOf(const std::string& aName, wire::Role aRole)
-{
-  net::LinkIdentity identity;
-  identity.m_role = aRole;
-  identity.m_cluster = "test";
-  identity.m_process = aName;
-  identity.m_incarnation = base::RandomBits();
-  identity.m_secret = "a test secret";
-  return identity;
-}
-
-// A context with a thread, and what a node needs besides.
-struct Host
-{
-  explicit Host(const std::string& aName, wire::Role aRole)
-    : m_identity(IdentityOf(aName, aRole))
-    , m_events(aName, "", 1000)
-  {
-  }
-  ~Host() { StopLoop(); }
-
-  void StartLoop()
-  {
-    m_thread = std::thread([this] {
-      const auto work = net::asio::make_work_guard(m_context);
-      m_context.run();
-    });
-  }
-  void StopLoop()
-  {
-    m_context.stop();
-    if (m_thread.joinable()) {
-      m_thread.join();
-    }
-  }
-
-  const net::LinkIdentity m_identity;
-  base::EventLog m_events;
-  base::Metrics m_metrics;
-  net::asio::io_context m_context;
-  std::thread m_thread;
-};
-
-struct TestNode : Host
-{
-  TestNode(const std::string& aName, control::NodeOptions aOptions)
-    : Host(aName, wire::Role::Control)
-    , m_node(m_context, m_identity, std::move(aOptions), m_events, m_metrics)
-  {
-    BOOST_REQUIRE(m_node.Start().ok());
-    StartLoop();
-  }
-  // Ends as a killed process does: without a word to the others.
-  ~TestNode()
-  {
-    StopLoop();
-    m_node.Stop();
-  }
-
-  control::Node m_node;
-};
-
-base::Endpoint
-FreeEndpoint()
-{
-  net::asio::io_context context;
-  net::asio::ip::tcp::acceptor acceptor(
-    context, { net::asio::ip::make_address("127.0.0.1"), 0 });
-  return { "127.0.0.1", acceptor.local_endpoint().port() };
-}
-
-class Cluster
-{
-public:
-  Cluster()
-    : m_root(std::filesystem::temp_directory_path() /
-             ("chivefront-cluster-" + base::RequestId::Random().ToString()))
-  {
-    for (const char* name : { "c1", "c2", "c3" }) {
-      m_peers[name] = FreeEndpoint();
-    }
-    for (const auto& [name, endpoint] : m_peers) {
-      Start(name);
-    }
-  }
-  ~Cluster()
-  {
-    m_nodes.clear();
-    std::filesystem::remove_all(m_root);
-  }
-
-  void Start(const std::string& aName)
-  {
-    control::NodeOptions options;
-    options.m_folder = (m_root / aName).string();
-    std::filesystem::create_directories(options.m_folder);
-    options.m_peers = m_peers;
-    options.m_listen = m_peers.at(aName);
-    options.m_snapshotEvery = 20; // so that restarts read snapshots
-    options.m_onFatal = [](const absl::Status&) {};
-    m_nodes[aName] = std::make_unique<TestNode>(aName, std::move(options));
-  }
-  void Kill(const std::string& aName) { m_nodes.erase(aName); }
-
-  // The node that leads the configuration group.
-  std::string Leader() const
-  {
-    const base::Clock& clock = base::SteadyClock::Instance();
-    const base::TimePoint deadline = clock.Now() + kPatience;
-    while (clock.Now() < deadline) {
-      for (const auto& [name, node] : m_nodes) {
-        if (node->m_node.LeadsConfiguration() && node->m_node.Fresh()) {
-          return name;
-        }
-      }
-      std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    }
-    BOOST_FAIL("no leader in time");
-    return {};
-  }
-
-  std::unique_ptr<ctl::Session> Session() const
-  {
-    ctl::SessionOptions options;
-    for (const auto& [name, endpoint] : m_peers) {
-      options.m_control +=
-        (options.m_control.empty() ? "" : ",") + endpoint.ToString();
-    }
-    options.m_cluster = "test";
-    options.m_secret = "a test secret";
-    options.m_timeout = kPatience;
-    auto session = ctl::Session::Open(options);
-    BOOST_REQUIRE(session.ok());
-    return std::move(*session);
-  }
-
-  std::vector<base::Endpoint> Endpoints() const
-  {
-    std::vector<base::Endpoint> endpoints;
-    for (const auto& [name, endpoint] : m_peers) {
-      endpoints.push_back(endpoint);
-    }
-    return endpoints;
-  }
-
-  std::string WriteFile(const std::string& aText) const
-  {
-    const std::string path = (m_root / "catalogue.json").string();
-    std::ofstream(path) << aText;
-    return path;
-  }
-
-  const std::filesystem::path m_root;
-  control::PeerMap m_peers;
-  std::map<std::string, std::unique_ptr<TestNode>> m_nodes;
-};
-
 wire::ChangeReplyT
 Submit(ctl::Session& aSession,
        const std::string& aId,
@@ -215,18 +47,6 @@
   return std::move(*reply);
 }
 
-template<typename Condition>
-void
-WaitFor(const char* aWhat, Condition aCondition)
-{
-  const base::Clock& clock = base::SteadyClock::Instance();
-  const base::TimePoint deadline = clock.Now() + kPatience;
-  while (!aCondition()) {
-    BOOST_REQUIRE_MESSAGE(clock.Now() < deadline, aWhat);
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
-}
-
 } // namespace
 
 // Guards against an accepted change that is lost, reverted or applied twice
@@ -237,7 +57,7 @@
   const std::string file = cluster.WriteFile(kCatalogue);
   std::ostringstream out;
   {
-    auto session = cluster.Session();
+    auto session = cluster.OpenSession();
     ctl::ChangeOptions options;
     options.m_changeId = "first";
     BOOST_REQUIRE(ctl::ApplyFile(*session, file, options, { out, false }).ok());
@@ -251,7 +71,7 @@
   for (const auto& [name, endpoint] : cluster.m_peers) {
     cluster.Start(name);
   }
-  auto session = cluster.Session();
+  auto session = cluster.OpenSession();
   const auto current = session->Fetch();
   BOOST_REQUIRE(current.ok());
   BOOST_TEST(current->m_revision == 3U);
@@ -277,7 +97,7 @@
   std::vector<std::future<wire::ChangeReplyT>> replies;
   for (int i = 0; i < kOperators; ++i) {
     replies.push_back(std::async(std::launch::async, [&cluster, i] {
-      auto session = cluster.Session();
+      auto session = cluster.OpenSession();
       const std::string name = std::to_string(i);
       return Submit(*session, name, 1, "out/domain/" + name);
     }));
@@ -309,7 +129,7 @@
   watcher.Start();
   host.StartLoop();
   WaitFor("fresh at first", [&] { return watcher.Fresh(); });
-  auto session = cluster.Session();
+  auto session = cluster.OpenSession();
   for (int round = 0; round < 3; ++round) {
     const std::string leader = cluster.Leader();
     const std::string name = std::to_string(round);
@@ -337,7 +157,7 @@
   std::vector<std::future<wire::ClaimState>> states;
   for (int i = 0; i < kClaimants; ++i) {
     states.push_back(std::async(std::launch::async, [&cluster, i] {
-      auto session = cluster.Session();
+      auto session = cluster.OpenSession();
       wire::ClaimRequestT claim;
       claim.team = "sales";
       claim.key = "k";
@@ -352,7 +172,7 @@
     granted += state.get() == wire::ClaimState::Granted ? 1 : 0;
   }
   BOOST_TEST(granted == 1);
-  auto session = cluster.Session();
+  auto session = cluster.OpenSession();
   wire::FinishClaimT finish;
   finish.team = "sales";
   finish.key = "k";
@@ -387,7 +207,7 @@
 BOOST_AUTO_TEST_CASE(ThreeLossesQuarantine)
 {
   Cluster cluster;
-  auto session = cluster.Session();
+  auto session = cluster.OpenSession();
   const auto lose = [&](const std::string& aId) {
     wire::ReportLossT loss;
     loss.loss_id = aId;
--- /dev/null
+++ b/chivefront/ctl/rollout_test.cc
@@ -0,0 +1,197 @@
+// Roll-outs, the registry and live entries as watchers of three control nodes
+// see them.
+// Promises: withdrawn, leaving, config
+#define BOOST_TEST_MODULE rollout
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/ctl/commands.h"
+#include "chivefront/ctl/test_cluster.h"
+
+using namespace chivefront;
+using ctl::Cluster;
+using ctl::Host;
+using ctl::WaitFor;
+
+namespace {
+
+std::string
+RolloutCatalogue()
+{
+  const std::string head = R"({"owner":"ops","class":"free",)";
+  const std::string version =
+    head + R"("model":"m","prompt_cost":1,"answer_cost":1,)" +
+    R"("limits":{"answer_tokens":9}})";
+  return R"({"model/m":)" + head +
+         R"("version":"v1","limits":{"concurrency":9}},"version/v1":)" +
+         version + R"(,"version/v2":)" + version + R"(,"rollout/m":)" + head +
+         R"("from":"v1","to":"v2","stages":[50,500],"limits":{}}})";
+}
+
+// Counters of one entry about one version.
+wire::VersionEvidenceT
+Evidence(const std::string& aVersion, uint64_t aGood, uint64_t aBad)
+{
+  wire::VersionEvidenceT row;
+  row.version = aVersion;
+  row.exposed = aGood + aBad;
+  row.good = aGood;
+  row.bad = aBad;
+  row.latency_ms_sum = row.exposed * 100;
+  return row;
+}
+
+// A watcher that polls one control process only.
+struct Entry : Host
+{
+  Entry(const std::string& aName,
+        const base::Endpoint& aControl,
+        std::vector<wire::VersionEvidenceT> aRows)
+    : Host(aName, wire::Role::Entry)
+    , m_links(m_context, m_identity, { aControl })
+    , m_watcher(m_context,
+                m_links,
+                aName + "#1",
+                wire::Role::Entry,
+                base::SteadyClock::Instance(),
+                m_events)
+  {
+    m_watcher.SetEvidenceSource(
+      [rows = std::move(aRows)](uint64_t) { return rows; });
+    m_links.Start();
+    m_watcher.Start();
+    StartLoop();
+  }
+  ~Entry() { StopLoop(); }
+
+  const catalog::Rollout* Rollout(client::ViewPointer& aView) const
+  {
+    const auto view = m_watcher.FreshView();
+    if (!view.ok()) {
+      return nullptr;
+    }
+    aView = *view;
+    return aView->m_catalog->FindRollout("m");
+  }
+
+  client::ControlLinks m_links;
+  client::Watcher m_watcher;
+};
+
+void
+ApplyRollout(Cluster& aCluster)
+{
+  auto session = aCluster.OpenSession();
+  std::ostringstream out;
+  ctl::ChangeOptions options;
+  options.m_wait = false;
+  const auto status = ctl::ApplyFile(
+    *session, aCluster.WriteFile(RolloutCatalogue()), options, { out, false });
+  BOOST_REQUIRE_MESSAGE(status.ok(), status);
+}
+
+// Two followers and the leader, by name.
+std::vector<std::string>
+FollowersFirst(const Cluster& aCluster)
+{
+  const std::string leader = aCluster.Leader();
+  std::vector<std::string> names;
+  for (const auto& [name, endpoint] : aCluster.m_peers) {
+    if (name != leader) {
+      names.push_back(name);
+    }
+  }
+  names.push_back(leader);
+  return names;
+}
+
+} // namespace
+
+// Evidence that no single entry has enough of, reported through two followers.
+// Guards against a bad version that goes on because evidence is not pooled,
+// and against a stop that does not withdraw it.
+BOOST_AUTO_TEST_CASE(BadVersionIsWithdrawnFromPooledEvidence)
+{
+  Cluster cluster;
+  const auto names = FollowersFirst(cluster);
+  Entry first("e1",
+              cluster.m_peers.at(names[0]),
+              { Evidence("v1", 450, 50), Evidence("v2", 6, 18) });
+  Entry second("e2",
+               cluster.m_peers.at(names[1]),
+               { Evidence("v1", 450, 50), Evidence("v2", 6, 18) });
+  ApplyRollout(cluster);
+  for (const Entry* entry : { &first, &second }) {
+    WaitFor("withdrawn", [&] {
+      client::ViewPointer view;
+      const auto* rollout = entry->Rollout(view);
+      return rollout != nullptr &&
+             rollout->m_state == catalog::RolloutState::Stopped &&
+             view->m_catalog->m_versionsOut.count("v2") == 1;
+    });
+  }
+  const auto view = first.m_watcher.LastView();
+  BOOST_TEST(catalog::VersionForSession(*view->m_catalog, "m", 1) == "v1");
+}
+
+// Guards against a roll-out that stays halfway because the node that judged
+// it died.
+BOOST_AUTO_TEST_CASE(GoodVersionAdvancesThroughALeaderLoss)
+{
+  Cluster cluster;
+  const auto names = FollowersFirst(cluster);
+  Entry entry("e1",
+              cluster.m_peers.at(names[0]),
+              { Evidence("v1", 900, 100), Evidence("v2", 1850, 150) });
+  ApplyRollout(cluster);
+  cluster.Kill(names[2]);
+  WaitFor("done", [&] {
+    client::ViewPointer view;
+    const auto* rollout = entry.Rollout(view);
+    return rollout != nullptr &&
+           rollout->m_state == catalog::RolloutState::Done;
+  });
+  const auto view = entry.m_watcher.LastView();
+  BOOST_TEST(view->m_catalog->m_versionsOut.empty());
+  BOOST_TEST(catalog::VersionForSession(*view->m_catalog, "m", 1) == "v2");
+}
+
+// Guards against entries that divide the teams' limits by too small a count,
+// and against an upstream that stays known after its agent fell silent.
+BOOST_AUTO_TEST_CASE(EntriesAndUpstreamsAreKnownEverywhere)
+{
+  Cluster cluster;
+  const auto names = FollowersFirst(cluster);
+  Entry first("e1", cluster.m_peers.at(names[0]), {});
+  Entry second("e2", cluster.m_peers.at(names[2]), {});
+  auto agent = std::make_unique<Host>("a1", wire::Role::Agent);
+  client::ControlLinks links(
+    agent->m_context, agent->m_identity, cluster.Endpoints());
+  links.Start();
+  std::atomic<bool> announcing{ true };
+  net::SpawnPeriodic(agent->m_context.get_executor(),
+                     "test",
+                     base::Millis(300),
+                     [&]() -> net::Task<bool> {
+                       wire::AnnounceRequestT request;
+                       request.agent = "a1";
+                       request.upstreams.push_back(
+                         std::make_unique<wire::UpstreamInfoT>());
+                       request.upstreams.front()->name = "u1";
+                       links.Broadcast(wire::MakeMessage(std::move(request)));
+                       co_return announcing.load();
+                     });
+  agent->StartLoop();
+  const std::vector<const Entry*> entries{ &first, &second };
+  for (const Entry* entry : entries) {
+    WaitFor("two entries and the upstream", [&] {
+      const auto view = entry->m_watcher.LastView();
+      return view->m_liveEntries == 2 && view->m_registry->count("u1") == 1;
+    });
+  }
+  announcing = false;
+  for (const Entry* entry : entries) {
+    WaitFor("the upstream is gone",
+            [&] { return entry->m_watcher.LastView()->m_registry->empty(); });
+  }
+  agent->StopLoop();
+}
--- /dev/null
+++ b/chivefront/ctl/test_cluster.h
@@ -0,0 +1,199 @@
+// Three control nodes in one process, for tests: real logs and links, ended
+// and started again at will.
+#pragma once
+
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "chivefront/base/ids.h"
+#include "chivefront/client/watcher.h"
+#include "chivefront/control/node.h"
+#include "chivefront/ctl/session.h"
+
+namespace chivefront::ctl {
+
+inline constexpr base::Millis kPatience{ 20000 };
+
+inline const char* const kCatalogue =
+  R"({"model/small":{"owner":"ops","class":"free","version":"s1",)"
+  R"("limits":{"concurrency":8}},"version/s1":{"owner":"ops","class":"free",)"
+  R"("model":"small","prompt_cost":1,"answer_cost":2,)"
+  R"("limits":{"answer_tokens":100}}})";
+
+inline net::LinkIdentity
+IdentityOf(const std::string& aName, wire::Role aRole)
+{
+  net::LinkIdentity identity;
+  identity.m_role = aRole;
+  identity.m_cluster = "test";
+  identity.m_process = aName;
+  identity.m_incarnation = base::RandomBits();
+  identity.m_secret = "a test secret";
+  return identity;
+}
+
+// A context with a thread, and what a node needs besides.
+struct Host
+{
+  explicit Host(const std::string& aName, wire::Role aRole)
+    : m_identity(IdentityOf(aName, aRole))
+    , m_events(aName, "", 1000)
+  {
+  }
+  ~Host() { StopLoop(); }
+
+  void StartLoop()
+  {
+    m_thread = std::thread([this] {
+      const auto work = net::asio::make_work_guard(m_context);
+      m_context.run();
+    });
+  }
+  void StopLoop()
+  {
+    m_context.stop();
+    if (m_thread.joinable()) {
+      m_thread.join();
+    }
+  }
+
+  const net::LinkIdentity m_identity;
+  base::EventLog m_events;
+  base::Metrics m_metrics;
+  net::asio::io_context m_context;
+  std::thread m_thread;
+};
+
+struct TestNode : Host
+{
+  TestNode(const std::string& aName, control::NodeOptions aOptions)
+    : Host(aName, wire::Role::Control)
+    , m_node(m_context, m_identity, std::move(aOptions), m_events, m_metrics)
+  {
+    BOOST_REQUIRE(m_node.Start().ok());
+    StartLoop();
+  }
+  // Ends as a killed process does: without a word to the others.
+  ~TestNode()
+  {
+    StopLoop();
+    m_node.Stop();
+  }
+
+  control::Node m_node;
+};
+
+inline base::Endpoint
+FreeEndpoint()
+{
+  net::asio::io_context context;
+  net::asio::ip::tcp::acceptor acceptor(
+    context, { net::asio::ip::make_address("127.0.0.1"), 0 });
+  return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+class Cluster
+{
+public:
+  Cluster()
+    : m_root(std::filesystem::temp_directory_path() /
+             ("chivefront-cluster-" + base::RequestId::Random().ToString()))
+  {
+    for (const char* name : { "c1", "c2", "c3" }) {
+      m_peers[name] = FreeEndpoint();
+    }
+    for (const auto& [name, endpoint] : m_peers) {
+      Start(name);
+    }
+  }
+  ~Cluster()
+  {
+    m_nodes.clear();
+    std::filesystem::remove_all(m_root);
+  }
+
+  void Start(const std::string& aName)
+  {
+    control::NodeOptions options;
+    options.m_folder = (m_root / aName).string();
+    std::filesystem::create_directories(options.m_folder);
+    options.m_peers = m_peers;
+    options.m_listen = m_peers.at(aName);
+    options.m_snapshotEvery = 20; // so that restarts read snapshots
+    options.m_onFatal = [](const absl::Status&) {};
+    m_nodes[aName] = std::make_unique<TestNode>(aName, std::move(options));
+  }
+  void Kill(const std::string& aName) { m_nodes.erase(aName); }
+
+  // The node that leads the configuration group.
+  std::string Leader() const
+  {
+    const base::Clock& clock = base::SteadyClock::Instance();
+    const base::TimePoint deadline = clock.Now() + kPatience;
+    while (clock.Now() < deadline) {
+      for (const auto& [name, node] : m_nodes) {
+        if (node->m_node.LeadsConfiguration() && node->m_node.Fresh()) {
+          return name;
+        }
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    BOOST_FAIL("no leader in time");
+    return {};
+  }
+
+  std::unique_ptr<Session> OpenSession() const
+  {
+    SessionOptions options;
+    for (const auto& [name, endpoint] : m_peers) {
+      options.m_control +=
+        (options.m_control.empty() ? "" : ",") + endpoint.ToString();
+    }
+    options.m_cluster = "test";
+    options.m_secret = "a test secret";
+    options.m_timeout = kPatience;
+    auto session = Session::Open(options);
+    BOOST_REQUIRE(session.ok());
+    return std::move(*session);
+  }
+
+  std::vector<base::Endpoint> Endpoints() const
+  {
+    std::vector<base::Endpoint> endpoints;
+    for (const auto& [name, endpoint] : m_peers) {
+      endpoints.push_back(endpoint);
+    }
+    return endpoints;
+  }
+
+  std::string WriteFile(const std::string& aText) const
+  {
+    const std::string path = (m_root / "catalogue.json").string();
+    std::ofstream(path) << aText;
+    return path;
+  }
+
+  const std::filesystem::path m_root;
+  control::PeerMap m_peers;
+  std::map<std::string, std::unique_ptr<TestNode>> m_nodes;
+};
+
+template<typename Condition>
+void
+WaitFor(const char* aWhat, Condition aCondition)
+{
+  const base::Clock& clock = base::SteadyClock::Instance();
+  const base::TimePoint deadline = clock.Now() + kPatience;
+  while (!aCondition()) {
+    BOOST_REQUIRE_MESSAGE(clock.Now() < deadline, aWhat);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+} // namespace chivefront::ctl
