Show concerns with their age, refuse by type, cache the catalogue

Cause: the status had no 'since when', a full ledger was repeated until the deadline, and the catalogue was built again four times a second. Change: concerns with hints and the time since which this process sees them; LedgerClient ends at once on a refusal, with 'not run' only for claims and pins; changes by anything but an operator get a typed refusal; the store keeps the catalogue it built; names in the ledger are bounded.

--- a/chivefront/client/ledger_client.cc
+++ b/chivefront/client/ledger_client.cc
@@ -1,6 +1,8 @@
 // Ledger calls.
 #include "chivefront/client/ledger_client.h"
 
+#include "chivefront/base/errors.h"
+
 namespace chivefront::client {
 namespace detail {
 
@@ -8,11 +10,23 @@
 // leader is left early.
 constexpr base::Millis kAttemptTimeout{ 400 };
 
+// Before a dispatch a refusal is certain that nothing ran; after it, a bill
+// or result that could not be stored says nothing about the run.
+base::ErrorKind
+RefusalKind(wire::LedgerCommand aCommand)
+{
+  return aCommand == wire::LedgerCommand::PinSession ||
+             aCommand == wire::LedgerCommand::ClaimRequest
+           ? base::ErrorKind::Overloaded
+           : base::ErrorKind::Unavailable;
+}
+
 bool
 IsConfirmed(const wire::MessageT& aMessage)
 {
   const wire::LedgerReplyT* reply = aMessage.body.AsLedgerReply();
-  return reply != nullptr && reply->ok;
+  // A refusal is final for now; repeating the command at once does not help.
+  return reply != nullptr && (reply->ok || !reply->refused.empty());
 }
 
 } // namespace detail
@@ -20,6 +34,7 @@
 net::Task<absl::StatusOr<wire::LedgerReplyT>>
 LedgerClient::Submit(wire::LedgerRequestT aRequest, base::TimePoint aDeadline)
 {
+  const base::ErrorKind refusal = detail::RefusalKind(aRequest.command.type);
   auto reply =
     co_await m_control.CallUntil(wire::MakeMessage(std::move(aRequest)),
                                  detail::kAttemptTimeout,
@@ -28,7 +43,11 @@
   if (!reply.ok()) {
     co_return reply.status();
   }
-  co_return std::move(*reply->body.AsLedgerReply());
+  wire::LedgerReplyT& answer = *reply->body.AsLedgerReply();
+  if (!answer.refused.empty()) {
+    co_return base::MakeError(refusal, "the ledger refused: " + answer.refused);
+  }
+  co_return std::move(answer);
 }
 
 } // namespace chivefront::client
--- a/chivefront/client/ledger_client.h
+++ b/chivefront/client/ledger_client.h
@@ -2,6 +2,8 @@
 //
 // Every command is idempotent and is repeated until a majority confirmed it or
 // the deadline passed. Unavailable leaves open whether it was applied.
+// Overloaded: a full ledger certainly did not grant the claim or pin. A bill or
+// result that did not fit is Unavailable; its claim is Unknown from then on.
 #pragma once
 
 #include "chivefront/client/control_links.h"
--- a/chivefront/control/config_store.cc
+++ b/chivefront/control/config_store.cc
@@ -195,6 +195,12 @@
 ConfigStore::Entries() const
 {
   const std::lock_guard lock(m_lock);
+  return CopyEntries();
+}
+
+catalog::Entries
+ConfigStore::CopyEntries() const
+{
   catalog::Entries entries;
   for (const auto& [key, value] : m_values) {
     entries.emplace_hint(entries.end(), key, value.m_text);
@@ -205,9 +211,29 @@
 catalog::Pointer
 ConfigStore::Catalog() const
 {
-  const uint64_t revision = Revision();
+  catalog::Entries entries;
+  uint64_t revision = 0;
+  {
+    const std::lock_guard lock(m_lock);
+    if (m_catalog && m_catalog->m_revision == m_revision) {
+      return m_catalog;
+    }
+    revision = m_revision;
+    entries = CopyEntries();
+  }
   std::vector<catalog::EntryError> errors;
-  return catalog::Build(Entries(), revision, errors);
+  catalog::Pointer built = catalog::Build(entries, revision, errors);
+  const std::lock_guard lock(m_lock);
+  m_catalog = built;
+  return built;
+}
+
+std::string
+ConfigStore::TextOf(const std::string& aKey) const
+{
+  const std::lock_guard lock(m_lock);
+  const auto found = m_values.find(aKey);
+  return found == m_values.end() ? std::string() : found->second.m_text;
 }
 
 Delta
@@ -301,9 +327,7 @@
   {
     const std::lock_guard lock(m_lock);
     aBase = m_revision;
-    for (const auto& [key, value] : m_values) {
-      entries.emplace_hint(entries.end(), key, value.m_text);
-    }
+    entries = CopyEntries();
   }
   for (const auto& entry : aChange.entries) {
     if (entry->removed) {
@@ -362,6 +386,7 @@
   m_removed.clear();
   m_outcomes.clear();
   m_outcomeOrder.clear();
+  m_catalog = nullptr;
   m_revision = snapshot.revision;
   m_historyStart = snapshot.history_start;
   for (const auto& entry : snapshot.entries) {
--- a/chivefront/control/config_store.h
+++ b/chivefront/control/config_store.h
@@ -84,6 +84,8 @@
   // The catalogue of the current revision. Every committed configuration is
   // valid, so this is null only after a change of the rules between releases.
   catalog::Pointer Catalog() const;
+  // The JSON text of a key; empty when it is absent.
+  std::string TextOf(const std::string& aKey) const;
   Delta Since(uint64_t aRevision) const;
   // The first outcome of a change id that is still remembered.
   std::optional<wire::ChangeReplyT> OutcomeOf(const std::string& aId) const;
@@ -104,6 +106,8 @@
     uint64_t m_revision = 0; // that put it
   };
 
+  // Call these with m_lock held.
+  catalog::Entries CopyEntries() const;
   void Put(const wire::ConfigEntryT& aEntry);
   ChangeResult Decide(const wire::ConfigCommandT& aCommand);
   void Remember(wire::ChangeOutcomeT aOutcome);
@@ -120,6 +124,8 @@
   uint64_t m_historyStart = 0;
   std::map<std::string, wire::ChangeOutcomeT> m_outcomes;
   std::deque<std::string> m_outcomeOrder; // keys of m_outcomes, oldest first
+  // Built on demand; valid while its revision is m_revision.
+  mutable catalog::Pointer m_catalog;
 };
 
 // The log entry for aChange, validated against aBase.
--- a/chivefront/control/confirmer.h
+++ b/chivefront/control/confirmer.h
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <vector>
 
+#include "chivefront/base/errors.h"
 #include "chivefront/control/replica_port.h"
 
 namespace chivefront::control {
@@ -25,7 +26,13 @@
   void Ask(consensus::Group::ConfirmCallback aDone)
   {
     {
-      const std::lock_guard lock(m_lock);
+      std::unique_lock lock(m_lock);
+      if (m_next.size() >= kMaxAskers) {
+        lock.unlock();
+        aDone(base::MakeError(base::ErrorKind::Unavailable,
+                              "too many wait for a confirmation"));
+        return;
+      }
       m_next.push_back(std::move(aDone));
       if (m_running) {
         return;
@@ -42,6 +49,9 @@
   }
 
 private:
+  // Reached only when rounds stall, as on a leader that is cut off.
+  static constexpr size_t kMaxAskers = 10000;
+
   using Askers = std::vector<consensus::Group::ConfirmCallback>;
 
   void StartRound()
--- a/chivefront/control/server.cc
+++ b/chivefront/control/server.cc
@@ -21,6 +21,7 @@
 constexpr int kStepsPerQuestion = 2;
 constexpr base::Millis kAskTimeout{ 600 };
 constexpr base::Millis kSystemChangePeriod{ 250 };
+constexpr int kStepsPerConcerns = 10;
 constexpr size_t kMaxSeenRevisions = 4096;
 
 wire::LedgerReplyT
@@ -98,10 +99,7 @@
       }
       return;
     case wire::Body::ChangeRequest:
-      if (role == wire::Role::Operator || role == wire::Role::Control) {
-        OnChange(aLink, correlation, std::move(*body.AsChangeRequest()));
-      }
-      return;
+      return OnChange(aLink, correlation, std::move(*body.AsChangeRequest()));
     case wire::Body::LedgerRequest:
       return OnLedger(aLink, correlation, *body.AsLedgerRequest());
     case wire::Body::StatusRequest: {
@@ -150,7 +148,9 @@
   const uint64_t applied = m_parts.m_store.Revision();
   {
     const std::lock_guard lock(m_lock);
-    m_holders.Polled(aRequest, now);
+    if (aRequest.role != wire::Role::Operator) {
+      m_holders.Polled(aRequest, now);
+    }
     const auto asOf = m_freshness.AsOf(applied);
     reply.fresh = asOf && now - *asOf < client::kLease;
     reply.age_ms =
@@ -252,6 +252,13 @@
                  wire::ChangeRequestT aRequest)
 {
   m_changeRequests.Increment();
+  if (aLink->Peer().m_role != wire::Role::Operator) {
+    wire::ChangeReplyT reply;
+    reply.result = wire::ChangeResult::Invalid;
+    reply.errors.emplace_back("role: only operators change the configuration");
+    (void)aLink->Reply(aCorrelation, std::move(reply));
+    return;
+  }
   m_changes.Submit(std::move(aRequest),
                    Proposer::Operator,
                    [aLink, aCorrelation](wire::ChangeReplyT aReply) {
@@ -305,6 +312,10 @@
     m_logTime.Observe(m_parts.m_ledger.Time(), now);
     NoteRevision(now);
   }
+  ++m_step;
+  if (m_step % detail::kStepsPerConcerns == 0) {
+    (void)FindConcerns(m_parts.m_store.Catalog().get());
+  }
   const consensus::GroupStatus status = m_parts.m_config.Status();
   if (status.m_role == consensus::RaftRole::Leader) {
     m_confirmer.Ask([this, now](absl::StatusOr<uint64_t> aIndex) {
@@ -314,7 +325,7 @@
         m_freshness.Confirm(now, revision);
       }
     });
-  } else if (++m_step % detail::kStepsPerQuestion == 0) {
+  } else if (m_step % detail::kStepsPerQuestion == 0) {
     if (net::Link::Pointer link = m_options.m_linkTo(status.m_leader)) {
       net::Spawn(m_context.get_executor(),
                  "control",
--- a/chivefront/control/server.h
+++ b/chivefront/control/server.h
@@ -10,6 +10,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -32,6 +33,9 @@
 inline constexpr uint32_t kConfigGroup = 0;
 inline constexpr uint32_t kLedgerGroup = 1;
 
+// What an operator should look at, with a short hint, by item.
+using Concerns = std::map<std::string, std::string>;
+
 // What the server works with; everything outlives it, and the replicas make
 // no more callbacks once it is destroyed.
 struct ServerParts
@@ -95,6 +99,8 @@
   net::Task<bool> KeepFresh();
   net::Task<void> AskLeader(net::Link::Pointer aLink);
   net::Task<bool> ProposeSystemChanges();
+  // What an operator should look at now; also notes since when.
+  Concerns FindConcerns(const catalog::Catalog* aCatalog);
   // Call these with m_lock held.
   void NoteRevision(base::TimePoint aNow);
   uint32_t LiveEntries(base::TimePoint aNow) const;
@@ -129,6 +135,8 @@
   };
   std::vector<Seen> m_seen; // revisions of the last seconds, rising
   uint64_t m_inForce = 0;   // never decreases
+  // Soft: since when this process sees each present concern.
+  std::map<std::string, base::TimePoint> m_concernSince;
 };
 
 } // namespace chivefront::control
--- a/chivefront/control/status.cc
+++ b/chivefront/control/status.cc
@@ -1,12 +1,11 @@
 // The status of the cluster as one control process sees it.
 #include <map>
 
+#include <absl/strings/str_cat.h>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "chivefront/client/lease.h"
 #include "chivefront/control/server.h"
 
 namespace chivefront::control {
@@ -32,39 +31,61 @@
 }
 
 void
-Hint(array& aHints, std::string aItem, std::string aHint)
+AddGroupConcerns(const char* aName,
+                 const consensus::GroupStatus& aStatus,
+                 Concerns& aConcerns)
 {
-  aHints.push_back(object{ { "item", aItem }, { "hint", aHint } });
+  const std::string item = std::string("group ") + aName;
+  if (aStatus.m_leader.empty()) {
+    aConcerns[item] =
+      "no leader known: check that a majority of the control processes runs "
+      "and can reach each other";
+  } else if (aStatus.m_role == consensus::RaftRole::Leader &&
+             !aStatus.m_repaired) {
+    aConcerns[item] =
+      "not every replica votes and holds everything: do not take another "
+      "control process away before this has gone";
+  }
+}
+
+void
+AddCatalogConcerns(const catalog::Catalog& aCatalog, Concerns& aConcerns)
+{
+  for (const auto& [model, rollout] : aCatalog.m_rollouts) {
+    if (rollout.m_state == catalog::RolloutState::Stopped) {
+      aConcerns["rollout " + model] =
+        "stopped (" + rollout.m_reason +
+        "): repair the version, then put a new roll-out";
+    } else if (rollout.m_state == catalog::RolloutState::Paused) {
+      aConcerns["rollout " + model] =
+        "paused (" + rollout.m_reason + "): new sessions get " + rollout.m_from;
+    }
+  }
+  const auto addOut = [&aConcerns](const char* aKind, const auto& aIds) {
+    for (const std::string& id : aIds) {
+      const std::string item = std::string(aKind) + " " + id;
+      aConcerns[item] =
+        "out of service; bring it back with: chivefrontctl in " + item;
+    }
+  };
+  addOut("domain", aCatalog.m_domainsOut);
+  addOut("version", aCatalog.m_versionsOut);
+  addOut("upstream", aCatalog.m_upstreamsOut);
+  if (!aCatalog.m_quarantined.empty()) {
+    aConcerns["quarantines"] =
+      "requests that crash their upstreams are refused; once repaired, lift "
+      "one with: chivefrontctl in request <fingerprint>";
+  }
 }
 
 object
-GroupObject(const char* aName,
-            const consensus::GroupStatus& aStatus,
-            array& aHints)
+GroupObject(const char* aName, const consensus::GroupStatus& aStatus)
 {
   array members;
-  size_t voters = 0;
   for (const consensus::Replica& replica : aStatus.m_replicas) {
-    voters += replica.m_voter ? 1 : 0;
     members.push_back(
       object{ { "name", replica.m_name }, { "voter", replica.m_voter } });
   }
-  const std::string item = std::string("group ") + aName;
-  if (aStatus.m_leader.empty()) {
-    Hint(aHints,
-         item,
-         "no leader known: check that a majority of the control processes "
-         "runs and can reach each other");
-  } else if (aStatus.m_role == consensus::RaftRole::Leader &&
-             aStatus.m_caughtUp < aStatus.m_replicas.size()) {
-    Hint(aHints,
-         item,
-         "not every replica holds everything: check the control processes "
-         "that are down or catching up before taking another one away");
-  }
-  if (voters < aStatus.m_replicas.size()) {
-    Hint(aHints, item, "a replaced replica may not vote until it caught up");
-  }
   return object{ { "group", aName },
                  { "role", Text(kRoleNames.Name(aStatus.m_role)) },
                  { "leader", aStatus.m_leader },
@@ -72,6 +93,7 @@
                  { "committed", aStatus.m_committed },
                  { "applied", aStatus.m_applied },
                  { "caught_up", aStatus.m_caughtUp },
+                 { "repaired", aStatus.m_repaired },
                  { "members", std::move(members) } };
 }
 
@@ -134,7 +156,7 @@
 }
 
 void
-AddConfigured(object& aStatus, const catalog::Catalog& aCatalog, array& aHints)
+AddConfigured(object& aStatus, const catalog::Catalog& aCatalog)
 {
   const auto list = [](const auto& aSet) {
     array items;
@@ -147,97 +169,119 @@
     object{ { "domains", list(aCatalog.m_domainsOut) },
             { "versions", list(aCatalog.m_versionsOut) },
             { "upstreams", list(aCatalog.m_upstreamsOut) } };
-  array rollouts;
-  for (const auto& [model, rollout] : aCatalog.m_rollouts) {
-    rollouts.push_back(object{
-      { "model", model },
-      { "from", rollout.m_from },
-      { "to", rollout.m_to },
-      { "state", Text(catalog::kRolloutStateNames.Name(rollout.m_state)) },
-      { "stage", rollout.m_stage },
-      { "permille", rollout.m_stages[rollout.m_stage] },
-      { "reason", rollout.m_reason } });
-    if (rollout.m_state == catalog::RolloutState::Stopped) {
-      Hint(aHints,
-           "rollout " + model,
-           "stopped: " + rollout.m_reason +
-             "; repair the version, then put a new roll-out");
-    }
-  }
-  aStatus["rollouts"] = std::move(rollouts);
-  for (const std::string& domain : aCatalog.m_domainsOut) {
-    Hint(aHints,
-         "domain " + domain,
-         "out of service; bring it back with: chivefrontctl in domain " +
-           domain);
+  array quarantines;
+  for (const uint64_t fingerprint : aCatalog.m_quarantined) {
+    quarantines.emplace_back(
+      absl::StrCat(absl::Hex(fingerprint, absl::kZeroPad16)));
   }
+  aStatus["quarantines"] = std::move(quarantines);
+}
+
+object
+RolloutObject(const catalog::Rollout& aRollout,
+              const wire::VersionEvidenceT& aEvidence)
+{
+  return object{ { "model", aRollout.m_id },
+                 { "from", aRollout.m_from },
+                 { "to", aRollout.m_to },
+                 { "state",
+                   Text(catalog::kRolloutStateNames.Name(aRollout.m_state)) },
+                 { "stage", aRollout.m_stage },
+                 { "permille", aRollout.m_stages[aRollout.m_stage] },
+                 { "reason", aRollout.m_reason },
+                 { "exposed", aEvidence.exposed },
+                 { "good", aEvidence.good },
+                 { "bad", aEvidence.bad } };
 }
 
 } // namespace detail
 
+Concerns
+Server::FindConcerns(const catalog::Catalog* aCatalog)
+{
+  Concerns concerns;
+  if (!Fresh()) {
+    concerns["process " + m_options.m_name] =
+      "has no recent confirmation by the leader; what it shows may be old and "
+      "its watchers start no new work";
+  }
+  detail::AddGroupConcerns("config", m_parts.m_config.Status(), concerns);
+  detail::AddGroupConcerns(
+    "ledger", m_parts.m_ledgerReplica.Status(), concerns);
+  if (aCatalog != nullptr) {
+    detail::AddCatalogConcerns(*aCatalog, concerns);
+  }
+  const base::TimePoint now = m_parts.m_clock.Now();
+  const std::lock_guard lock(m_lock);
+  if (!m_holders.Behind(m_inForce, now).empty()) {
+    concerns["watchers"] =
+      "some hold an old revision and start no new work; check their links to "
+      "the control processes";
+  }
+  for (auto row = m_concernSince.begin(); row != m_concernSince.end();) {
+    row = concerns.count(row->first) == 0 ? m_concernSince.erase(row)
+                                          : std::next(row);
+  }
+  for (const auto& [item, hint] : concerns) {
+    m_concernSince.emplace(item, now);
+  }
+  return concerns;
+}
+
 std::string
 Server::StatusJson()
 {
   using detail::array;
   using detail::object;
-  const base::TimePoint now = m_parts.m_clock.Now();
   const catalog::Pointer catalog = m_parts.m_store.Catalog();
-  const catalog::Entries entries = m_parts.m_store.Entries();
-  const uint64_t revision = m_parts.m_store.Revision();
-  const bool fresh = Fresh();
-  array hints;
+  const Concerns concerns = FindConcerns(catalog.get());
+  const base::TimePoint now = m_parts.m_clock.Now();
   object status;
   status["process"] = m_options.m_name;
-  status["revision"] = revision;
-  status["fresh"] = fresh;
+  status["revision"] = m_parts.m_store.Revision();
+  status["fresh"] = Fresh();
   status["change_outcomes_kept"] = m_parts.m_store.OutcomeCount();
-  if (!fresh) {
-    detail::Hint(hints,
-                 "process " + m_options.m_name,
-                 "has no recent confirmation by the leader; what it shows may "
-                 "be old and its watchers start no new work");
-  }
-  status["groups"] = array{
-    detail::GroupObject("config", m_parts.m_config.Status(), hints),
-    detail::GroupObject("ledger", m_parts.m_ledgerReplica.Status(), hints)
-  };
+  status["groups"] =
+    array{ detail::GroupObject("config", m_parts.m_config.Status()),
+           detail::GroupObject("ledger", m_parts.m_ledgerReplica.Status()) };
   if (catalog) {
-    detail::AddConfigured(status, *catalog, hints);
-  }
-  array quarantines;
-  for (const auto& [key, text] : entries) {
-    if (catalog::IsSystemKey(key)) {
-      quarantines.emplace_back(key.substr(key.find('/') + 1));
-    }
+    detail::AddConfigured(status, *catalog);
   }
-  status["quarantines"] = std::move(quarantines);
   const ledger::Ledger::Sizes sizes = m_parts.m_ledger.CountEntries();
   status["ledger"] = object{ { "pins", sizes.m_pins },
                              { "claims", sizes.m_claims },
                              { "bill_lines", sizes.m_bills },
                              { "suspects", sizes.m_suspects },
                              { "response_bytes", sizes.m_responseBytes } };
-  {
-    const std::lock_guard lock(m_lock);
-    status["in_force"] = m_inForce;
-    status["live_entries"] = LiveEntries(now);
-    status["watchers"] = m_holders.Live(now);
-    array behind;
-    for (const std::string& name : m_holders.Behind(m_inForce, now)) {
-      if (behind.size() < detail::kMaxBehind) {
-        behind.emplace_back(name);
-      }
+  const std::lock_guard lock(m_lock);
+  status["in_force"] = m_inForce;
+  status["live_entries"] = LiveEntries(now);
+  status["watchers"] = m_holders.Live(now);
+  array behind;
+  for (const std::string& name : m_holders.Behind(m_inForce, now)) {
+    if (behind.size() < detail::kMaxBehind) {
+      behind.emplace_back(name);
     }
-    if (!behind.empty()) {
-      detail::Hint(hints,
-                   "watchers",
-                   "some hold an old revision and start no new work; check "
-                   "their links to the control processes");
+  }
+  status["watchers_behind"] = std::move(behind);
+  array rollouts;
+  if (catalog) {
+    for (const auto& [model, rollout] : catalog->m_rollouts) {
+      rollouts.push_back(
+        detail::RolloutObject(rollout, m_holders.Evidence(rollout.m_to)));
     }
-    status["watchers_behind"] = std::move(behind);
-    const std::vector<wire::UpstreamInfoT> all = m_registry.All();
-    status["upstreams"] = detail::UpstreamTotals(all);
-    status["upstream_list"] = detail::UpstreamList(all);
+  }
+  status["rollouts"] = std::move(rollouts);
+  const std::vector<wire::UpstreamInfoT> all = m_registry.All();
+  status["upstreams"] = detail::UpstreamTotals(all);
+  status["upstream_list"] = detail::UpstreamList(all);
+  array hints;
+  for (const auto& [item, hint] : concerns) {
+    const auto since = m_concernSince.find(item);
+    const base::Millis age =
+      since == m_concernSince.end() ? base::Millis(0) : now - since->second;
+    hints.push_back(object{
+      { "item", item }, { "since_ms", age.Count() }, { "hint", hint } });
   }
   status["hints"] = std::move(hints);
   return boost::json::serialize(status);
--- a/chivefront/control/system_changes.cc
+++ b/chivefront/control/system_changes.cc
@@ -73,7 +73,6 @@
   if (aCrashers.empty()) {
     return changes;
   }
-  const catalog::Entries entries = aStore.Entries();
   for (const ledger::Crasher& crasher : aCrashers) {
     const std::string key = absl::StrCat(
       "quarantine/", absl::Hex(crasher.m_fingerprint, absl::kZeroPad16));
@@ -81,7 +80,7 @@
     change.change_id =
       absl::StrCat(detail::kSystemName, "/", key, "/", crasher.m_changed);
     change.operator_name = detail::kSystemName;
-    if (entries.count(key) != 0 || aStore.OutcomeOf(change.change_id)) {
+    if (!aStore.TextOf(key).empty() || aStore.OutcomeOf(change.change_id)) {
       continue;
     }
     detail::AddEntry(
@@ -102,7 +101,6 @@
   if (!catalog || catalog->m_rollouts.empty()) {
     return changes;
   }
-  const catalog::Entries entries = aStore.Entries();
   for (const auto& [model, rollout] : catalog->m_rollouts) {
     if (!detail::IsJudged(rollout)) {
       continue;
@@ -110,8 +108,9 @@
     const RolloutDecision decision = aJudge.Judge(
       rollout, aEvidence(rollout.m_from), aEvidence(rollout.m_to), aNow);
     const std::string key = "rollout/" + model;
-    const auto text = entries.find(key);
-    if (decision.m_verdict == RolloutVerdict::Wait || text == entries.end()) {
+    // The expected revision guards against a text newer than the catalogue.
+    const std::string text = aStore.TextOf(key);
+    if (decision.m_verdict == RolloutVerdict::Wait || text.empty()) {
       continue;
     }
     wire::ChangeRequestT change;
@@ -119,8 +118,7 @@
       absl::StrCat(detail::kSystemName, "/", key, "/", catalog->m_revision);
     change.operator_name = detail::kSystemName;
     change.expected_revision = catalog->m_revision;
-    detail::AddEntry(
-      change, key, detail::NextEntry(text->second, rollout, decision));
+    detail::AddEntry(change, key, detail::NextEntry(text, rollout, decision));
     if (decision.m_verdict == RolloutVerdict::Stop) {
       detail::AddEntry(change, "out/version/" + rollout.m_to, "{}");
     }
--- a/chivefront/ctl/view_commands.cc
+++ b/chivefront/ctl/view_commands.cc
@@ -99,14 +99,49 @@
     const object& group = value.as_object();
     const bool leads = Cell(group, "role") == "leader";
     const std::string leader = Cell(group, "leader");
-    table.AddRow({ Cell(group, "group"),
-                   leader.empty() ? "unknown" : leader,
-                   Cell(group, "term"),
-                   Cell(group, "committed"),
-                   // Only a leader knows what the others hold.
-                   leads ? Cell(group, "caught_up") + " of " +
-                             std::to_string(Rows(group, "members").size())
-                         : "ask leader" });
+    table.AddRow(
+      { Cell(group, "group"),
+        leader.empty() ? "unknown" : leader,
+        Cell(group, "term"),
+        Cell(group, "committed"),
+        // Only a leader knows what the others hold.
+        leads ? Cell(group, "caught_up") + " of " +
+                  std::to_string(Rows(group, "members").size()) +
+                  (Cell(group, "repaired") == "true" ? "" : ", repairing")
+              : "ask leader" });
+  }
+  aOut << '\n';
+  table.Print(aOut);
+}
+
+// "45 s", "12 min" or "3 h".
+std::string
+AgeText(const object& aRow)
+{
+  constexpr int64_t kSecond = 1000;
+  constexpr int64_t kMinute = 60 * kSecond;
+  constexpr int64_t kHour = 60 * kMinute;
+  const boost::json::value* value = aRow.if_contains("since_ms");
+  boost::json::error_code error;
+  const int64_t age = value == nullptr ? 0 : value->to_number<int64_t>(error);
+  if (age < 2 * kMinute) {
+    return std::to_string(age / kSecond) + " s";
+  }
+  return age < 2 * kHour ? std::to_string(age / kMinute) + " min"
+                         : std::to_string(age / kHour) + " h";
+}
+
+void
+PrintConcerns(std::ostream& aOut, const array& aConcerns)
+{
+  if (aConcerns.empty()) {
+    aOut << "\nnothing needs attention\n";
+    return;
+  }
+  Table table({ "ATTENTION", "SEEN FOR", "HINT" });
+  for (const boost::json::value& value : aConcerns) {
+    const object& row = value.as_object();
+    table.AddRow({ Cell(row, "item"), AgeText(row), Cell(row, "hint") });
   }
   aOut << '\n';
   table.Print(aOut);
@@ -159,8 +194,7 @@
                       "limit",
                       "running",
                       "queued" });
-  detail::PrintRows(
-    out, "ATTENTION", Rows(status, "hints"), { "item", "since", "hint" });
+  detail::PrintConcerns(out, Rows(status, "hints"));
   return absl::OkStatus();
 }
 
--- a/chivefront/ledger/ledger.cc
+++ b/chivefront/ledger/ledger.cc
@@ -14,6 +14,17 @@
 constexpr uint32_t kMaxQueriedLines = 10000;
 // Lines in one posted bill and fingerprints in one loss report.
 constexpr size_t kMaxRows = 4096;
+// Team, session, key, owner and request id; bounds the memory of one entry.
+constexpr size_t kMaxNameBytes = 1024;
+
+bool
+AreShort(std::initializer_list<const std::string*> aNames)
+{
+  return std::all_of(
+    aNames.begin(), aNames.end(), [](const std::string* aName) {
+      return aName->size() <= kMaxNameBytes;
+    });
+}
 
 } // namespace detail
 
@@ -40,6 +51,11 @@
 Ledger::State::Pin(const wire::PinSessionT& aCommand,
                    wire::LedgerReplyT& aReply)
 {
+  if (!detail::AreShort(
+        { &aCommand.team, &aCommand.session, &aCommand.version })) {
+    aReply.refused = "name too long";
+    return;
+  }
   const PairKey key{ aCommand.team, aCommand.session };
   const auto found = m_pins.find(key);
   if (found != m_pins.end()) {
@@ -220,8 +236,16 @@
   switch (aCommand.type) {
     case wire::LedgerCommand::PinSession:
       return Pin(*aCommand.AsPinSession(), aReply);
-    case wire::LedgerCommand::ClaimRequest:
-      return m_claims.Claim(*aCommand.AsClaimRequest(), m_time, aReply);
+    case wire::LedgerCommand::ClaimRequest: {
+      const wire::ClaimRequestT& claim = *aCommand.AsClaimRequest();
+      if (!detail::AreShort(
+            { &claim.team, &claim.key, &claim.owner, &claim.request_id })) {
+        aReply.claim = wire::ClaimState::Unknown;
+        aReply.refused = "name too long";
+        return;
+      }
+      return m_claims.Claim(claim, m_time, aReply);
+    }
     case wire::LedgerCommand::FinishClaim:
       return m_claims.Finish(*aCommand.AsFinishClaim(), m_time, aReply);
     case wire::LedgerCommand::PostBill:
