--- a/chivefront/ctl/catalogue_commands.cc
+++ b/chivefront/ctl/catalogue_commands.cc
@@ -106,6 +106,15 @@
   aChange.entries.push_back(std::move(entry));
 }
 
+absl::Status
+NotCurrent(uint64_t aRevision)
+{
+  return base::MakeError(base::ErrorKind::Conflict,
+                         "another change came first, the revision is " +
+                           std::to_string(aRevision) +
+                           "; look at it and apply again");
+}
+
 absl::Status
 StatusOf(const wire::ChangeReplyT& aReply)
 {
@@ -113,10 +122,7 @@
     return absl::OkStatus();
   }
   if (aReply.result == wire::ChangeResult::Conflict) {
-    return base::MakeError(base::ErrorKind::Conflict,
-                           "another change came first, the revision is " +
-                             std::to_string(aReply.current_revision) +
-                             "; look at it and apply again");
+    return NotCurrent(aReply.current_revision);
   }
   std::string text;
   for (const std::string& error : aReply.errors) {
@@ -340,11 +346,16 @@
   if (change.expected_revision == 0) {
     change.expected_revision = current->m_revision;
   }
-  if (plan.empty() && aOptions.m_changeId.empty()) {
+  if (plan.empty() && aOptions.m_changeId.empty() &&
+      change.expected_revision == current->m_revision) {
     aOutput.m_out << (aOutput.m_json ? "{\"result\":\"no difference\"}\n"
                                      : "no difference, nothing to apply\n");
     return absl::OkStatus();
   }
+  if (change.expected_revision != current->m_revision &&
+      aOptions.m_changeId.empty()) {
+    return detail::NotCurrent(current->m_revision);
+  }
   for (const catalog::EntryChange& row : plan) {
     detail::AddEntry(change, row.m_key, row.m_after, row.m_after.empty());
   }
