--- a/chivefront/agent/agent.cc
+++ b/chivefront/agent/agent.cc
@@ -29,6 +29,7 @@
                       ? catalog::CallerClass::Paying
                       : catalog::CallerClass::Free;
   waiting.m_suspect = aDispatch.suspect;
+  waiting.m_stream = aDispatch.stream;
   waiting.m_fingerprint = aDispatch.fingerprint;
   const uint32_t left =
     aDispatch.deadline_ms == 0 ? kLongestWaitMs : aDispatch.deadline_ms;
@@ -64,6 +65,8 @@
                                    "Dispatches refused, not run."))
   , m_lost(aMetrics.AddCounter("chivefront_agent_upstream_losses_total",
                                "Losses of an upstream with work in flight."))
+  , m_cacheGaps(aMetrics.AddCounter("chivefront_agent_cache_gaps_total",
+                                    "Gaps in the cache events of upstreams."))
 {
 }
 
@@ -151,17 +154,7 @@
     case wire::Body::Cancel: {
       const wire::CancelT& cancel = *aMessage.body.AsCancel();
       if (auto run = m_runs.Find({ cancel.request_id, cancel.attempt })) {
-        const ShardPointer shard = m_upstreams.Find(run->Dispatch().upstream);
-        bool waiting = false;
-        if (shard) {
-          const std::lock_guard lock(shard->m_lock);
-          waiting = shard->m_state.Withdraw(run->Key());
-        }
-        if (waiting) {
-          run->Reject(base::MakeError(base::ErrorKind::RejectedByAgent,
-                                      "canceled while it waited"),
-                      base::Millis(0));
-        } else {
+        if (!WithdrawWaiting(run)) {
           run->Cancel();
         }
       }
@@ -170,6 +163,11 @@
     case wire::Body::Settled: {
       const wire::SettledT& settled = *aMessage.body.AsSettled();
       m_settler.Settle({ settled.request_id, settled.run });
+      for (const RunPointer& run : m_runs.Attempts(settled.request_id)) {
+        if (run->Over() && run->Dispatch().run == settled.run) {
+          m_runs.Erase(run->Key());
+        }
+      }
       return;
     }
     default:
@@ -178,6 +176,26 @@
   }
 }
 
+// Ends a run that still waits for a slot; false when it does not wait.
+bool
+Agent::WithdrawWaiting(const RunPointer& aRun)
+{
+  const ShardPointer shard = m_upstreams.Find(aRun->Dispatch().upstream);
+  if (!shard) {
+    return false;
+  }
+  {
+    const std::lock_guard lock(shard->m_lock);
+    if (!shard->m_state.Withdraw(aRun->Key())) {
+      return false;
+    }
+  }
+  aRun->Reject(base::MakeError(base::ErrorKind::RejectedByAgent,
+                               "canceled while it waited"),
+               base::Millis(0));
+  return true;
+}
+
 void
 Agent::OnResume(const net::Link::Pointer& aLink, const wire::ResumeT& aResume)
 {
@@ -321,6 +339,15 @@
   }
 }
 
+void
+Agent::FirstByte(const RunPointer& aRun)
+{
+  if (const ShardPointer shard = m_upstreams.Find(aRun->Dispatch().upstream)) {
+    const std::lock_guard lock(shard->m_lock);
+    shard->m_state.FirstByte(aRun->Key(), Now());
+  }
+}
+
 void
 Agent::SlotFreed(const RunPointer& aRun, Ending aEnding)
 {
--- a/chivefront/agent/agent.h
+++ b/chivefront/agent/agent.h
@@ -60,6 +60,7 @@
   // RunHost
   base::TimePoint Now() const override { return m_clock.Now(); }
   absl::Status CheckBeforeSend(const wire::DispatchT& aDispatch) override;
+  void FirstByte(const RunPointer& aRun) override;
   void SlotFreed(const RunPointer& aRun, Ending aEnding) override;
   void ResultKnown(const RunPointer& aRun, Settlement aSettlement) override;
   void Suspect(const std::string& aUpstream) override;
@@ -75,6 +76,8 @@
   void OnDispatch(const net::Link::Pointer& aLink, wire::DispatchT aDispatch);
   void OnResume(const net::Link::Pointer& aLink, const wire::ResumeT& aResume);
 
+  bool WithdrawWaiting(const RunPointer& aRun);
+
   // OK and the shard when aDispatch may be admitted now.
   absl::StatusOr<ShardPointer> Check(const wire::DispatchT& aDispatch);
   void Admit(const RunPointer& aRun, const ShardPointer& aShard);
@@ -108,15 +111,16 @@
   std::atomic<bool> m_draining{ false };
   std::atomic<bool> m_loadChanged{ false };
   std::atomic<uint64_t> m_losses{ 0 };
-  std::atomic<uint64_t> m_cacheGaps{ 0 };
   base::Counter& m_dispatched;
   base::Counter& m_rejected;
   base::Counter& m_lost;
+  base::Counter& m_cacheGaps;
 
-  std::mutex m_linkLock;
+  std::mutex m_linkLock; // guards the next two
   std::map<std::string, std::set<net::Link::Pointer>> m_entryLinks;
   std::map<std::string, uint64_t> m_cacheSequence; // by upstream
   std::function<void()> m_onDrained;               // set before m_draining
+  std::optional<base::TimePoint> m_drainedAt;      // used by Sweep only
 };
 
 } // namespace chivefront::agent
--- a/chivefront/agent/agent_upstreams.cc
+++ b/chivefront/agent/agent_upstreams.cc
@@ -18,6 +18,9 @@
 constexpr base::Millis kProbeTimeout{ 1000 };
 // A result stays for this long for an entry that asks for it again.
 constexpr base::Millis kKeepResult{ 15000 };
+// Between the last result and the end of the process, so that frames that are
+// queued on links reach the entries.
+constexpr base::Millis kLastWords{ 500 };
 
 std::string
 FingerprintHex(uint64_t aFingerprint)
@@ -115,7 +118,7 @@
   }
   const std::lock_guard lock(m_linkLock);
   uint64_t& last = m_cacheSequence[aName];
-  m_cacheGaps += aSequence > last + 1 ? 1 : 0;
+  m_cacheGaps.Increment(aSequence > last + 1 ? 1 : 0);
   last = std::max(last, aSequence);
   return absl::OkStatus();
 }
@@ -321,6 +324,8 @@
   RejectAll(overdue,
             base::MakeError(base::ErrorKind::DeadlineExceeded,
                             "deadline passed while it waited"));
+  // Also after the pause that follows refused work.
+  LaunchNext(aShard);
   if (expired) {
     m_loadChanged = true;
     m_events.Record("upstream_expired", { { "upstream", name } });
@@ -337,7 +342,9 @@
     }
     return;
   }
-  aRun->CheckLink();
+  if (aRun->LinkLostTooLong() && !WithdrawWaiting(aRun)) {
+    aRun->EntryLost();
+  }
 }
 
 void
@@ -353,7 +360,11 @@
     m_settler.Hurry();
   }
   m_settler.Tick();
-  if (m_draining && Drained() && m_onDrained) {
+  if (!m_draining || !Drained()) {
+    m_drainedAt.reset();
+  } else if (!m_drainedAt) {
+    m_drainedAt = Now();
+  } else if (Now() - *m_drainedAt >= detail::kLastWords && m_onDrained) {
     std::exchange(m_onDrained, nullptr)();
   }
 }
@@ -365,7 +376,7 @@
 Agent::Drained() const
 {
   for (const RunPointer& run : m_runs.All()) {
-    if (!run->Over()) {
+    if (!run->Over() || !run->Delivered()) {
       return false;
     }
   }
--- a/chivefront/agent/run.cc
+++ b/chivefront/agent/run.cc
@@ -2,6 +2,7 @@
 #include "chivefront/agent/run.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -141,6 +142,7 @@
   rejected.load =
     std::make_unique<wire::UpstreamInfoT>(m_host.LoadOf(m_dispatch.upstream));
   Send(std::move(rejected));
+  m_delivered = m_link != nullptr;
 }
 
 void
@@ -157,6 +159,7 @@
 {
   OnStrand([this, link = std::move(aLink), aNextSequence, aCredit] {
     m_link = link;
+    m_detached = false;
     if (m_rejected) {
       SendRejected();
       return;
@@ -182,16 +185,16 @@
     if (m_link == link) {
       m_link = nullptr;
       m_detachedAt = m_host.Now();
+      m_detached = true;
     }
   });
 }
 
 void
-Run::CheckLink()
+Run::EntryLost()
 {
   OnStrand([this] {
-    if (m_link || m_over || m_unattended ||
-        m_host.Now() - m_detachedAt < kResumeGrace) {
+    if (m_link || m_over || m_unattended) {
       return;
     }
     if (m_launched && !m_dispatch.claim_key.empty()) {
@@ -359,6 +362,9 @@
 net::Task<absl::Status>
 Run::TakePiece(std::string_view aPiece)
 {
+  if (!std::exchange(m_firstByte, true)) {
+    m_host.FirstByte(shared_from_this());
+  }
   std::string passed;
   absl::Status status = m_scanner.Take(aPiece, passed);
   if (m_unattended) {
@@ -545,6 +551,7 @@
         m_host.LoadOf(m_dispatch.upstream));
       Send(std::move(end));
       m_endSent = true;
+      m_delivered = true;
     }
   }
   m_wake.cancel();
--- a/chivefront/agent/run.h
+++ b/chivefront/agent/run.h
@@ -43,6 +43,8 @@
   virtual base::TimePoint Now() const = 0;
   // The check directly before the first byte is sent.
   virtual absl::Status CheckBeforeSend(const wire::DispatchT& aDispatch) = 0;
+  // The first byte of the answer came.
+  virtual void FirstByte(const RunPointer& aRun) = 0;
   // The run does not occupy its upstream any more.
   virtual void SlotFreed(const RunPointer& aRun, Ending aEnding) = 0;
   // The result is known and is about to be sent.
@@ -76,15 +78,22 @@
   // The entry does not want the answer any more.
   void Cancel();
   void UpstreamLost();
-  // Cancels the run when its link has been away too long.
-  void CheckLink();
+  // The link has been away too long: cancels the run, or, when its claim
+  // needs the result, goes on without the entry.
+  void EntryLost();
 
   const RunKey& Key() const { return m_key; }
   const wire::DispatchT& Dispatch() const { return m_dispatch; }
   // The process that dispatched this run, with its incarnation.
   const std::string& Entry() const { return m_entry; }
   base::TimePoint CreatedAt() const { return m_createdAt; }
-  // True once the result is known; then Ended() is when.
+  bool LinkLostTooLong() const
+  {
+    return m_detached && m_host.Now() - m_detachedAt.load() >= kResumeGrace;
+  }
+  // True once the result was sent, or nobody is left to get it.
+  bool Delivered() const { return m_delivered || LinkLostTooLong(); }
+  // True once the result is known; then OverAt() is when.
   bool Over() const { return m_over; }
   base::TimePoint OverAt() const { return m_overAt.load(); }
 
@@ -130,10 +139,12 @@
   const base::TimePoint m_createdAt;
   std::atomic<bool> m_over{ false };
   std::atomic<base::TimePoint> m_overAt{ base::TimePoint() };
+  std::atomic<bool> m_delivered{ false };
+  std::atomic<bool> m_detached{ false }; // true while the link is lost
+  std::atomic<base::TimePoint> m_detachedAt{ base::TimePoint() };
 
   // Used on the strand only.
   net::Link::Pointer m_link; // null while the link is lost
-  base::TimePoint m_detachedAt;
   UpstreamFacts m_upstream;
   net::asio::steady_timer m_wake;
   StreamBuffer m_buffer;
@@ -144,6 +155,7 @@
   std::string m_contentType;
   bool m_launched = false;
   bool m_sent = false; // a byte may have reached the upstream
+  bool m_firstByte = false;
   // The answer is read to its end without an entry: its claim is recorded.
   bool m_unattended = false;
   bool m_cancelPending = false; // the engine was asked to cancel
--- a/chivefront/agent/settlement.cc
+++ b/chivefront/agent/settlement.cc
@@ -7,6 +7,8 @@
 namespace detail {
 
 constexpr base::Millis kFirstBackoff{ 200 };
+// During a drain an entry that has a link gets this time to settle.
+constexpr base::Millis kDrainGrace{ 10000 };
 constexpr uint32_t kMaxDoublings = 6; // 12.8 s at most
 
 } // namespace detail
@@ -98,7 +100,7 @@
 {
   for (auto& [key, record] : m_records) {
     record.m_graceOver = record.m_graceOver ||
-                         aNow - record.m_added >= kDetachedGrace ||
+                         aNow - record.m_added >= detail::kDrainGrace ||
                          m_gone.count(record.m_entry) != 0;
   }
 }
--- a/chivefront/agent/settlement.h
+++ b/chivefront/agent/settlement.h
@@ -63,7 +63,7 @@
   size_t Size() const { return m_records.size(); }
   // Age of the oldest record; zero when there is none.
   base::Millis OldestAge(base::TimePoint aNow) const;
-  // All records become due at their next check, for the end of a drain.
+  // Shortens the graces, for the end of a drain.
   void ExpireGraces(base::TimePoint aNow);
 
 private:
--- a/chivefront/agent/tables.cc
+++ b/chivefront/agent/tables.cc
@@ -48,15 +48,15 @@
 }
 
 size_t
-RunTable::IndexOf(const RunKey& aKey) const
+RunTable::IndexOf(const std::string& aRequestId)
 {
-  return base::StableHash(aKey.m_requestId) % kShards;
+  return base::StableHash(aRequestId) % kShards;
 }
 
 bool
 RunTable::Insert(const RunPointer& aRun, RunPointer& aPresent)
 {
-  Shard& shard = m_shards[IndexOf(aRun->Key())];
+  Shard& shard = m_shards[IndexOf(aRun->Key().m_requestId)];
   const std::lock_guard lock(shard.m_lock);
   const auto [place, inserted] = shard.m_runs.emplace(aRun->Key(), aRun);
   aPresent = place->second;
@@ -66,16 +66,30 @@
 RunPointer
 RunTable::Find(const RunKey& aKey) const
 {
-  const Shard& shard = m_shards[IndexOf(aKey)];
+  const Shard& shard = m_shards[IndexOf(aKey.m_requestId)];
   const std::lock_guard lock(shard.m_lock);
   const auto found = shard.m_runs.find(aKey);
   return found == shard.m_runs.end() ? nullptr : found->second;
 }
 
+std::vector<RunPointer>
+RunTable::Attempts(const std::string& aRequestId) const
+{
+  const Shard& shard = m_shards[IndexOf(aRequestId)];
+  const std::lock_guard lock(shard.m_lock);
+  std::vector<RunPointer> attempts;
+  for (auto run = shard.m_runs.lower_bound({ aRequestId, 0 });
+       run != shard.m_runs.end() && run->first.m_requestId == aRequestId;
+       ++run) {
+    attempts.push_back(run->second);
+  }
+  return attempts;
+}
+
 void
 RunTable::Erase(const RunKey& aKey)
 {
-  Shard& shard = m_shards[IndexOf(aKey)];
+  Shard& shard = m_shards[IndexOf(aKey.m_requestId)];
   const std::lock_guard lock(shard.m_lock);
   shard.m_runs.erase(aKey);
 }
--- a/chivefront/agent/tables.h
+++ b/chivefront/agent/tables.h
@@ -16,8 +16,8 @@
 
 struct UpstreamShard
 {
-  explicit UpstreamShard(catalog::UpstreamRule aRule)
-    : m_state(std::move(aRule))
+  explicit UpstreamShard(const catalog::UpstreamRule& aRule)
+    : m_state(aRule)
   {
   }
 
@@ -48,6 +48,8 @@
   // False when aRun's key is in the table already; aPresent then gets it.
   bool Insert(const RunPointer& aRun, RunPointer& aPresent);
   RunPointer Find(const RunKey& aKey) const;
+  // All attempts of one request.
+  std::vector<RunPointer> Attempts(const std::string& aRequestId) const;
   void Erase(const RunKey& aKey);
   std::vector<RunPointer> All() const;
   size_t Size() const;
@@ -59,7 +61,7 @@
     mutable std::mutex m_lock;
     std::map<RunKey, RunPointer> m_runs;
   };
-  size_t IndexOf(const RunKey& aKey) const;
+  static size_t IndexOf(const std::string& aRequestId);
 
   std::array<Shard, kShards> m_shards;
 };
--- a/chivefront/agent/testing/bench.h
+++ b/chivefront/agent/testing/bench.h
@@ -14,6 +14,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 
 #include "chivefront/agent/agent.h"
+#include "chivefront/base/ids.h"
 #include "fakes/control_stub.h"
 
 namespace chivefront::agent::testing {
@@ -80,6 +81,11 @@
   // Waits until aDone holds for what came for aId; returns it.
   Received WaitFor(const std::string& aId,
                    const std::function<bool(const Received&)>& aDone);
+  void Forget(const std::string& aId)
+  {
+    const std::lock_guard lock(m_lock);
+    m_received.erase(aId);
+  }
   // Waits for End or Rejected.
   Received WaitEnd(const std::string& aId);
   // Waits until aDone holds; false when it never does.
--- a/chivefront/agent/upstream_state.cc
+++ b/chivefront/agent/upstream_state.cc
@@ -16,11 +16,25 @@
 // resets that its crash caused.
 constexpr base::Millis kFailureMemory{ 5000 };
 
+policy::UpstreamLimiter::Result
+ResultOf(Ending aEnding)
+{
+  using Result = policy::UpstreamLimiter::Result;
+  switch (aEnding) {
+    case Ending::Succeeded:
+      return Result::Success;
+    case Ending::Refused:
+      return Result::Refused;
+    default:
+      return Result::Neutral;
+  }
+}
+
 } // namespace detail
 
-UpstreamState::UpstreamState(catalog::UpstreamRule aRule)
-  : m_rule(std::move(aRule))
-  , m_queue(m_rule.m_queue)
+UpstreamState::UpstreamState(const catalog::UpstreamRule& aRule)
+  : m_limiter(aRule)
+  , m_queue(aRule.m_queue)
   , m_serviceTime(detail::kFirstServiceTime)
 {
 }
@@ -28,7 +42,7 @@
 void
 UpstreamState::SetRule(const catalog::UpstreamRule& aRule)
 {
-  m_rule = aRule;
+  m_limiter.SetRule(aRule);
   m_queue.SetBound(aRule.m_queue);
 }
 
@@ -42,6 +56,7 @@
     loss = MarkLost("incarnation changed", aNow);
     m_running.clear();
   }
+  m_limiter.OnIncarnation(aFacts.m_incarnation, aNow);
   const bool leaving = m_facts.m_leaving && !restarted;
   m_facts = aFacts;
   m_facts.m_leaving = leaving;
@@ -84,6 +99,7 @@
     }
   }
   m_announced = false;
+  m_limiter.OnLost(aNow);
   m_failures.clear();
   auto& prints = loss.m_fingerprints;
   std::sort(prints.begin(), prints.end());
@@ -98,14 +114,23 @@
 UpstreamState::SuspectRunning() const
 {
   return std::any_of(m_running.begin(), m_running.end(), [](const auto& aRun) {
-    return aRun.second.m_suspect;
+    return aRun.second.m_ticket.m_work.m_suspect;
   });
 }
 
-void
-UpstreamState::Start(const WaitingRun& aRun)
+bool
+UpstreamState::TryStart(const WaitingRun& aRun, base::TimePoint aNow)
 {
-  m_running[aRun.m_key] = { aRun.m_fingerprint, aRun.m_suspect, false };
+  if (m_running.size() >= Limit() || (aRun.m_suspect && SuspectRunning())) {
+    return false;
+  }
+  const auto ticket =
+    m_limiter.TryAdmit({ aRun.m_suspect, aRun.m_stream }, aNow);
+  if (!ticket) {
+    return false;
+  }
+  m_running[aRun.m_key] = { aRun.m_fingerprint, *ticket, false };
+  return true;
 }
 
 base::Millis
@@ -125,9 +150,7 @@
                                       "upstream does not announce itself");
     return admission;
   }
-  const bool slotFree = m_running.size() < Limit() && m_queue.Size() == 0;
-  if (slotFree && !(aRun.m_suspect && SuspectRunning())) {
-    Start(aRun);
+  if (m_queue.Size() == 0 && TryStart(aRun, aNow)) {
     admission.m_kind = Admission::Kind::Start;
     return admission;
   }
@@ -153,13 +176,13 @@
 UpstreamState::TakeStartable(base::TimePoint aNow)
 {
   std::vector<RunKey> startable;
-  while (Present(aNow) && m_running.size() < Limit()) {
-    auto run = m_queue.Pop(!SuspectRunning());
-    if (!run) {
+  while (Present(aNow)) {
+    const WaitingRun* run = m_queue.Front(!SuspectRunning());
+    if (run == nullptr || !TryStart(*run, aNow)) {
       break;
     }
-    Start(*run);
     startable.push_back(run->m_key);
+    m_queue.Remove(startable.back());
   }
   return startable;
 }
@@ -170,6 +193,15 @@
   return m_queue.TakeExpired(aNow);
 }
 
+void
+UpstreamState::FirstByte(const RunKey& aKey, base::TimePoint aNow)
+{
+  const auto found = m_running.find(aKey);
+  if (found != m_running.end()) {
+    m_limiter.OnFirstByte(found->second.m_ticket, aNow);
+  }
+}
+
 void
 UpstreamState::Finish(const RunKey& aKey,
                       Ending aEnding,
@@ -190,6 +222,7 @@
     m_serviceTime = (m_serviceTime * (detail::kServiceTimeDecay - 1) + aTook) /
                     detail::kServiceTimeDecay;
   }
+  m_limiter.Finish(found->second.m_ticket, detail::ResultOf(aEnding), aNow);
   m_running.erase(found);
 }
 
--- a/chivefront/agent/upstream_state.h
+++ b/chivefront/agent/upstream_state.h
@@ -2,8 +2,9 @@
 // many requests it may hold, who waits, what is in flight and what was in
 // flight when it was lost. Pure; the owner holds one lock per upstream.
 //
-// Invariant: RunningCount() never grows beyond Limit(). The limit may fall
-// below the running count; then nothing starts until it is below again.
+// Invariant: RunningCount() never grows beyond Limit(), which comes from
+// policy::UpstreamLimiter. The limit may fall below the running count; then
+// nothing starts until the count is below it again.
 #pragma once
 
 #include <deque>
@@ -18,6 +19,7 @@
 #include "chivefront/agent/run_key.h"
 #include "chivefront/agent/work_queue.h"
 #include "chivefront/base/clock.h"
+#include "chivefront/policy/limiter.h"
 
 namespace chivefront::agent {
 
@@ -59,7 +61,7 @@
 class UpstreamState
 {
 public:
-  explicit UpstreamState(catalog::UpstreamRule aRule);
+  explicit UpstreamState(const catalog::UpstreamRule& aRule);
 
   // --- The upstream's own reports -----------------------------------------
 
@@ -85,6 +87,8 @@
   std::vector<RunKey> TakeWaiting() { return m_queue.TakeAll(); }
   // False when aKey was not waiting.
   bool Withdraw(const RunKey& aKey) { return m_queue.Remove(aKey); }
+  // The first byte of the answer to aKey came.
+  void FirstByte(const RunKey& aKey, base::TimePoint aNow);
   // A run left the upstream after aTook.
   void Finish(const RunKey& aKey,
               Ending aEnding,
@@ -97,7 +101,7 @@
   void SetRule(const catalog::UpstreamRule& aRule);
   void SetLeaving() { m_facts.m_leaving = true; }
   const UpstreamFacts& Facts() const { return m_facts; }
-  uint32_t Limit() const { return m_rule.m_coldLimit; }
+  uint32_t Limit() const { return m_limiter.Limit(); }
   size_t RunningCount() const { return m_running.size(); }
   size_t WaitingCount() const { return m_queue.Size(); }
   // How long a new run of aClass would wait for a slot, by recent runs.
@@ -107,7 +111,7 @@
   struct Running
   {
     uint64_t m_fingerprint = 0;
-    bool m_suspect = false;
+    policy::UpstreamLimiter::Ticket m_ticket;
     // Reported in a loss. It keeps its slot until its connection has ended or
     // a new incarnation came, because a frozen upstream may come back to life
     // with everything that it held.
@@ -121,9 +125,10 @@
   };
 
   bool SuspectRunning() const;
-  void Start(const WaitingRun& aRun);
+  // False when the limit does not allow aRun now.
+  bool TryStart(const WaitingRun& aRun, base::TimePoint aNow);
 
-  catalog::UpstreamRule m_rule;
+  policy::UpstreamLimiter m_limiter;
   UpstreamFacts m_facts;
   base::TimePoint m_announcedAt;
   bool m_announced = false; // false before the first and after a loss
--- a/chivefront/agent/work_queue.cc
+++ b/chivefront/agent/work_queue.cc
@@ -40,21 +40,19 @@
   return result;
 }
 
-std::optional<WaitingRun>
-WorkQueue::Pop(bool aSuspectAllowed)
+const WaitingRun*
+WorkQueue::Front(bool aSuspectAllowed) const
 {
-  for (std::deque<WaitingRun>* lane : { &m_paying, &m_free }) {
+  for (const std::deque<WaitingRun>* lane : { &m_paying, &m_free }) {
     const auto found =
       std::find_if(lane->begin(), lane->end(), [&](const WaitingRun& aRun) {
         return aSuspectAllowed || !aRun.m_suspect;
       });
     if (found != lane->end()) {
-      WaitingRun run = std::move(*found);
-      lane->erase(found);
-      return run;
+      return &*found;
     }
   }
-  return std::nullopt;
+  return nullptr;
 }
 
 std::vector<RunKey>
--- a/chivefront/agent/work_queue.h
+++ b/chivefront/agent/work_queue.h
@@ -19,6 +19,7 @@
   RunKey m_key;
   catalog::CallerClass m_class = catalog::CallerClass::Free;
   bool m_suspect = false;
+  bool m_stream = false;
   uint64_t m_fingerprint = 0;
   base::TimePoint m_deadline;
 };
@@ -41,8 +42,9 @@
   // A full queue accepts a paying run in place of the last free one.
   PushResult Push(WaitingRun aRun);
 
-  // The next run; suspects are passed over when aSuspectAllowed is false.
-  std::optional<WaitingRun> Pop(bool aSuspectAllowed);
+  // The next run or null; suspects are passed over when aSuspectAllowed is
+  // false. It stays in the queue until Remove.
+  const WaitingRun* Front(bool aSuspectAllowed) const;
 
   // Removes and returns runs whose deadline is not after aNow.
   std::vector<RunKey> TakeExpired(base::TimePoint aNow);
