--- a/chivefront/entry/agents.cc
+++ b/chivefront/entry/agents.cc
@@ -10,11 +10,13 @@
 AgentLinks::AgentLinks(net::asio::io_context& aContext,
                        const net::LinkIdentity& aIdentity,
                        RunningRequests& aRunning,
-                       LostHandler aLost)
+                       LostHandler aLost,
+                       LoadHandler aLoad)
   : m_context(aContext)
   , m_identity(aIdentity)
   , m_running(aRunning)
   , m_lost(std::move(aLost))
+  , m_load(std::move(aLoad))
 {
 }
 
@@ -57,11 +59,9 @@
 void
 AgentLinks::TakeLoad(const wire::UpstreamInfoT* aInfo)
 {
-  if (aInfo == nullptr || aInfo->name.empty()) {
-    return;
+  if (aInfo != nullptr && !aInfo->name.empty()) {
+    m_load(*aInfo);
   }
-  const std::lock_guard lock(m_lock);
-  m_loads[aInfo->name] = { aInfo->limit, aInfo->running, aInfo->queued };
 }
 
 void
@@ -133,10 +133,6 @@
       agent = m_agents.erase(agent);
     }
   }
-  for (auto load = m_loads.begin(); load != m_loads.end();) {
-    load = aView.m_registry->count(load->first) != 0 ? std::next(load)
-                                                     : m_loads.erase(load);
-  }
 }
 
 void
@@ -157,17 +153,6 @@
                                  : found->second.m_connector->Current();
 }
 
-std::optional<UpstreamLoad>
-AgentLinks::LoadOf(const std::string& aUpstream) const
-{
-  const std::lock_guard lock(m_lock);
-  const auto found = m_loads.find(aUpstream);
-  if (found == m_loads.end()) {
-    return std::nullopt;
-  }
-  return found->second;
-}
-
 size_t
 AgentLinks::Connected() const
 {
--- a/chivefront/entry/agents.h
+++ b/chivefront/entry/agents.h
@@ -13,14 +13,6 @@
 
 namespace chivefront::entry {
 
-// What an agent reported last of an upstream's load.
-struct UpstreamLoad
-{
-  uint32_t m_limit = 0;
-  uint32_t m_running = 0;
-  uint32_t m_queued = 0;
-};
-
 class AgentLinks
 {
 public:
@@ -30,10 +22,14 @@
     std::function<void(uint64_t aIncarnation,
                        const std::vector<RunningAttempt>& aAttempts)>;
 
+  // Called with each load that an agent reports over its link.
+  using LoadHandler = std::function<void(const wire::UpstreamInfoT&)>;
+
   AgentLinks(net::asio::io_context& aContext,
              const net::LinkIdentity& aIdentity,
              RunningRequests& aRunning,
-             LostHandler aLost);
+             LostHandler aLost,
+             LoadHandler aLoad);
 
   // Connects to agents that are new in the view. A link to an agent that left
   // the registry is kept while requests run there, because the registry
@@ -43,9 +39,6 @@
 
   // The open link to an agent, or null.
   net::Link::Pointer Current(const std::string& aAgentAddress) const;
-  // The load reported for an upstream over the link, which is fresher than
-  // the registry's; nothing before the first report.
-  std::optional<UpstreamLoad> LoadOf(const std::string& aUpstream) const;
   size_t Connected() const;
 
 private:
@@ -64,9 +57,9 @@
   const net::LinkIdentity& m_identity;
   RunningRequests& m_running;
   const LostHandler m_lost;
+  const LoadHandler m_load;
   mutable std::mutex m_lock;
-  std::map<std::string, Agent> m_agents;       // by address
-  std::map<std::string, UpstreamLoad> m_loads; // by upstream
+  std::map<std::string, Agent> m_agents; // by address
 };
 
 } // namespace chivefront::entry
--- a/chivefront/entry/chat_flow.cc
+++ b/chivefront/entry/chat_flow.cc
@@ -26,12 +26,15 @@
   net::Task<absl::Status> ResolveSession(const catalog::Catalog& aCatalog,
                                          std::string aModel);
   absl::Status FillSpec(const catalog::Catalog& aCatalog);
+  net::Task<void> ServeAdmitted();
   net::Task<void> ServeStream();
   net::Task<void> ServeWhole();
   net::Task<absl::Status> Bill(const RunResult& aResult);
   void NoteEvidence(const RunResult& aResult);
   net::HttpHeaders Headers() const;
   std::string Trailer() const;
+  uint64_t ExpectedTokens() const;
+  net::Task<void> RefuseWith(const CallerError& aError);
 
   FlowParts& m_parts;
   const Caller m_caller;
@@ -40,6 +43,7 @@
   RunSpec m_spec;
   uint32_t m_runs = 1;
   uint64_t m_costMicros = 0;
+  uint64_t m_tokens = 0; // of all runs
 };
 
 // The best model of the team by rank, for requests that leave the choice to
@@ -58,6 +62,29 @@
   return best == nullptr ? std::string() : best->m_id;
 }
 
+net::Task<void>
+ChatFlow::RefuseWith(const CallerError& aError)
+{
+  return Refuse(
+    m_parts.m_entry, m_caller.m_requestId, m_caller.m_team, aError, m_exchange);
+}
+
+// What the request uses at most, prompt included. Four bytes a token is the
+// usual estimate for European languages; the true count is charged at the end.
+uint64_t
+ChatFlow::ExpectedTokens() const
+{
+  constexpr uint64_t kBytesPerToken = 4;
+  const auto view = m_parts.m_entry.m_watcher.LastView();
+  const catalog::Version* version =
+    view->m_catalog->FindVersion(m_spec.m_version);
+  uint64_t answer = version == nullptr ? 0 : version->m_maxAnswerTokens;
+  if (m_chat.m_maxTokens != 0) {
+    answer = std::min<uint64_t>(answer, m_chat.m_maxTokens);
+  }
+  return m_spec.m_body.size() / kBytesPerToken + answer;
+}
+
 net::Task<absl::Status>
 ChatFlow::ResolveSession(const catalog::Catalog& aCatalog, std::string aModel)
 {
@@ -150,8 +177,8 @@
 void
 ChatFlow::NoteEvidence(const RunResult& aResult)
 {
-  if (aResult.m_upstream.empty()) {
-    return; // nothing was dispatched
+  if (!aResult.m_dispatched) {
+    return;
   }
   m_parts.m_evidence.Exposed(m_spec.m_version);
   if (aResult.m_done) {
@@ -171,6 +198,7 @@
   const auto view = m_parts.m_entry.m_watcher.LastView();
   std::vector<wire::BillLineT> lines{ MakeLine(
     *view->m_catalog, m_spec, aResult) };
+  m_tokens += aResult.m_promptTokens + aResult.m_answerTokens;
   m_costMicros += lines.front().cost_micros;
   const absl::Status billed = co_await m_parts.m_billing.Post(std::move(lines));
   if (billed.ok()) {
@@ -233,11 +261,7 @@
     co_return;
   }
   if (!sink.Begun()) {
-    co_await Refuse(m_parts.m_entry,
-                    m_caller.m_requestId,
-                    m_caller.m_team,
-                    error,
-                    m_exchange);
+    co_await RefuseWith(error);
     co_return;
   }
   m_parts.m_entry.m_events.Record(
@@ -268,11 +292,7 @@
     }
   }
   if (!done) {
-    co_await Refuse(m_parts.m_entry,
-                    m_caller.m_requestId,
-                    m_caller.m_team,
-                    error,
-                    m_exchange);
+    co_await RefuseWith(error);
     co_return;
   }
   net::HttpResponse response;
@@ -296,11 +316,7 @@
   const absl::Status resolved = co_await Resolve();
   if (!resolved.ok()) {
     const CallerError error = CallerError::BeforeDispatch(resolved);
-    co_await Refuse(m_parts.m_entry,
-                    m_caller.m_requestId,
-                    m_caller.m_team,
-                    error,
-                    m_exchange);
+    co_await RefuseWith(error);
     co_return;
   }
   m_parts.m_entry.m_events.Record("routed",
@@ -309,6 +325,28 @@
                                     { "version", m_spec.m_version },
                                     { "session", m_spec.m_session } },
                                   m_caller.m_requestId);
+  const auto view = m_parts.m_entry.m_watcher.LastView();
+  base::Millis retryAfter;
+  const catalog::Team* team = view->m_catalog->FindTeam(m_caller.m_team);
+  if (team == nullptr) {
+    const CallerError error(base::ErrorKind::UnknownTeam, "the team is gone");
+    co_await RefuseWith(error);
+    co_return;
+  }
+  auto ticket = m_parts.m_limits.Admit(*team, ExpectedTokens(), retryAfter);
+  if (!ticket.ok()) {
+    CallerError error(ticket.status());
+    error.m_retryAfter = retryAfter;
+    co_await RefuseWith(error);
+    co_return;
+  }
+  co_await ServeAdmitted();
+  ticket->Used(m_tokens);
+}
+
+net::Task<void>
+ChatFlow::ServeAdmitted()
+{
   if (m_chat.m_stream) {
     co_await ServeStream();
   } else {
--- /dev/null
+++ b/chivefront/entry/core.h
@@ -0,0 +1,67 @@
+// All parts of an entry, connected to each other.
+//
+//   EntryCore core(context, identity, control, limits, events, metrics);
+//   absl::Status status = core.Start(callersEndpoint);
+//   ...
+//   core.BeginShutdown(acceptFor, [&] { loop.Stop(); });
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <vector>
+
+#include "chivefront/entry/server.h"
+
+namespace chivefront::entry {
+
+class EntryCore
+{
+public:
+  EntryCore(net::asio::io_context& aContext,
+            const net::LinkIdentity& aIdentity,
+            std::vector<base::Endpoint> aControl,
+            const EntryLimits& aLimits,
+            const net::HttpLimits& aHttp,
+            base::EventLog& aEvents,
+            base::Metrics& aMetrics);
+
+  // Opens the callers' port and begins to watch the configuration.
+  absl::Status Start(const base::Endpoint& aCallers);
+
+  // Whether the balancer should send requests here.
+  bool Ready() const { return !m_leaving && m_watcher.Fresh(); }
+  // JSON for the admin port.
+  std::string Status() const;
+
+  // Fails readiness at once, goes on accepting for aAcceptFor so that the
+  // balancer can notice, then waits for running requests with their bills,
+  // and calls aDone. Further calls change nothing.
+  void BeginShutdown(base::Millis aAcceptFor, std::function<void()> aDone);
+
+  client::Watcher& Watcher() { return m_watcher; }
+  AgentLinks& Agents() { return m_agents; }
+  FlowParts& Flows() { return m_flows; }
+  RunningRequests& Running() { return m_running; }
+  base::Endpoint Callers() const { return m_server.Bound(); }
+
+private:
+  void OnAgentLost(uint64_t aIncarnation,
+                   const std::vector<RunningAttempt>& aAttempts);
+  net::Task<void> ReportLoss(wire::ReportLossT aLoss);
+  net::Task<void> Leave(base::Millis aAcceptFor, std::function<void()> aDone);
+
+  net::asio::io_context& m_context;
+  base::EventLog& m_events;
+  std::atomic<bool> m_leaving{ false };
+  client::ControlLinks m_control;
+  client::Watcher m_watcher;
+  client::LedgerClient m_ledger;
+  RunningRequests m_running;
+  AgentLinks m_agents;
+  Placer m_placer;
+  EntryParts m_parts;
+  FlowParts m_flows;
+  EntryServer m_server;
+};
+
+} // namespace chivefront::entry
--- a/chivefront/entry/entry_main.cc
+++ b/chivefront/entry/entry_main.cc
@@ -1,6 +1,6 @@
 // chivefront-entry: accepts callers' requests and routes them to upstreams.
 #include "chivefront/base/log.h"
-#include "chivefront/entry/server.h"
+#include "chivefront/entry/core.h"
 #include "chivefront/net/process.h"
 
 using namespace chivefront;
@@ -44,6 +44,11 @@
                        16 * kKibi,
                        4 * kKibi,
                        4 * kKibi * kKibi);
+  aSettings.AddInteger("queue",
+                       "Requests that wait here for one version or service.",
+                       1000,
+                       0,
+                       1000000);
   aSettings.AddInteger("deadline-ms",
                        "Deadline of requests that give none.",
                        60000,
@@ -85,6 +90,7 @@
   limits.m_windowBytes = static_cast<size_t>(aSettings.Integer("window-bytes"));
   limits.m_maxAnswerBytes =
     static_cast<size_t>(aSettings.Integer("max-answer-bytes"));
+  limits.m_queue = static_cast<size_t>(aSettings.Integer("queue"));
   limits.m_deadline = base::Millis(aSettings.Integer("deadline-ms"));
   return limits;
 }
@@ -101,54 +107,26 @@
   if (const auto code = process.Start(argc, argv)) {
     return *code;
   }
-  const base::Clock& clock = base::SteadyClock::Instance();
-  const std::string holder =
-    process.Name() + "#" + std::to_string(process.Identity().m_incarnation);
-  client::ControlLinks control(
-    process.Context(), process.Identity(), process.ControlEndpoints());
-  client::Watcher watcher(process.Context(),
-                          control,
-                          holder,
-                          wire::Role::Entry,
-                          clock,
-                          process.Events());
-  client::LedgerClient ledger(control);
-  entry::RunningRequests running;
-  entry::AgentLinks agents(
-    process.Context(),
-    process.Identity(),
-    running,
-    [](uint64_t, const std::vector<entry::RunningAttempt>&) {});
-  entry::EntryParts parts{ holder,
-                           process.FailureDomain(),
-                           MakeEntryLimits(process.Settings()),
-                           watcher,
-                           ledger,
-                           agents,
-                           running,
-                           process.Events(),
-                           process.Metrics(),
-                           clock };
-  entry::FlowParts flows(parts);
-  entry::EntryServer server(
-    process.Context(), flows, MakeHttpLimits(process.Settings()));
+  entry::EntryCore core(process.Context(),
+                        process.Identity(),
+                        process.ControlEndpoints(),
+                        MakeEntryLimits(process.Settings()),
+                        MakeHttpLimits(process.Settings()),
+                        process.Events(),
+                        process.Metrics());
   if (const absl::Status status =
-        server.Listen(process.Settings().EndpointOf("callers"));
+        core.Start(process.Settings().EndpointOf("callers"));
       !status.ok()) {
     base::LogError("entry",
                    "cannot open the callers' port",
                    { { "why", base::MessageOf(status) } });
     return 1;
   }
-  watcher.OnChange(
-    [&](const client::ViewPointer& aView) { agents.Update(*aView); });
-  watcher.SetEvidenceSource(
-    [&](uint64_t) { return flows.m_evidence.Totals(); });
-  control.Start();
-  watcher.Start();
-  process.Loop().OnShutdown([&] { process.Loop().Stop(); });
-  process.AddReadyField("callers", server.Bound().ToString());
-  return process.Run(
-    [&] { return watcher.Fresh(); },
-    [&] { return "{\"running\":" + std::to_string(running.Size()) + "}"; });
+  const base::Millis acceptFor(
+    process.Settings().Integer("accept-after-term-ms"));
+  process.Loop().OnShutdown(
+    [&] { core.BeginShutdown(acceptFor, [&] { process.Loop().Stop(); }); });
+  process.AddReadyField("callers", core.Callers().ToString());
+  return process.Run([&] { return core.Ready(); },
+                     [&] { return core.Status(); });
 }
--- a/chivefront/entry/flow_test.cc
+++ b/chivefront/entry/flow_test.cc
@@ -159,7 +159,8 @@
   world.m_bench.m_control.Change([&](ControlStandIn& aControl) {
     aControl.m_upstreams.push_back(world.m_agent.Upstream("e2", "small-1"));
   });
-  while (world.m_bench.m_watcher.LastView()->m_registry->count("e2") == 0) {
+  while (world.m_bench.m_core.Watcher().LastView()->m_registry->count("e2") ==
+         0) {
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   const auto answer = world.m_bench.Call(EntryBench::Chat(true));
@@ -235,7 +236,7 @@
   OneAgent world(AnswerDispatch);
   world.m_bench.m_control.Change(
     [](ControlStandIn& aControl) { aControl.m_fresh = false; });
-  while (world.m_bench.m_watcher.Fresh()) {
+  while (world.m_bench.m_core.Watcher().Fresh()) {
     std::this_thread::sleep_for(std::chrono::milliseconds(20));
   }
   const auto chat = world.m_bench.Call(EntryBench::Chat(false));
--- a/chivefront/entry/flows.h
+++ b/chivefront/entry/flows.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 
+#include "chivefront/entry/admission.h"
 #include "chivefront/entry/answer_sinks.h"
 #include "chivefront/entry/billing.h"
 #include "chivefront/entry/caller_request.h"
@@ -21,14 +22,22 @@
     , m_billing(aParts)
     , m_claims(aParts)
     , m_sessions(aParts)
+    , m_limits(aParts)
   {
   }
 
+  // Takes over what changed in the view.
+  void OnView(const client::View& aView)
+  {
+    m_limits.SetLiveEntries(aView.m_liveEntries);
+  }
+
   EntryParts& m_entry;
   Runner m_runner;
   Billing m_billing;
   Claims m_claims;
   SessionPins m_sessions;
+  TeamLimits m_limits;
   Evidence m_evidence;
 };
 
--- a/chivefront/entry/parts.h
+++ b/chivefront/entry/parts.h
@@ -10,6 +10,7 @@
 #include "chivefront/client/ledger_client.h"
 #include "chivefront/client/watcher.h"
 #include "chivefront/entry/agents.h"
+#include "chivefront/entry/placement.h"
 #include "chivefront/entry/running.h"
 
 namespace chivefront::entry {
@@ -29,6 +30,8 @@
   base::Millis m_reconnect{ 3000 };
   // A ledger command is repeated this long; bridges an election (about 1 s).
   base::Millis m_ledger{ 4000 };
+  // Requests that wait here for one version or service.
+  size_t m_queue = 1000;
 };
 
 struct EntryParts
@@ -39,6 +42,7 @@
   const client::Watcher& m_watcher;
   client::LedgerClient& m_ledger;
   AgentLinks& m_agents;
+  Placer& m_placer;
   RunningRequests& m_running;
   base::EventLog& m_events;
   base::Metrics& m_metrics;
--- a/chivefront/entry/placement.cc
+++ b/chivefront/entry/placement.cc
@@ -1,70 +1,351 @@
-// Candidates from the registry and the choice among them.
+// Credits, queues and waiting.
 #include "chivefront/entry/placement.h"
 
 #include <algorithm>
-#include <tuple>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
 
 namespace chivefront::entry {
 namespace detail {
 
-struct Candidate
-{
-  PlacedUpstream m_upstream;
-  size_t m_inFlight = 0;
-  bool m_full = false;
-  bool m_ownDomain = false;
+// A waiting request looks for a credit at least this often, because the end
+// of an avoidance after a refusal is not announced.
+constexpr base::Millis kWaitStep{ 50 };
 
-  // Free capacity first, then the own failure domain, then the fewest
-  // requests in flight.
-  auto Rank() const
-  {
-    return std::tuple(m_full, !m_ownDomain, m_inFlight, m_upstream.m_name);
-  }
-};
+policy::PlacementSettings
+MakeSettings(const std::string& aOwnDomain)
+{
+  policy::PlacementSettings settings;
+  settings.m_ownDomain = aOwnDomain;
+  return settings;
+}
 
 } // namespace detail
 
-std::optional<PlacedUpstream>
-PlaceRequest(const EntryParts& aParts,
-             const client::View& aView,
-             const std::string& aVersion,
-             const std::string& aService,
-             const std::set<std::string>& aTried)
+std::string
+RouteOf(const std::string& aVersion, const std::string& aService)
+{
+  return aService.empty() ? "version/" + aVersion : "service/" + aService;
+}
+
+Placer::Placer(const AgentLinks& aAgents,
+               const client::Watcher& aWatcher,
+               const std::string& aOwnDomain,
+               size_t aQueueCapacity,
+               base::Metrics& aMetrics)
+  : m_agents(aAgents)
+  , m_watcher(aWatcher)
+  , m_clock(base::SteadyClock::Instance())
+  , m_queueCapacity(aQueueCapacity)
+  , m_waitingGauge(
+      aMetrics.AddGauge("chivefront_entry_waiting",
+                        "Requests that wait for a credit of an upstream."))
+  , m_waitMs(aMetrics.AddSummary("chivefront_entry_wait_ms",
+                                 "Time that queued requests waited."))
+  , m_placement(detail::MakeSettings(aOwnDomain), base::RandomBits())
 {
-  std::optional<detail::Candidate> best;
+}
+
+void
+Placer::Add(const wire::UpstreamInfoT& aInfo, const client::View& aView)
+{
+  policy::UpstreamReport report;
+  report.m_upstream = aInfo.name;
+  report.m_domain = aInfo.failure_domain;
+  report.m_route = RouteOf(aInfo.version, aInfo.service);
+  report.m_limit = aInfo.limit;
+  report.m_running = aInfo.running;
+  report.m_queued = aInfo.queued;
+  report.m_leaving = aInfo.leaving;
+  const catalog::UpstreamRule* rule =
+    aInfo.service.empty() ? aView.m_catalog->RuleForVersion(aInfo.version)
+                          : aView.m_catalog->RuleForService(aInfo.service);
+  report.m_queueRoom = rule == nullptr ? 0 : rule->m_queue;
+  m_placement.Update(report, m_clock.Now());
+  m_known[aInfo.name] = aInfo;
+}
+
+void
+Placer::Update(const client::View& aView)
+{
+  const std::lock_guard lock(m_lock);
+  for (const std::string& domain : m_domainsOut) {
+    if (aView.m_catalog->m_domainsOut.count(domain) == 0) {
+      m_placement.OnDomainReturned(domain, m_clock.Now());
+    }
+  }
+  m_domainsOut = aView.m_catalog->m_domainsOut;
   for (const auto& [name, info] : *aView.m_registry) {
-    const bool serves =
-      aService.empty()
-        ? info.kind == wire::UpstreamKind::Model && info.version == aVersion
-        : info.kind == wire::UpstreamKind::Plain && info.service == aService;
-    if (!serves || info.leaving || aTried.count(name) != 0 ||
-        !catalog::CheckInService(*aView.m_catalog, name, info.failure_domain)
-           .ok()) {
-      continue;
+    const auto known = m_known.find(name);
+    // The load of a known upstream comes over its link; taking the registry's
+    // older figures would forget what was sent since.
+    if (known == m_known.end() || known->second.leaving != info.leaving ||
+        known->second.agent_address != info.agent_address ||
+        known->second.version != info.version ||
+        known->second.service != info.service) {
+      Add(info, aView);
     }
-    net::Link::Pointer link = aParts.m_agents.Current(info.agent_address);
-    if (!link) {
+  }
+  for (auto known = m_known.begin(); known != m_known.end();) {
+    if (aView.m_registry->count(known->first) != 0) {
+      ++known;
       continue;
     }
-    const UpstreamLoad load = aParts.m_agents.LoadOf(name).value_or(
-      UpstreamLoad{ info.limit, info.running, info.queued });
-    detail::Candidate candidate;
-    candidate.m_upstream = {
-      name, info.failure_domain, info.agent_address, std::move(link)
-    };
-    // The report lags behind what this entry has sent itself.
-    candidate.m_inFlight = std::max<size_t>(load.m_running + load.m_queued,
-                                            aParts.m_running.AtUpstream(name));
-    candidate.m_full = candidate.m_inFlight >= load.m_limit;
-    candidate.m_ownDomain = info.failure_domain == aParts.m_failureDomain;
-    if (!best || candidate.Rank() < best->Rank()) {
-      best = std::move(candidate);
+    m_placement.Remove(known->first);
+    known = m_known.erase(known);
+  }
+  PumpAll();
+}
+
+void
+Placer::TakeLoad(const wire::UpstreamInfoT& aInfo)
+{
+  const auto view = m_watcher.LastView();
+  const std::lock_guard lock(m_lock);
+  const auto known = m_known.find(aInfo.name);
+  if (known == m_known.end()) {
+    return; // the registry names it first
+  }
+  // A report need not repeat what does not change.
+  wire::UpstreamInfoT merged = known->second;
+  merged.limit = aInfo.limit;
+  merged.running = aInfo.running;
+  merged.queued = aInfo.queued;
+  merged.leaving = aInfo.leaving || known->second.leaving;
+  Add(merged, *view);
+  Pump(RouteOf(merged.version, merged.service));
+}
+
+policy::Placement::Usable
+Placer::UsableBy(const client::View& aView) const
+{
+  return [this, &aView](const policy::Placement::Upstream& aUpstream) {
+    const policy::UpstreamReport& report = aUpstream.m_report;
+    const auto known = m_known.find(report.m_upstream);
+    return known != m_known.end() &&
+           catalog::CheckInService(
+             *aView.m_catalog, report.m_upstream, report.m_domain)
+             .ok() &&
+           m_agents.Current(known->second.agent_address) != nullptr;
+  };
+}
+
+bool
+Placer::AnyUsable(const Placing& aWanted, const client::View& aView) const
+{
+  const auto usable = UsableBy(aView);
+  for (const auto& [name, info] : m_known) {
+    const policy::Placement::Upstream* upstream = m_placement.Find(name);
+    const bool tried =
+      aWanted.m_tried != nullptr && aWanted.m_tried->count(name) != 0;
+    if (upstream != nullptr && !tried &&
+        upstream->m_report.m_route == aWanted.m_route &&
+        !upstream->m_report.m_leaving && usable(*upstream)) {
+      return true;
     }
   }
-  if (!best) {
+  return false;
+}
+
+std::optional<PlacedUpstream>
+Placer::TryPlace(const Placing& aWanted, const client::View& aView)
+{
+  policy::PlacementRequest request;
+  request.m_route = aWanted.m_route;
+  request.m_prefix = aWanted.m_prefix;
+  request.m_tried = aWanted.m_tried;
+  // Free requests wait here, so that they never fill an agent's queue.
+  request.m_mayQueue = aWanted.m_class == catalog::CallerClass::Paying;
+  const auto choice =
+    m_placement.Choose(request, UsableBy(aView), m_clock.Now());
+  if (!choice) {
     return std::nullopt;
   }
-  return std::move(best->m_upstream);
+  PlacedUpstream placed;
+  placed.m_name = choice->m_upstream;
+  placed.m_agentAddress = m_known.at(choice->m_upstream).agent_address;
+  placed.m_link = m_agents.Current(placed.m_agentAddress);
+  if (!placed.m_link) {
+    return std::nullopt; // closed since it was found usable
+  }
+  m_placement.OnSent(placed.m_name, aWanted.m_prefix);
+  return placed;
+}
+
+policy::ClassQueue&
+Placer::QueueOf(const std::string& aRoute)
+{
+  return m_queues.try_emplace(aRoute, m_queueCapacity).first->second;
+}
+
+void
+Placer::Complete(uint64_t aId, absl::StatusOr<PlacedUpstream> aResult)
+{
+  const auto found = m_waiters.find(aId);
+  if (found == m_waiters.end()) {
+    return;
+  }
+  const WaiterPointer waiter = found->second;
+  m_waiters.erase(found);
+  waiter->m_result = std::move(aResult);
+  net::asio::post(waiter->m_timer.get_executor(),
+                  [waiter] { waiter->m_timer.cancel(); });
+}
+
+// Gives credits to waiting requests in the queue's order.
+void
+Placer::Pump(const std::string& aRoute)
+{
+  const auto found = m_queues.find(aRoute);
+  if (found == m_queues.end()) {
+    return;
+  }
+  policy::ClassQueue& queue = found->second;
+  const base::TimePoint now = m_clock.Now();
+  for (const uint64_t id : queue.TakeExpired(now)) {
+    Complete(id,
+             base::MakeError(base::ErrorKind::DeadlineExceeded,
+                             "the deadline passed while the request waited"));
+  }
+  const auto view = m_watcher.LastView();
+  while (const policy::QueueItem* next = queue.Peek(now)) {
+    const auto waiter = m_waiters.find(next->m_id);
+    auto placed = TryPlace(waiter->second->m_wanted, *view);
+    if (!placed) {
+      return;
+    }
+    const auto item = queue.Pop(now);
+    Complete(item->m_id, std::move(*placed));
+  }
+}
+
+void
+Placer::PumpAll()
+{
+  for (const auto& [route, queue] : m_queues) {
+    Pump(route);
+  }
+}
+
+absl::Status
+Placer::Enqueue(const WaiterPointer& aWaiter, uint64_t aId)
+{
+  const Placing& wanted = aWaiter->m_wanted;
+  policy::ClassQueue& queue = QueueOf(wanted.m_route);
+  policy::QueueItem item;
+  item.m_id = aId;
+  item.m_class = wanted.m_class;
+  item.m_team = wanted.m_team;
+  item.m_deadline = wanted.m_deadline;
+  m_waiters.emplace(aId, aWaiter);
+  const policy::PushResult pushed = queue.Push(item, m_clock.Now());
+  for (const uint64_t displaced : pushed.m_displaced) {
+    Complete(displaced,
+             base::MakeError(base::ErrorKind::Overloaded,
+                             "the queue is full of requests that go first"));
+  }
+  if (!pushed.m_queued) {
+    m_waiters.erase(aId);
+    return base::MakeError(base::ErrorKind::Overloaded,
+                           "the wait would exceed the deadline or the queue");
+  }
+  return absl::OkStatus();
+}
+
+net::Task<absl::StatusOr<PlacedUpstream>>
+Placer::Acquire(Placing aWanted)
+{
+  const auto executor = co_await net::asio::this_coro::executor;
+  const auto waiter = std::make_shared<Waiter>(executor, aWanted);
+  const base::TimePoint began = m_clock.Now();
+  uint64_t id = 0;
+  {
+    const auto view = m_watcher.LastView();
+    const std::lock_guard lock(m_lock);
+    if (!AnyUsable(aWanted, *view)) {
+      co_return base::MakeError(base::ErrorKind::NoUpstream,
+                                "no upstream in service runs this");
+    }
+    if (QueueOf(aWanted.m_route).Size() == 0) {
+      if (auto placed = TryPlace(aWanted, *view)) {
+        co_return std::move(*placed);
+      }
+    }
+    id = ++m_lastId;
+    if (const absl::Status queued = Enqueue(waiter, id); !queued.ok()) {
+      co_return queued;
+    }
+    Pump(aWanted.m_route);
+  }
+  m_waitingGauge.Add(1);
+  while (true) {
+    waiter->m_timer.expires_after(detail::kWaitStep.ToChrono());
+    {
+      const std::lock_guard lock(m_lock);
+      Pump(aWanted.m_route);
+      if (waiter->m_result) {
+        break;
+      }
+    }
+    boost::system::error_code canceled;
+    co_await waiter->m_timer.async_wait(
+      net::asio::redirect_error(net::asio::use_awaitable, canceled));
+  }
+  m_waitingGauge.Add(-1);
+  m_waitMs.Observe(static_cast<double>((m_clock.Now() - began).Count()));
+  co_return std::move(*waiter->m_result);
+}
+
+void
+Placer::Finish(const std::string& aUpstream,
+               std::optional<base::Millis> aLatency)
+{
+  const std::lock_guard lock(m_lock);
+  m_placement.OnFinished(aUpstream, aLatency);
+  const auto known = m_known.find(aUpstream);
+  if (known != m_known.end()) {
+    Pump(RouteOf(known->second.version, known->second.service));
+  }
+}
+
+void
+Placer::Reject(const std::string& aUpstream)
+{
+  const std::lock_guard lock(m_lock);
+  m_placement.OnRejected(aUpstream, m_clock.Now());
+}
+
+uint32_t
+Placer::PayingWaiting() const
+{
+  const std::lock_guard lock(m_lock);
+  size_t waiting = 0;
+  for (const auto& [route, queue] : m_queues) {
+    waiting += queue.Size(catalog::CallerClass::Paying);
+  }
+  return static_cast<uint32_t>(waiting);
+}
+
+uint32_t
+Placer::FreeCredits() const
+{
+  const auto view = m_watcher.LastView();
+  const std::lock_guard lock(m_lock);
+  std::set<std::string> routes;
+  uint32_t credits = 0;
+  for (const auto& [name, info] : m_known) {
+    const std::string route = RouteOf(info.version, info.service);
+    if (routes.insert(route).second) {
+      credits += m_placement.Credits(route, UsableBy(*view), m_clock.Now());
+    }
+  }
+  return credits;
 }
 
 } // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/relay.cc
@@ -0,0 +1,222 @@
+// Relay of one attempt's answer: chunks, credit, resume, end.
+#include <algorithm>
+
+#include "chivefront/entry/attempt.h"
+
+namespace chivefront::entry {
+namespace detail {
+
+// After a cancel or a known end the agent has little left to say.
+constexpr base::Millis kDrain{ 5000 };
+
+// A refusal by the agent that another upstream would repeat.
+bool
+IsFinalRefusal(base::ErrorKind aKind)
+{
+  switch (aKind) {
+    case base::ErrorKind::NotAllowed:
+    case base::ErrorKind::UnknownTeam:
+    case base::ErrorKind::UnknownModel:
+    case base::ErrorKind::UnknownRoute:
+    case base::ErrorKind::VersionWithdrawn:
+    case base::ErrorKind::Quarantined:
+    case base::ErrorKind::BadRequest:
+      return true;
+    default:
+      return false;
+  }
+}
+
+} // namespace detail
+
+void
+Runner::AskResume(Attempt& aAttempt)
+{
+  wire::ResumeT resume;
+  resume.request_id = aAttempt.m_spec.m_requestId;
+  resume.attempt = aAttempt.m_number;
+  resume.next_sequence = aAttempt.m_assembler.NextSequence();
+  resume.credit_bytes =
+    static_cast<uint32_t>(aAttempt.m_assembler.CreditForResume());
+  m_parts.m_events.Record("resumed",
+                          { { "upstream", aAttempt.m_upstream },
+                            { "attempt", std::to_string(aAttempt.m_number) },
+                            { "next", std::to_string(resume.next_sequence) } },
+                          resume.request_id);
+  (void)aAttempt.m_link->Send(wire::MakeMessage(std::move(resume)));
+  aAttempt.m_resumed = true;
+  aAttempt.m_resumeAsked = true;
+  m_resumes.Increment();
+}
+
+void
+Runner::SendCancel(Attempt& aAttempt)
+{
+  if (!aAttempt.m_link) {
+    return;
+  }
+  wire::CancelT cancel;
+  cancel.request_id = aAttempt.m_spec.m_requestId;
+  cancel.attempt = aAttempt.m_number;
+  (void)aAttempt.m_link->Send(wire::MakeMessage(std::move(cancel)));
+}
+
+// The upstream's work is of no use now, except that the outcome of a claimed
+// call has to be learnt; the agent's End tells what is to be billed.
+void
+Runner::OnReaderGone(Attempt& aAttempt)
+{
+  m_parts.m_events.Record("reader_gone",
+                          { { "upstream", aAttempt.m_upstream } },
+                          aAttempt.m_spec.m_requestId);
+  if (aAttempt.m_spec.m_idempotent) {
+    SendCancel(aAttempt);
+    aAttempt.m_until =
+      std::min(aAttempt.m_until, m_parts.m_clock.Now() + detail::kDrain);
+  }
+}
+
+net::Task<std::optional<FailurePoint>>
+Runner::OnChunk(const wire::ChunkT& aChunk,
+                Attempt& aAttempt,
+                AnswerSink& aSink,
+                RunResult& aResult)
+{
+  const size_t bytes = aChunk.data.size();
+  switch (
+    aAttempt.m_assembler.OnChunk(aChunk.attempt, aChunk.sequence, bytes)) {
+    case StreamAssembler::Verdict::Accepted:
+      break;
+    case StreamAssembler::Verdict::Gap:
+      if (!aAttempt.m_resumeAsked && aAttempt.m_link) {
+        AskResume(aAttempt);
+      }
+      m_staleChunks.Increment();
+      co_return std::nullopt;
+    case StreamAssembler::Verdict::OverCredit:
+      co_return FailurePoint::OverCredit;
+    default:
+      m_staleChunks.Increment();
+      co_return std::nullopt;
+  }
+  aAttempt.m_resumeAsked = false;
+  if (aChunk.sequence == 0) {
+    const base::Millis waited = m_parts.m_clock.Now() - aAttempt.m_sentAt;
+    m_firstChunk.Observe(static_cast<double>(waited.Count()));
+    m_parts.m_events.Record("first_chunk",
+                            { { "upstream", aAttempt.m_upstream },
+                              { "attempt", std::to_string(aAttempt.m_number) },
+                              { "waited_ms", std::to_string(waited.Count()) } },
+                            aAttempt.m_spec.m_requestId);
+  }
+  if (!aResult.m_readerGone) {
+    const absl::Status taken = co_await aSink.OnData(aChunk.data);
+    if (!taken.ok()) {
+      aResult.m_readerGone = true;
+      OnReaderGone(aAttempt);
+    }
+  }
+  const size_t credit = aAttempt.m_assembler.Release(bytes);
+  if (credit > 0 && aAttempt.m_link) {
+    wire::CreditT grant;
+    grant.request_id = aChunk.request_id;
+    grant.attempt = aAttempt.m_number;
+    grant.bytes = static_cast<uint32_t>(credit);
+    (void)aAttempt.m_link->Send(wire::MakeMessage(std::move(grant)));
+  }
+  co_return std::nullopt;
+}
+
+std::optional<FailurePoint>
+Runner::OnEnd(const wire::EndT& aEnd, Attempt& aAttempt, RunResult& aResult)
+{
+  if (!aAttempt.m_assembler.OnEnd(aEnd.attempt, aEnd.chunks)) {
+    return std::nullopt;
+  }
+  aResult.m_httpStatus = aEnd.http_status;
+  aResult.m_contentType = aEnd.content_type;
+  aResult.m_promptTokens = aEnd.prompt_tokens;
+  aResult.m_answerTokens = aEnd.answer_tokens;
+  aAttempt.m_refusal.m_message = aEnd.message;
+  if (aEnd.outcome == wire::Outcome::NotRun) {
+    return FailurePoint::EndNotRun;
+  }
+  if (aEnd.outcome == wire::Outcome::Unknown) {
+    return aEnd.upstream_lost ? FailurePoint::UpstreamLost
+                              : FailurePoint::EndUnknown;
+  }
+  if (aAttempt.m_assembler.Whole()) {
+    aResult.m_done = true;
+    return FailurePoint::EndUnknown; // not used when done
+  }
+  if (aAttempt.m_resumeAsked ||
+      aAttempt.m_assembler.NextSequence() > aEnd.chunks || !aAttempt.m_link) {
+    return FailurePoint::AnswerCut;
+  }
+  AskResume(aAttempt);
+  aAttempt.m_until =
+    std::min(aAttempt.m_until, m_parts.m_clock.Now() + detail::kDrain);
+  return std::nullopt;
+}
+
+std::optional<FailurePoint>
+Runner::OnLinkUp(const net::Link::Pointer& aLink, Attempt& aAttempt)
+{
+  if (aLink == aAttempt.m_link) {
+    return std::nullopt;
+  }
+  if (aLink->Peer().m_incarnation != aAttempt.m_incarnation) {
+    return FailurePoint::AgentRestarted;
+  }
+  aAttempt.m_link = aLink;
+  aAttempt.m_until = aAttempt.m_spec.m_deadline;
+  AskResume(aAttempt);
+  return std::nullopt;
+}
+
+// Handles events until the attempt is over. The result is meaningless when
+// aResult.m_done is set.
+net::Task<FailurePoint>
+Runner::Relay(const RunSpec& aSpec,
+              Attempt& aAttempt,
+              AnswerSink& aSink,
+              RunResult& aResult)
+{
+  while (true) {
+    auto event = co_await aAttempt.m_mailbox->Next(aAttempt.m_until);
+    std::optional<FailurePoint> over;
+    if (!event) {
+      const bool late = m_parts.m_clock.Now() >= aSpec.m_deadline;
+      over = late               ? FailurePoint::DeadlinePassed
+             : !aAttempt.m_link ? FailurePoint::AgentUnreachable
+                                : FailurePoint::AnswerCut;
+    } else if (const auto* chunk = std::get_if<wire::ChunkT>(&*event)) {
+      over = co_await OnChunk(*chunk, aAttempt, aSink, aResult);
+    } else if (const auto* end = std::get_if<wire::EndT>(&*event)) {
+      over = OnEnd(*end, aAttempt, aResult);
+    } else if (const auto* rejected = std::get_if<wire::RejectedT>(&*event)) {
+      const base::ErrorKind kind = KindByName(rejected->kind);
+      aAttempt.m_refusal = CallerError(kind, rejected->message);
+      aAttempt.m_refusal.m_retryAfter = base::Millis(rejected->retry_after_ms);
+      aAttempt.m_finalRefusal = detail::IsFinalRefusal(kind);
+      over = aAttempt.m_resumed ? FailurePoint::RejectedResume
+                                : FailurePoint::Rejected;
+    } else if (const auto* down = std::get_if<LinkDown>(&*event)) {
+      if (down->m_link == aAttempt.m_link) {
+        aAttempt.m_link = nullptr;
+        aAttempt.m_until =
+          std::min(aSpec.m_deadline,
+                   m_parts.m_clock.Now() + m_parts.m_limits.m_reconnect);
+      }
+    } else if (const auto* up = std::get_if<LinkUp>(&*event)) {
+      over = OnLinkUp(up->m_link, aAttempt);
+    } else if (std::holds_alternative<Overrun>(*event)) {
+      over = FailurePoint::OverCredit;
+    }
+    if (over) {
+      co_return *over;
+    }
+  }
+}
+
+} // namespace chivefront::entry
--- a/chivefront/entry/runner.cc
+++ b/chivefront/entry/runner.cc
@@ -1,4 +1,4 @@
-// Attempts, relay, resume, retry.
+// Placement, dispatch and retry. The relay of answers is in relay.cc.
 #include "chivefront/entry/runner.h"
 
 #include <algorithm>
@@ -6,16 +6,11 @@
 #include <boost/asio/this_coro.hpp>
 
 #include "chivefront/base/ids.h"
-#include "chivefront/entry/placement.h"
+#include "chivefront/entry/attempt.h"
 
 namespace chivefront::entry {
 namespace detail {
 
-// After a cancel or a known end the agent has little left to say.
-constexpr base::Millis kDrain{ 5000 };
-// Events that carry no answer data, such as Started, need room as well.
-constexpr size_t kMailboxSlack = 2 * kCreditSlackBytes;
-
 wire::DispatchT
 MakeDispatch(const RunSpec& aSpec,
              uint32_t aAttempt,
@@ -64,59 +59,8 @@
   return catalog::CheckServiceAllowed(aCatalog, aSpec.m_team, aSpec.m_service);
 }
 
-// A refusal by the agent that another upstream would repeat.
-bool
-IsFinalRefusal(base::ErrorKind aKind)
-{
-  switch (aKind) {
-    case base::ErrorKind::NotAllowed:
-    case base::ErrorKind::UnknownTeam:
-    case base::ErrorKind::UnknownModel:
-    case base::ErrorKind::UnknownRoute:
-    case base::ErrorKind::VersionWithdrawn:
-    case base::ErrorKind::Quarantined:
-    case base::ErrorKind::BadRequest:
-      return true;
-    default:
-      return false;
-  }
-}
-
 } // namespace detail
 
-// One attempt under way.
-struct Runner::Attempt
-{
-  Attempt(const RunSpec& aSpec,
-          uint32_t aNumber,
-          const net::asio::any_io_executor& aExecutor,
-          size_t aWindow)
-    : m_spec(aSpec)
-    , m_number(aNumber)
-    , m_mailbox(
-        std::make_shared<Mailbox>(aExecutor, aWindow + detail::kMailboxSlack))
-    , m_assembler(aNumber, aWindow)
-  {
-  }
-
-  const RunSpec& m_spec;
-  const uint32_t m_number;
-  const std::shared_ptr<Mailbox> m_mailbox;
-  StreamAssembler m_assembler;
-  net::Link::Pointer m_link; // null while the link is cut
-  uint64_t m_incarnation = 0;
-  std::string m_upstream;
-  std::string m_agentAddress;
-  base::TimePoint m_sentAt;
-  base::TimePoint m_until; // the wait for the next event ends here
-  bool m_sent = false;
-  bool m_resumed = false;
-  bool m_resumeAsked = false; // and no chunk accepted since
-  // Set by Rejected and End.
-  CallerError m_refusal;
-  bool m_finalRefusal = false;
-};
-
 Runner::Runner(EntryParts& aParts)
   : m_parts(aParts)
   , m_attempts(aParts.m_metrics.AddCounter("chivefront_entry_attempts_total",
@@ -134,256 +78,135 @@
 {
 }
 
-absl::Status
-Runner::Dispatch(const RunSpec& aSpec,
-                 const std::set<std::string>& aTried,
-                 Attempt& aAttempt)
+net::Task<absl::Status>
+Runner::Place(const RunSpec& aSpec,
+              const std::set<std::string>& aTried,
+              Attempt& aAttempt)
 {
-  // No suspension between this check and the send: the process may be frozen
-  // for any time before it, but a view that was fresh is used at once.
-  const auto view = m_parts.m_watcher.FreshView();
-  if (!view.ok()) {
-    return view.status();
+  Placing wanted;
+  wanted.m_route = RouteOf(aSpec.m_version, aSpec.m_service);
+  wanted.m_team = aSpec.m_team;
+  wanted.m_class = aSpec.m_class == wire::CallerClass::Paying
+                     ? catalog::CallerClass::Paying
+                     : catalog::CallerClass::Free;
+  wanted.m_prefix = aSpec.m_session.empty()
+                      ? 0
+                      : base::StableHash(aSpec.m_team + "/" + aSpec.m_session);
+  wanted.m_tried = &aTried;
+  wanted.m_deadline = aSpec.m_deadline;
+  const auto placed = co_await m_parts.m_placer.Acquire(wanted);
+  if (!placed.ok()) {
+    co_return placed.status();
   }
-  if (const auto status = detail::CheckRules(*(*view)->m_catalog, aSpec);
+  aAttempt.m_upstream = placed->m_name;
+  aAttempt.m_agentAddress = placed->m_agentAddress;
+  aAttempt.m_incarnation = placed->m_link->Peer().m_incarnation;
+  aAttempt.m_link = placed->m_link;
+  co_return absl::OkStatus();
+}
+
+absl::Status
+Runner::CheckAllowed(const RunSpec& aSpec,
+                     const client::View& aView,
+                     const Attempt& aAttempt) const
+{
+  if (const auto status = detail::CheckRules(*aView.m_catalog, aSpec);
       !status.ok()) {
     return status;
   }
-  const base::TimePoint now = m_parts.m_clock.Now();
-  if (now >= aSpec.m_deadline) {
+  const auto info = aView.m_registry->find(aAttempt.m_upstream);
+  if (info == aView.m_registry->end() || info->second.leaving) {
+    return base::MakeError(base::ErrorKind::NoUpstream,
+                           "the upstream is leaving");
+  }
+  if (m_parts.m_clock.Now() >= aSpec.m_deadline) {
     return base::MakeError(base::ErrorKind::DeadlineExceeded,
                            "the deadline passed before dispatch");
   }
-  const auto placed =
-    PlaceRequest(m_parts, **view, aSpec.m_version, aSpec.m_service, aTried);
-  if (!placed) {
-    return base::MakeError(base::ErrorKind::NoUpstream,
-                           "no upstream can take the request now");
+  return catalog::CheckInService(
+    *aView.m_catalog, aAttempt.m_upstream, info->second.failure_domain);
+}
+
+absl::Status
+Runner::Dispatch(const RunSpec& aSpec, Attempt& aAttempt)
+{
+  // No suspension between this check and the send: the process may have been
+  // frozen for any time while it waited for a place.
+  const auto view = m_parts.m_watcher.FreshView();
+  if (!view.ok()) {
+    return view.status();
   }
-  aAttempt.m_upstream = placed->m_name;
-  aAttempt.m_agentAddress = placed->m_agentAddress;
-  aAttempt.m_incarnation = placed->m_link->Peer().m_incarnation;
+  if (const auto status = CheckAllowed(aSpec, **view, aAttempt); !status.ok()) {
+    return status;
+  }
+  const base::TimePoint now = m_parts.m_clock.Now();
+  const uint64_t revision = (*view)->m_catalog->m_revision;
   aAttempt.m_sentAt = now;
   aAttempt.m_until = aSpec.m_deadline;
   m_parts.m_running.Add({ aSpec.m_requestId,
                           aAttempt.m_number,
-                          placed->m_agentAddress,
-                          placed->m_name,
+                          aAttempt.m_agentAddress,
+                          aAttempt.m_upstream,
                           aSpec.m_fingerprint,
                           aAttempt.m_mailbox });
   m_parts.m_events.Record(
     "dispatched",
     { { "team", aSpec.m_team },
-      { "upstream", placed->m_name },
+      { "upstream", aAttempt.m_upstream },
       { "version",
         aSpec.m_version.empty() ? aSpec.m_service : aSpec.m_version },
       { "attempt", std::to_string(aAttempt.m_number) },
       { "run", std::to_string(aSpec.m_run) },
-      { "revision", std::to_string((*view)->m_catalog->m_revision) } },
+      { "revision", std::to_string(revision) } },
     aSpec.m_requestId);
-  const absl::Status sent = placed->m_link->Send(
+  const absl::Status sent = aAttempt.m_link->Send(
     wire::MakeMessage(detail::MakeDispatch(aSpec,
                                            aAttempt.m_number,
-                                           placed->m_name,
-                                           (*view)->m_catalog->m_revision,
+                                           aAttempt.m_upstream,
+                                           revision,
                                            aSpec.m_deadline - now,
                                            m_parts.m_limits.m_windowBytes)));
   aAttempt.m_sent = sent.ok();
   if (sent.ok()) {
-    aAttempt.m_link = placed->m_link;
     m_attempts.Increment();
   }
   return absl::OkStatus();
 }
 
-void
-Runner::AskResume(Attempt& aAttempt)
-{
-  wire::ResumeT resume;
-  resume.request_id = aAttempt.m_spec.m_requestId;
-  resume.attempt = aAttempt.m_number;
-  resume.next_sequence = aAttempt.m_assembler.NextSequence();
-  resume.credit_bytes =
-    static_cast<uint32_t>(aAttempt.m_assembler.CreditForResume());
-  m_parts.m_events.Record("resumed",
-                          { { "upstream", aAttempt.m_upstream },
-                            { "attempt", std::to_string(aAttempt.m_number) },
-                            { "next", std::to_string(resume.next_sequence) } },
-                          resume.request_id);
-  (void)aAttempt.m_link->Send(wire::MakeMessage(std::move(resume)));
-  aAttempt.m_resumed = true;
-  aAttempt.m_resumeAsked = true;
-  m_resumes.Increment();
-}
-
-void
-Runner::SendCancel(Attempt& aAttempt)
+// Whether DecideAfter may choose a retry; takes it from the budget only when
+// it would.
+bool
+Runner::TakeRetry(const RunSpec& aSpec, RetryFacts aFacts)
 {
-  if (!aAttempt.m_link) {
-    return;
+  aFacts.m_budgetLeft = true;
+  if (DecideAfter(aFacts).m_step != NextStep::Retry) {
+    return true;
   }
-  wire::CancelT cancel;
-  cancel.request_id = aAttempt.m_spec.m_requestId;
-  cancel.attempt = aAttempt.m_number;
-  (void)aAttempt.m_link->Send(wire::MakeMessage(std::move(cancel)));
+  const std::lock_guard lock(m_lock);
+  return m_budget.TryRetry(aSpec.m_class == wire::CallerClass::Paying
+                             ? catalog::CallerClass::Paying
+                             : catalog::CallerClass::Free,
+                           m_parts.m_clock.Now());
 }
 
-// The upstream's work is of no use now, except that the outcome of a claimed
-// call has to be learnt; the agent's End tells what is to be billed.
+// Returns the credit that the attempt held.
 void
-Runner::OnReaderGone(Attempt& aAttempt)
-{
-  m_parts.m_events.Record("reader_gone",
-                          { { "upstream", aAttempt.m_upstream } },
-                          aAttempt.m_spec.m_requestId);
-  if (aAttempt.m_spec.m_idempotent) {
-    SendCancel(aAttempt);
-    aAttempt.m_until =
-      std::min(aAttempt.m_until, m_parts.m_clock.Now() + detail::kDrain);
-  }
-}
-
-net::Task<std::optional<FailurePoint>>
-Runner::OnChunk(const wire::ChunkT& aChunk,
-                Attempt& aAttempt,
-                AnswerSink& aSink,
-                RunResult& aResult)
-{
-  const size_t bytes = aChunk.data.size();
-  switch (
-    aAttempt.m_assembler.OnChunk(aChunk.attempt, aChunk.sequence, bytes)) {
-    case StreamAssembler::Verdict::Accepted:
-      break;
-    case StreamAssembler::Verdict::Gap:
-      if (!aAttempt.m_resumeAsked && aAttempt.m_link) {
-        AskResume(aAttempt);
-      }
-      m_staleChunks.Increment();
-      co_return std::nullopt;
-    case StreamAssembler::Verdict::OverCredit:
-      co_return FailurePoint::OverCredit;
-    default:
-      m_staleChunks.Increment();
-      co_return std::nullopt;
-  }
-  aAttempt.m_resumeAsked = false;
-  if (aChunk.sequence == 0) {
-    const base::Millis waited = m_parts.m_clock.Now() - aAttempt.m_sentAt;
-    m_firstChunk.Observe(static_cast<double>(waited.Count()));
-    m_parts.m_events.Record("first_chunk",
-                            { { "upstream", aAttempt.m_upstream },
-                              { "attempt", std::to_string(aAttempt.m_number) },
-                              { "waited_ms", std::to_string(waited.Count()) } },
-                            aAttempt.m_spec.m_requestId);
-  }
-  if (!aResult.m_readerGone) {
-    const absl::Status taken = co_await aSink.OnData(aChunk.data);
-    if (!taken.ok()) {
-      aResult.m_readerGone = true;
-      OnReaderGone(aAttempt);
-    }
-  }
-  const size_t credit = aAttempt.m_assembler.Release(bytes);
-  if (credit > 0 && aAttempt.m_link) {
-    wire::CreditT grant;
-    grant.request_id = aChunk.request_id;
-    grant.attempt = aAttempt.m_number;
-    grant.bytes = static_cast<uint32_t>(credit);
-    (void)aAttempt.m_link->Send(wire::MakeMessage(std::move(grant)));
-  }
-  co_return std::nullopt;
-}
-
-std::optional<FailurePoint>
-Runner::OnEnd(const wire::EndT& aEnd, Attempt& aAttempt, RunResult& aResult)
+Runner::Release(const Attempt& aAttempt,
+                FailurePoint aPoint,
+                const RunResult& aResult)
 {
-  if (!aAttempt.m_assembler.OnEnd(aEnd.attempt, aEnd.chunks)) {
-    return std::nullopt;
-  }
-  aResult.m_httpStatus = aEnd.http_status;
-  aResult.m_contentType = aEnd.content_type;
-  aResult.m_promptTokens = aEnd.prompt_tokens;
-  aResult.m_answerTokens = aEnd.answer_tokens;
-  aAttempt.m_refusal.m_message = aEnd.message;
-  if (aEnd.outcome == wire::Outcome::NotRun) {
-    return FailurePoint::EndNotRun;
-  }
-  if (aEnd.outcome == wire::Outcome::Unknown) {
-    return aEnd.upstream_lost ? FailurePoint::UpstreamLost
-                              : FailurePoint::EndUnknown;
-  }
-  if (aAttempt.m_assembler.Whole()) {
-    aResult.m_done = true;
-    return FailurePoint::EndUnknown; // not used when done
-  }
-  if (aAttempt.m_resumeAsked ||
-      aAttempt.m_assembler.NextSequence() > aEnd.chunks || !aAttempt.m_link) {
-    return FailurePoint::AnswerCut;
+  if (aAttempt.m_upstream.empty()) {
+    return; // it never got one
   }
-  AskResume(aAttempt);
-  aAttempt.m_until =
-    std::min(aAttempt.m_until, m_parts.m_clock.Now() + detail::kDrain);
-  return std::nullopt;
-}
-
-std::optional<FailurePoint>
-Runner::OnLinkUp(const net::Link::Pointer& aLink, Attempt& aAttempt)
-{
-  if (aLink == aAttempt.m_link) {
-    return std::nullopt;
+  if (aPoint == FailurePoint::Rejected && !aResult.m_done) {
+    m_parts.m_placer.Reject(aAttempt.m_upstream);
+    return;
   }
-  if (aLink->Peer().m_incarnation != aAttempt.m_incarnation) {
-    return FailurePoint::AgentRestarted;
-  }
-  aAttempt.m_link = aLink;
-  aAttempt.m_until = aAttempt.m_spec.m_deadline;
-  AskResume(aAttempt);
-  return std::nullopt;
-}
-
-// Handles events until the attempt is over. The result is meaningless when
-// aResult.m_done is set.
-net::Task<FailurePoint>
-Runner::Relay(const RunSpec& aSpec,
-              Attempt& aAttempt,
-              AnswerSink& aSink,
-              RunResult& aResult)
-{
-  while (true) {
-    auto event = co_await aAttempt.m_mailbox->Next(aAttempt.m_until);
-    std::optional<FailurePoint> over;
-    if (!event) {
-      const bool late = m_parts.m_clock.Now() >= aSpec.m_deadline;
-      over = late               ? FailurePoint::DeadlinePassed
-             : !aAttempt.m_link ? FailurePoint::AgentUnreachable
-                                : FailurePoint::AnswerCut;
-    } else if (const auto* chunk = std::get_if<wire::ChunkT>(&*event)) {
-      over = co_await OnChunk(*chunk, aAttempt, aSink, aResult);
-    } else if (const auto* end = std::get_if<wire::EndT>(&*event)) {
-      over = OnEnd(*end, aAttempt, aResult);
-    } else if (const auto* rejected = std::get_if<wire::RejectedT>(&*event)) {
-      const base::ErrorKind kind = KindByName(rejected->kind);
-      aAttempt.m_refusal = CallerError(kind, rejected->message);
-      aAttempt.m_refusal.m_retryAfter = base::Millis(rejected->retry_after_ms);
-      aAttempt.m_finalRefusal = detail::IsFinalRefusal(kind);
-      over = aAttempt.m_resumed ? FailurePoint::RejectedResume
-                                : FailurePoint::Rejected;
-    } else if (const auto* down = std::get_if<LinkDown>(&*event)) {
-      if (down->m_link == aAttempt.m_link) {
-        aAttempt.m_link = nullptr;
-        aAttempt.m_until =
-          std::min(aSpec.m_deadline,
-                   m_parts.m_clock.Now() + m_parts.m_limits.m_reconnect);
-      }
-    } else if (const auto* up = std::get_if<LinkUp>(&*event)) {
-      over = OnLinkUp(up->m_link, aAttempt);
-    } else if (std::holds_alternative<Overrun>(*event)) {
-      over = FailurePoint::OverCredit;
-    }
-    if (over) {
-      co_return *over;
-    }
+  std::optional<base::Millis> latency;
+  if (aResult.m_done) {
+    latency = m_parts.m_clock.Now() - aAttempt.m_sentAt;
   }
+  m_parts.m_placer.Finish(aAttempt.m_upstream, latency);
 }
 
 net::Task<RunResult>
@@ -394,19 +217,35 @@
   std::set<std::string> tried;
   CallerError lastRefusal;
   bool earlierUnknown = false;
+  bool dispatched = false;
   uint32_t number = aSpec.m_firstAttempt;
+  if (aSpec.m_run == 0) {
+    const std::lock_guard lock(m_lock);
+    m_budget.OnNewRequest(began);
+  }
   while (true) {
     RunResult result;
     Attempt attempt(aSpec, number, executor, m_parts.m_limits.m_windowBytes);
     FailurePoint point = FailurePoint::NoLink;
-    const absl::Status allowed = Dispatch(aSpec, tried, attempt);
+    absl::Status allowed = co_await Place(aSpec, tried, attempt);
+    if (allowed.ok()) {
+      allowed = Dispatch(aSpec, attempt);
+    }
     if (!allowed.ok()) {
-      point = FailurePoint::Refused;
+      // An upstream that went out of service after it was chosen is passed
+      // over like one without a link.
+      point = base::KindOf(allowed) == base::ErrorKind::NoUpstream &&
+                  !attempt.m_upstream.empty()
+                ? FailurePoint::NoLink
+                : FailurePoint::Refused;
     } else if (attempt.m_sent) {
       point = co_await Relay(aSpec, attempt, aSink, result);
     }
     m_parts.m_running.Remove(aSpec.m_requestId);
+    Release(attempt, point, result);
     result.m_nextAttempt = ++number;
+    dispatched = dispatched || attempt.m_sent;
+    result.m_dispatched = dispatched;
     result.m_upstream = attempt.m_upstream;
     result.m_agentAddress = attempt.m_agentAddress;
     result.m_elapsed = m_parts.m_clock.Now() - began;
@@ -420,7 +259,8 @@
     facts.m_earlierUnknown = earlierUnknown;
     facts.m_answerBegun = aSink.Begun();
     facts.m_timeLeft = m_parts.m_clock.Now() < aSpec.m_deadline;
-    facts.m_budgetLeft = true;
+    facts.m_budgetLeft =
+      attempt.m_finalRefusal || result.m_readerGone || TakeRetry(aSpec, facts);
     const RetryDecision decision = DecideAfter(facts);
     const bool again = decision.m_step == NextStep::Retry &&
                        !attempt.m_finalRefusal && !result.m_readerGone;
--- a/chivefront/entry/runner.h
+++ b/chivefront/entry/runner.h
@@ -9,6 +9,7 @@
 #include "chivefront/entry/parts.h"
 #include "chivefront/entry/retry_rule.h"
 #include "chivefront/entry/stream_assembler.h"
+#include "chivefront/policy/retry_budget.h"
 
 namespace chivefront::entry {
 
@@ -53,6 +54,7 @@
 {
   bool m_done = false;       // the answer is whole
   bool m_readerGone = false; // the sink refused data
+  bool m_dispatched = false; // at least one attempt was sent
   CallerError m_error;       // when not done
   uint32_t m_nextAttempt = 1;
   std::string m_upstream; // of the last attempt
@@ -78,9 +80,17 @@
 private:
   struct Attempt;
 
-  absl::Status Dispatch(const RunSpec& aSpec,
-                        const std::set<std::string>& aTried,
-                        Attempt& aAttempt);
+  net::Task<absl::Status> Place(const RunSpec& aSpec,
+                                const std::set<std::string>& aTried,
+                                Attempt& aAttempt);
+  absl::Status Dispatch(const RunSpec& aSpec, Attempt& aAttempt);
+  absl::Status CheckAllowed(const RunSpec& aSpec,
+                            const client::View& aView,
+                            const Attempt& aAttempt) const;
+  bool TakeRetry(const RunSpec& aSpec, RetryFacts aFacts);
+  void Release(const Attempt& aAttempt,
+               FailurePoint aPoint,
+               const RunResult& aResult);
   net::Task<FailurePoint> Relay(const RunSpec& aSpec,
                                 Attempt& aAttempt,
                                 AnswerSink& aSink,
@@ -99,6 +109,8 @@
   void SendCancel(Attempt& aAttempt);
 
   EntryParts& m_parts;
+  std::mutex m_lock;
+  policy::RetryBudget m_budget; // guarded by m_lock
   base::Counter& m_attempts;
   base::Counter& m_retries;
   base::Counter& m_resumes;
--- a/chivefront/entry/service_flow.cc
+++ b/chivefront/entry/service_flow.cc
@@ -177,6 +177,21 @@
     co_await RefuseWith(error);
     co_return;
   }
+  const auto view = m_parts.m_entry.m_watcher.LastView();
+  const catalog::Team* team = view->m_catalog->FindTeam(m_caller.m_team);
+  if (team == nullptr) {
+    const CallerError error(base::ErrorKind::UnknownTeam, "the team is gone");
+    co_await RefuseWith(error);
+    co_return;
+  }
+  base::Millis retryAfter;
+  const auto ticket = m_parts.m_limits.Admit(*team, 0, retryAfter);
+  if (!ticket.ok()) {
+    CallerError error(ticket.status());
+    error.m_retryAfter = retryAfter;
+    co_await RefuseWith(error);
+    co_return;
+  }
   if (!m_spec.m_idempotent && !m_caller.m_headers.m_idempotencyKey.empty()) {
     const bool granted = co_await TakeClaim();
     if (!granted) {
--- a/chivefront/entry/sessions_test.cc
+++ b/chivefront/entry/sessions_test.cc
@@ -95,7 +95,7 @@
       R"({"owner":"ops","class":"free","from":"small-1","to":"small-2",)"
       R"("stages":[1000],"limits":{}})";
   });
-  while (bench.m_watcher.LastView()->m_catalog->m_rollouts.empty()) {
+  while (bench.m_core.Watcher().LastView()->m_catalog->m_rollouts.empty()) {
     std::this_thread::sleep_for(std::chrono::milliseconds(10));
   }
   BOOST_TEST(version("s2") == "small-1");
--- a/chivefront/entry/test_bench.h
+++ b/chivefront/entry/test_bench.h
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "chivefront/base/ids.h"
-#include "chivefront/entry/server.h"
+#include "chivefront/entry/core.h"
 #include "chivefront/net/http_client.h"
 
 namespace chivefront::entry::bench {
@@ -355,31 +355,15 @@
                       const net::HttpLimits& aHttp = {})
     : m_control(m_loop.Context())
     , m_identity(Identity(wire::Role::Entry, "entry-1", 7))
-    , m_links(m_loop.Context(), m_identity, { m_control.Bound() })
-    , m_watcher(m_loop.Context(),
-                m_links,
-                "entry-1#7",
-                wire::Role::Entry,
-                base::SteadyClock::Instance(),
-                m_events)
-    , m_ledger(m_links)
-    , m_agents(m_loop.Context(),
-               m_identity,
-               m_running,
-               [](uint64_t, const std::vector<RunningAttempt>&) {})
-    , m_parts{ "entry-1", "a",
-               aLimits,   m_watcher,
-               m_ledger,  m_agents,
-               m_running, m_events,
-               m_metrics, base::SteadyClock::Instance() }
-    , m_flows(m_parts)
-    , m_server(m_loop.Context(), m_flows, aHttp)
+    , m_core(m_loop.Context(),
+             m_identity,
+             { m_control.Bound() },
+             aLimits,
+             aHttp,
+             m_events,
+             m_metrics)
   {
-    m_watcher.OnChange(
-      [this](const client::ViewPointer& aView) { m_agents.Update(*aView); });
-    (void)m_server.Listen(kAnyPort);
-    m_links.Start();
-    m_watcher.Start();
+    (void)m_core.Start(kAnyPort);
   }
   ~EntryBench()
   {
@@ -391,7 +375,7 @@
   bool WaitReady(size_t aAgents)
   {
     for (int i = 0; i < 1000; ++i) {
-      if (m_watcher.Fresh() && m_agents.Connected() >= aAgents) {
+      if (m_core.Ready() && m_core.Agents().Connected() >= aAgents) {
         return true;
       }
       std::this_thread::sleep_for(std::chrono::milliseconds(10));
@@ -405,7 +389,7 @@
     net::Spawn(
       m_loop.Context().get_executor(), "test", [&]() -> net::Task<void> {
         promise.set_value(co_await net::HttpCall(
-          m_server.Bound(), aRequest, net::HttpTimeouts()));
+          m_core.Callers(), aRequest, net::HttpTimeouts()));
       });
     return promise.get_future().get();
   }
@@ -440,14 +424,7 @@
   const net::LinkIdentity m_identity;
   base::EventLog m_events{ "entry-1", "", 10000 };
   base::Metrics m_metrics;
-  client::ControlLinks m_links;
-  client::Watcher m_watcher;
-  client::LedgerClient m_ledger;
-  RunningRequests m_running;
-  AgentLinks m_agents;
-  EntryParts m_parts;
-  FlowParts m_flows;
-  EntryServer m_server;
+  EntryCore m_core;
 };
 
 } // namespace chivefront::entry::bench
