Run requests for "auto" as a cascade with ratings

Cause: the router has to choose the cheapest version that meets the target. Change: policy::Cascade plans the versions; drafts are held back, rated and escalated, one line per run in one bill. Answers outside the cascade are rated in the background, all of them while a roll-out of their model runs. A session keeps the version of its first answer, so it never escalates. Without a verdict a draft is escalated; when the better version fails, the draft is the answer. Conclusion: tests of the cascade and of slow readers follow.

--- a/chivefront/entry/answer_sinks.cc
+++ b/chivefront/entry/answer_sinks.cc
@@ -24,6 +24,7 @@
   if (ready.empty()) {
     co_return absl::OkStatus();
   }
+  m_beginning += ready.substr(0, kMaxBeginningBytes - m_beginning.size());
   co_return co_await Write(std::move(ready));
 }
 
--- a/chivefront/entry/answer_sinks.h
+++ b/chivefront/entry/answer_sinks.h
@@ -10,11 +10,12 @@
 
 // Relays server-sent events to the caller. The response begins with the first
 // data, so that a failure before it is an ordinary JSON error. Memory: one cut
-// event of at most kMaxCutEventBytes.
+// event and the beginning of the answer, for rating.
 class StreamSink final : public AnswerSink
 {
 public:
   static constexpr size_t kMaxCutEventBytes = 8 * 1024;
+  static constexpr size_t kMaxBeginningBytes = 8 * 1024;
 
   StreamSink(net::HttpExchange& aExchange, net::HttpHeaders aHeaders)
     : m_exchange(aExchange)
@@ -27,6 +28,8 @@
   bool Begun() const override { return m_begun; }
   void Restart() override { m_cutter = EventCutter(kMaxCutEventBytes); }
 
+  const std::string& Beginning() const { return m_beginning; }
+
   // Sends what is left, aTrailer and the end marker, and completes the
   // response.
   net::Task<absl::Status> Finish(std::string aTrailer);
@@ -39,6 +42,7 @@
   net::HttpExchange& m_exchange;
   const net::HttpHeaders m_headers;
   EventCutter m_cutter;
+  std::string m_beginning; // at most kMaxBeginningBytes
   bool m_begun = false;
 };
 
--- /dev/null
+++ b/chivefront/entry/chat_answer.cc
@@ -0,0 +1,272 @@
+// Requests for models: runs, cascade, bill, answer.
+#include <boost/asio/this_coro.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "chivefront/entry/chat_flow.h"
+
+namespace chivefront::entry::detail {
+
+namespace {
+
+constexpr int kFirstErrorStatus = 400;
+
+// An engine's error is an answer to the caller, but not one to bill or rate.
+bool
+IsEngineError(const RunResult& aResult)
+{
+  return static_cast<int>(aResult.m_httpStatus) >= kFirstErrorStatus;
+}
+
+CallerError
+TooLong()
+{
+  return { base::ErrorKind::AnswerIncomplete,
+           "the answer exceeds the bound of this entry",
+           base::Outcome::Done };
+}
+
+} // namespace
+
+void
+ChatFlow::NoteRun(const RunResult& aResult)
+{
+  m_upstream = aResult.m_upstream;
+  m_spec.m_firstAttempt = aResult.m_nextAttempt;
+  if (aResult.m_done || aResult.m_answerTokens > 0) {
+    m_tokens += aResult.m_promptTokens + aResult.m_answerTokens;
+    m_billed.emplace_back(m_spec, aResult);
+  }
+  if (!aResult.m_dispatched) {
+    return;
+  }
+  m_parts.m_evidence.Exposed(m_spec.m_version);
+  if (aResult.m_done && !IsEngineError(aResult)) {
+    m_parts.m_evidence.Answered(m_spec.m_version, aResult.m_elapsed);
+    m_parts.m_cascade.NoteLatency(m_spec.m_version, aResult.m_elapsed);
+  } else if (!aResult.m_readerGone &&
+             (aResult.m_done ||
+              aResult.m_error.m_outcome == base::Outcome::Unknown)) {
+    m_parts.m_evidence.Failed(m_spec.m_version,
+                              aResult.m_error.m_kind ==
+                                base::ErrorKind::UpstreamLost);
+  }
+}
+
+// Makes one bill of all runs durable and lets their agents forget them.
+net::Task<absl::Status>
+ChatFlow::Bill()
+{
+  const auto view = m_parts.m_entry.m_watcher.LastView();
+  std::vector<wire::BillLineT> lines;
+  for (const Billed& billed : m_billed) {
+    lines.push_back(MakeLine(*view->m_catalog, billed.m_spec, billed.m_result));
+    m_costMicros += lines.back().cost_micros;
+  }
+  const absl::Status posted = co_await m_parts.m_billing.Post(std::move(lines));
+  if (posted.ok()) {
+    for (const Billed& billed : m_billed) {
+      m_parts.m_runner.Settle(billed.m_spec, billed.m_result);
+    }
+  }
+  co_return posted;
+}
+
+net::HttpHeaders
+ChatFlow::Headers() const
+{
+  return { { "X-Chivefront-Request", m_caller.m_requestId },
+           { "X-Chivefront-Model", m_spec.m_model },
+           { "X-Chivefront-Version", m_spec.m_version },
+           { "X-Chivefront-Runs", std::to_string(m_spec.m_run + 1) } };
+}
+
+std::string
+ChatFlow::Trailer() const
+{
+  boost::json::object facts;
+  facts["request_id"] = m_caller.m_requestId;
+  facts["model"] = m_spec.m_model;
+  facts["version"] = m_spec.m_version;
+  facts["runs"] = m_spec.m_run + 1;
+  facts["cost_micros"] = m_costMicros;
+  boost::json::object whole;
+  whole["chivefront"] = std::move(facts);
+  return "data: " + boost::json::serialize(whole) + "\n\n";
+}
+
+void
+ChatFlow::RecordAnswered(const absl::Status& aSent)
+{
+  m_parts.m_entry.m_events.Record(
+    aSent.ok() ? "answered" : "reader_lost",
+    { { "team", m_caller.m_team },
+      { "version", m_spec.m_version },
+      { "upstream", m_upstream },
+      { "runs", std::to_string(m_spec.m_run + 1) },
+      { "cost_micros", std::to_string(m_costMicros) } },
+    m_caller.m_requestId);
+}
+
+// Rates the final answer for evidence without delaying the caller.
+void
+ChatFlow::SampleInBackground(std::string aText)
+{
+  const auto view = m_parts.m_entry.m_watcher.LastView();
+  if (!m_plan.m_sample &&
+      !m_parts.m_cascade.WantsRating(*view->m_catalog, m_spec.m_version)) {
+    return;
+  }
+  const auto step = m_spec.m_run == 0 ? policy::PlanStep::First
+                                      : policy::PlanStep::AfterRejection;
+  RatingInput input{ m_caller.m_requestId,
+                     m_caller.m_headers.m_task,
+                     m_spec.m_version,
+                     PromptText(m_chat),
+                     std::move(aText) };
+  net::Spawn(m_parts.m_entry.m_background,
+             "entry",
+             [&choice = m_parts.m_cascade,
+              team = m_caller.m_team,
+              step,
+              input = std::move(input)]() -> net::Task<void> {
+               (void)co_await choice.Rate(team, step, input);
+             });
+}
+
+net::Task<void>
+ChatFlow::ServeStream()
+{
+  StreamSink sink(m_exchange, Headers());
+  const RunResult result = co_await m_parts.m_runner.Run(m_spec, sink);
+  NoteRun(result);
+  CallerError error = result.m_error;
+  bool done = result.m_done;
+  if (done && IsEngineError(result)) {
+    error = CallerError(base::ErrorKind::UpstreamFailed,
+                        "the engine answered with status " +
+                          std::to_string(result.m_httpStatus));
+    done = false;
+  }
+  const absl::Status billed = co_await Bill();
+  if (done && !billed.ok()) {
+    error = CallerError(billed);
+    done = false;
+  }
+  if (result.m_readerGone) {
+    RecordAnswered(absl::CancelledError());
+    co_return;
+  }
+  if (done) {
+    std::string trailer = Trailer();
+    const absl::Status sent = co_await sink.Finish(std::move(trailer));
+    RecordAnswered(sent);
+    SampleInBackground(StreamedText(sink.Beginning()));
+    co_return;
+  }
+  if (!sink.Begun()) {
+    co_await RefuseWith(error);
+    co_return;
+  }
+  m_parts.m_entry.m_events.Record(
+    "answer_failed",
+    { { "team", m_caller.m_team },
+      { "kind", std::string(base::ErrorName(error.m_kind)) } },
+    m_caller.m_requestId);
+  std::string event = ErrorEvent(error, m_caller.m_requestId);
+  (void)co_await sink.Fail(std::move(event));
+}
+
+// Whether a draft is good enough. Without a verdict it is not: a dearer answer
+// harms less than a poor one.
+net::Task<bool>
+ChatFlow::Accepts(const std::string& aAnswer, size_t aIndex)
+{
+  const RatingInput input{ m_caller.m_requestId,
+                           m_caller.m_headers.m_task,
+                           m_spec.m_version,
+                           PromptText(m_chat),
+                           AnswerText(aAnswer) };
+  const auto step =
+    aIndex == 0 ? policy::PlanStep::First : policy::PlanStep::AfterRejection;
+  const auto verdict =
+    co_await m_parts.m_cascade.Rate(m_caller.m_team, step, input);
+  co_return verdict.ok() && *verdict;
+}
+
+net::Task<std::optional<net::HttpResponse>>
+ChatFlow::RunPlan()
+{
+  std::optional<net::HttpResponse> answer;
+  RunSpec answeredBy;
+  bool mayHaveRun = false;
+  for (size_t i = 0; i < m_plan.m_versions.size(); ++i) {
+    const bool last = i + 1 == m_plan.m_versions.size();
+    const auto view = m_parts.m_entry.m_watcher.LastView();
+    if (const absl::Status filled = FillSpec(*view->m_catalog, i);
+        !filled.ok()) {
+      m_error = CallerError::BeforeDispatch(filled);
+      continue;
+    }
+    BufferSink sink(m_parts.m_entry.m_limits.m_maxAnswerBytes);
+    const RunResult result = co_await m_parts.m_runner.Run(m_spec, sink);
+    NoteRun(result);
+    if (!result.m_done || sink.Overflowed()) {
+      m_error = sink.Overflowed() ? TooLong() : result.m_error;
+      mayHaveRun = mayHaveRun || m_error.m_outcome != base::Outcome::NotRun;
+      continue;
+    }
+    mayHaveRun = true;
+    answeredBy = m_spec;
+    answer.emplace();
+    answer->m_status =
+      result.m_httpStatus == 0 ? 200 : static_cast<int>(result.m_httpStatus);
+    answer->m_body = sink.Take();
+    if (last || IsEngineError(result)) {
+      break;
+    }
+    const bool accepted = co_await Accepts(answer->m_body, i);
+    if (accepted) {
+      break;
+    }
+    m_parts.m_entry.m_events.Record(
+      "escalated",
+      { { "team", m_caller.m_team }, { "version", m_spec.m_version } },
+      m_caller.m_requestId);
+  }
+  if (answer) {
+    // The better version may have failed; a draft is then better than an error.
+    m_spec = answeredBy;
+  } else if (mayHaveRun && m_error.m_outcome == base::Outcome::NotRun) {
+    m_error.m_outcome = base::Outcome::Unknown;
+  }
+  co_return answer;
+}
+
+net::Task<void>
+ChatFlow::ServeWhole()
+{
+  auto answer = co_await RunPlan();
+  const absl::Status billed = co_await Bill();
+  if (!answer) {
+    co_await RefuseWith(m_error);
+    co_return;
+  }
+  if (!billed.ok()) {
+    const CallerError error(billed);
+    co_await RefuseWith(error);
+    co_return;
+  }
+  answer->m_headers = Headers();
+  answer->m_headers.emplace_back("X-Chivefront-Cost-Micros",
+                                 std::to_string(m_costMicros));
+  std::string text = AnswerText(answer->m_body);
+  const absl::Status sent = co_await m_exchange.Respond(std::move(*answer));
+  RecordAnswered(sent);
+  const bool rated = m_spec.m_run + 1 < m_plan.m_versions.size();
+  if (!rated && !text.empty()) {
+    SampleInBackground(std::move(text));
+  }
+}
+
+} // namespace chivefront::entry::detail
--- a/chivefront/entry/core.cc
+++ b/chivefront/entry/core.cc
@@ -75,7 +75,8 @@
              m_running,
              aEvents,
              aMetrics,
-             base::SteadyClock::Instance() }
+             base::SteadyClock::Instance(),
+             aContext.get_executor() }
   , m_flows(m_parts)
   , m_server(aContext, m_flows, aHttp)
 {
--- a/chivefront/entry/entry_main.cc
+++ b/chivefront/entry/entry_main.cc
@@ -30,7 +30,7 @@
     "max-connections", "Callers' connections at once.", 20000, 1, 1000000);
   aSettings.AddInteger("window-bytes",
                        "Answer bytes under way to one reader; an entry holds "
-                       "at most 24 KiB more than this per stream.",
+                       "at most 32 KiB more than this per stream.",
                        32 * kKibi,
                        4 * kKibi,
                        kKibi * kKibi);
@@ -49,6 +49,11 @@
                        1000,
                        0,
                        1000000);
+  aSettings.AddEndpoint("rating",
+                        "Answer rating service; without one nothing is rated "
+                        "or escalated.");
+  aSettings.AddInteger(
+    "rating-timeout-ms", "Time to wait for a verdict.", 2000, 1, kLongestMs);
   aSettings.AddInteger("deadline-ms",
                        "Deadline of requests that give none.",
                        60000,
@@ -91,6 +96,10 @@
   limits.m_maxAnswerBytes =
     static_cast<size_t>(aSettings.Integer("max-answer-bytes"));
   limits.m_queue = static_cast<size_t>(aSettings.Integer("queue"));
+  if (!aSettings.Text("rating").empty()) {
+    limits.m_rating = aSettings.EndpointOf("rating");
+  }
+  limits.m_ratingTimeout = base::Millis(aSettings.Integer("rating-timeout-ms"));
   limits.m_deadline = base::Millis(aSettings.Integer("deadline-ms"));
   return limits;
 }
--- a/chivefront/entry/flows.h
+++ b/chivefront/entry/flows.h
@@ -7,6 +7,7 @@
 #include "chivefront/entry/answer_sinks.h"
 #include "chivefront/entry/billing.h"
 #include "chivefront/entry/caller_request.h"
+#include "chivefront/entry/cascade.h"
 #include "chivefront/entry/claims.h"
 #include "chivefront/entry/evidence.h"
 #include "chivefront/entry/sessions.h"
@@ -23,6 +24,7 @@
     , m_claims(aParts)
     , m_sessions(aParts)
     , m_limits(aParts)
+    , m_cascade(aParts, m_evidence)
   {
   }
 
@@ -39,6 +41,7 @@
   SessionPins m_sessions;
   TeamLimits m_limits;
   Evidence m_evidence;
+  CascadeChoice m_cascade;
 };
 
 // An authenticated request before its body is looked at.
--- a/chivefront/entry/parts.h
+++ b/chivefront/entry/parts.h
@@ -18,8 +18,8 @@
 struct EntryLimits
 {
   // Answer bytes an agent may have under way to one reader. With the slack of
-  // one piece (16 KiB) and one cut event (8 KiB) a reader holds at most
-  // 56 KiB of answer data here.
+  // one piece (16 KiB), one cut event (8 KiB) and the beginning that is kept
+  // for rating (8 KiB) a reader holds at most 64 KiB of answer data here.
   size_t m_windowBytes = 32 * 1024;
   // Answers that are not streamed are held whole until the bill is durable.
   size_t m_maxAnswerBytes = 1024 * 1024;
@@ -32,6 +32,9 @@
   base::Millis m_ledger{ 4000 };
   // Requests that wait here for one version or service.
   size_t m_queue = 1000;
+  // The rating service; without one nothing is rated or escalated.
+  std::optional<base::Endpoint> m_rating;
+  base::Millis m_ratingTimeout{ 2000 };
 };
 
 struct EntryParts
@@ -47,6 +50,8 @@
   base::EventLog& m_events;
   base::Metrics& m_metrics;
   const base::Clock& m_clock;
+  // For work that no caller waits for.
+  net::asio::any_io_executor m_background;
 };
 
 } // namespace chivefront::entry
