--- /dev/null
+++ b/chivefront/entry/chat_cascade_test.cc
@@ -0,0 +1,125 @@
+// Tests of the cascade: drafts, ratings, one bill with a line per run.
+// Promises: billed-once, whole-answer
+#define BOOST_TEST_MODULE chat_cascade
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/entry/test_bench.h"
+
+using namespace chivefront;
+using namespace chivefront::entry::bench;
+
+namespace {
+
+// Rates answers of small-1 acceptable for every second request, all others
+// always; down when told so.
+struct RatingStandIn
+{
+  explicit RatingStandIn(net::asio::io_context& aContext)
+    : m_server(aContext, {}, [this](net::HttpExchange& aExchange) {
+      return Handle(aExchange);
+    })
+  {
+    (void)m_server.Listen(kAnyPort);
+  }
+
+  net::Task<void> Handle(net::HttpExchange& aExchange)
+  {
+    net::HttpResponse response;
+    if (m_down) {
+      response.m_status = 503;
+    } else {
+      const std::string& body = aExchange.Request().m_body;
+      const bool small = body.find("small-1") != std::string::npos;
+      const bool good = !small || m_asked++ % 2 == 0;
+      response.m_body = good ? R"({"acceptable":true,"score":1})"
+                             : R"({"acceptable":false,"score":0})";
+    }
+    (void)co_await aExchange.Respond(std::move(response));
+  }
+
+  std::atomic<bool> m_down{ false };
+  std::atomic<uint32_t> m_asked{ 0 };
+  net::HttpServer m_server;
+};
+
+void
+AnswerWithText(net::Link& aLink, wire::MessageT& aMessage)
+{
+  if (const auto* dispatch = aMessage.body.AsDispatch()) {
+    SendChunk(aLink,
+              dispatch->request_id,
+              dispatch->attempt,
+              0,
+              R"({"choices":[{"message":{"content":")" + dispatch->version +
+                R"("}}]})");
+    SendEnd(aLink, dispatch->request_id, dispatch->attempt, 1);
+  }
+}
+
+} // namespace
+
+// Guards against a draft shown beside its better answer, a run that is not
+// billed, and a line that is billed twice.
+BOOST_AUTO_TEST_CASE(EscalationIsOneAnswerAndOneBill)
+{
+  Loop rating;
+  RatingStandIn ratings(rating.Context());
+  entry::EntryLimits limits;
+  limits.m_rating = ratings.m_server.Bound();
+  EntryBench bench(limits);
+  AgentStandIn agent(bench.m_loop.Context(), "agent-1", 11, AnswerWithText);
+  bench.m_control.Change([&](ControlStandIn& aControl) {
+    aControl.m_upstreams = { agent.Upstream("e1", "small-1"),
+                             agent.Upstream("e2", "large-1") };
+  });
+  BOOST_REQUIRE(bench.WaitReady(1));
+  net::HttpRequest request = EntryBench::Chat(false);
+  const size_t model = request.m_body.find("small");
+  request.m_body.replace(model, 5, "auto");
+  size_t runs = 0;
+  size_t escalated = 0;
+  for (int i = 0; i < 600; ++i) {
+    const auto answer = bench.Call(request);
+    BOOST_REQUIRE(answer.ok());
+    BOOST_REQUIRE(answer->m_status == 200);
+    const std::string count(
+      net::FindHeader(answer->m_headers, "X-Chivefront-Runs"));
+    const std::string version(
+      net::FindHeader(answer->m_headers, "X-Chivefront-Version"));
+    runs += std::stoul(count);
+    escalated += count == "2" ? 1 : 0;
+    BOOST_TEST(answer->m_body.find(version) != std::string::npos);
+    BOOST_TEST((count == "1" || version == "large-1"));
+    const std::string cost(
+      net::FindHeader(answer->m_headers, "X-Chivefront-Cost-Micros"));
+    BOOST_TEST(cost == (count == "2"           ? "50"
+                        : version == "small-1" ? "5"
+                                               : "45"));
+  }
+  BOOST_TEST_MESSAGE("escalated " << escalated);
+  BOOST_TEST(escalated > 0U);
+  BOOST_TEST(bench.m_control.BillLines() == runs);
+  BOOST_TEST(agent.Count(wire::Body::Dispatch) == runs);
+  BOOST_TEST(agent.Count(wire::Body::Settled) == runs);
+  // Without verdicts a plan has one version, so no answer waits for them.
+  ratings.m_down = true;
+  for (int i = 0; i < 50; ++i) {
+    const auto answer = bench.Call(request);
+    BOOST_REQUIRE(answer.ok());
+    BOOST_TEST(answer->m_status == 200);
+  }
+  bench.m_loop.Stop();
+}
+
+BOOST_AUTO_TEST_CASE(TextOfAnswers)
+{
+  BOOST_TEST(
+    entry::AnswerText(R"({"choices":[{"message":{"content":"one two"}}]})") ==
+    "one two");
+  BOOST_TEST(entry::AnswerText("no JSON").empty());
+  BOOST_TEST(entry::StreamedText(
+               "data: {\"choices\":[{\"delta\":{\"content\":\"one \"}}]}\n\n"
+               "data: {\"choices\":[]}\n\n"
+               "data: {\"choices\":[{\"delta\":{\"content\":\"two\"}}]}\n\n"
+               "data: {\"choices\":[{\"delta\":{\"con") == "one two");
+}
--- a/chivefront/entry/flow_test.cc
+++ b/chivefront/entry/flow_test.cc
@@ -245,3 +245,50 @@
   BOOST_TEST(Contains(chat->m_body, R"("run":"not_run")"));
   BOOST_TEST(world.m_agent.Count(wire::Body::Dispatch) == 0U);
 }
+
+// Guards against a send by a view that became stale while the request waited,
+// as in a process that was frozen.
+BOOST_AUTO_TEST_CASE(ViewIsCheckedAgainAfterWaiting)
+{
+  HeldAnswers held;
+  OneAgent world([&](net::Link& aLink, wire::MessageT& aMessage) {
+    held.Take(aLink, aMessage);
+  });
+  world.m_bench.m_control.Change([](ControlStandIn& aControl) {
+    aControl.m_upstreams.resize(1);
+    aControl.m_upstreams[0].limit = 1;
+    aControl.m_upstreams[0].version = "small-2";
+    aControl.m_entries["model/small"] =
+      R"({"owner":"ops","class":"free","version":"small-2",)"
+      R"("limits":{"concurrency":1}})";
+  });
+  const auto call = [&] {
+    return std::async(std::launch::async, [&] {
+      return world.m_bench.Call(EntryBench::Chat(false));
+    });
+  };
+  while (world.m_bench.m_core.Watcher().LastView()->m_registry->size() > 1) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  auto first = call();
+  held.WaitFor(1);
+  auto second = call();
+  const auto waits = [&] {
+    return Contains(world.m_bench.m_metrics.Render(),
+                    "chivefront_entry_waiting 1");
+  };
+  while (!waits()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  world.m_bench.m_control.Change(
+    [](ControlStandIn& aControl) { aControl.m_fresh = false; });
+  while (world.m_bench.m_core.Watcher().Fresh()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  held.Release();
+  BOOST_TEST(first.get()->m_status == 200); // running work goes on
+  const auto refused = second.get();
+  BOOST_REQUIRE(refused.ok());
+  BOOST_TEST(Contains(refused->m_body, R"("type":"not_fresh")"));
+  BOOST_TEST(held.Count() == 1U);
+}
--- a/chivefront/entry/test_bench.h
+++ b/chivefront/entry/test_bench.h
@@ -346,6 +346,52 @@
   SendEnd(aLink, id, aDispatch.attempt, 2);
 }
 
+// Keeps dispatches and answers them all on Release, and later ones at once.
+class HeldAnswers
+{
+public:
+  void Take(net::Link& aLink, wire::MessageT& aMessage)
+  {
+    const auto* dispatch = aMessage.body.AsDispatch();
+    if (dispatch == nullptr) {
+      return;
+    }
+    const std::lock_guard lock(m_lock);
+    ++m_count;
+    if (m_released) {
+      AnswerWhole(aLink, *dispatch);
+    } else {
+      m_held.emplace_back(aLink.shared_from_this(), *dispatch);
+    }
+  }
+  void Release()
+  {
+    const std::lock_guard lock(m_lock);
+    m_released = true;
+    for (const auto& [link, dispatch] : m_held) {
+      AnswerWhole(*link, dispatch);
+    }
+    m_held.clear();
+  }
+  size_t Count() const
+  {
+    const std::lock_guard lock(m_lock);
+    return m_count;
+  }
+  void WaitFor(size_t aCount) const
+  {
+    while (Count() < aCount) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+
+private:
+  mutable std::mutex m_lock;
+  std::vector<std::pair<net::Link::Pointer, wire::DispatchT>> m_held;
+  size_t m_count = 0;
+  bool m_released = false;
+};
+
 // --- The entry under test ----------------------------------------------------
 
 class EntryBench
