--- a/chivefront/entry/flows.h
+++ b/chivefront/entry/flows.h
@@ -3,9 +3,11 @@
 
 #include <atomic>
 
+#include "chivefront/entry/admission.h"
 #include "chivefront/entry/answer_sinks.h"
 #include "chivefront/entry/billing.h"
 #include "chivefront/entry/caller_request.h"
+#include "chivefront/entry/cascade.h"
 #include "chivefront/entry/claims.h"
 #include "chivefront/entry/evidence.h"
 #include "chivefront/entry/sessions.h"
@@ -21,15 +23,25 @@
     , m_billing(aParts)
     , m_claims(aParts)
     , m_sessions(aParts)
+    , m_limits(aParts)
+    , m_cascade(aParts, m_evidence)
   {
   }
 
+  // Takes over what changed in the view.
+  void OnView(const client::View& aView)
+  {
+    m_limits.SetLiveEntries(aView.m_liveEntries);
+  }
+
   EntryParts& m_entry;
   Runner m_runner;
   Billing m_billing;
   Claims m_claims;
   SessionPins m_sessions;
+  TeamLimits m_limits;
   Evidence m_evidence;
+  CascadeChoice m_cascade;
 };
 
 // An authenticated request before its body is looked at.
