Put old disks back in the histories

Cause: a host may come back with an old disk; the histories lost disks only. Change: a disk lost earlier may be put back after a reported repair; a third of the histories lose disks in most disturbances; 800 histories.

--- a/chivefront/consensus/history_test.cc
+++ b/chivefront/consensus/history_test.cc
@@ -1,5 +1,6 @@
 // Seeded histories with message loss, duplication, reordering, delay,
-// partitions, crashes that lose unsynced data, and lost disks.
+// partitions, crashes that lose unsynced data, lost disks and old disks that
+// are put back.
 //
 // One seed again:  history_test -- SEED
 // Promises: config
@@ -14,25 +15,29 @@
 
 namespace {
 
-constexpr uint64_t kHistories = 400;
+constexpr uint64_t kHistories = 800;
 constexpr int64_t kFaultMillis = 6000;
 constexpr int64_t kSettleMillis = 20000;
 
+constexpr uint64_t kLoss = 5; // the fault that takes a disk
+
 struct Totals
 {
   size_t m_acknowledged = 0;
   size_t m_reads = 0;
   size_t m_lostDisks = 0;
+  size_t m_oldDisks = 0;
   size_t m_crashes = 0;
 };
 
 // One random fault, or the end of one.
 void
-Disturb(Simulation& aSimulation, Totals& aTotals)
+Disturb(Simulation& aSimulation, bool aManyLosses, Totals& aTotals)
 {
   const auto& names = aSimulation.Names();
   const std::string& name = names[aSimulation.Random()() % names.size()];
-  switch (aSimulation.Random()() % 8) {
+  const uint64_t kind = aSimulation.Random()() % 8;
+  switch (aManyLosses && aSimulation.Chance(60) ? kLoss : kind) {
     case 0:
       aSimulation.Isolate(name);
       break;
@@ -48,11 +53,15 @@
       aSimulation.CrashInsideWrite(name);
       ++aTotals.m_crashes;
       break;
-    case 5:
+    case kLoss:
       if (aSimulation.ReportsRepair()) {
-        aSimulation.LoseDisk(name);
+        if (aSimulation.Chance(70) || !aSimulation.ReturnOldDisk(name)) {
+          aSimulation.LoseDisk(name);
+          ++aTotals.m_lostDisks;
+        } else {
+          ++aTotals.m_oldDisks;
+        }
         aSimulation.Restart(name);
-        ++aTotals.m_lostDisks;
       }
       break;
     case 6:
@@ -97,7 +106,7 @@
       simulation.Read();
     }
     if (i % 97 == 0) {
-      Disturb(simulation, aTotals);
+      Disturb(simulation, aSeed % 3 == 0, aTotals);
       simulation.CheckLogMatching();
     }
     if (i % 211 == 0) {
@@ -142,6 +151,7 @@
   }
   std::cout << totals.m_acknowledged << " writes, " << totals.m_reads
             << " reads, " << totals.m_crashes << " crashes, "
-            << totals.m_lostDisks << " lost disks\n";
+            << totals.m_lostDisks << " lost disks, " << totals.m_oldDisks
+            << " old disks put back\n";
   BOOST_TEST(totals.m_acknowledged > 0U);
 }
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -152,10 +152,23 @@
 Simulation::LoseDisk(const std::string& aName)
 {
   Host& host = m_hosts.at(aName);
-  host.m_driver.reset();
+  Crash(aName);
+  host.m_lostDisk = std::move(host.m_disk);
   host.m_disk = std::make_unique<MemoryDisk>();
 }
 
+bool
+Simulation::ReturnOldDisk(const std::string& aName)
+{
+  Host& host = m_hosts.at(aName);
+  if (!host.m_lostDisk) {
+    return false;
+  }
+  Crash(aName);
+  std::swap(host.m_disk, host.m_lostDisk);
+  return true;
+}
+
 void
 Simulation::Process(const std::string& aName)
 {
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -41,6 +41,9 @@
   void CrashInsideWrite(const std::string& aName);
   void Restart(const std::string& aName);
   void LoseDisk(const std::string& aName);
+  // Exchanges the disk for the one lost last, as when an old disk is put back;
+  // false when none was lost.
+  bool ReturnOldDisk(const std::string& aName);
   void Isolate(const std::string& aName) { m_isolated.insert(aName); }
   void Heal() { m_isolated.clear(); }
   void SetFaults(Faults aFaults) { m_faults = aFaults; }
@@ -87,6 +90,7 @@
   struct Host
   {
     std::unique_ptr<MemoryDisk> m_disk;
+    std::unique_ptr<MemoryDisk> m_lostDisk;
     std::unique_ptr<Machine> m_machine;
     std::unique_ptr<Driver> m_driver; // null while down
     uint64_t m_identity = 0;
