Test that a failed write stops a group

Cause: the report of a failed write was tested in the durable log only, not through the group. Change: a group whose folder is removed reports one fatal failure, answers the waiting proposal with Unavailable and refuses later ones. Conclusion: nothing is acknowledged after a failed write.

--- a/chivefront/consensus/group_test.cc
+++ b/chivefront/consensus/group_test.cc
@@ -3,6 +3,9 @@
 #define BOOST_TEST_MODULE group
 #include <boost/test/unit_test.hpp>
 
+#include <unistd.h>
+
+#include <atomic>
 #include <chrono>
 #include <filesystem>
 #include <future>
@@ -302,3 +305,47 @@
   BOOST_TEST((base::KindOf(status) == base::ErrorKind::Unavailable ||
               base::KindOf(status) == base::ErrorKind::NotLeader));
 }
+
+// Guards against a group that goes on, or reports success, after its log can't
+// be written. Each write opens a new segment, so removing the folder fails it.
+BOOST_AUTO_TEST_CASE(FailedWriteIsFatalOnce)
+{
+  const auto folder = std::filesystem::temp_directory_path() /
+                      ("chivefront-fatal-" + std::to_string(::getpid()));
+  consensus::GroupOptions options;
+  options.m_name = "a";
+  options.m_initial = { "a" };
+  options.m_folder = folder.string();
+  options.m_segmentBytes = 1;
+  ListMachine machine;
+  base::EventLog events("test", "", 10);
+  std::atomic<int> fatal{ 0 };
+  Group group(
+    options,
+    machine,
+    [](const std::string&, std::string) {},
+    [&](const absl::Status& aStatus) {
+      BOOST_TEST((base::KindOf(aStatus) == base::ErrorKind::StorageFailed));
+      ++fatal;
+    },
+    events);
+  BOOST_REQUIRE(group.Start().ok());
+  while (!group.IsLeader()) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  const auto propose = [&] {
+    std::promise<absl::Status> promise;
+    group.Propose("x", [&](absl::StatusOr<std::string> aResult) {
+      promise.set_value(aResult.status());
+    });
+    return base::KindOf(promise.get_future().get());
+  };
+  BOOST_TEST((propose() == base::ErrorKind::None));
+  std::filesystem::remove_all(folder);
+  BOOST_TEST((propose() == base::ErrorKind::Unavailable));
+  BOOST_TEST((propose() == base::ErrorKind::NotLeader));
+  BOOST_TEST(!group.IsLeader());
+  group.Stop();
+  BOOST_TEST(fatal == 1);
+  BOOST_TEST(machine.Text() == "x;");
+}
