--- a/chivefront/policy/admission.cc
+++ b/chivefront/policy/admission.cc
@@ -19,7 +19,7 @@
 constexpr base::Millis kFreeRetry{ 1000 };
 // Share of the entry's capacity that free requests may fill. The rest is
 // for the next paying request, which then never waits for a free one to end.
-constexpr double kFreeCeiling = 0.8;
+constexpr double kFreeCeiling = 0.65;
 constexpr base::Millis kLongestRetry{ 60000 };
 
 } // namespace
