Choose cascade plans by sampling, paid from the quality above target

Tests: the bound on the number of exploring requests is replaced by one on the quality they may cost, since drafts with a fallback are free of that; the draft test accepts a version between draft and fallback, which is cheaper there.

--- a/bench/case_cascade.cc
+++ b/bench/case_cascade.cc
@@ -303,16 +303,22 @@
   const char* m_name;
   Chooser m_chooser;
   CascadeRule m_rule;
+  double m_caution = policy::CascadeSettings().m_caution;
+  double m_exploreShare = policy::CascadeSettings().m_exploreShare;
+  double m_poolWeight = policy::EvidenceSettings().m_poolWeight;
 };
 
-constexpr std::array<Variant, 6> kVariants{ {
+const std::vector<Variant> kVariants{
   { "oracle", Chooser::Oracle, CascadeRule::Index },
   { "always best", Chooser::Best, CascadeRule::Index },
   { "always cheapest", Chooser::Cheapest, CascadeRule::Index },
   { "fixed threshold", Chooser::Cascade, CascadeRule::FixedThreshold },
   { "index", Chooser::Cascade, CascadeRule::Index },
   { "thompson", Chooser::Cascade, CascadeRule::Thompson },
-} };
+  { "thompson, caution 1", Chooser::Cascade, CascadeRule::Thompson, 1 },
+  { "thompson, share 0.2", Chooser::Cascade, CascadeRule::Thompson, 0.3, 0.2 },
+  { "thompson, pool 10", Chooser::Cascade, CascadeRule::Thompson, 0.3, 1, 10 },
+};
 
 } // namespace
 
@@ -327,6 +333,9 @@
     for (const Variant& variant : kVariants) {
       policy::CascadeSettings settings;
       settings.m_rule = variant.m_rule;
+      settings.m_caution = variant.m_caution;
+      settings.m_exploreShare = variant.m_exploreShare;
+      settings.m_evidence.m_poolWeight = variant.m_poolWeight;
       settings.m_ratingCost = kRatingCost;
       settings.m_ratingError = kRatingError;
       const Totals totals =
--- a/bench/pool_model.h
+++ b/bench/pool_model.h
@@ -38,6 +38,7 @@
   double m_prefixSaving = 0.5; // of the first-token time on a cached prefix
   bool m_classes = true;       // else one FIFO queue for all
   bool m_credits = true;       // else agents admit everything
+  bool m_queueAtAgents = true; // paying work may wait there
   bool m_warm = true;          // engines start warm
   policy::PlacementRule m_rule = policy::PlacementRule::ExpectedFinish;
   double m_reportLagMs = 100;
--- a/chivefront/policy/cascade.cc
+++ b/chivefront/policy/cascade.cc
@@ -11,6 +11,7 @@
 // An exploring plan must promise this much lower a cost than the chosen one;
 // smaller gains do not repay the ratings.
 constexpr double kWorthExploring = 0.95;
+constexpr double kFreeDrafts = 0.02;
 constexpr double kOptimism = 1.5; // deviations above the mean
 
 } // namespace
@@ -141,6 +142,15 @@
   return total <= aRequest.m_target.m_latencyBudget;
 }
 
+bool
+Cascade::Known(const Chain& aChain, int aBestRank) const
+{
+  return std::all_of(aChain.begin(), aChain.end(), [&](const Arm* aArm) {
+    return aArm->m_option->m_rank == aBestRank ||
+           aArm->m_first.Weight() >= m_settings.m_leastKnown;
+  });
+}
+
 std::vector<Cascade::Chain>
 Cascade::Chains(const std::vector<Arm>& aArms,
                 const CascadeRequest& aRequest) const
@@ -211,43 +221,64 @@
   return best;
 }
 
+Cascade::Weighed
+Cascade::Hoped(std::vector<Arm>& aArms,
+               const std::vector<Chain>& aChains,
+               const CascadeRequest& aRequest,
+               double aChosenCost)
+{
+  if (m_settings.m_rule == CascadeRule::Thompson) {
+    SampleRates(aArms);
+    return Choose(aChains, aArms, aRequest);
+  }
+  SetRates(aArms, kOptimism);
+  Weighed best;
+  best.m_cost = kWorthExploring * aChosenCost;
+  for (const Chain& chain : aChains) {
+    Weighed hoped = Weigh(chain);
+    if (hoped.m_quality >= aRequest.m_target.m_quality &&
+        hoped.m_cost < best.m_cost) {
+      best = std::move(hoped);
+    }
+  }
+  return best;
+}
+
 bool
 Cascade::Explore(std::vector<Arm>& aArms,
                  const std::vector<Chain>& aChains,
                  const CascadeRequest& aRequest,
                  Weighed& aChosen)
 {
-  if (aRequest.m_stream || !m_evidence.RatingsUp() ||
-      Uniform() >= m_settings.m_exploreShare) {
+  if (!m_evidence.RatingsUp()) {
     return false;
   }
-  SetRates(aArms, kOptimism);
-  const Arm* target = nullptr;
-  double lowest = kWorthExploring * aChosen.m_cost;
-  for (const Chain& chain : aChains) {
-    const Weighed hoped = Weigh(chain);
-    if (hoped.m_quality < aRequest.m_target.m_quality ||
-        hoped.m_cost >= lowest) {
-      continue;
-    }
-    lowest = hoped.m_cost;
-    target = chain.front();
-  }
-  const auto& chain = aChosen.m_chain;
-  if (target == nullptr ||
-      std::find(chain.begin(), chain.end(), target) != chain.end()) {
-    return false;
+  const double target = aRequest.m_target.m_quality;
+  double& slack = m_slack[{ aRequest.m_team, aRequest.m_task }];
+  slack = std::min(slack, m_settings.m_mostSlack);
+  Weighed hoped;
+  if (Uniform() < m_settings.m_exploreShare) {
+    hoped = Hoped(aArms, aChains, aRequest, aChosen.m_cost);
   }
-  // The draft is rated and the chosen plan follows a rejection, so exploring
-  // costs money and time but no quality.
-  Chain exploring{ target };
-  exploring.insert(exploring.end(), chain.begin(), chain.end());
-  if (!InBudget(exploring, aRequest)) {
-    return false;
+  SetRates(aArms, -m_settings.m_caution);
+  if (!hoped.m_chain.empty() && hoped.m_chain != aChosen.m_chain) {
+    const Weighed careful = Weigh(hoped.m_chain);
+    const double left = slack + careful.m_quality - target;
+    // A draft before the same last version risks little quality. A few such
+    // plans need no slack, or a target that the best version alone misses
+    // would never be reached.
+    const bool draft = !aRequest.m_stream &&
+                       careful.m_chain.back() == aChosen.m_chain.back() &&
+                       Uniform() < kFreeDrafts;
+    if (left >= 0 || draft) {
+      slack = std::max(left, 0.0);
+      aChosen = careful;
+      return true;
+    }
   }
-  SetRates(aArms, 0);
-  aChosen = Weigh(exploring);
-  return true;
+  slack += Weigh(aChosen.m_chain).m_quality - target;
+  slack = std::max(slack, 0.0);
+  return false;
 }
 
 CascadePlan
@@ -266,13 +297,19 @@
       !aRequest.m_stream && m_evidence.RatingsUp() && arms.size() > 1;
     chosen = Weigh(drafts ? Chain{ &arms.front(), &arms.back() }
                           : Chain{ &arms.back() });
-  } else if (m_settings.m_rule == CascadeRule::Thompson &&
-             m_evidence.RatingsUp()) {
-    SampleRates(arms);
-    chosen = Choose(chains, arms, aRequest);
   } else {
+    std::vector<Chain> known;
+    int bestRank = arms.front().m_option->m_rank;
+    for (const Arm& arm : arms) {
+      bestRank = std::max(bestRank, arm.m_option->m_rank);
+    }
+    for (const Chain& chain : chains) {
+      if (Known(chain, bestRank)) {
+        known.push_back(chain);
+      }
+    }
     SetRates(arms, -m_settings.m_caution);
-    chosen = Choose(chains, arms, aRequest);
+    chosen = Choose(known.empty() ? chains : known, arms, aRequest);
     plan.m_explores = Explore(arms, chains, aRequest, chosen);
   }
   const Arm& last = *chosen.m_chain.back();
--- a/chivefront/policy/cascade.h
+++ b/chivefront/policy/cascade.h
@@ -14,9 +14,11 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "chivefront/base/clock.h"
@@ -28,17 +30,25 @@
 enum class CascadeRule
 {
   FixedThreshold, // cheapest first, best after a rejection; a baseline
-  Index,          // lower confidence bounds, with bounded exploration
-  Thompson,       // rates drawn from their distributions
+  Index,          // cautious estimates; exploration by upper bounds
+  Thompson,       // likewise; exploration draws from the distributions
 };
 
 struct CascadeSettings
 {
   CascadeRule m_rule = CascadeRule::Thompson;
   // Deviations below the mean at which a rate counts towards the target.
-  double m_caution = 1.0;
-  double m_exploreShare = 0.05; // most requests that explore
-  double m_sampleShare = 0.05;  // finished answers rated for evidence
+  double m_caution = 0.3;
+  double m_exploreShare = 1; // most requests that may explore
+  // Exploration is paid from the answers expected above target so far, by
+  // cautious estimates; this many can be saved up per team and task. So the
+  // expected quality stays at the target while it explores (conservative
+  // bandits, Wu et al., ICML 2016).
+  double m_mostSlack = 5;
+  // Ratings, with the prior's weight, before a version of a lower rank is
+  // used outside exploration.
+  double m_leastKnown = 10;
+  double m_sampleShare = 0.05; // finished answers rated for evidence
   // Below this many ratings, a version's answers are rated more often and
   // exploration may go to it.
   double m_wellKnown = 60;
@@ -133,6 +143,12 @@
   Weighed Choose(const std::vector<Chain>& aChains,
                  const std::vector<Arm>& aArms,
                  const CascadeRequest& aRequest) const;
+  bool Known(const Chain& aChain, int aBestRank) const;
+  // The plan that exploration would like to try.
+  Weighed Hoped(std::vector<Arm>& aArms,
+                const std::vector<Chain>& aChains,
+                const CascadeRequest& aRequest,
+                double aChosenCost);
   bool Explore(std::vector<Arm>& aArms,
                const std::vector<Chain>& aChains,
                const CascadeRequest& aRequest,
@@ -143,6 +159,8 @@
   const CascadeSettings m_settings;
   std::mt19937_64 m_random;
   RatingEvidence m_evidence;
+  // Acceptable answers expected beyond the target, by team and task.
+  std::map<std::pair<std::string, std::string>, double> m_slack;
 };
 
 } // namespace chivefront::policy
--- a/chivefront/policy/evidence.h
+++ b/chivefront/policy/evidence.h
@@ -29,14 +29,17 @@
   double m_evidence = 0; // decayed count of ratings, without the prior
 
   double Mean() const { return m_good / (m_good + m_bad); }
+  double Weight() const { return m_good + m_bad; }
   double Deviation() const;
   double Sample(std::mt19937_64& aRandom) const;
 };
 
 struct EvidenceSettings
 {
-  double m_window = 400;    // effective number of ratings remembered
-  double m_poolWeight = 10; // most ratings that the pool of teams counts for
+  double m_window = 400; // effective number of ratings remembered
+  // Most ratings that the pool of teams counts for. Teams whose rates differ
+  // by 0.06 (one deviation) are as alike as 40 ratings can tell.
+  double m_poolWeight = 40;
   // Time with ratings up after which half the evidence is forgotten, so that
   // a version that was given up is tried again.
   base::Millis m_halfLife{ 6 * 3600 * 1000 };
