--- a/chivefront/policy/placement.h
+++ b/chivefront/policy/placement.h
@@ -53,7 +53,7 @@
   std::string m_ownDomain;
   // How much later than in the own domain a request may be expected to finish
   // elsewhere before it stays, as a share of the mean service time.
-  double m_domainPenalty = 0.1;
+  double m_domainPenalty = 0.02;
   // Saving of a cached prefix, as a share of the mean service time.
   double m_affinitySaving = 0.3;
   size_t m_prefixes = 4096; // remembered
