--- a/chivefront/ledger/ledger.cc
+++ b/chivefront/ledger/ledger.cc
@@ -10,9 +10,7 @@
 namespace chivefront::ledger {
 namespace detail {
 
-// Lines in one reply; a frame is bounded.
-constexpr uint32_t kMaxQueriedLines = 10000;
-// Lines in one posted bill and fingerprints in one loss report.
+// Fingerprints in one loss report.
 constexpr size_t kMaxRows = 4096;
 // Team, session, key, owner and request id; bounds the memory of one entry.
 constexpr size_t kMaxNameBytes = 1024;
@@ -78,65 +76,6 @@
   aReply.version = pin.version;
 }
 
-void
-Ledger::State::PostBill(const wire::PostBillT& aCommand,
-                        wire::LedgerReplyT& aReply)
-{
-  size_t fresh = 0;
-  for (const auto& line : aCommand.lines) {
-    fresh += m_bills.count({ line->request_id, line->run }) == 0 ? 1 : 0;
-  }
-  // All or nothing: a bill refused in part could never be told apart from one
-  // that was taken.
-  if (aCommand.lines.size() > detail::kMaxRows ||
-      m_bills.size() + fresh > m_bounds.m_bills) {
-    aReply.refused = "too many bill lines";
-    return;
-  }
-  for (const auto& line : aCommand.lines) {
-    const BillKey key{ line->request_id, line->run };
-    const auto [place, added] = m_bills.try_emplace(key);
-    if (!added) {
-      continue;
-    }
-    place->second = { *line, m_time };
-    m_billsByTime.emplace(m_time, key);
-    wire::TeamTotalT& total = m_totals[line->team];
-    total.team = line->team;
-    total.lines += 1;
-    total.cost_micros += line->cost_micros;
-  }
-}
-
-void
-Ledger::State::QueryBills(const wire::QueryBillsT& aCommand,
-                          wire::LedgerReplyT& aReply) const
-{
-  const size_t limit =
-    std::min(aCommand.limit == 0 ? detail::kMaxQueriedLines : aCommand.limit,
-             detail::kMaxQueriedLines);
-  const auto wanted = [&](const wire::BillLineT& aLine) {
-    return (aCommand.team.empty() || aLine.team == aCommand.team) &&
-           (aCommand.request_id.empty() ||
-            aLine.request_id == aCommand.request_id);
-  };
-  // The newest lines first.
-  for (auto row = m_billsByTime.rbegin();
-       row != m_billsByTime.rend() && aReply.lines.size() < limit;
-       ++row) {
-    const wire::BillLineT& line = m_bills.at(row->second).m_line;
-    if (wanted(line)) {
-      aReply.lines.push_back(std::make_unique<wire::BillLineT>(line));
-    }
-  }
-  for (const auto& [team, total] : m_totals) {
-    if (aCommand.team.empty() || team == aCommand.team) {
-      aReply.total_lines += total.lines;
-      aReply.total_cost_micros += total.cost_micros;
-    }
-  }
-}
-
 void
 Ledger::State::ReportLoss(const wire::ReportLossT& aCommand,
                           wire::LedgerReplyT& aReply)
@@ -206,16 +145,12 @@
     return aSince + aRetention < m_time;
   };
   m_claims.Expire(m_time);
+  m_bills.Expire(m_time);
   while (!m_pinsByUse.empty() &&
          isOld(m_pinsByUse.begin()->first, m_bounds.m_pinRetentionMs)) {
     m_pins.erase(m_pinsByUse.begin()->second);
     m_pinsByUse.erase(m_pinsByUse.begin());
   }
-  while (!m_billsByTime.empty() &&
-         isOld(m_billsByTime.begin()->first, m_bounds.m_billRetentionMs)) {
-    m_bills.erase(m_billsByTime.begin()->second);
-    m_billsByTime.erase(m_billsByTime.begin());
-  }
   while (!m_suspectsByTime.empty() && isOld(m_suspectsByTime.begin()->first,
                                             m_bounds.m_suspectRetentionMs)) {
     m_suspects.erase(m_suspectsByTime.begin()->second);
@@ -249,13 +184,13 @@
     case wire::LedgerCommand::FinishClaim:
       return m_claims.Finish(*aCommand.AsFinishClaim(), m_time, aReply);
     case wire::LedgerCommand::PostBill:
-      return PostBill(*aCommand.AsPostBill(), aReply);
+      return m_bills.Post(*aCommand.AsPostBill(), m_time, aReply);
     case wire::LedgerCommand::ReportLoss:
       return ReportLoss(*aCommand.AsReportLoss(), aReply);
     case wire::LedgerCommand::ClearSuspect:
       return SetSuspect(aCommand.AsClearSuspect()->fingerprint, 0);
     case wire::LedgerCommand::QueryBills:
-      return QueryBills(*aCommand.AsQueryBills(), aReply);
+      return m_bills.Query(*aCommand.AsQueryBills(), aReply);
     default:
       aReply.refused = "unknown command";
   }
@@ -312,7 +247,7 @@
   const std::lock_guard lock(m_lock);
   return { m_state->m_pins.size(),
            m_state->m_claims.Size(),
-           m_state->m_bills.size(),
+           m_state->m_bills.Size(),
            m_state->m_suspects.size(),
            m_state->m_claims.ResponseBytes() };
 }
--- a/chivefront/ledger/ledger.h
+++ b/chivefront/ledger/ledger.h
@@ -22,6 +22,7 @@
 #include <absl/status/statusor.h>
 
 #include "chivefront/consensus/group.h"
+#include "chivefront/ledger/bills.h"
 #include "chivefront/ledger/claims.h"
 
 namespace chivefront::ledger {
@@ -33,13 +34,11 @@
 {
   ClaimBounds m_claims;
   size_t m_pins = 1000000;
-  size_t m_bills = 1000000;
+  BillBounds m_bills;
   size_t m_suspects = 65536;
   size_t m_losses = 65536;
   // A session idle for longer than this may get another version.
   uint64_t m_pinRetentionMs = 7UL * 24 * 3600 * 1000;
-  // Longer than an agent can be cut off (an hour) before it posts its usage.
-  uint64_t m_billRetentionMs = 3UL * 3600 * 1000;
   uint64_t m_suspectRetentionMs = 24UL * 3600 * 1000;
 };
 
--- a/chivefront/ledger/ledger_test.cc
+++ b/chivefront/ledger/ledger_test.cc
@@ -255,7 +255,7 @@
   bounds.m_claims.m_claims = 1;
   bounds.m_claims.m_oneResponseBytes = 3;
   bounds.m_pins = 0;
-  bounds.m_bills = 1;
+  bounds.m_bills.m_lines = 1;
   Ledger machine(bounds);
   Run(machine, Claim("a"), 1);
   auto other = Claim("b");
--- a/chivefront/ledger/snapshot.cc
+++ b/chivefront/ledger/snapshot.cc
@@ -18,15 +18,7 @@
     snapshot.claims.push_back(
       std::make_unique<wire::ClaimRecordT>(std::move(claim)));
   }
-  for (const auto& [key, bill] : m_state->m_bills) {
-    auto record = std::make_unique<wire::BillRecordT>();
-    record->line = std::make_unique<wire::BillLineT>(bill.m_line);
-    record->posted_ms = bill.m_posted;
-    snapshot.bills.push_back(std::move(record));
-  }
-  for (const auto& [team, total] : m_state->m_totals) {
-    snapshot.totals.push_back(std::make_unique<wire::TeamTotalT>(total));
-  }
+  m_state->m_bills.Save(snapshot);
   for (const auto& [fingerprint, suspect] : m_state->m_suspects) {
     snapshot.suspects.push_back(
       std::make_unique<wire::SuspectRecordT>(suspect));
@@ -57,16 +49,8 @@
   for (const auto& claim : snapshot.claims) {
     state->m_claims.Load(*claim);
   }
-  for (const auto& record : snapshot.bills) {
-    if (!record->line) {
-      return base::MakeError(base::ErrorKind::Corrupt, "bill without a line");
-    }
-    const State::BillKey key{ record->line->request_id, record->line->run };
-    state->m_bills[key] = { *record->line, record->posted_ms };
-    state->m_billsByTime.emplace(record->posted_ms, key);
-  }
-  for (const auto& total : snapshot.totals) {
-    state->m_totals[total->team] = *total;
+  if (!state->m_bills.Load(snapshot)) {
+    return base::MakeError(base::ErrorKind::Corrupt, "damaged bill keys");
   }
   for (const auto& suspect : snapshot.suspects) {
     state->m_suspects[suspect->fingerprint] = *suspect;
--- a/chivefront/ledger/state.h
+++ b/chivefront/ledger/state.h
@@ -15,25 +15,16 @@
   explicit State(const LedgerBounds& aBounds)
     : m_bounds(aBounds)
     , m_claims(aBounds.m_claims)
+    , m_bills(aBounds.m_bills)
   {
   }
 
   using PairKey = std::pair<std::string, std::string>; // team and session
-  using BillKey = std::pair<std::string, uint32_t>;    // request id and run
-
-  struct Bill
-  {
-    wire::BillLineT m_line;
-    uint64_t m_posted = 0;
-  };
 
   void Expire();
   void Run(const wire::LedgerCommandUnion& aCommand,
            wire::LedgerReplyT& aReply);
   void Pin(const wire::PinSessionT& aCommand, wire::LedgerReplyT& aReply);
-  void PostBill(const wire::PostBillT& aCommand, wire::LedgerReplyT& aReply);
-  void QueryBills(const wire::QueryBillsT& aCommand,
-                  wire::LedgerReplyT& aReply) const;
   void ReportLoss(const wire::ReportLossT& aCommand,
                   wire::LedgerReplyT& aReply);
   // 0 losses clears the suspicion.
@@ -42,17 +33,14 @@
   const LedgerBounds& m_bounds;
   uint64_t m_time = 0; // log time; never decreases
   Claims m_claims;
+  Bills m_bills;
   // Each map has an index by time with exactly the same keys.
   std::map<PairKey, wire::PinRecordT> m_pins;
   std::set<std::pair<uint64_t, PairKey>> m_pinsByUse;
-  std::map<BillKey, Bill> m_bills;
-  std::set<std::pair<uint64_t, BillKey>> m_billsByTime;
   std::map<uint64_t, wire::SuspectRecordT> m_suspects;
   std::set<std::pair<uint64_t, uint64_t>> m_suspectsByTime;
   std::map<std::string, uint64_t> m_losses; // loss id to log time
   std::set<std::pair<uint64_t, std::string>> m_lossesByTime;
-  // Over all lines ever posted, also those whose retention ended.
-  std::map<std::string, wire::TeamTotalT> m_totals;
 };
 
 } // namespace chivefront::ledger
--- a/chivefront/wire/state_generated.hpp
+++ b/chivefront/wire/state_generated.hpp
@@ -46,10 +46,6 @@
 struct SuspectRecordBuilder;
 struct SuspectRecordT;
 
-struct BillRecord;
-struct BillRecordBuilder;
-struct BillRecordT;
-
 struct TeamTotal;
 struct TeamTotalBuilder;
 struct TeamTotalT;
@@ -844,80 +840,6 @@
 
 flatbuffers::Offset<SuspectRecord> CreateSuspectRecord(flatbuffers::FlatBufferBuilder &_fbb, const SuspectRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct BillRecordT : public flatbuffers::NativeTable {
-  typedef BillRecord TableType;
-  std::unique_ptr<chivefront::wire::BillLineT> line{};
-  uint64_t posted_ms = 0;
-  BillRecordT() = default;
-  BillRecordT(const BillRecordT &o);
-  BillRecordT(BillRecordT&&) FLATBUFFERS_NOEXCEPT = default;
-  BillRecordT &operator=(BillRecordT o) FLATBUFFERS_NOEXCEPT;
-};
-
-struct BillRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef BillRecordT NativeTableType;
-  typedef BillRecordBuilder Builder;
-  struct Traits;
-  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LINE = 4,
-    VT_POSTED_MS = 6
-  };
-  const chivefront::wire::BillLine *line() const {
-    return GetPointer<const chivefront::wire::BillLine *>(VT_LINE);
-  }
-  uint64_t posted_ms() const {
-    return GetField<uint64_t>(VT_POSTED_MS, 0);
-  }
-  bool Verify(flatbuffers::Verifier &verifier) const {
-    return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_LINE) &&
-           verifier.VerifyTable(line()) &&
-           VerifyField<uint64_t>(verifier, VT_POSTED_MS, 8) &&
-           verifier.EndTable();
-  }
-  BillRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(BillRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<BillRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BillRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-};
-
-struct BillRecordBuilder {
-  typedef BillRecord Table;
-  flatbuffers::FlatBufferBuilder &fbb_;
-  flatbuffers::uoffset_t start_;
-  void add_line(flatbuffers::Offset<chivefront::wire::BillLine> line) {
-    fbb_.AddOffset(BillRecord::VT_LINE, line);
-  }
-  void add_posted_ms(uint64_t posted_ms) {
-    fbb_.AddElement<uint64_t>(BillRecord::VT_POSTED_MS, posted_ms, 0);
-  }
-  explicit BillRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
-        : fbb_(_fbb) {
-    start_ = fbb_.StartTable();
-  }
-  flatbuffers::Offset<BillRecord> Finish() {
-    const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<BillRecord>(end);
-    return o;
-  }
-};
-
-inline flatbuffers::Offset<BillRecord> CreateBillRecord(
-    flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<chivefront::wire::BillLine> line = 0,
-    uint64_t posted_ms = 0) {
-  BillRecordBuilder builder_(_fbb);
-  builder_.add_posted_ms(posted_ms);
-  builder_.add_line(line);
-  return builder_.Finish();
-}
-
-struct BillRecord::Traits {
-  using type = BillRecord;
-  static auto constexpr Create = CreateBillRecord;
-};
-
-flatbuffers::Offset<BillRecord> CreateBillRecord(flatbuffers::FlatBufferBuilder &_fbb, const BillRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
-
 struct TeamTotalT : public flatbuffers::NativeTable {
   typedef TeamTotal TableType;
   std::string team{};
@@ -1098,7 +1020,8 @@
   uint64_t time_ms = 0;
   std::vector<std::unique_ptr<chivefront::wire::PinRecordT>> pins{};
   std::vector<std::unique_ptr<chivefront::wire::ClaimRecordT>> claims{};
-  std::vector<std::unique_ptr<chivefront::wire::BillRecordT>> bills{};
+  std::vector<uint64_t> bill_keys{};
+  std::vector<std::unique_ptr<chivefront::wire::BillLineT>> bills{};
   std::vector<std::unique_ptr<chivefront::wire::TeamTotalT>> totals{};
   std::vector<std::unique_ptr<chivefront::wire::SuspectRecordT>> suspects{};
   std::vector<std::unique_ptr<chivefront::wire::LossRecordT>> losses{};
@@ -1116,10 +1039,11 @@
     VT_TIME_MS = 4,
     VT_PINS = 6,
     VT_CLAIMS = 8,
-    VT_BILLS = 10,
-    VT_TOTALS = 12,
-    VT_SUSPECTS = 14,
-    VT_LOSSES = 16
+    VT_BILL_KEYS = 10,
+    VT_BILLS = 12,
+    VT_TOTALS = 14,
+    VT_SUSPECTS = 16,
+    VT_LOSSES = 18
   };
   uint64_t time_ms() const {
     return GetField<uint64_t>(VT_TIME_MS, 0);
@@ -1130,8 +1054,11 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::ClaimRecord>> *claims() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::ClaimRecord>> *>(VT_CLAIMS);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillRecord>> *bills() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillRecord>> *>(VT_BILLS);
+  const flatbuffers::Vector<uint64_t> *bill_keys() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_BILL_KEYS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillLine>> *bills() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillLine>> *>(VT_BILLS);
   }
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::TeamTotal>> *totals() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::TeamTotal>> *>(VT_TOTALS);
@@ -1151,6 +1078,8 @@
            VerifyOffset(verifier, VT_CLAIMS) &&
            verifier.VerifyVector(claims()) &&
            verifier.VerifyVectorOfTables(claims()) &&
+           VerifyOffset(verifier, VT_BILL_KEYS) &&
+           verifier.VerifyVector(bill_keys()) &&
            VerifyOffset(verifier, VT_BILLS) &&
            verifier.VerifyVector(bills()) &&
            verifier.VerifyVectorOfTables(bills()) &&
@@ -1183,7 +1112,10 @@
   void add_claims(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::ClaimRecord>>> claims) {
     fbb_.AddOffset(LedgerSnapshot::VT_CLAIMS, claims);
   }
-  void add_bills(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillRecord>>> bills) {
+  void add_bill_keys(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> bill_keys) {
+    fbb_.AddOffset(LedgerSnapshot::VT_BILL_KEYS, bill_keys);
+  }
+  void add_bills(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillLine>>> bills) {
     fbb_.AddOffset(LedgerSnapshot::VT_BILLS, bills);
   }
   void add_totals(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::TeamTotal>>> totals) {
@@ -1211,7 +1143,8 @@
     uint64_t time_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PinRecord>>> pins = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::ClaimRecord>>> claims = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillRecord>>> bills = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> bill_keys = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::BillLine>>> bills = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::TeamTotal>>> totals = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SuspectRecord>>> suspects = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::LossRecord>>> losses = 0) {
@@ -1221,6 +1154,7 @@
   builder_.add_suspects(suspects);
   builder_.add_totals(totals);
   builder_.add_bills(bills);
+  builder_.add_bill_keys(bill_keys);
   builder_.add_claims(claims);
   builder_.add_pins(pins);
   return builder_.Finish();
@@ -1236,13 +1170,15 @@
     uint64_t time_ms = 0,
     const std::vector<flatbuffers::Offset<chivefront::wire::PinRecord>> *pins = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::ClaimRecord>> *claims = nullptr,
-    const std::vector<flatbuffers::Offset<chivefront::wire::BillRecord>> *bills = nullptr,
+    const std::vector<uint64_t> *bill_keys = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::BillLine>> *bills = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::TeamTotal>> *totals = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::SuspectRecord>> *suspects = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::LossRecord>> *losses = nullptr) {
   auto pins__ = pins ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PinRecord>>(*pins) : 0;
   auto claims__ = claims ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ClaimRecord>>(*claims) : 0;
-  auto bills__ = bills ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::BillRecord>>(*bills) : 0;
+  auto bill_keys__ = bill_keys ? _fbb.CreateVector<uint64_t>(*bill_keys) : 0;
+  auto bills__ = bills ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::BillLine>>(*bills) : 0;
   auto totals__ = totals ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::TeamTotal>>(*totals) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::SuspectRecord>>(*suspects) : 0;
   auto losses__ = losses ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::LossRecord>>(*losses) : 0;
@@ -1251,6 +1187,7 @@
       time_ms,
       pins__,
       claims__,
+      bill_keys__,
       bills__,
       totals__,
       suspects__,
@@ -1552,46 +1489,6 @@
       _changed_ms);
 }
 
-inline BillRecordT::BillRecordT(const BillRecordT &o)
-      : line((o.line) ? new chivefront::wire::BillLineT(*o.line) : nullptr),
-        posted_ms(o.posted_ms) {
-}
-
-inline BillRecordT &BillRecordT::operator=(BillRecordT o) FLATBUFFERS_NOEXCEPT {
-  std::swap(line, o.line);
-  std::swap(posted_ms, o.posted_ms);
-  return *this;
-}
-
-inline BillRecordT *BillRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<BillRecordT>();
-  UnPackTo(_o.get(), _resolver);
-  return _o.release();
-}
-
-inline void BillRecord::UnPackTo(BillRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
-  (void)_o;
-  (void)_resolver;
-  { auto _e = line(); if (_e) _o->line = std::unique_ptr<chivefront::wire::BillLineT>(_e->UnPack(_resolver)); }
-  { auto _e = posted_ms(); _o->posted_ms = _e; }
-}
-
-inline flatbuffers::Offset<BillRecord> BillRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BillRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateBillRecord(_fbb, _o, _rehasher);
-}
-
-inline flatbuffers::Offset<BillRecord> CreateBillRecord(flatbuffers::FlatBufferBuilder &_fbb, const BillRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
-  (void)_rehasher;
-  (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BillRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _line = _o->line ? CreateBillLine(_fbb, _o->line.get(), _rehasher) : 0;
-  auto _posted_ms = _o->posted_ms;
-  return chivefront::wire::CreateBillRecord(
-      _fbb,
-      _line,
-      _posted_ms);
-}
-
 inline TeamTotalT *TeamTotal::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<TeamTotalT>();
   UnPackTo(_o.get(), _resolver);
@@ -1654,13 +1551,14 @@
 }
 
 inline LedgerSnapshotT::LedgerSnapshotT(const LedgerSnapshotT &o)
-      : time_ms(o.time_ms) {
+      : time_ms(o.time_ms),
+        bill_keys(o.bill_keys) {
   pins.reserve(o.pins.size());
   for (const auto &pins_ : o.pins) { pins.emplace_back((pins_) ? new chivefront::wire::PinRecordT(*pins_) : nullptr); }
   claims.reserve(o.claims.size());
   for (const auto &claims_ : o.claims) { claims.emplace_back((claims_) ? new chivefront::wire::ClaimRecordT(*claims_) : nullptr); }
   bills.reserve(o.bills.size());
-  for (const auto &bills_ : o.bills) { bills.emplace_back((bills_) ? new chivefront::wire::BillRecordT(*bills_) : nullptr); }
+  for (const auto &bills_ : o.bills) { bills.emplace_back((bills_) ? new chivefront::wire::BillLineT(*bills_) : nullptr); }
   totals.reserve(o.totals.size());
   for (const auto &totals_ : o.totals) { totals.emplace_back((totals_) ? new chivefront::wire::TeamTotalT(*totals_) : nullptr); }
   suspects.reserve(o.suspects.size());
@@ -1673,6 +1571,7 @@
   std::swap(time_ms, o.time_ms);
   std::swap(pins, o.pins);
   std::swap(claims, o.claims);
+  std::swap(bill_keys, o.bill_keys);
   std::swap(bills, o.bills);
   std::swap(totals, o.totals);
   std::swap(suspects, o.suspects);
@@ -1692,7 +1591,8 @@
   { auto _e = time_ms(); _o->time_ms = _e; }
   { auto _e = pins(); if (_e) { _o->pins.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->pins[_i] = std::unique_ptr<chivefront::wire::PinRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = claims(); if (_e) { _o->claims.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->claims[_i] = std::unique_ptr<chivefront::wire::ClaimRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = bills(); if (_e) { _o->bills.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->bills[_i] = std::unique_ptr<chivefront::wire::BillRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = bill_keys(); if (_e) { _o->bill_keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->bill_keys[_i] = _e->Get(_i); } } }
+  { auto _e = bills(); if (_e) { _o->bills.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->bills[_i] = std::unique_ptr<chivefront::wire::BillLineT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = totals(); if (_e) { _o->totals.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->totals[_i] = std::unique_ptr<chivefront::wire::TeamTotalT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = std::unique_ptr<chivefront::wire::SuspectRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = losses(); if (_e) { _o->losses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->losses[_i] = std::unique_ptr<chivefront::wire::LossRecordT>(_e->Get(_i)->UnPack(_resolver)); } } }
@@ -1709,7 +1609,8 @@
   auto _time_ms = _o->time_ms;
   auto _pins = _o->pins.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PinRecord>> (_o->pins.size(), [](size_t i, _VectorArgs *__va) { return CreatePinRecord(*__va->__fbb, __va->__o->pins[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _claims = _o->claims.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ClaimRecord>> (_o->claims.size(), [](size_t i, _VectorArgs *__va) { return CreateClaimRecord(*__va->__fbb, __va->__o->claims[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _bills = _o->bills.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::BillRecord>> (_o->bills.size(), [](size_t i, _VectorArgs *__va) { return CreateBillRecord(*__va->__fbb, __va->__o->bills[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _bill_keys = _o->bill_keys.size() ? _fbb.CreateVector(_o->bill_keys) : 0;
+  auto _bills = _o->bills.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::BillLine>> (_o->bills.size(), [](size_t i, _VectorArgs *__va) { return CreateBillLine(*__va->__fbb, __va->__o->bills[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _totals = _o->totals.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::TeamTotal>> (_o->totals.size(), [](size_t i, _VectorArgs *__va) { return CreateTeamTotal(*__va->__fbb, __va->__o->totals[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::SuspectRecord>> (_o->suspects.size(), [](size_t i, _VectorArgs *__va) { return CreateSuspectRecord(*__va->__fbb, __va->__o->suspects[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _losses = _o->losses.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::LossRecord>> (_o->losses.size(), [](size_t i, _VectorArgs *__va) { return CreateLossRecord(*__va->__fbb, __va->__o->losses[i].get(), __va->__rehasher); }, &_va ) : 0;
@@ -1718,6 +1619,7 @@
       _time_ms,
       _pins,
       _claims,
+      _bill_keys,
       _bills,
       _totals,
       _suspects,
