--- /dev/null
+++ b/chivefront/entry/agents.h
@@ -0,0 +1,65 @@
+// Links to the agents that the registry names, one link to each.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "chivefront/client/watcher.h"
+#include "chivefront/entry/running.h"
+#include "chivefront/net/link.h"
+
+namespace chivefront::entry {
+
+class AgentLinks
+{
+public:
+  // Called when an agent is found to be another incarnation than before, with
+  // the incarnation that is gone and the attempts that ran there.
+  using LostHandler =
+    std::function<void(uint64_t aIncarnation,
+                       const std::vector<RunningAttempt>& aAttempts)>;
+
+  // Called with each load that an agent reports over its link.
+  using LoadHandler = std::function<void(const wire::UpstreamInfoT&)>;
+
+  AgentLinks(net::asio::io_context& aContext,
+             const net::LinkIdentity& aIdentity,
+             RunningRequests& aRunning,
+             LostHandler aLost,
+             LoadHandler aLoad);
+
+  // Connects to agents that are new in the view. A link to an agent that left
+  // the registry is kept while requests run there, because the registry
+  // forgets an agent long before its streams have to end.
+  void Update(const client::View& aView);
+  void Stop();
+
+  // The open link to an agent, or null.
+  net::Link::Pointer Current(const std::string& aAgentAddress) const;
+  size_t Connected() const;
+
+private:
+  struct Agent
+  {
+    std::shared_ptr<net::LinkConnector> m_connector;
+    uint64_t m_incarnation = 0; // 0 before the first link
+  };
+
+  net::Link::Handlers HandlersFor(const std::string& aAddress);
+  void OnOpen(const std::string& aAddress, const net::Link::Pointer& aLink);
+  void OnMessage(const net::Link::Pointer& aLink, wire::MessageT aMessage);
+  void TakeLoad(const wire::UpstreamInfoT* aInfo);
+
+  net::asio::io_context& m_context;
+  const net::LinkIdentity& m_identity;
+  RunningRequests& m_running;
+  const LostHandler m_lost;
+  const LoadHandler m_load;
+  mutable std::mutex m_lock;
+  std::map<std::string, Agent> m_agents; // by address
+};
+
+} // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/runner.cc
@@ -0,0 +1,318 @@
+// Placement, dispatch and retry. The relay of answers is in relay.cc.
+#include "chivefront/entry/runner.h"
+
+#include <algorithm>
+
+#include <boost/asio/this_coro.hpp>
+
+#include "chivefront/base/ids.h"
+#include "chivefront/entry/attempt.h"
+
+namespace chivefront::entry {
+namespace detail {
+
+wire::DispatchT
+MakeDispatch(const RunSpec& aSpec,
+             uint32_t aAttempt,
+             const std::string& aUpstream,
+             uint64_t aRevision,
+             base::Millis aTimeLeft,
+             size_t aCredit)
+{
+  wire::DispatchT dispatch;
+  dispatch.request_id = aSpec.m_requestId;
+  dispatch.attempt = aAttempt;
+  dispatch.run = aSpec.m_run;
+  dispatch.team = aSpec.m_team;
+  dispatch.caller_class = aSpec.m_class;
+  dispatch.upstream = aUpstream;
+  dispatch.model = aSpec.m_model;
+  dispatch.version = aSpec.m_version;
+  dispatch.service = aSpec.m_service;
+  dispatch.session = aSpec.m_session;
+  dispatch.idempotent = aSpec.m_idempotent;
+  dispatch.claim_key = aSpec.m_claimKey;
+  dispatch.fingerprint = aSpec.m_fingerprint;
+  dispatch.deadline_ms = static_cast<uint32_t>(aTimeLeft.Count());
+  dispatch.revision = aRevision;
+  dispatch.method = aSpec.m_method;
+  dispatch.target = aSpec.m_target;
+  dispatch.content_type = aSpec.m_contentType;
+  dispatch.body = aSpec.m_body;
+  dispatch.stream = aSpec.m_stream;
+  dispatch.credit_bytes = static_cast<uint32_t>(aCredit);
+  return dispatch;
+}
+
+// Rules that hold for every attempt, by the newest view.
+absl::Status
+CheckRules(const catalog::Catalog& aCatalog, const RunSpec& aSpec)
+{
+  if (aCatalog.m_quarantined.count(aSpec.m_fingerprint) != 0) {
+    return base::MakeError(base::ErrorKind::Quarantined,
+                           "this request made several upstreams fail");
+  }
+  if (aSpec.m_service.empty()) {
+    return catalog::CheckVersionAllowed(
+      aCatalog, aSpec.m_team, aSpec.m_version);
+  }
+  return catalog::CheckServiceAllowed(aCatalog, aSpec.m_team, aSpec.m_service);
+}
+
+} // namespace detail
+
+Runner::Runner(EntryParts& aParts)
+  : m_parts(aParts)
+  , m_attempts(aParts.m_metrics.AddCounter("chivefront_entry_attempts_total",
+                                           "Dispatches sent to agents."))
+  , m_retries(aParts.m_metrics.AddCounter("chivefront_entry_retries_total",
+                                          "Attempts after the first."))
+  , m_resumes(aParts.m_metrics.AddCounter("chivefront_entry_resumes_total",
+                                          "Streams asked for again."))
+  , m_staleChunks(aParts.m_metrics.AddCounter(
+      "chivefront_entry_dropped_chunks_total",
+      "Chunks of old attempts, repeated chunks, and chunks out of order."))
+  , m_firstChunk(
+      aParts.m_metrics.AddSummary("chivefront_entry_first_chunk_ms",
+                                  "Time from dispatch to the first chunk."))
+{
+}
+
+net::Task<absl::Status>
+Runner::Place(const RunSpec& aSpec,
+              const std::set<std::string>& aTried,
+              Attempt& aAttempt)
+{
+  Placing wanted;
+  wanted.m_route = RouteOf(aSpec.m_version, aSpec.m_service);
+  wanted.m_team = aSpec.m_team;
+  wanted.m_class = aSpec.m_class == wire::CallerClass::Paying
+                     ? catalog::CallerClass::Paying
+                     : catalog::CallerClass::Free;
+  wanted.m_prefix = aSpec.m_session.empty()
+                      ? 0
+                      : base::StableHash(aSpec.m_team + "/" + aSpec.m_session);
+  wanted.m_tried = &aTried;
+  wanted.m_deadline = aSpec.m_deadline;
+  const auto placed = co_await m_parts.m_placer.Acquire(wanted);
+  if (!placed.ok()) {
+    co_return placed.status();
+  }
+  aAttempt.m_upstream = placed->m_name;
+  aAttempt.m_agentAddress = placed->m_agentAddress;
+  aAttempt.m_incarnation = placed->m_link->Peer().m_incarnation;
+  aAttempt.m_link = placed->m_link;
+  co_return absl::OkStatus();
+}
+
+absl::Status
+Runner::CheckAllowed(const RunSpec& aSpec,
+                     const client::View& aView,
+                     const Attempt& aAttempt) const
+{
+  if (const auto status = detail::CheckRules(*aView.m_catalog, aSpec);
+      !status.ok()) {
+    return status;
+  }
+  const auto info = aView.m_registry->find(aAttempt.m_upstream);
+  if (info == aView.m_registry->end() || info->second.leaving) {
+    return base::MakeError(base::ErrorKind::NoUpstream,
+                           "the upstream is leaving");
+  }
+  if (m_parts.m_clock.Now() >= aSpec.m_deadline) {
+    return base::MakeError(base::ErrorKind::DeadlineExceeded,
+                           "the deadline passed before dispatch");
+  }
+  return catalog::CheckInService(
+    *aView.m_catalog, aAttempt.m_upstream, info->second.failure_domain);
+}
+
+absl::Status
+Runner::Dispatch(const RunSpec& aSpec, Attempt& aAttempt)
+{
+  // No suspension between this check and the send: the process may have been
+  // frozen for any time while it waited for a place.
+  const auto view = m_parts.m_watcher.FreshView();
+  if (!view.ok()) {
+    return view.status();
+  }
+  if (const auto status = CheckAllowed(aSpec, **view, aAttempt); !status.ok()) {
+    return status;
+  }
+  const base::TimePoint now = m_parts.m_clock.Now();
+  const uint64_t revision = (*view)->m_catalog->m_revision;
+  aAttempt.m_sentAt = now;
+  aAttempt.m_until = aSpec.m_deadline;
+  m_parts.m_running.Add({ aSpec.m_requestId,
+                          aAttempt.m_number,
+                          aAttempt.m_agentAddress,
+                          aAttempt.m_upstream,
+                          aSpec.m_fingerprint,
+                          aAttempt.m_mailbox });
+  m_parts.m_events.Record(
+    "dispatched",
+    { { "team", aSpec.m_team },
+      { "upstream", aAttempt.m_upstream },
+      { "version",
+        aSpec.m_version.empty() ? aSpec.m_service : aSpec.m_version },
+      { "attempt", std::to_string(aAttempt.m_number) },
+      { "run", std::to_string(aSpec.m_run) },
+      { "revision", std::to_string(revision) } },
+    aSpec.m_requestId);
+  const absl::Status sent = aAttempt.m_link->Send(
+    wire::MakeMessage(detail::MakeDispatch(aSpec,
+                                           aAttempt.m_number,
+                                           aAttempt.m_upstream,
+                                           revision,
+                                           aSpec.m_deadline - now,
+                                           m_parts.m_limits.m_windowBytes)));
+  aAttempt.m_sent = sent.ok();
+  if (sent.ok()) {
+    m_attempts.Increment();
+  }
+  return absl::OkStatus();
+}
+
+// Whether DecideAfter may choose a retry; takes it from the budget only when
+// it would.
+bool
+Runner::TakeRetry(const RunSpec& aSpec, RetryFacts aFacts)
+{
+  aFacts.m_budgetLeft = true;
+  if (DecideAfter(aFacts).m_step != NextStep::Retry) {
+    return true;
+  }
+  const std::lock_guard lock(m_lock);
+  return m_budget.TryRetry(aSpec.m_class == wire::CallerClass::Paying
+                             ? catalog::CallerClass::Paying
+                             : catalog::CallerClass::Free,
+                           m_parts.m_clock.Now());
+}
+
+// Returns the credit that the attempt held.
+void
+Runner::Release(const Attempt& aAttempt,
+                FailurePoint aPoint,
+                const RunResult& aResult)
+{
+  if (aAttempt.m_upstream.empty()) {
+    return; // it never got one
+  }
+  if (aPoint == FailurePoint::Rejected && !aResult.m_done) {
+    m_parts.m_placer.Reject(aAttempt.m_upstream);
+    return;
+  }
+  std::optional<base::Millis> latency;
+  if (aResult.m_done) {
+    latency = m_parts.m_clock.Now() - aAttempt.m_sentAt;
+  }
+  m_parts.m_placer.Finish(aAttempt.m_upstream, latency);
+}
+
+net::Task<RunResult>
+Runner::Run(const RunSpec& aSpec, AnswerSink& aSink)
+{
+  const auto executor = co_await net::asio::this_coro::executor;
+  const base::TimePoint began = m_parts.m_clock.Now();
+  std::set<std::string> tried;
+  CallerError lastRefusal;
+  bool earlierUnknown = false;
+  bool dispatched = false;
+  uint32_t number = aSpec.m_firstAttempt;
+  if (aSpec.m_run == 0) {
+    const std::lock_guard lock(m_lock);
+    m_budget.OnNewRequest(began);
+  }
+  while (true) {
+    RunResult result;
+    Attempt attempt(aSpec, number, executor, m_parts.m_limits.m_windowBytes);
+    FailurePoint point = FailurePoint::NoLink;
+    absl::Status allowed = co_await Place(aSpec, tried, attempt);
+    if (allowed.ok()) {
+      allowed = Dispatch(aSpec, attempt);
+    }
+    if (!allowed.ok()) {
+      // An upstream that went out of service after it was chosen is passed
+      // over like one without a link.
+      point = base::KindOf(allowed) == base::ErrorKind::NoUpstream &&
+                  !attempt.m_upstream.empty()
+                ? FailurePoint::NoLink
+                : FailurePoint::Refused;
+    } else if (attempt.m_sent) {
+      point = co_await Relay(aSpec, attempt, aSink, result);
+    }
+    m_parts.m_running.Remove(aSpec.m_requestId);
+    Release(attempt, point, result);
+    result.m_nextAttempt = ++number;
+    dispatched = dispatched || attempt.m_sent;
+    result.m_dispatched = dispatched;
+    result.m_upstream = attempt.m_upstream;
+    result.m_agentAddress = attempt.m_agentAddress;
+    result.m_elapsed = m_parts.m_clock.Now() - began;
+    if (result.m_done) {
+      co_return result;
+    }
+    RetryFacts facts;
+    facts.m_point = point;
+    facts.m_idempotent = aSpec.m_idempotent;
+    facts.m_claimed = !aSpec.m_claimKey.empty();
+    facts.m_earlierUnknown = earlierUnknown;
+    facts.m_answerBegun = aSink.Begun();
+    facts.m_timeLeft = m_parts.m_clock.Now() < aSpec.m_deadline;
+    facts.m_budgetLeft =
+      attempt.m_finalRefusal || result.m_readerGone || TakeRetry(aSpec, facts);
+    const RetryDecision decision = DecideAfter(facts);
+    const bool again = decision.m_step == NextStep::Retry &&
+                       !attempt.m_finalRefusal && !result.m_readerGone;
+    m_parts.m_events.Record(
+      again ? "retried" : "attempt_failed",
+      { { "point", std::string(kFailurePointNames.Name(point)) },
+        { "upstream", attempt.m_upstream },
+        { "attempt", std::to_string(attempt.m_number) },
+        { "run", std::string(base::kOutcomeNames.Name(decision.m_outcome)) } },
+      aSpec.m_requestId);
+    if (point == FailurePoint::Rejected || point == FailurePoint::EndNotRun) {
+      lastRefusal = attempt.m_refusal;
+    }
+    if (point == FailurePoint::DeadlinePassed ||
+        point == FailurePoint::OverCredit) {
+      if (aSpec.m_idempotent) {
+        SendCancel(attempt);
+      }
+    }
+    if (!again) {
+      if (point == FailurePoint::Refused) {
+        const bool exhausted =
+          base::KindOf(allowed) == base::ErrorKind::NoUpstream &&
+          !lastRefusal.m_message.empty();
+        result.m_error = exhausted ? lastRefusal : CallerError(allowed);
+      } else if (point == FailurePoint::Rejected) {
+        result.m_error = attempt.m_refusal;
+      } else {
+        result.m_error =
+          CallerError(decision.m_kind, attempt.m_refusal.m_message);
+      }
+      result.m_error.m_outcome = decision.m_outcome;
+      co_return result;
+    }
+    earlierUnknown = earlierUnknown || !ProvesNotRun(point);
+    tried.insert(attempt.m_upstream);
+    aSink.Restart();
+    m_retries.Increment();
+  }
+}
+
+void
+Runner::Settle(const RunSpec& aSpec, const RunResult& aResult)
+{
+  const auto link = m_parts.m_agents.Current(aResult.m_agentAddress);
+  if (!link) {
+    return; // the agent posts again what it still holds; lines are deduplicated
+  }
+  wire::SettledT settled;
+  settled.request_id = aSpec.m_requestId;
+  settled.run = aSpec.m_run;
+  (void)link->Send(wire::MakeMessage(std::move(settled)));
+}
+
+} // namespace chivefront::entry
--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <limits>
 
 namespace chivefront::policy {
 namespace {
@@ -37,6 +38,14 @@
 // The first must fit within its exposure bound; later stages see more.
 constexpr std::array<double, 4> kStageRatio{ 0.5, 0.7, 0.8, 0.85 };
 constexpr double kMoreFailuresCap = 0.9;
+// Arrivals are about Poisson; the bound is to hold in nearly all cases.
+constexpr double kArrivalDeviations = 2;
+// Without a proof at the exposure bound, a version that is likelier half as
+// good is stopped; another one stays in the first stage for this many more
+// requests, then the question is asked again.
+constexpr uint64_t kExtension = 10;
+constexpr double kShortestRunMs = 1000;
+constexpr int kRateSteps = 100; // of the search in EvidenceAsGood
 constexpr int kBisections = 40;
 
 double
@@ -161,6 +170,61 @@
   return 1 - LowerBound(aBad, aGood, aError);
 }
 
+double
+EvidenceWorse(const VersionCounts& aVersion,
+              const VersionCounts& aPrevious,
+              double aEnough)
+{
+  const auto good = static_cast<double>(aPrevious.m_good);
+  const auto bad = static_cast<double>(aPrevious.m_bad);
+  const double known = LogMixture(good, bad);
+  const auto at = [&](double aRate) {
+    return std::log(EvidenceBelow(aVersion.m_good, aVersion.m_bad, aRate)) +
+           known - LogLikelihood(good, bad, aRate);
+  };
+  // The rate as seen is near the least, and settles most looks.
+  if (good + bad > 0) {
+    const double seen = at(Clamped(good / (good + bad)));
+    if (seen < std::log(aEnough)) {
+      return std::exp(seen);
+    }
+  }
+  // Both terms are convex in the rate, so a ternary search finds the least.
+  double low = kMinRate;
+  double high = kMaxRate;
+  for (int i = 0; i < kBisections; ++i) {
+    const double left = low + (high - low) / 3;
+    const double right = high - (high - low) / 3;
+    if (at(left) < at(right)) {
+      high = right;
+    } else {
+      low = left;
+    }
+  }
+  return std::exp(at(low));
+}
+
+double
+EvidenceAsGood(const VersionCounts& aVersion,
+               const VersionCounts& aPrevious,
+               double aRatio)
+{
+  const auto newGood = static_cast<double>(aVersion.m_good);
+  const auto newBad = static_cast<double>(aVersion.m_bad);
+  const auto good = static_cast<double>(aPrevious.m_good);
+  const auto bad = static_cast<double>(aPrevious.m_bad);
+  const double known = LogMixture(good, bad);
+  double least = std::numeric_limits<double>::infinity();
+  for (int i = 1; i < kRateSteps; ++i) {
+    const double rate = static_cast<double>(i) / kRateSteps;
+    const double evidence = LogLikelihood(newGood, newBad, rate) -
+                            LogLikelihood(newGood, newBad, aRatio * rate) +
+                            known - LogLikelihood(good, bad, rate);
+    least = std::min(least, evidence);
+  }
+  return std::exp(least);
+}
+
 RolloutJudge::RolloutJudge(const JudgeSettings& aSettings)
   : m_settings(aSettings)
 {
@@ -173,14 +237,10 @@
   const auto stop = [](JudgeReason aReason, double aEvidence) {
     return Verdict{ JudgeAction::Stop, aReason, aEvidence };
   };
-  const double rate =
-    LowerBound(aPrevious.m_good, aPrevious.m_bad, m_settings.m_previousError);
-  if (rate > kMinRate) {
-    const double evidence =
-      EvidenceBelow(aVersion.m_good, aVersion.m_bad, rate);
-    if (evidence >= 1 / m_settings.m_ratingError) {
-      return stop(JudgeReason::Ratings, evidence);
-    }
+  const double enough = 1 / m_settings.m_ratingError;
+  const double ratings = EvidenceWorse(aVersion, aPrevious, enough);
+  if (ratings >= enough) {
+    return stop(JudgeReason::Ratings, ratings);
   }
   const auto worseFailures =
     [&](uint64_t aNew, uint64_t aOld, double aTolerated) {
@@ -225,41 +285,26 @@
                          const VersionCounts& aPrevious,
                          uint32_t aStage) const
 {
-  // The predecessor's rate may be higher than seen, so its upper end counts.
-  const double rate =
-    UpperBound(aPrevious.m_good, aPrevious.m_bad, m_settings.m_previousError);
   const double ratio =
     kStageRatio[std::min<size_t>(aStage, kStageRatio.size() - 1)];
-  const double rejected = Clamped(ratio * rate);
-  const auto good = static_cast<double>(aVersion.m_good);
-  const auto bad = static_cast<double>(aVersion.m_bad);
-  if (good + bad == 0 || good / (good + bad) <= rejected) {
-    return false;
-  }
-  // The expected alternative is a version as good as the predecessor; one
-  // that is better only ends the stage sooner.
-  const double expected =
-    Clamped(static_cast<double>(aPrevious.m_good) /
-            static_cast<double>(aPrevious.m_good + aPrevious.m_bad));
-  return LogLikelihood(good, bad, expected) -
-           LogLikelihood(good, bad, rejected) >=
-         -std::log(m_settings.m_advanceError);
+  return EvidenceAsGood(aVersion, aPrevious, ratio) >=
+         1 / m_settings.m_advanceError;
 }
 
+// The rate over all time in which the entries sent new sessions; shorter
+// means vary too much at a few requests a second.
 double
 RolloutJudge::ExposedPerMs(const VersionCounts& aVersion, base::TimePoint aNow)
 {
-  constexpr double kWeight = 0.3; // of the newest interval
-  if (m_lastLook && aNow > *m_lastLook && aVersion.m_exposed >= m_lastExposed) {
-    const double rate =
-      static_cast<double>(aVersion.m_exposed - m_lastExposed) /
-      static_cast<double>((aNow - *m_lastLook).Count());
-    m_exposedPerMs += kWeight * (rate - m_exposedPerMs);
-    m_exposedPerMs = std::max(m_exposedPerMs, 0.0);
+  if (!m_lastLook) {
+    m_firstExposed = aVersion.m_exposed;
+  } else if (!m_heldSince) {
+    m_runningMs += static_cast<double>((aNow - *m_lastLook).Count());
   }
   m_lastLook = aNow;
-  m_lastExposed = aVersion.m_exposed;
-  return m_exposedPerMs;
+  const uint64_t exposed =
+    aVersion.m_exposed - std::min(m_firstExposed, aVersion.m_exposed);
+  return static_cast<double>(exposed) / std::max(m_runningMs, kShortestRunMs);
 }
 
 Verdict
@@ -290,9 +335,12 @@
   const double half =
     std::exp(LogLikelihood(good, bad, kStageRatio[0] * known) -
              LogLikelihood(good, bad, known));
-  return { half > 1 ? JudgeAction::Stop : JudgeAction::Advance,
-           JudgeReason::ExposureBound,
-           half };
+  if (half > 1) {
+    return { JudgeAction::Stop, JudgeReason::ExposureBound, half };
+  }
+  m_extension += kExtension;
+  m_heldSince.reset();
+  return { JudgeAction::Continue, JudgeReason::ExposureBound, half };
 }
 
 Verdict
@@ -311,10 +359,11 @@
     return { JudgeAction::Advance, JudgeReason::Ratings, 0 };
   }
   // Requests that are dispatched before a pause is in force count too.
-  const double coming =
+  const double mean =
     perMs * static_cast<double>(m_settings.m_reaction.Count());
+  const double coming = mean + kArrivalDeviations * std::sqrt(mean);
   if (aStage == 0 && static_cast<double>(aVersion.m_exposed) + coming >=
-                       static_cast<double>(aMaxExposed)) {
+                       static_cast<double>(aMaxExposed + m_extension)) {
     return AtBound(aVersion, aPrevious, aNow);
   }
   m_heldSince.reset();
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -36,6 +36,10 @@
   VersionCounts operator-(const VersionCounts& aOther) const;
 };
 
+// Share of the predecessor's answers to rate while a roll-out runs. What is
+// known of the predecessor limits how soon a verdict can come.
+inline constexpr double kPredecessorSampleShare = 0.2;
+
 enum class JudgeAction
 {
   Continue, // nothing proved yet
@@ -82,9 +86,9 @@
   double m_previousError = 0.001;
   // Probability of advancing a version that is as bad as the stage's ratio.
   double m_advanceError = 0.001;
-  // Time from a dispatch until a pause is in force at the entries: the watch
-  // interval twice, a commit, and the lease.
-  base::Millis m_reaction{ 1000 };
+  // Time from a dispatch until a pause that it caused is in force at the
+  // entries: report and look intervals, a commit, and at most the lease.
+  base::Millis m_reaction{ 1500 };
   // Wait for missing ratings at the exposure bound before they are taken to
   // be lost.
   base::Millis m_ratingWait{ 30000 };
@@ -104,6 +108,21 @@
 // Evidence that a failure rate is above aRate.
 double
 EvidenceAbove(uint64_t aFailures, uint64_t aOthers, double aRate);
+// Evidence that a version's acceptance rate is below its predecessor's, when
+// that is known by its counts only: the least product, over all rates, of the
+// evidence that the version is below the rate and that the predecessor is not
+// at it. The product at the true rate is a supermartingale. A result below
+// aEnough may be above the least.
+double
+EvidenceWorse(const VersionCounts& aVersion,
+              const VersionCounts& aPrevious,
+              double aEnough);
+// Evidence that a version's acceptance rate is above aRatio of its
+// predecessor's, likewise.
+double
+EvidenceAsGood(const VersionCounts& aVersion,
+               const VersionCounts& aPrevious,
+               double aRatio);
 // Ends of a confidence sequence for a success rate: over all times, the true
 // rate is ever outside with probability at most aError (each side).
 double
@@ -135,8 +154,9 @@
                   base::TimePoint aNow);
 
   JudgeSettings m_settings;
-  uint64_t m_lastExposed = 0;
-  double m_exposedPerMs = 0;
+  uint64_t m_firstExposed = 0; // at the first look
+  uint64_t m_extension = 0;    // of the exposure bound
+  double m_runningMs = 0;      // time not held
   std::optional<base::TimePoint> m_lastLook;
   std::optional<base::TimePoint> m_heldSince;
 };
