Leave a control process that is cut off

Cause: a watcher stayed with a control process that answered but was not fresh, so a silent partition of one control host stopped its entries for good. Change: after an answer that is not fresh, refused or older than 700 ms the next control process is asked. Tests for this, for the loss of the majority and for changes by other roles. Conclusion: one isolated control host costs its watchers at most a few polls.

--- a/chivefront/client/control_links.h
+++ b/chivefront/client/control_links.h
@@ -45,9 +45,12 @@
 
   size_t Connected() const;
 
+  // Leaves the preferred control process for the next one, e.g. because it
+  // answers but is cut off from the others.
+  void PreferNext();
+
 private:
   net::Link::Pointer Preferred();
-  void PreferNext();
 
   std::vector<std::shared_ptr<net::LinkConnector>> m_connectors;
   std::atomic<size_t> m_preferred{ 0 };
--- a/chivefront/client/watcher.cc
+++ b/chivefront/client/watcher.cc
@@ -8,6 +8,10 @@
 namespace detail {
 
 constexpr base::Millis kPollTimeout{ 600 };
+// A control process whose view is older than this is probably cut off. It is
+// left while enough of the lease remains to hear from another one; a healthy
+// follower's view is at most about 300 ms old.
+constexpr base::Millis kAgeToSwitch{ 700 };
 
 ViewPointer
 EmptyView()
@@ -98,7 +102,12 @@
     co_return !m_stopped;
   }
   const ViewPointer before = LastView();
-  if (Accept(askedAt, *watch)) {
+  const bool accepted = Accept(askedAt, *watch);
+  if (!accepted || !watch->fresh ||
+      base::Millis(watch->age_ms) > detail::kAgeToSwitch) {
+    m_control.PreferNext();
+  }
+  if (accepted) {
     const ViewPointer after = LastView();
     if (after != before && m_onChange) {
       m_onChange(after);
--- a/chivefront/ctl/cluster_test.cc
+++ b/chivefront/ctl/cluster_test.cc
@@ -147,6 +147,91 @@
   links.Stop();
 }
 
+// Watchers that start at a random control process, one of which answers but is
+// cut off from the others. Guards against a watcher that stays with it.
+BOOST_AUTO_TEST_CASE(WatchersLeaveANodeThatIsCutOff)
+{
+  Cluster cluster;
+  cluster.Leader();
+  cluster.Kill("c1");
+  cluster.StartCutOff("c1");
+  Host host("entry-1", wire::Role::Entry);
+  std::vector<std::unique_ptr<client::ControlLinks>> links;
+  std::vector<std::unique_ptr<client::Watcher>> watchers;
+  constexpr int kWatchers = 12; // by chance, 4 start at the one cut off
+  for (int i = 0; i < kWatchers; ++i) {
+    links.push_back(std::make_unique<client::ControlLinks>(
+      host.m_context, host.m_identity, cluster.Endpoints()));
+    watchers.push_back(
+      std::make_unique<client::Watcher>(host.m_context,
+                                        *links.back(),
+                                        "entry#" + std::to_string(i),
+                                        wire::Role::Entry,
+                                        base::SteadyClock::Instance(),
+                                        host.m_events));
+    links.back()->Start();
+    watchers.back()->Start();
+  }
+  host.StartLoop();
+  for (const auto& watcher : watchers) {
+    WaitFor("fresh", [&] { return watcher->Fresh(); });
+  }
+  host.StopLoop();
+}
+
+// Guards against a control process that calls its view fresh without a
+// majority, and against one that then lets upstreams vanish.
+BOOST_AUTO_TEST_CASE(NothingIsFreshWithoutAMajority)
+{
+  Cluster cluster;
+  const std::string leader = cluster.Leader();
+  for (const auto& [name, endpoint] : cluster.m_peers) {
+    if (name != leader) {
+      cluster.Kill(name);
+    }
+  }
+  control::Node& node = cluster.m_nodes.at(leader)->m_node;
+  WaitFor("not fresh", [&] { return !node.Fresh(); });
+  BOOST_TEST(node.StatusJson().find("has no recent confirmation") !=
+             std::string::npos);
+  for (const auto& [name, endpoint] : cluster.m_peers) {
+    if (name != leader) {
+      cluster.Start(name);
+    }
+  }
+  cluster.Leader();
+}
+
+// Guards against a process that is no operator's changing the configuration.
+BOOST_AUTO_TEST_CASE(OnlyOperatorsChange)
+{
+  Cluster cluster;
+  const auto session = cluster.OpenSession();
+  Host host("entry-1", wire::Role::Entry);
+  client::ControlLinks links(
+    host.m_context, host.m_identity, cluster.Endpoints());
+  std::promise<wire::ChangeResult> result;
+  net::Spawn(host.m_context.get_executor(), "test", [&]() -> net::Task<void> {
+    wire::ChangeRequestT change;
+    change.change_id = "a";
+    change.entries.push_back(std::make_unique<wire::ConfigEntryT>());
+    change.entries.front()->key = "out/domain/d";
+    change.entries.front()->value = "{}";
+    auto reply = co_await links.CallUntil(
+      wire::MakeMessage(std::move(change)),
+      base::Millis(1000),
+      base::SteadyClock::Instance().Now() + ctl::kPatience,
+      [](const wire::MessageT&) { return true; });
+    result.set_value(reply.ok() ? reply->body.AsChangeReply()->result
+                                : wire::ChangeResult::Unavailable);
+  });
+  links.Start();
+  host.StartLoop();
+  BOOST_TEST((result.get_future().get() == wire::ChangeResult::Invalid));
+  BOOST_TEST(session->Fetch()->m_revision == 1U);
+  host.StopLoop();
+}
+
 // Claimants race for one key while the leader dies. Guards against a claim
 // granted to two owners, and against a pin or bill that a new leader forgot.
 BOOST_AUTO_TEST_CASE(OneOwnerThroughALeaderLoss)
--- a/chivefront/ctl/test_cluster.h
+++ b/chivefront/ctl/test_cluster.h
@@ -118,12 +118,24 @@
     std::filesystem::remove_all(m_root);
   }
 
-  void Start(const std::string& aName)
+  void Start(const std::string& aName) { StartWith(aName, m_peers); }
+
+  // A node that callers reach but that reaches no other node.
+  void StartCutOff(const std::string& aName)
+  {
+    control::PeerMap peers = m_peers;
+    for (auto& [name, endpoint] : peers) {
+      endpoint = name == aName ? endpoint : FreeEndpoint();
+    }
+    StartWith(aName, peers);
+  }
+
+  void StartWith(const std::string& aName, const control::PeerMap& aPeers)
   {
     control::NodeOptions options;
     options.m_folder = (m_root / aName).string();
     std::filesystem::create_directories(options.m_folder);
-    options.m_peers = m_peers;
+    options.m_peers = aPeers;
     options.m_listen = m_peers.at(aName);
     options.m_snapshotEvery = 20; // so that restarts read snapshots
     options.m_onFatal = [](const absl::Status&) {};
