--- a/chivefront/agent/agent.cc
+++ b/chivefront/agent/agent.cc
@@ -67,6 +67,8 @@
                                "Losses of an upstream with work in flight."))
   , m_cacheGaps(aMetrics.AddCounter("chivefront_agent_cache_gaps_total",
                                     "Gaps in the cache events of upstreams."))
+  , m_buffered(aMetrics.AddGauge("chivefront_agent_buffered_bytes",
+                                 "Answers held for entries."))
 {
 }
 
--- a/chivefront/agent/agent.h
+++ b/chivefront/agent/agent.h
@@ -115,6 +115,7 @@
   base::Counter& m_rejected;
   base::Counter& m_lost;
   base::Counter& m_cacheGaps;
+  base::Gauge& m_buffered;
 
   std::mutex m_linkLock; // guards the next two
   std::map<std::string, std::set<net::Link::Pointer>> m_entryLinks;
--- a/chivefront/agent/agent_upstreams.cc
+++ b/chivefront/agent/agent_upstreams.cc
@@ -353,9 +353,12 @@
   for (const ShardPointer& shard : m_upstreams.All()) {
     SweepUpstream(shard);
   }
+  size_t buffered = 0;
   for (const RunPointer& run : m_runs.All()) {
+    buffered += run->HeldBytes();
     SweepRun(run);
   }
+  m_buffered.Set(static_cast<int64_t>(buffered));
   if (m_draining) {
     m_settler.Hurry();
   }
--- a/chivefront/agent/answer_scanner.cc
+++ b/chivefront/agent/answer_scanner.cc
@@ -2,7 +2,6 @@
 #include "chivefront/agent/answer_scanner.h"
 
 #include <algorithm>
-#include <utility>
 
 #include <boost/json.hpp>
 
@@ -148,7 +147,7 @@
 }
 
 absl::Status
-AnswerScanner::Finish(std::string& aOut)
+AnswerScanner::Finish()
 {
   if (m_form == AnswerForm::Json) {
     m_reported = detail::ReadUsage(m_copy, m_usage);
@@ -156,11 +155,9 @@
   if (m_form != AnswerForm::EventStream) {
     return absl::OkStatus();
   }
-  if (!m_partial.empty()) {
-    // Some servers leave out the blank line after the last event.
-    const std::string last = std::exchange(m_partial, {});
-    TakeEvent(last, aOut);
-  }
+  // Some servers leave out the blank line after the terminator. Any other
+  // event without its end was cut.
+  m_done = m_done || detail::DataOf(m_partial) == detail::kTerminator;
   if (!m_done) {
     return base::MakeError(base::ErrorKind::AnswerIncomplete,
                            "stream ended without its terminator");
--- a/chivefront/agent/answer_scanner.h
+++ b/chivefront/agent/answer_scanner.h
@@ -37,7 +37,7 @@
 
   // After the last piece: AnswerIncomplete when the upstream ended the body
   // before the answer was complete.
-  absl::Status Finish(std::string& aOut);
+  absl::Status Finish();
 
   const Usage& GetUsage() const { return m_usage; }
   const std::string& Copy() const { return m_copy; }
--- /dev/null
+++ b/chivefront/agent/decisions_test.cc
@@ -0,0 +1,271 @@
+// Table tests of the agent's pure decisions.
+// Promises: allowed, withdrawn, domain-out, leaving, whole-answer, billed-once
+#define BOOST_TEST_MODULE decisions
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/agent/answer_scanner.h"
+#include "chivefront/agent/fencing.h"
+#include "chivefront/agent/settlement.h"
+#include "chivefront/agent/stream_buffer.h"
+#include "chivefront/agent/upstream_state.h"
+#include "chivefront/base/errors.h"
+
+using namespace chivefront;
+using namespace chivefront::agent;
+using base::ErrorKind;
+using catalog::CallerClass;
+
+namespace {
+
+base::TimePoint
+At(int64_t aMs)
+{
+  return base::TimePoint(base::Millis(aMs));
+}
+
+UpstreamFacts
+Facts(const std::string& aIncarnation = "a")
+{
+  UpstreamFacts facts;
+  facts.m_name = "engine-1";
+  facts.m_version = "small-1";
+  facts.m_address = "127.0.0.1:1";
+  facts.m_incarnation = aIncarnation;
+  return facts;
+}
+
+WaitingRun
+Waiting(const std::string& aId,
+        CallerClass aClass = CallerClass::Paying,
+        bool aSuspect = false)
+{
+  WaitingRun run;
+  run.m_key = { aId, 0 };
+  run.m_class = aClass;
+  run.m_suspect = aSuspect;
+  run.m_fingerprint = static_cast<unsigned char>(aId[0]);
+  run.m_deadline = At(100000);
+  return run;
+}
+
+catalog::UpstreamRule
+Rule(uint32_t aLimit)
+{
+  catalog::UpstreamRule rule;
+  rule.m_coldLimit = aLimit;
+  rule.m_queue = 2;
+  return rule;
+}
+
+std::string
+Send(StreamBuffer& aBuffer)
+{
+  std::string sent;
+  while (auto chunk = aBuffer.TakeChunk()) {
+    sent += chunk->m_data;
+  }
+  return sent;
+}
+
+} // namespace
+
+// Guards against a dispatch accepted by the agent that the catalogue or the
+// upstream's announcement does not allow.
+BOOST_AUTO_TEST_CASE(AcceptanceTable)
+{
+  catalog::Catalog catalog;
+  catalog.m_teams["sales"].m_id = "sales";
+  catalog.m_teams["sales"].m_models = { "small" };
+  catalog.m_models["small"].m_id = "small";
+  catalog.m_versions["small-1"].m_id = "small-1";
+  catalog.m_versions["small-1"].m_model = "small";
+  wire::DispatchT good;
+  good.team = "sales";
+  good.version = "small-1";
+  good.fingerprint = 7;
+  const auto kindOf = [&] {
+    return base::KindOf(CheckDispatch(catalog, good, Facts(), "domain-a"));
+  };
+  BOOST_TEST((kindOf() == ErrorKind::None));
+  catalog.m_quarantined = { 7 };
+  BOOST_TEST((kindOf() == ErrorKind::Quarantined));
+  catalog.m_quarantined.clear();
+  catalog.m_domainsOut = { "domain-a" };
+  BOOST_TEST((kindOf() == ErrorKind::NoUpstream));
+  catalog.m_domainsOut.clear();
+  catalog.m_upstreamsOut = { "engine-1" };
+  BOOST_TEST((kindOf() == ErrorKind::NoUpstream));
+  catalog.m_upstreamsOut.clear();
+  catalog.m_versionsOut = { "small-1" };
+  BOOST_TEST((kindOf() == ErrorKind::VersionWithdrawn));
+  catalog.m_versionsOut.clear();
+  good.team = "other";
+  BOOST_TEST((kindOf() == ErrorKind::UnknownTeam));
+  good.team = "sales";
+  good.service = "booking";
+  BOOST_TEST((kindOf() == ErrorKind::NoUpstream));
+  good.service.clear();
+  UpstreamFacts leaving = Facts();
+  leaving.m_leaving = true;
+  BOOST_TEST((base::KindOf(CheckDispatch(catalog, good, leaving, "domain-a")) ==
+              ErrorKind::ShuttingDown));
+}
+
+// Guards against an old stream position that is lost while the entry may
+// still ask for it, and against memory beyond the window.
+BOOST_AUTO_TEST_CASE(BufferKeepsWhatIsNotConsumed)
+{
+  StreamBuffer buffer(10);
+  buffer.Append("0123456789abcdef");
+  BOOST_TEST(Send(buffer) == "0123456789");
+  BOOST_TEST(!buffer.WantsMore());
+  buffer.AddCredit(4); // the caller took 4 bytes, chunk 0 has 10
+  BOOST_TEST(Send(buffer) == "abcd");
+  BOOST_TEST(buffer.Resume(0, 10));
+  BOOST_TEST(Send(buffer) == "0123456789");
+  BOOST_TEST(buffer.Resume(1, 6)); // 4 bytes wait at the entry
+  BOOST_TEST(Send(buffer) == "abcdef");
+  buffer.AddCredit(10);
+  BOOST_TEST(!buffer.Resume(0, 10));
+  BOOST_TEST(buffer.HeldBytes() <= 10U);
+  BOOST_TEST(!buffer.Resume(9, 10));
+}
+
+// Guards against a terminator that is passed on, usage that is missed when it
+// is split over pieces, and a cut answer that looks whole.
+BOOST_AUTO_TEST_CASE(ScannerFindsUsageAcrossPieces)
+{
+  const std::string text =
+    "data: {\"choices\":[1]}\n\ndata: {\"usage\":{\"prompt_tokens\":3,"
+    "\"completion_tokens\":2,\"prompt_tokens_details\":{\"cached_tokens\":1}}}"
+    "\n\ndata: [DONE]\n\n";
+  for (size_t size = 1; size <= text.size(); ++size) {
+    AnswerScanner scanner(AnswerForm::EventStream, false);
+    std::string out;
+    for (size_t i = 0; i < text.size(); i += size) {
+      BOOST_REQUIRE(scanner.Take(text.substr(i, size), out).ok());
+    }
+    BOOST_TEST(scanner.Finish().ok());
+    BOOST_TEST(out == text.substr(0, text.find("data: [DONE]")));
+    BOOST_TEST(scanner.GetUsage().m_answerTokens == 2U);
+    BOOST_TEST(scanner.GetUsage().m_cachedTokens == 1U);
+  }
+  AnswerScanner cut(AnswerForm::EventStream, false);
+  std::string out;
+  BOOST_TEST(cut.Take(text.substr(0, 30), out).ok());
+  BOOST_TEST((base::KindOf(cut.Finish()) == ErrorKind::AnswerIncomplete));
+  BOOST_TEST(cut.GetUsage().m_answerTokens == 1U);
+}
+
+// Guards against two suspects at once, and against one that blocks others.
+BOOST_AUTO_TEST_CASE(OneSuspectAtATime)
+{
+  UpstreamState state(Rule(3));
+  state.Announce(Facts(), At(0));
+  using Kind = Admission::Kind;
+  const auto admit = [&](const WaitingRun& aRun) {
+    return state.Admit(aRun, At(0)).m_kind;
+  };
+  BOOST_TEST((admit(Waiting("a", CallerClass::Paying, true)) == Kind::Start));
+  BOOST_TEST((admit(Waiting("b", CallerClass::Paying, true)) == Kind::Wait));
+  BOOST_TEST((admit(Waiting("c")) == Kind::Wait));
+  BOOST_TEST(state.TakeStartable(At(0)).front().m_requestId == "c");
+  state.Finish({ "a", 0 }, Ending::Succeeded, base::Millis(5), At(1));
+  BOOST_TEST(state.TakeStartable(At(1)).front().m_requestId == "b");
+}
+
+// Guards against blame for the innocent or none at all when an upstream
+// restarts between the reset and the next announcement.
+BOOST_AUTO_TEST_CASE(RestartBlamesWhatWasInFlight)
+{
+  UpstreamState state(Rule(3));
+  state.Announce(Facts(), At(0));
+  for (const char* id : { "a", "b", "c" }) {
+    state.Admit(Waiting(id), At(0));
+  }
+  state.Finish({ "c", 0 }, Ending::Succeeded, base::Millis(5), At(5));
+  state.Finish({ "a", 0 }, Ending::Failed, base::Millis(9), At(9));
+  const auto loss = state.Announce(Facts("b"), At(100));
+  BOOST_REQUIRE(loss.has_value());
+  BOOST_TEST((loss->m_fingerprints == std::vector<uint64_t>{ 'a', 'b' }));
+  BOOST_TEST(loss->m_runs.size() == 1U);
+  BOOST_TEST(state.RunningCount() == 0U);
+  BOOST_TEST(!state.Announce(Facts("b"), At(200)).has_value());
+}
+
+// Guards against new load on an upstream that was frozen and still holds what
+// it had.
+BOOST_AUTO_TEST_CASE(LostRunsKeepTheirSlotUntilTheyEnd)
+{
+  UpstreamState state(Rule(1));
+  state.Announce(Facts(), At(0));
+  state.Admit(Waiting("a"), At(0));
+  BOOST_TEST(state.MarkLost("frozen", At(1)).has_value());
+  state.Announce(Facts(), At(2));
+  BOOST_TEST(
+    (state.Admit(Waiting("b"), At(2)).m_kind == Admission::Kind::Wait));
+  state.Finish({ "a", 0 }, Ending::Canceled, base::Millis(5), At(5));
+  BOOST_TEST(state.TakeStartable(At(5)).size() == 1U);
+  BOOST_TEST(!state.MarkLost("", At(6)).value().m_runs.empty());
+}
+
+// Guards against requests that wait past their deadline or without a bound.
+BOOST_AUTO_TEST_CASE(QueueIsBoundedAndRespectsDeadlines)
+{
+  UpstreamState state(Rule(1));
+  BOOST_TEST((base::KindOf(state.Admit(Waiting("z"), At(0)).m_why) ==
+              ErrorKind::NoUpstream));
+  state.Announce(Facts(), At(0));
+  state.Admit(Waiting("a"), At(0));
+  state.Admit(Waiting("b", CallerClass::Free), At(0));
+  state.Admit(Waiting("c", CallerClass::Free), At(0));
+  const auto full = state.Admit(Waiting("d", CallerClass::Free), At(0));
+  BOOST_TEST((base::KindOf(full.m_why) == ErrorKind::Overloaded));
+  BOOST_TEST(full.m_retryAfter.Count() > 0);
+  const auto paying = state.Admit(Waiting("e"), At(0));
+  BOOST_TEST(paying.m_displaced->m_requestId == "c");
+  WaitingRun hurried = Waiting("f");
+  hurried.m_deadline = At(10);
+  BOOST_TEST(
+    (base::KindOf(state.Admit(hurried, At(0)).m_why) == ErrorKind::Overloaded));
+  BOOST_TEST(state.TakeOverdue(At(100000)).size() == 2U);
+}
+
+// Guards against bills posted by both sides at once, too early, or never.
+BOOST_AUTO_TEST_CASE(SettlementWaitsForTheEntryAndThenRetries)
+{
+  SettlementBook book(2);
+  const SettlementKey key{ "r1", 0 };
+  book.Add(key, {}, "entry-1", At(0));
+  BOOST_TEST(book.TakeDue(At(6000)).empty());
+  book.EntryGone("entry-1", At(6000));
+  BOOST_TEST(book.TakeDue(At(10999)).empty());
+  book.EntryBack("entry-1");
+  BOOST_TEST(book.TakeDue(At(20000)).empty());
+  book.EntryGone("entry-1", At(20000));
+  BOOST_TEST(book.TakeDue(At(25000)).size() == 1U);
+  BOOST_TEST(book.TakeDue(At(25000)).empty()); // being posted
+  book.PostFailed(key, At(25000), 150);
+  BOOST_TEST(book.TakeDue(At(25149)).empty());
+  BOOST_TEST(book.TakeDue(At(25150)).size() == 1U);
+  BOOST_TEST(book.OldestAge(At(25150)).Count() == 25150);
+  book.Settle(key);
+  BOOST_TEST(book.OldestAge(At(25150)).Count() == 0);
+  book.Add(key, {}, "entry-2", At(30000));
+  BOOST_TEST(!book.Full());
+  BOOST_TEST(book.TakeDue(At(90000)).size() == 1U); // attached but silent
+}
+
+// Guards against an order that undoes a newer one, and against two agents
+// that give orders to an engine which does not check.
+BOOST_AUTO_TEST_CASE(FencingNumbersNeverFall)
+{
+  Fencing fencing(At(0));
+  BOOST_TEST(fencing.NumberFor("e", 5, true, At(10)).value() == 5U);
+  BOOST_TEST(fencing.NumberFor("e", 5, true, At(10)).ok());
+  BOOST_TEST((base::KindOf(fencing.NumberFor("e", 4, true, At(10)).status()) ==
+              ErrorKind::Conflict));
+  BOOST_TEST((base::KindOf(fencing.NumberFor("f", 9, false, At(10)).status()) ==
+              ErrorKind::NotFresh));
+  BOOST_TEST(fencing.NumberFor("f", 9, false, At(1500)).ok());
+}
--- a/chivefront/agent/run.h
+++ b/chivefront/agent/run.h
@@ -93,6 +93,8 @@
   }
   // True once the result was sent, or nobody is left to get it.
   bool Delivered() const { return m_delivered || LinkLostTooLong(); }
+  // Bytes of the answer in memory, as of the last change.
+  size_t HeldBytes() const { return m_heldBytes; }
   // True once the result is known; then OverAt() is when.
   bool Over() const { return m_over; }
   base::TimePoint OverAt() const { return m_overAt.load(); }
@@ -116,6 +118,9 @@
   net::Task<absl::Status> TakePiece(std::string_view aPiece);
   net::Task<void> CancelAtEngine();
   net::Task<void> Wait();
+  bool IsPlain() const { return !m_dispatch.service.empty(); }
+  // An engine's answers with these statuses are refusals or faults.
+  static bool IsEngineFailure(int aHttpStatus);
   net::HttpRequest MakeRequest();
   net::HttpTimeouts Timeouts() const;
   absl::Status BeforeSend(std::function<void()> aAbort);
@@ -124,6 +129,7 @@
   void Conclude(const absl::Status& aStatus);
   Settlement MakeSettlement(const wire::EndT& aEnd) const;
   Ending EndingOf(const absl::Status& aStatus) const;
+  void SendStarted();
   Settlement ReleasedClaim() const;
   void SendRejected();
   void Flush();
@@ -139,6 +145,7 @@
   const base::TimePoint m_createdAt;
   std::atomic<bool> m_over{ false };
   std::atomic<base::TimePoint> m_overAt{ base::TimePoint() };
+  std::atomic<size_t> m_heldBytes{ 0 };
   std::atomic<bool> m_delivered{ false };
   std::atomic<bool> m_detached{ false }; // true while the link is lost
   std::atomic<base::TimePoint> m_detachedAt{ base::TimePoint() };
--- a/chivefront/agent/settler.h
+++ b/chivefront/agent/settler.h
@@ -50,7 +50,7 @@
   net::Task<void> SubmitNow(std::string aShardKey, CommandT aCommand)
   {
     (void)co_await m_ledger.Run(
-      std::move(aShardKey), std::move(aCommand), m_clock.Now() + kSubmitSpan);
+      aShardKey, std::move(aCommand), m_clock.Now() + kSubmitSpan);
   }
   net::Task<void> Post(SettlementKey aKey, Settlement aWhat);
 
--- a/chivefront/agent/stream_test.cc
+++ b/chivefront/agent/stream_test.cc
@@ -42,7 +42,7 @@
 bool
 HasSome(const Received& aReceived)
 {
-  return aReceived.m_chunks >= 10;
+  return aReceived.m_chunks >= 5;
 }
 
 } // namespace
@@ -106,15 +106,23 @@
 BOOST_FIXTURE_TEST_CASE(NoCreditStopsTheStream, WithEngine)
 {
   constexpr uint32_t kWindow = 1000;
+  constexpr uint32_t kTokens = 2000; // some 200 KiB
   m_bench.AutoCredit(false);
-  auto dispatch = Bench::Chat("r1", "engine-1", 200);
+  auto dispatch = Bench::Chat("r1", "engine-1", kTokens);
   dispatch.credit_bytes = kWindow;
   m_bench.Send(std::move(dispatch));
   const auto full = m_bench.WaitFor("r1", [](const Received& aReceived) {
     return aReceived.m_bytes.size() >= kWindow;
   });
   BOOST_TEST(full.m_bytes.size() == kWindow);
-  BOOST_TEST(!full.m_end.has_value());
+  // The engine goes on into the kernel's buffers; the agent must not.
+  Bench::Eventually(
+    [&] { return m_engine.History().find("\"held\":0") != std::string::npos; });
+  base::Gauge& held =
+    m_bench.Metrics().AddGauge("chivefront_agent_buffered_bytes", "");
+  BOOST_TEST(Bench::Eventually([&] { return held.Value() > 0; }));
+  BOOST_TEST(held.Value() <= kWindow + 16 * 1024);
+  BOOST_TEST(!m_bench.WaitFor("r1", HasSome).m_end.has_value());
   m_bench.AutoCredit(true);
   wire::CreditT credit;
   credit.request_id = "r1";
@@ -123,7 +131,7 @@
   const auto received = m_bench.WaitEnd("r1");
   BOOST_REQUIRE(received.m_end.has_value());
   BOOST_TEST(received.m_end->chunks == received.m_chunks);
-  BOOST_TEST(received.m_end->answer_tokens == 200U);
+  BOOST_TEST(received.m_end->answer_tokens == kTokens);
 }
 
 // Guards against a cancelled request that keeps running at the engine.
--- a/fakes/engine.cc
+++ b/fakes/engine.cc
@@ -15,7 +15,6 @@
 constexpr size_t kBytesPerToken = 4;
 // How often a waiting request looks whether something changed for it.
 constexpr base::Millis kPoll{ 2 };
-constexpr int kMicrosPerMilli = 1000;
 // Every so many cache events one is left out, as real engines lose some.
 constexpr uint64_t kCacheGap = 10;
 
@@ -217,11 +216,17 @@
 FakeEngine::Behave(net::HttpExchange& aExchange)
 {
   const json::object body = ParseObject(aExchange.Request().m_body);
+  boost::system::error_code error;
   bool exit = false;
   {
     const std::lock_guard lock(m_lock);
     bool cold = false;
-    ReadFlag(body, "bad", m_bad);
+    if (const json::value* bad = body.if_contains("bad")) {
+      m_badShare = bad->is_bool() && bad->as_bool() ? 1.0 : 0.0;
+    }
+    if (const json::value* share = body.if_contains("bad_share")) {
+      m_badShare = share->to_number<double>(error);
+    }
     ReadFlag(body, "frozen", m_frozen);
     ReadFlag(body, "refuse", m_refusing);
     ReadFlag(body, "checks_fencing", m_checksFencing);
@@ -355,157 +360,4 @@
     });
 }
 
-FakeEngine::Step
-FakeEngine::StepOf(const Job& aJob) const
-{
-  if (m_crashed) {
-    return Step::Crashed;
-  }
-  return m_model.Canceled(aJob.m_id) ? Step::Canceled : Step::Go;
-}
-
-net::Task<FakeEngine::Step>
-FakeEngine::WaitForBatch(const Job& aJob)
-{
-  while (true) {
-    {
-      const std::lock_guard lock(m_lock);
-      const Step step = StepOf(aJob);
-      if (step != Step::Go || m_model.InBatch(aJob.m_id)) {
-        co_return step;
-      }
-    }
-    co_await net::Sleep(kPoll);
-  }
-}
-
-net::Task<FakeEngine::Step>
-FakeEngine::WaitForToken(const Job& aJob)
-{
-  base::Millis span;
-  {
-    const std::lock_guard lock(m_lock);
-    span = m_model.TokenTime();
-  }
-  co_await net::Sleep(span);
-  co_await WhileFrozen();
-  const std::lock_guard lock(m_lock);
-  co_return StepOf(aJob);
-}
-
-net::Task<void>
-FakeEngine::HandleChat(net::HttpExchange& aExchange)
-{
-  const Job job = ReadJob(aExchange.Request());
-  bool crash = false;
-  bool refuse = false;
-  {
-    const std::lock_guard lock(m_lock);
-    refuse = m_refusing || m_crashed;
-    crash = !m_crashMarker.empty() &&
-            job.m_prompt.find(m_crashMarker) != job.m_prompt.npos;
-    if (!refuse && !m_model.Enter(job.m_id, job.m_paying, Now())) {
-      m_refusing = true;
-      crash = crash || m_options.m_exitOnOverload;
-    }
-  }
-  if (crash) {
-    Crash();
-    co_return;
-  }
-  if (refuse) {
-    net::HttpResponse response = ErrorResponse(503, "overloaded");
-    (void)co_await aExchange.Respond(std::move(response));
-    co_return;
-  }
-  const bool completed = co_await Generate(aExchange, job);
-  const std::lock_guard lock(m_lock);
-  m_model.Leave(job.m_id, completed);
-}
-
-std::string
-FakeEngine::Word(const Job& aJob, uint32_t aIndex) const
-{
-  constexpr uint64_t kWords = 10000;
-  const uint64_t hash =
-    base::StableHash(aJob.m_prompt + std::to_string(aIndex), m_options.m_seed);
-  const std::lock_guard lock(m_lock);
-  const bool marked = m_bad && aIndex == 0;
-  return (marked ? std::string(kBadMarker) + " " : std::string()) + "w" +
-         std::to_string(hash % kWords) + " ";
-}
-
-json::object
-FakeEngine::Usage(const Job& aJob) const
-{
-  return { { "prompt_tokens", aJob.m_promptTokens },
-           { "completion_tokens", aJob.m_tokens },
-           { "total_tokens", aJob.m_promptTokens + aJob.m_tokens },
-           { "prompt_tokens_details",
-             json::object{ { "cached_tokens", aJob.m_cachedTokens } } } };
-}
-
-net::Task<bool>
-FakeEngine::SendEvent(net::HttpExchange& aExchange, json::object aEvent)
-{
-  aEvent["object"] = "chat.completion.chunk";
-  aEvent["model"] = m_options.m_version;
-  std::string text = "data: " + json::serialize(aEvent) + "\n\n";
-  const absl::Status status = co_await aExchange.Write(std::move(text));
-  co_return status.ok();
-}
-
-net::Task<bool>
-FakeEngine::Generate(net::HttpExchange& aExchange, const Job& aJob)
-{
-  if (co_await WaitForBatch(aJob) != Step::Go) {
-    co_return false;
-  }
-  const int64_t prefill =
-    static_cast<int64_t>(aJob.m_promptTokens - aJob.m_cachedTokens) *
-    m_options.m_prefillUs / kMicrosPerMilli;
-  co_await net::Sleep(base::Millis(prefill));
-  if (aJob.m_stream) {
-    net::HttpHeaders none;
-    (void)co_await aExchange.BeginStream(200, "text/event-stream", none);
-  }
-  std::string whole;
-  for (uint32_t i = 0; i < aJob.m_tokens; ++i) {
-    if (co_await WaitForToken(aJob) != Step::Go) {
-      co_return false; // the connection closes without the answer's end
-    }
-    const std::string word = Word(aJob, i);
-    whole += word;
-    if (aJob.m_stream) {
-      json::object delta{ { "content", word } };
-      json::object choice{ { "index", 0 }, { "delta", delta } };
-      json::object event{ { "choices", json::array{ choice } } };
-      if (!co_await SendEvent(aExchange, std::move(event))) {
-        co_return false;
-      }
-    }
-  }
-  if (aJob.m_stream) {
-    json::object event{ { "choices", json::array() },
-                        { "usage", Usage(aJob) } };
-    (void)co_await SendEvent(aExchange, std::move(event));
-    (void)co_await aExchange.Write("data: [DONE]\n\n");
-    const absl::Status ended = co_await aExchange.EndStream();
-    co_return ended.ok();
-  }
-  json::object message{ { "role", "assistant" }, { "content", whole } };
-  json::object choice{ { "index", 0 },
-                       { "message", message },
-                       { "finish_reason", "stop" } };
-  json::object body{ { "id", aJob.m_id },
-                     { "object", "chat.completion" },
-                     { "model", m_options.m_version },
-                     { "choices", json::array{ choice } },
-                     { "usage", Usage(aJob) } };
-  net::HttpResponse response(
-    200, "application/json", {}, json::serialize(body));
-  const absl::Status sent = co_await aExchange.Respond(std::move(response));
-  co_return sent.ok();
-}
-
 } // namespace fakes
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -102,7 +102,7 @@
   mutable std::mutex m_lock; // guards what follows
   EngineModel m_model;
   PrefixCache m_cache;
-  bool m_bad = false;
+  double m_badShare = 0; // of answers that carry kBadMarker
   bool m_frozen = false;
   bool m_refusing = false;
   bool m_crashed = false;
