Key suspect commands by the fingerprint in hexadecimal

Cause: ClearSuspect was sent under the decimal fingerprint, which would reach another ledger shard than the suspect once there are several groups; a drain could end before a loss was reported. Change: one function makes the key; unconfirmed commands count as unsettled; the claim test outlasts the resume grace, so that it needs the unattended run. Conclusion: no change for a single ledger group.

--- a/chivefront/agent/agent.cc
+++ b/chivefront/agent/agent.cc
@@ -366,7 +366,7 @@
   if (aEnding == Ending::Succeeded && aRun->Dispatch().suspect) {
     wire::ClearSuspectT clear;
     clear.fingerprint = aRun->Dispatch().fingerprint;
-    m_settler.Submit(std::to_string(clear.fingerprint), clear);
+    m_settler.Submit(SuspectShard(clear.fingerprint), clear);
   }
   LaunchNext(shard);
 }
--- a/chivefront/agent/agent_upstreams.cc
+++ b/chivefront/agent/agent_upstreams.cc
@@ -2,7 +2,6 @@
 #include "chivefront/agent/agent.h"
 
 #include <algorithm>
-#include <cstdio>
 
 #include <boost/asio/strand.hpp>
 
@@ -22,17 +21,6 @@
 // queued on links reach the entries.
 constexpr base::Millis kLastWords{ 500 };
 
-std::string
-FingerprintHex(uint64_t aFingerprint)
-{
-  char text[17];
-  std::snprintf(text,
-                sizeof(text),
-                "%016llx",
-                static_cast<unsigned long long>(aFingerprint));
-  return text;
-}
-
 } // namespace detail
 
 void
@@ -173,7 +161,7 @@
   report.loss_id = std::to_string(m_identity.m_incarnation) + "/" + aUpstream +
                    "/" + std::to_string(++m_losses);
   report.fingerprints = aLoss.m_fingerprints;
-  m_settler.Submit(detail::FingerprintHex(report.fingerprints.front()), report);
+  m_settler.Submit(SuspectShard(report.fingerprints.front()), report);
 }
 
 void
--- a/chivefront/agent/settler.cc
+++ b/chivefront/agent/settler.cc
@@ -1,6 +1,9 @@
 // Ledger commands in place of an entry that is gone.
 #include "chivefront/agent/settler.h"
 
+#include <cinttypes>
+#include <cstdio>
+
 #include "chivefront/base/ids.h"
 #include "chivefront/base/log.h"
 
@@ -14,6 +17,15 @@
 
 } // namespace detail
 
+std::string
+SuspectShard(uint64_t aFingerprint)
+{
+  constexpr int kDigits = 16;
+  char text[kDigits + 1];
+  std::snprintf(text, sizeof(text), "%016" PRIx64, aFingerprint);
+  return text;
+}
+
 Settler::Settler(net::asio::io_context& aContext,
                  client::ControlLinks& aControl,
                  const base::Clock& aClock,
@@ -79,7 +91,7 @@
 Settler::Unsettled() const
 {
   const std::lock_guard lock(m_lock);
-  return m_book.Size();
+  return m_book.Size() + m_submitting;
 }
 
 void
--- a/chivefront/agent/settler.h
+++ b/chivefront/agent/settler.h
@@ -1,7 +1,9 @@
 // Posts what entries left unsettled to the ledger.
 #pragma once
 
+#include <atomic>
 #include <mutex>
+#include <string>
 
 #include "chivefront/agent/settlement.h"
 #include "chivefront/base/metrics.h"
@@ -9,6 +11,10 @@
 
 namespace chivefront::agent {
 
+// The ledger's shard key of a suspect: its fingerprint in hexadecimal.
+std::string
+SuspectShard(uint64_t aFingerprint);
+
 // Thread-safe.
 class Settler
 {
@@ -29,6 +35,7 @@
   void Hurry();
   // Starts posting what is due and updates the health figures.
   void Tick();
+  // Records and commands that the ledger has not confirmed.
   size_t Unsettled() const;
 
   // A command outside the book (losses, cleared suspects), repeated until it
@@ -36,6 +43,7 @@
   template<typename CommandT>
   void Submit(std::string aShardKey, CommandT aCommand)
   {
+    ++m_submitting;
     net::Spawn(m_context.get_executor(),
                "settler",
                [this,
@@ -51,6 +59,7 @@
   {
     (void)co_await m_ledger.Run(
       aShardKey, std::move(aCommand), m_clock.Now() + kSubmitSpan);
+    --m_submitting;
   }
   net::Task<void> Post(SettlementKey aKey, Settlement aWhat);
 
@@ -60,6 +69,7 @@
   net::asio::io_context& m_context;
   client::LedgerClient m_ledger;
   const base::Clock& m_clock;
+  std::atomic<size_t> m_submitting{ 0 };
   base::Counter& m_posted;
   base::Gauge& m_unsettled;
   base::Gauge& m_oldest;
--- a/chivefront/agent/stream_test.cc
+++ b/chivefront/agent/stream_test.cc
@@ -177,7 +177,8 @@
 {
   Bench bench;
   fakes::ServiceOptions options;
-  options.m_slow = base::Millis(300);
+  // Longer than the time after which a stream without its entry is cancelled.
+  options.m_slow = agent::kResumeGrace + base::Millis(1500);
   auto& service = bench.Add<fakes::FakeService>(options);
   bench.AutoSettle(false);
   bench.Send(Bench::Booking("r1", "service-1"));
