Free a slot only after the engine has let go of a late request

Cause: when an answer missed its deadline the agent closed its connection and gave the slot away while the engine still worked on the request. Credit that was queued on a former link could count after a Resume. Change: every failed run of an engine is cancelled there before its slot is freed; an engine that does not answer the cancel is probed; credit counts only from the present link; refusals are kept for 5 s instead of 15 s. Conclusion: a late request no longer adds load to a cold engine.

--- a/chivefront/agent/agent.cc
+++ b/chivefront/agent/agent.cc
@@ -149,7 +149,7 @@
     case wire::Body::Credit: {
       const wire::CreditT& credit = *aMessage.body.AsCredit();
       if (auto run = m_runs.Find({ credit.request_id, credit.attempt })) {
-        run->AddCredit(credit.bytes);
+        run->AddCredit(aLink, credit.bytes);
       }
       return;
     }
--- a/chivefront/agent/agent_upstreams.cc
+++ b/chivefront/agent/agent_upstreams.cc
@@ -17,6 +17,8 @@
 constexpr base::Millis kProbeTimeout{ 1000 };
 // A result stays for this long for an entry that asks for it again.
 constexpr base::Millis kKeepResult{ 15000 };
+// Refusals are many under overload, and only a lost link loses one.
+constexpr base::Millis kKeepRefusal{ 5000 };
 // Between the last result and the end of the process, so that frames that are
 // queued on links reach the entries.
 constexpr base::Millis kLastWords{ 500 };
@@ -325,7 +327,9 @@
 Agent::SweepRun(const RunPointer& aRun)
 {
   if (aRun->Over()) {
-    if (Now() - aRun->OverAt() >= detail::kKeepResult) {
+    const base::Millis keep =
+      aRun->Refused() ? detail::kKeepRefusal : detail::kKeepResult;
+    if (Now() - aRun->OverAt() >= keep) {
       m_runs.Erase(aRun->Key());
     }
     return;
--- a/chivefront/agent/limits_test.cc
+++ b/chivefront/agent/limits_test.cc
@@ -71,6 +71,25 @@
              std::string::npos);
 }
 
+// Guards against a slot that is given away while the engine still works on a
+// request whose answer came too late.
+BOOST_FIXTURE_TEST_CASE(LateRequestLeavesTheEngineFirst, WithColdEngine)
+{
+  auto late = Bench::Chat("late", "engine-1");
+  late.stream = false;
+  late.body = R"({"max_tokens":100000,"messages":[]})";
+  late.deadline_ms = 300;
+  m_bench.Send(std::move(late));
+  const auto received = m_bench.WaitEnd("late");
+  BOOST_REQUIRE(received.m_end.has_value());
+  BOOST_TEST((received.m_end->outcome == wire::Outcome::Unknown));
+  m_bench.Send(Bench::Chat("next", "engine-1", 1));
+  BOOST_TEST(m_bench.WaitEnd("next").m_end.has_value());
+  BOOST_TEST(m_engine.History().find("\"exceeded\":false") !=
+             std::string::npos);
+  BOOST_TEST(m_engine.History().find("\"canceled\":1") != std::string::npos);
+}
+
 // Guards against free requests that hold the queue against paying ones, and
 // against a team that calls itself paying.
 BOOST_FIXTURE_TEST_CASE(PayingDisplacesFree, WithColdEngine)
--- a/chivefront/agent/run.cc
+++ b/chivefront/agent/run.cc
@@ -101,6 +101,7 @@
     m_rejected = std::move(rejected);
     m_dispatch.body.clear();
     m_overAt = m_host.Now();
+    m_refused = true;
     m_over = true;
     if (!m_link && !m_dispatch.claim_key.empty()) {
       m_host.ResultKnown(shared_from_this(), ReleasedClaim());
@@ -134,11 +135,13 @@
 }
 
 void
-Run::AddCredit(uint32_t aBytes)
+Run::AddCredit(net::Link::Pointer aLink, uint32_t aBytes)
 {
-  OnStrand([this, aBytes] {
-    m_buffer.AddCredit(aBytes);
-    Flush();
+  OnStrand([this, link = std::move(aLink), aBytes] {
+    if (link == m_link) {
+      m_buffer.AddCredit(aBytes);
+      Flush();
+    }
   });
 }
 
--- a/chivefront/agent/run.h
+++ b/chivefront/agent/run.h
@@ -70,7 +70,8 @@
   void Launch(const UpstreamFacts& aUpstream);
   // Ends a run that was never launched: certainly not run.
   void Reject(absl::Status aWhy, base::Millis aRetryAfter);
-  void AddCredit(uint32_t aBytes);
+  // Credit of a former link is void: a Resume replaced it.
+  void AddCredit(net::Link::Pointer aLink, uint32_t aBytes);
   void Resume(net::Link::Pointer aLink,
               uint32_t aNextSequence,
               uint32_t aCredit);
@@ -97,6 +98,7 @@
   size_t HeldBytes() const { return m_heldBytes; }
   // True once the result is known; then OverAt() is when.
   bool Over() const { return m_over; }
+  bool Refused() const { return m_refused; }
   base::TimePoint OverAt() const { return m_overAt.load(); }
 
 private:
@@ -115,6 +117,7 @@
   net::Task<void> Forward(UpstreamFacts aUpstream);
   net::Task<void> FailOpen(absl::Status aWhy);
   net::Task<absl::Status> Relay();
+  net::Task<void> Retire(absl::Status aStatus);
   net::Task<absl::Status> TakePiece(std::string_view aPiece);
   net::Task<void> CancelAtEngine();
   net::Task<void> Wait();
@@ -146,6 +149,7 @@
   std::atomic<bool> m_over{ false };
   std::atomic<base::TimePoint> m_overAt{ base::TimePoint() };
   std::atomic<size_t> m_heldBytes{ 0 };
+  std::atomic<bool> m_refused{ false };
   std::atomic<bool> m_delivered{ false };
   std::atomic<bool> m_detached{ false }; // true while the link is lost
   std::atomic<base::TimePoint> m_detachedAt{ base::TimePoint() };
--- a/chivefront/agent/run_forward.cc
+++ b/chivefront/agent/run_forward.cc
@@ -100,11 +100,22 @@
   m_contentType = net::FindHeader(m_stream->Headers(), "Content-Type");
   absl::Status status = co_await Relay();
   m_stream.reset();
-  Conclude(status);
+  co_await Retire(status);
+}
+
+// Tells the result, and frees the slot once the upstream does not hold the
+// request any more.
+net::Task<void>
+Run::Retire(absl::Status aStatus)
+{
+  Conclude(aStatus);
+  if (!aStatus.ok() && m_stop == Stop::None && !IsPlain()) {
+    co_await CancelAtEngine();
+  }
   while (m_cancelPending) {
     co_await Wait();
   }
-  m_host.SlotFreed(shared_from_this(), EndingOf(status));
+  m_host.SlotFreed(shared_from_this(), EndingOf(aStatus));
 }
 
 net::Task<void>
@@ -120,11 +131,7 @@
     }
     co_return;
   }
-  Conclude(aWhy);
-  while (m_cancelPending) {
-    co_await Wait();
-  }
-  m_host.SlotFreed(shared_from_this(), EndingOf(aWhy));
+  co_await Retire(std::move(aWhy));
 }
 
 bool
@@ -198,7 +205,11 @@
   net::HttpTimeouts timeouts;
   timeouts.m_connect = detail::kCancelWait;
   timeouts.m_header = detail::kCancelWait;
-  (void)co_await net::HttpCall(endpoint, std::move(request), timeouts);
+  const auto answer =
+    co_await net::HttpCall(endpoint, std::move(request), timeouts);
+  if (!answer.ok()) {
+    m_host.Suspect(m_dispatch.upstream);
+  }
   m_cancelPending = false;
   m_wake.cancel();
 }
