--- a/chivefront/agent/agent.cc
+++ b/chivefront/agent/agent.cc
@@ -67,6 +67,8 @@
                                "Losses of an upstream with work in flight."))
   , m_cacheGaps(aMetrics.AddCounter("chivefront_agent_cache_gaps_total",
                                     "Gaps in the cache events of upstreams."))
+  , m_buffered(aMetrics.AddGauge("chivefront_agent_buffered_bytes",
+                                 "Answers held for entries."))
 {
 }
 
@@ -147,7 +149,7 @@
     case wire::Body::Credit: {
       const wire::CreditT& credit = *aMessage.body.AsCredit();
       if (auto run = m_runs.Find({ credit.request_id, credit.attempt })) {
-        run->AddCredit(credit.bytes);
+        run->AddCredit(aLink, credit.bytes);
       }
       return;
     }
@@ -364,7 +366,7 @@
   if (aEnding == Ending::Succeeded && aRun->Dispatch().suspect) {
     wire::ClearSuspectT clear;
     clear.fingerprint = aRun->Dispatch().fingerprint;
-    m_settler.Submit(std::to_string(clear.fingerprint), clear);
+    m_settler.Submit(SuspectShard(clear.fingerprint), clear);
   }
   LaunchNext(shard);
 }
--- a/chivefront/agent/agent_upstreams.cc
+++ b/chivefront/agent/agent_upstreams.cc
@@ -2,7 +2,6 @@
 #include "chivefront/agent/agent.h"
 
 #include <algorithm>
-#include <cstdio>
 
 #include <boost/asio/strand.hpp>
 
@@ -18,21 +17,12 @@
 constexpr base::Millis kProbeTimeout{ 1000 };
 // A result stays for this long for an entry that asks for it again.
 constexpr base::Millis kKeepResult{ 15000 };
+// Refusals are many under overload, and only a lost link loses one.
+constexpr base::Millis kKeepRefusal{ 5000 };
 // Between the last result and the end of the process, so that frames that are
 // queued on links reach the entries.
 constexpr base::Millis kLastWords{ 500 };
 
-std::string
-FingerprintHex(uint64_t aFingerprint)
-{
-  char text[17];
-  std::snprintf(text,
-                sizeof(text),
-                "%016llx",
-                static_cast<unsigned long long>(aFingerprint));
-  return text;
-}
-
 } // namespace detail
 
 void
@@ -173,7 +163,7 @@
   report.loss_id = std::to_string(m_identity.m_incarnation) + "/" + aUpstream +
                    "/" + std::to_string(++m_losses);
   report.fingerprints = aLoss.m_fingerprints;
-  m_settler.Submit(detail::FingerprintHex(report.fingerprints.front()), report);
+  m_settler.Submit(SuspectShard(report.fingerprints.front()), report);
 }
 
 void
@@ -337,7 +327,9 @@
 Agent::SweepRun(const RunPointer& aRun)
 {
   if (aRun->Over()) {
-    if (Now() - aRun->OverAt() >= detail::kKeepResult) {
+    const base::Millis keep =
+      aRun->Refused() ? detail::kKeepRefusal : detail::kKeepResult;
+    if (Now() - aRun->OverAt() >= keep) {
       m_runs.Erase(aRun->Key());
     }
     return;
@@ -353,9 +345,12 @@
   for (const ShardPointer& shard : m_upstreams.All()) {
     SweepUpstream(shard);
   }
+  size_t buffered = 0;
   for (const RunPointer& run : m_runs.All()) {
+    buffered += run->HeldBytes();
     SweepRun(run);
   }
+  m_buffered.Set(static_cast<int64_t>(buffered));
   if (m_draining) {
     m_settler.Hurry();
   }
--- a/chivefront/agent/run.h
+++ b/chivefront/agent/run.h
@@ -70,7 +70,8 @@
   void Launch(const UpstreamFacts& aUpstream);
   // Ends a run that was never launched: certainly not run.
   void Reject(absl::Status aWhy, base::Millis aRetryAfter);
-  void AddCredit(uint32_t aBytes);
+  // Credit of a former link is void: a Resume replaced it.
+  void AddCredit(net::Link::Pointer aLink, uint32_t aBytes);
   void Resume(net::Link::Pointer aLink,
               uint32_t aNextSequence,
               uint32_t aCredit);
@@ -93,8 +94,11 @@
   }
   // True once the result was sent, or nobody is left to get it.
   bool Delivered() const { return m_delivered || LinkLostTooLong(); }
+  // Bytes of the answer in memory, as of the last change.
+  size_t HeldBytes() const { return m_heldBytes; }
   // True once the result is known; then OverAt() is when.
   bool Over() const { return m_over; }
+  bool Refused() const { return m_refused; }
   base::TimePoint OverAt() const { return m_overAt.load(); }
 
 private:
@@ -113,9 +117,13 @@
   net::Task<void> Forward(UpstreamFacts aUpstream);
   net::Task<void> FailOpen(absl::Status aWhy);
   net::Task<absl::Status> Relay();
+  net::Task<void> Retire(absl::Status aStatus);
   net::Task<absl::Status> TakePiece(std::string_view aPiece);
   net::Task<void> CancelAtEngine();
   net::Task<void> Wait();
+  bool IsPlain() const { return !m_dispatch.service.empty(); }
+  // An engine's answers with these statuses are refusals or faults.
+  static bool IsEngineFailure(int aHttpStatus);
   net::HttpRequest MakeRequest();
   net::HttpTimeouts Timeouts() const;
   absl::Status BeforeSend(std::function<void()> aAbort);
@@ -124,6 +132,7 @@
   void Conclude(const absl::Status& aStatus);
   Settlement MakeSettlement(const wire::EndT& aEnd) const;
   Ending EndingOf(const absl::Status& aStatus) const;
+  void SendStarted();
   Settlement ReleasedClaim() const;
   void SendRejected();
   void Flush();
@@ -139,6 +148,8 @@
   const base::TimePoint m_createdAt;
   std::atomic<bool> m_over{ false };
   std::atomic<base::TimePoint> m_overAt{ base::TimePoint() };
+  std::atomic<size_t> m_heldBytes{ 0 };
+  std::atomic<bool> m_refused{ false };
   std::atomic<bool> m_delivered{ false };
   std::atomic<bool> m_detached{ false }; // true while the link is lost
   std::atomic<base::TimePoint> m_detachedAt{ base::TimePoint() };
