--- a/chivefront/net/http_client.cc
+++ b/chivefront/net/http_client.cc
@@ -46,10 +46,17 @@
     if (error) {
       co_return base::MakeError(base::ErrorKind::NoUpstream, error.message());
     }
+    const Tcp::endpoint endpoint(address, aEndpoint.m_port);
+    if (m_timeouts.m_receiveBufferBytes > 0) {
+      // Before the connection is made, or the window was announced already.
+      m_stream.socket().open(endpoint.protocol(), error);
+      m_stream.socket().set_option(
+        asio::socket_base::receive_buffer_size(m_timeouts.m_receiveBufferBytes),
+        error);
+    }
     m_stream.expires_after(m_timeouts.m_connect.ToChrono());
     co_await m_stream.async_connect(
-      Tcp::endpoint(address, aEndpoint.m_port),
-      asio::redirect_error(asio::use_awaitable, error));
+      endpoint, asio::redirect_error(asio::use_awaitable, error));
     if (error) {
       // Also after a timeout: no byte of the request was written.
       co_return base::MakeError(base::ErrorKind::NoUpstream, error.message());
--- a/chivefront/net/http_client.h
+++ b/chivefront/net/http_client.h
@@ -29,6 +29,9 @@
   base::Millis m_header{ 60000 };
   // Between two pieces of the response body.
   base::Millis m_piece{ 30000 };
+  // Kernel receive buffer; small for a reader that must not run ahead. 0
+  // leaves the system's default.
+  int m_receiveBufferBytes = 0;
 };
 
 class HttpClientStream
