Bound the start of answers by the deadline and mark suspect requests

Exposure was counted at the end of an answer, which delays the roll-out judge. A request that lost an upstream was sent on like any other. Bill lines were rounded up here and down by the agent. Change: after the first data only 60 s of silence end an answer; exposure is counted at the first dispatch; a bounded memory of this entry marks requests as suspect; lines are rounded down at both ends. Conclusion: other entries learn of a suspect only by its quarantine, since no message asks the ledger for counts.

--- a/chivefront/entry/attempt.h
+++ b/chivefront/entry/attempt.h
@@ -36,6 +36,7 @@
   base::TimePoint m_sentAt;
   base::TimePoint m_until; // the wait for the next event ends here
   bool m_sent = false;
+  bool m_flowing = false; // the answer has begun and its link is open
   bool m_resumed = false;
   bool m_resumeAsked = false; // and no chunk accepted since
   // Set by Rejected and End.
--- a/chivefront/entry/billing.cc
+++ b/chivefront/entry/billing.cc
@@ -17,7 +17,7 @@
 {
   const uint64_t product = aVersion.m_promptCost * aPromptTokens +
                            aVersion.m_answerCost * aAnswerTokens;
-  return (product + detail::kTokensPerPrice - 1) / detail::kTokensPerPrice;
+  return product / detail::kTokensPerPrice;
 }
 
 wire::BillLineT
--- a/chivefront/entry/billing.h
+++ b/chivefront/entry/billing.h
@@ -7,8 +7,8 @@
 
 namespace chivefront::entry {
 
-// Millionths of a currency unit, rounded up: the sum of both products is
-// divided once, so a line is less than one millionth above the exact cost.
+// Millionths of a currency unit, rounded down like the agent's, since either
+// of them may post the line.
 uint64_t
 CostMicros(const catalog::Version& aVersion,
            uint32_t aPromptTokens,
--- a/chivefront/entry/chat_answer.cc
+++ b/chivefront/entry/chat_answer.cc
@@ -40,7 +40,6 @@
   if (!aResult.m_dispatched) {
     return;
   }
-  m_parts.m_evidence.Exposed(m_spec.m_version);
   if (aResult.m_done && !IsEngineError(aResult)) {
     m_parts.m_evidence.Answered(m_spec.m_version, aResult.m_elapsed);
     m_parts.m_cascade.NoteLatency(m_spec.m_version, aResult.m_elapsed);
--- a/chivefront/entry/flows.h
+++ b/chivefront/entry/flows.h
@@ -19,7 +19,7 @@
 {
   explicit FlowParts(EntryParts& aParts)
     : m_entry(aParts)
-    , m_runner(aParts)
+    , m_runner(aParts, m_evidence)
     , m_billing(aParts)
     , m_claims(aParts)
     , m_sessions(aParts)
@@ -35,12 +35,12 @@
   }
 
   EntryParts& m_entry;
+  Evidence m_evidence;
   Runner m_runner;
   Billing m_billing;
   Claims m_claims;
   SessionPins m_sessions;
   TeamLimits m_limits;
-  Evidence m_evidence;
   CascadeChoice m_cascade;
 };
 
--- a/chivefront/entry/relay.cc
+++ b/chivefront/entry/relay.cc
@@ -9,6 +9,10 @@
 // After a cancel or a known end the agent has little left to say.
 constexpr base::Millis kDrain{ 5000 };
 
+// Once an answer has begun, the deadline for its start is met; it may take long
+// as long as something comes.
+constexpr base::Millis kSilence{ 60000 };
+
 // A refusal by the agent that another upstream would repeat.
 bool
 IsFinalRefusal(base::ErrorKind aKind)
@@ -69,6 +73,7 @@
   m_parts.m_events.Record("reader_gone",
                           { { "upstream", aAttempt.m_upstream } },
                           aAttempt.m_spec.m_requestId);
+  aAttempt.m_flowing = false;
   if (aAttempt.m_spec.m_idempotent) {
     SendCancel(aAttempt);
     aAttempt.m_until =
@@ -100,6 +105,7 @@
       co_return std::nullopt;
   }
   aAttempt.m_resumeAsked = false;
+  aAttempt.m_flowing = !aResult.m_readerGone;
   if (aChunk.sequence == 0) {
     const base::Millis waited = m_parts.m_clock.Now() - aAttempt.m_sentAt;
     m_firstChunk.Observe(static_cast<double>(waited.Count()));
@@ -154,8 +160,8 @@
     return FailurePoint::AnswerCut;
   }
   AskResume(aAttempt);
-  aAttempt.m_until =
-    std::min(aAttempt.m_until, m_parts.m_clock.Now() + detail::kDrain);
+  aAttempt.m_flowing = false;
+  aAttempt.m_until = m_parts.m_clock.Now() + detail::kDrain;
   return std::nullopt;
 }
 
@@ -169,7 +175,10 @@
     return FailurePoint::AgentRestarted;
   }
   aAttempt.m_link = aLink;
-  aAttempt.m_until = aAttempt.m_spec.m_deadline;
+  // An answer that had begun gets the usual time to go on.
+  aAttempt.m_until = aAttempt.m_assembler.NextSequence() == 0
+                       ? aAttempt.m_spec.m_deadline
+                       : m_parts.m_clock.Now() + detail::kSilence;
   AskResume(aAttempt);
   return std::nullopt;
 }
@@ -183,10 +192,14 @@
               RunResult& aResult)
 {
   while (true) {
+    if (aAttempt.m_flowing) {
+      aAttempt.m_until = m_parts.m_clock.Now() + detail::kSilence;
+    }
     auto event = co_await aAttempt.m_mailbox->Next(aAttempt.m_until);
     std::optional<FailurePoint> over;
     if (!event) {
-      const bool late = m_parts.m_clock.Now() >= aSpec.m_deadline;
+      const bool late = aAttempt.m_assembler.NextSequence() == 0 &&
+                        m_parts.m_clock.Now() >= aSpec.m_deadline;
       over = late               ? FailurePoint::DeadlinePassed
              : !aAttempt.m_link ? FailurePoint::AgentUnreachable
                                 : FailurePoint::AnswerCut;
@@ -204,9 +217,8 @@
     } else if (const auto* down = std::get_if<LinkDown>(&*event)) {
       if (down->m_link == aAttempt.m_link) {
         aAttempt.m_link = nullptr;
-        aAttempt.m_until =
-          std::min(aSpec.m_deadline,
-                   m_parts.m_clock.Now() + m_parts.m_limits.m_reconnect);
+        aAttempt.m_flowing = false;
+        aAttempt.m_until = m_parts.m_clock.Now() + m_parts.m_limits.m_reconnect;
       }
     } else if (const auto* up = std::get_if<LinkUp>(&*event)) {
       over = OnLinkUp(up->m_link, aAttempt);
--- a/chivefront/entry/runner.cc
+++ b/chivefront/entry/runner.cc
@@ -16,6 +16,7 @@
              uint32_t aAttempt,
              const std::string& aUpstream,
              uint64_t aRevision,
+             bool aSuspect,
              base::Millis aTimeLeft,
              size_t aCredit)
 {
@@ -33,6 +34,7 @@
   dispatch.idempotent = aSpec.m_idempotent;
   dispatch.claim_key = aSpec.m_claimKey;
   dispatch.fingerprint = aSpec.m_fingerprint;
+  dispatch.suspect = aSuspect;
   dispatch.deadline_ms = static_cast<uint32_t>(aTimeLeft.Count());
   dispatch.revision = aRevision;
   dispatch.method = aSpec.m_method;
@@ -61,8 +63,9 @@
 
 } // namespace detail
 
-Runner::Runner(EntryParts& aParts)
+Runner::Runner(EntryParts& aParts, Evidence& aEvidence)
   : m_parts(aParts)
+  , m_evidence(aEvidence)
   , m_attempts(aParts.m_metrics.AddCounter("chivefront_entry_attempts_total",
                                            "Dispatches sent to agents."))
   , m_retries(aParts.m_metrics.AddCounter("chivefront_entry_retries_total",
@@ -159,13 +162,14 @@
       { "run", std::to_string(aSpec.m_run) },
       { "revision", std::to_string(revision) } },
     aSpec.m_requestId);
-  const absl::Status sent = aAttempt.m_link->Send(
-    wire::MakeMessage(detail::MakeDispatch(aSpec,
-                                           aAttempt.m_number,
-                                           aAttempt.m_upstream,
-                                           revision,
-                                           aSpec.m_deadline - now,
-                                           m_parts.m_limits.m_windowBytes)));
+  const absl::Status sent = aAttempt.m_link->Send(wire::MakeMessage(
+    detail::MakeDispatch(aSpec,
+                         aAttempt.m_number,
+                         aAttempt.m_upstream,
+                         revision,
+                         m_suspects.Contains(aSpec.m_fingerprint),
+                         aSpec.m_deadline - now,
+                         m_parts.m_limits.m_windowBytes)));
   aAttempt.m_sent = sent.ok();
   if (sent.ok()) {
     m_attempts.Increment();
@@ -239,6 +243,11 @@
                 ? FailurePoint::NoLink
                 : FailurePoint::Refused;
     } else if (attempt.m_sent) {
+      if (!dispatched && !aSpec.m_version.empty()) {
+        // Counted before the answer: the judge of roll-outs bounds the
+        // requests that are exposed to a bad version.
+        m_evidence.Exposed(aSpec.m_version);
+      }
       point = co_await Relay(aSpec, attempt, aSink, result);
     }
     m_parts.m_running.Remove(aSpec.m_requestId);
@@ -250,8 +259,13 @@
     result.m_agentAddress = attempt.m_agentAddress;
     result.m_elapsed = m_parts.m_clock.Now() - began;
     if (result.m_done) {
+      m_suspects.Clear(aSpec.m_fingerprint);
       co_return result;
     }
+    if (point == FailurePoint::UpstreamLost ||
+        point == FailurePoint::AgentRestarted) {
+      m_suspects.Note(aSpec.m_fingerprint);
+    }
     RetryFacts facts;
     facts.m_point = point;
     facts.m_idempotent = aSpec.m_idempotent;
@@ -274,11 +288,11 @@
     if (point == FailurePoint::Rejected || point == FailurePoint::EndNotRun) {
       lastRefusal = attempt.m_refusal;
     }
-    if (point == FailurePoint::DeadlinePassed ||
-        point == FailurePoint::OverCredit) {
-      if (aSpec.m_idempotent) {
-        SendCancel(attempt);
-      }
+    const bool abandoned = point == FailurePoint::DeadlinePassed ||
+                           point == FailurePoint::OverCredit ||
+                           point == FailurePoint::AnswerCut;
+    if (abandoned && aSpec.m_idempotent) {
+      SendCancel(attempt);
     }
     if (!again) {
       if (point == FailurePoint::Refused) {
--- a/chivefront/entry/runner.h
+++ b/chivefront/entry/runner.h
@@ -6,9 +6,11 @@
 #include <string>
 
 #include "chivefront/entry/caller_error.h"
+#include "chivefront/entry/evidence.h"
 #include "chivefront/entry/parts.h"
 #include "chivefront/entry/retry_rule.h"
 #include "chivefront/entry/stream_assembler.h"
+#include "chivefront/entry/suspects.h"
 #include "chivefront/policy/retry_budget.h"
 
 namespace chivefront::entry {
@@ -27,7 +29,7 @@
   bool m_idempotent = true;
   std::string m_claimKey; // set when a claim was granted
   uint64_t m_fingerprint = 0;
-  base::TimePoint m_deadline;
+  base::TimePoint m_deadline; // for the first data of the answer
   std::string m_method;
   std::string m_target;
   std::string m_contentType;
@@ -70,7 +72,7 @@
 class Runner
 {
 public:
-  explicit Runner(EntryParts& aParts);
+  Runner(EntryParts& aParts, Evidence& aEvidence);
 
   net::Task<RunResult> Run(const RunSpec& aSpec, AnswerSink& aSink);
 
@@ -109,6 +111,8 @@
   void SendCancel(Attempt& aAttempt);
 
   EntryParts& m_parts;
+  Evidence& m_evidence;
+  SuspectMemory m_suspects;
   std::mutex m_lock;
   policy::RetryBudget m_budget; // guarded by m_lock
   base::Counter& m_attempts;
