--- a/fakes/engine.cc
+++ b/fakes/engine.cc
@@ -94,6 +94,7 @@
 FakeEngine::FakeEngine(net::asio::io_context& aContext, EngineOptions aOptions)
   : m_context(aContext)
   , m_options(std::move(aOptions))
+  , m_record(m_options.m_recordPath)
   , m_incarnation(base::RequestId::Random().ToString())
   , m_server(aContext,
              {},
--- a/fakes/engine.h
+++ b/fakes/engine.h
@@ -16,6 +16,7 @@
 #include "fakes/announcer.h"
 #include "fakes/engine_model.h"
 #include "fakes/prefix_cache.h"
+#include "fakes/run_record.h"
 
 namespace fakes {
 
@@ -28,7 +29,8 @@
   std::string m_model = "small";
   std::string m_version = "small-1";
   base::Endpoint m_listen{ "127.0.0.1", 0 };
-  base::Endpoint m_agent; // none when empty
+  std::string m_recordPath; // file for what it ran; none when empty
+  base::Endpoint m_agent;   // none when empty
   EngineLimits m_limits;
   uint32_t m_answerTokens = 20; // unless the request has max_tokens
   uint64_t m_seed = 1;
@@ -94,6 +96,7 @@
 
   net::asio::io_context& m_context;
   const EngineOptions m_options;
+  RunRecord m_record;
   const std::string m_incarnation;
   net::HttpServer m_server;
   const absl::Status m_listening; // bound before the address is announced
--- a/fakes/engine_generate.cc
+++ b/fakes/engine_generate.cc
@@ -64,6 +64,7 @@
 FakeEngine::HandleChat(net::HttpExchange& aExchange)
 {
   const Job job = ReadJob(aExchange.Request());
+  m_record.Add(job.m_id);
   bool crash = false;
   bool refuse = false;
   {
--- a/fakes/engine_main.cc
+++ b/fakes/engine_main.cc
@@ -16,6 +16,8 @@
   app.add_option("--name", options.m_name, "Name of the upstream.");
   app.add_option("--model", options.m_model, "Model id.");
   app.add_option("--engine-version", options.m_version, "Version id.");
+  app.add_option(
+    "--record", options.m_recordPath, "File to which it appends what it ran.");
   fakes::AddEndpoint(app, "--listen", options.m_listen, "Address to serve.");
   fakes::AddEndpoint(
     app, "--agent", options.m_agent, "Agent to which it announces itself.");
--- a/fakes/service.cc
+++ b/fakes/service.cc
@@ -27,6 +27,7 @@
 FakeService::FakeService(net::asio::io_context& aContext,
                          ServiceOptions aOptions)
   : m_options(std::move(aOptions))
+  , m_record(m_options.m_recordPath)
   , m_server(aContext,
              {},
              [this](net::HttpExchange& aExchange) { return Handle(aExchange); })
@@ -101,6 +102,7 @@
   if (id.empty()) {
     id = request.Header("X-Request-Id");
   }
+  m_record.Add(id);
   base::Millis slow;
   uint32_t executions = 0;
   {
--- a/fakes/service.h
+++ b/fakes/service.h
@@ -12,6 +12,7 @@
 
 #include "chivefront/net/http_server.h"
 #include "fakes/announcer.h"
+#include "fakes/run_record.h"
 
 namespace fakes {
 
@@ -20,6 +21,7 @@
   std::string m_name = "service-1";
   std::string m_service = "booking";
   base::Endpoint m_listen{ "127.0.0.1", 0 };
+  std::string m_recordPath;      // file for what it ran; none when empty
   base::Endpoint m_agent;        // none when empty
   base::Millis m_slow;           // time that each execution takes
   std::function<void()> m_onDie; // the program exits here
@@ -40,6 +42,7 @@
   net::Task<void> Execute(net::HttpExchange& aExchange);
 
   const ServiceOptions m_options;
+  RunRecord m_record;
   net::HttpServer m_server;
   const absl::Status m_listening; // bound before the address is announced
   Announcer m_announcer;
--- a/fakes/service_main.cc
+++ b/fakes/service_main.cc
@@ -15,6 +15,8 @@
   CLI::App app("Stand-in for a plain service.");
   app.add_option("--name", options.m_name, "Name of the upstream.");
   app.add_option("--service", options.m_service, "Service id.");
+  app.add_option(
+    "--record", options.m_recordPath, "File to which it appends what it ran.");
   fakes::AddEndpoint(app, "--listen", options.m_listen, "Address to serve.");
   fakes::AddEndpoint(
     app, "--agent", options.m_agent, "Agent to which it announces itself.");
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -129,7 +129,8 @@
             command = [self.program("fake-engine"), *common,
                        "--model", upstream.model,
                        "--engine-version", upstream.version]
-        return self.add(upstream.name, command + upstream.options).start()
+        return self.add(upstream.name, command + ["--record", os.path.join(
+            self.folder, upstream.name + ".record")] + upstream.options).start()
 
     def start(self):
         for name in self.controls:
