--- a/chivefront/control/server.cc
+++ b/chivefront/control/server.cc
@@ -242,7 +242,7 @@
   if (aCorrelation != 0) {
     wire::AnnounceReplyT reply;
     reply.time_to_live_ms = static_cast<uint32_t>(kAnnounceLife.Count());
-    (void)aLink->Reply(aCorrelation, std::move(reply));
+    (void)aLink->Reply(aCorrelation, reply);
   }
 }
 
--- a/chivefront/ctl/cluster_test.cc
+++ b/chivefront/ctl/cluster_test.cc
@@ -284,7 +284,8 @@
   late.team = "sales";
   late.key = "k";
   late.owner = "late";
-  BOOST_TEST(Run(*session, std::move(late)).body == "booked");
+  const std::string replayed = Run(*session, std::move(late)).body;
+  BOOST_TEST(replayed == "booked");
 }
 
 // Guards against a request that crashed three upstreams and is not
--- a/chivefront/ledger/ledger_test.cc
+++ b/chivefront/ledger/ledger_test.cc
@@ -300,9 +300,8 @@
     if (!m_exists || m_state == ClaimState::Done) {
       return;
     }
-    if (aState != ClaimState::Released) {
-      m_state = aState;
-    } else if (m_state == ClaimState::InProgress && m_owner == aOwner) {
+    const bool proof = m_state == ClaimState::InProgress && m_owner == aOwner;
+    if (aState != ClaimState::Released || proof) {
       m_state = aState;
     }
   }
