Make the drain test outlast the pause before the end

Cause: with the wait for settlement taken out the drain test still passed: it looked at the flag before the 500 ms pause was over. Change: the test waits 1.5 s before it requires that the drain is not done.

--- a/chivefront/agent/limits_test.cc
+++ b/chivefront/agent/limits_test.cc
@@ -179,6 +179,8 @@
   const auto received = m_bench.WaitEnd("r1");
   BOOST_REQUIRE(received.m_end.has_value());
   BOOST_TEST((received.m_end->outcome == wire::Outcome::Done));
+  // Longer than the pause between the last result and the end.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   BOOST_TEST(!drained);
   wire::SettledT settled;
   settled.request_id = "r1";
