Stop the billing test before it reads a bill that is missing

Cause: with the agent's own posting taken out the test failed as it should, and then read an empty list. Change: the check is required, not only noted.

--- a/chivefront/agent/stream_test.cc
+++ b/chivefront/agent/stream_test.cc
@@ -172,7 +172,7 @@
   m_bench.Send(Bench::Chat("r2", "engine-1", 100000));
   m_bench.WaitFor("r2", HasSome);
   m_bench.StopEntry();
-  BOOST_TEST(Bench::Eventually([&] { return PostedBills() == 2; }));
+  BOOST_REQUIRE(Bench::Eventually([&] { return PostedBills() == 2; }));
   BOOST_TEST(EngineIsIdle());
   const auto ledger = m_bench.Control().Ledger();
   const auto* bill = ledger.front().command.AsPostBill();
