Join small chunks that wait for a slow reader

Cause: engines send a token a chunk; kept one by one, a chunk of 110 bytes took several times its size while a reader stalled. Change: chunks that follow each other are joined in the mailbox of an attempt, until a stream is asked for again.

--- a/chivefront/entry/agents.cc
+++ b/chivefront/entry/agents.cc
@@ -84,7 +84,13 @@
       wire::CancelT cancel;
       cancel.request_id = aMessage.body.AsChunk()->request_id;
       cancel.attempt = aMessage.body.AsChunk()->attempt;
-      if (!deliver(aMessage.body.AsChunk())) {
+      wire::ChunkT& chunk = *aMessage.body.AsChunk();
+      Chunks chunks;
+      chunks.m_attempt = chunk.attempt;
+      chunks.m_first = chunk.sequence;
+      chunks.m_data = std::move(chunk.data);
+      if (!m_running.Deliver(
+            chunk.request_id, chunk.attempt, std::move(chunks))) {
         // Nobody waits for this attempt any more.
         (void)aLink->Send(wire::MakeMessage(std::move(cancel)));
       }
--- a/chivefront/entry/caller_request.cc
+++ b/chivefront/entry/caller_request.cc
@@ -170,7 +170,7 @@
 const std::map<std::string, FieldCheck, std::less<>>&
 ChatFields()
 {
-  static const std::map<std::string, FieldCheck, std::less<>> fields{
+  static const std::map<std::string, FieldCheck, std::less<>> kFields{
     { "model", Text() },
     { "messages", CheckMessages },
     { "stream", Boolean() },
@@ -188,7 +188,7 @@
     { "response_format", Object() },
     { "tools", List() },
   };
-  return fields;
+  return kFields;
 }
 
 std::string
--- a/chivefront/entry/relay.cc
+++ b/chivefront/entry/relay.cc
@@ -36,6 +36,7 @@
 void
 Runner::AskResume(Attempt& aAttempt)
 {
+  aAttempt.m_mailbox->StopJoining();
   wire::ResumeT resume;
   resume.request_id = aAttempt.m_spec.m_requestId;
   resume.attempt = aAttempt.m_number;
@@ -82,14 +83,14 @@
 }
 
 net::Task<std::optional<FailurePoint>>
-Runner::OnChunk(const wire::ChunkT& aChunk,
-                Attempt& aAttempt,
-                AnswerSink& aSink,
-                RunResult& aResult)
+Runner::OnChunks(const Chunks& aChunks,
+                 Attempt& aAttempt,
+                 AnswerSink& aSink,
+                 RunResult& aResult)
 {
-  const size_t bytes = aChunk.data.size();
-  switch (
-    aAttempt.m_assembler.OnChunk(aChunk.attempt, aChunk.sequence, bytes)) {
+  const size_t bytes = aChunks.m_data.size();
+  switch (aAttempt.m_assembler.OnChunk(
+    aChunks.m_attempt, aChunks.m_first, bytes, aChunks.m_count)) {
     case StreamAssembler::Verdict::Accepted:
       break;
     case StreamAssembler::Verdict::Gap:
@@ -106,7 +107,7 @@
   }
   aAttempt.m_resumeAsked = false;
   aAttempt.m_flowing = !aResult.m_readerGone;
-  if (aChunk.sequence == 0) {
+  if (aChunks.m_first == 0) {
     const base::Millis waited = m_parts.m_clock.Now() - aAttempt.m_sentAt;
     m_firstChunk.Observe(static_cast<double>(waited.Count()));
     m_parts.m_events.Record("first_chunk",
@@ -116,7 +117,7 @@
                             aAttempt.m_spec.m_requestId);
   }
   if (!aResult.m_readerGone) {
-    const absl::Status taken = co_await aSink.OnData(aChunk.data);
+    const absl::Status taken = co_await aSink.OnData(aChunks.m_data);
     if (!taken.ok()) {
       aResult.m_readerGone = true;
       OnReaderGone(aAttempt);
@@ -125,7 +126,7 @@
   const size_t credit = aAttempt.m_assembler.Release(bytes);
   if (credit > 0 && aAttempt.m_link) {
     wire::CreditT grant;
-    grant.request_id = aChunk.request_id;
+    grant.request_id = aAttempt.m_spec.m_requestId;
     grant.attempt = aAttempt.m_number;
     grant.bytes = static_cast<uint32_t>(credit);
     (void)aAttempt.m_link->Send(wire::MakeMessage(std::move(grant)));
@@ -203,8 +204,8 @@
       over = late               ? FailurePoint::DeadlinePassed
              : !aAttempt.m_link ? FailurePoint::AgentUnreachable
                                 : FailurePoint::AnswerCut;
-    } else if (const auto* chunk = std::get_if<wire::ChunkT>(&*event)) {
-      over = co_await OnChunk(*chunk, aAttempt, aSink, aResult);
+    } else if (const auto* chunks = std::get_if<Chunks>(&*event)) {
+      over = co_await OnChunks(*chunks, aAttempt, aSink, aResult);
     } else if (const auto* end = std::get_if<wire::EndT>(&*event)) {
       over = OnEnd(*end, aAttempt, aResult);
     } else if (const auto* rejected = std::get_if<wire::RejectedT>(&*event)) {
--- a/chivefront/entry/runner.h
+++ b/chivefront/entry/runner.h
@@ -97,10 +97,10 @@
                                 Attempt& aAttempt,
                                 AnswerSink& aSink,
                                 RunResult& aResult);
-  net::Task<std::optional<FailurePoint>> OnChunk(const wire::ChunkT& aChunk,
-                                                 Attempt& aAttempt,
-                                                 AnswerSink& aSink,
-                                                 RunResult& aResult);
+  net::Task<std::optional<FailurePoint>> OnChunks(const Chunks& aChunks,
+                                                  Attempt& aAttempt,
+                                                  AnswerSink& aSink,
+                                                  RunResult& aResult);
   std::optional<FailurePoint> OnEnd(const wire::EndT& aEnd,
                                     Attempt& aAttempt,
                                     RunResult& aResult);
--- a/chivefront/entry/running.cc
+++ b/chivefront/entry/running.cc
@@ -11,12 +11,35 @@
 size_t
 BytesOf(const AttemptEvent& aEvent)
 {
-  const auto* chunk = std::get_if<wire::ChunkT>(&aEvent);
-  return chunk == nullptr ? 0 : chunk->data.size();
+  const auto* chunks = std::get_if<Chunks>(&aEvent);
+  return chunks == nullptr ? 0 : chunks->m_data.size();
 }
 
 } // namespace detail
 
+bool
+Mailbox::JoinLast(const AttemptEvent& aEvent)
+{
+  const auto* next = std::get_if<Chunks>(&aEvent);
+  auto* last =
+    m_events.empty() ? nullptr : std::get_if<Chunks>(&m_events.back());
+  if (!m_joining || next == nullptr || last == nullptr ||
+      last->m_attempt != next->m_attempt ||
+      last->m_first + last->m_count != next->m_first) {
+    return false;
+  }
+  last->m_data += next->m_data;
+  last->m_count += next->m_count;
+  return true;
+}
+
+void
+Mailbox::StopJoining()
+{
+  const std::lock_guard lock(m_lock);
+  m_joining = false;
+}
+
 void
 Mailbox::Push(AttemptEvent aEvent)
 {
@@ -27,7 +50,9 @@
       m_events.emplace_back(Overrun{});
     } else {
       m_bytes += bytes;
-      m_events.push_back(std::move(aEvent));
+      if (!JoinLast(aEvent)) {
+        m_events.push_back(std::move(aEvent));
+      }
     }
   }
   // Runs after the waiting coroutine is suspended, because both run on the
--- a/chivefront/entry/running.h
+++ b/chivefront/entry/running.h
@@ -33,13 +33,22 @@
 {
   net::Link::Pointer m_link;
 };
+// Chunks of an answer that follow each other, joined: engines send a token a
+// chunk, and kept one by one a small chunk takes several times its size.
+struct Chunks
+{
+  uint32_t m_attempt = 0;
+  uint32_t m_first = 0; // sequence number of the first
+  uint32_t m_count = 1;
+  std::string m_data;
+};
 // The agent sent more than the mailbox may hold.
 struct Overrun
 {};
 
 using AttemptEvent = std::variant<wire::RejectedT,
                                   wire::StartedT,
-                                  wire::ChunkT,
+                                  Chunks,
                                   wire::EndT,
                                   LinkDown,
                                   LinkUp,
@@ -58,15 +67,20 @@
   void Push(AttemptEvent aEvent);
   // The next event, or nothing when aUntil passes first.
   net::Task<std::optional<AttemptEvent>> Next(base::TimePoint aUntil);
+  // From now on chunks are kept one by one. Called when a stream is asked for
+  // again, so that joined chunks are never partly repeated ones.
+  void StopJoining();
 
 private:
   std::optional<AttemptEvent> Pop();
+  bool JoinLast(const AttemptEvent& aEvent);
 
   net::asio::steady_timer m_timer;
   const size_t m_maxBytes;
   std::mutex m_lock;
   std::deque<AttemptEvent> m_events; // guarded by m_lock
-  size_t m_bytes = 0;                // of chunks in m_events, <= m_maxBytes
+  bool m_joining = true;
+  size_t m_bytes = 0; // of chunks in m_events, <= m_maxBytes
 };
 
 struct RunningAttempt
--- a/chivefront/entry/stream_assembler.cc
+++ b/chivefront/entry/stream_assembler.cc
@@ -14,7 +14,10 @@
 } // namespace detail
 
 StreamAssembler::Verdict
-StreamAssembler::OnChunk(uint32_t aAttempt, uint32_t aSequence, size_t aBytes)
+StreamAssembler::OnChunk(uint32_t aAttempt,
+                         uint32_t aSequence,
+                         size_t aBytes,
+                         uint32_t aCount)
 {
   if (aAttempt != m_attempt) {
     return Verdict::Stale;
@@ -30,7 +33,7 @@
   }
   m_received += aBytes;
   m_held += aBytes;
-  ++m_next;
+  m_next += aCount;
   return Verdict::Accepted;
 }
 
--- a/chivefront/entry/stream_assembler.h
+++ b/chivefront/entry/stream_assembler.h
@@ -38,8 +38,12 @@
   {
   }
 
-  // An accepted chunk's data is the next data of the answer.
-  Verdict OnChunk(uint32_t aAttempt, uint32_t aSequence, size_t aBytes);
+  // An accepted chunk's data is the next data of the answer. aCount chunks
+  // that follow each other may be given as one.
+  Verdict OnChunk(uint32_t aAttempt,
+                  uint32_t aSequence,
+                  size_t aBytes,
+                  uint32_t aCount = 1);
   // False when the end belongs to another attempt.
   bool OnEnd(uint32_t aAttempt, uint32_t aChunks);
 
