--- a/bench/cases.h
+++ b/bench/cases.h
@@ -26,6 +26,9 @@
 // Placement rules under late load reports.
 void
 RunPlacement(const Seeds& aSeeds, Report& aReport);
+// Work sent to an engine that becomes cold without warning.
+void
+RunLimiterCase(const Seeds& aSeeds, Report& aReport);
 // Attempts per request in an outage and its recovery.
 void
 RunRetries(const Seeds& aSeeds, Report& aReport);
--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -23,7 +23,7 @@
     { "cascade", bench::RunCascade }, { "classes", bench::RunClasses },
     { "rollout", bench::RunRollout }, { "placement", bench::RunPlacement },
     { "retries", bench::RunRetries }, { "suspects", bench::RunSuspects },
-    { "domain", bench::RunDomain },
+    { "domain", bench::RunDomain },   { "limiter", bench::RunLimiterCase },
   };
   bench::Seeds seeds;
   std::vector<std::string> wanted;
