--- a/bench/pool_engines.cc
+++ b/bench/pool_engines.cc
@@ -17,9 +17,7 @@
 {
   Engine& engine = m_engines[aEngine];
   Request& request = m_requests.at(aId);
-  const bool full = engine.m_limiter->Running() >= engine.m_limiter->Limit();
-  if (!m_settings.m_credits || (!full && engine.m_queue->Size() == 0)) {
-    Start(aEngine, aId);
+  if (engine.m_queue->Size() == 0 && Start(aEngine, aId)) {
     return;
   }
   const policy::QueueItem item{ aId,
@@ -46,7 +44,7 @@
   }
 }
 
-void
+bool
 Pool::Start(size_t aEngine, uint64_t aId)
 {
   Engine& engine = m_engines[aEngine];
@@ -54,6 +52,9 @@
   UpstreamLimiter::Work work;
   work.m_stream = true;
   auto ticket = engine.m_limiter->TryAdmit(work, At(m_now));
+  if (!ticket && m_settings.m_credits) {
+    return false;
+  }
   ++engine.m_running;
   if (engine.m_running > engine.m_capacity) {
     ++m_result.m_overSent;
@@ -87,6 +88,7 @@
   });
   After(first + rest,
         [this, aEngine, aId, shared] { Finish(aEngine, aId, *shared); });
+  return true;
 }
 
 void
@@ -109,12 +111,11 @@
   }
   Record(request);
   m_requests.erase(aId);
-  while (engine.m_limiter->Running() < engine.m_limiter->Limit()) {
-    const auto next = engine.m_queue->Pop(At(m_now));
-    if (!next) {
+  while (const policy::QueueItem* next = engine.m_queue->Peek(At(m_now))) {
+    if (!Start(aEngine, next->m_id)) {
       break;
     }
-    Start(aEngine, next->m_id);
+    engine.m_queue->Pop(At(m_now));
   }
   for (const uint64_t id : engine.m_queue->TakeExpired(At(m_now))) {
     Refuse(id, true);
--- a/bench/pool_run.h
+++ b/bench/pool_run.h
@@ -95,7 +95,7 @@
   void Enqueue(Entry& aEntry, Request& aRequest);
   void Pump(Entry& aEntry);
   void ArriveAtAgent(size_t aEngine, uint64_t aId);
-  void Start(size_t aEngine, uint64_t aId);
+  bool Start(size_t aEngine, uint64_t aId);
   void Finish(size_t aEngine, uint64_t aId, UpstreamLimiter::Ticket aTicket);
   void Report(size_t aEngine, Entry& aEntry) const;
   void ReportAll(size_t aEngine);
--- a/chivefront/policy/limiter.cc
+++ b/chivefront/policy/limiter.cc
@@ -24,13 +24,19 @@
 } // namespace
 
 bool
-LatencyStep::Add(base::Millis aLatency)
+LatencyStep::IsHigh(base::Millis aWaited) const
 {
   const double value =
-    std::log(static_cast<double>(std::max<int64_t>(aLatency.Count(), 1)));
+    std::log(static_cast<double>(std::max<int64_t>(aWaited.Count(), 1)));
   const double margin =
     std::max(std::log(kMinRatio), kDeviations * std::sqrt(m_variance));
-  if (m_samples >= kMinSamples && value > m_mean + margin) {
+  return m_samples >= kMinSamples && value > m_mean + margin;
+}
+
+bool
+LatencyStep::Add(base::Millis aLatency)
+{
+  if (IsHigh(aLatency)) {
     // High samples stay out of the mean until they prove to be a step, else
     // the first ones would hide the rest.
     return ++m_highRun >= kRunLength;
@@ -38,6 +44,8 @@
   m_highRun = 0;
   ++m_samples;
   const double weight = std::max(kSampleWeight, 1.0 / m_samples);
+  const double value =
+    std::log(static_cast<double>(std::max<int64_t>(aLatency.Count(), 1)));
   const double distance = value - m_mean;
   m_mean += weight * distance;
   m_variance = (1 - weight) * (m_variance + weight * distance * distance);
@@ -60,11 +68,17 @@
 std::optional<UpstreamLimiter::Ticket>
 UpstreamLimiter::TryAdmit(const Work& aWork, base::TimePoint aNow)
 {
+  if (m_limit > m_rule.m_coldLimit && Overdue(aNow)) {
+    Drop(m_rule.m_coldLimit);
+  }
   if (m_running >= m_limit || aNow < m_pausedUntil ||
       (aWork.m_suspect && m_suspectRunning)) {
     return std::nullopt;
   }
   ++m_running;
+  if (aWork.m_stream) {
+    m_awaiting.insert(aNow);
+  }
   m_suspectRunning = m_suspectRunning || aWork.m_suspect;
   Ticket ticket;
   ticket.m_work = aWork;
@@ -79,6 +93,7 @@
 UpstreamLimiter::OnFirstByte(Ticket& aTicket, base::TimePoint aNow)
 {
   if (aTicket.m_work.m_stream && !aTicket.m_timed) {
+    NoteFirstByte(aTicket);
     AddLatency(aTicket, aNow);
     aTicket.m_timed = true;
   }
@@ -93,6 +108,9 @@
     return;
   }
   --m_running;
+  if (aTicket.m_work.m_stream && !aTicket.m_timed) {
+    NoteFirstByte(aTicket);
+  }
   if (aTicket.m_work.m_suspect) {
     m_suspectRunning = false;
   }
@@ -151,9 +169,33 @@
 {
   ++m_generation;
   m_running = 0;
+  m_awaiting.clear();
   m_suspectRunning = false;
 }
 
+void
+UpstreamLimiter::NoteFirstByte(const Ticket& aTicket)
+{
+  const auto found = m_awaiting.find(aTicket.m_admitted);
+  if (aTicket.m_generation == m_generation && found != m_awaiting.end()) {
+    m_awaiting.erase(found);
+  }
+}
+
+// A stalled upstream gives no samples, so those still waited for count too.
+bool
+UpstreamLimiter::Overdue(base::TimePoint aNow) const
+{
+  uint32_t high = m_streamLatency.HighRun();
+  for (const base::TimePoint admitted : m_awaiting) {
+    if (high >= kRunLength || !m_streamLatency.IsHigh(aNow - admitted)) {
+      break;
+    }
+    ++high;
+  }
+  return high >= kRunLength;
+}
+
 void
 UpstreamLimiter::AddLatency(const Ticket& aTicket, base::TimePoint aNow)
 {
--- a/chivefront/policy/limiter.h
+++ b/chivefront/policy/limiter.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,10 @@
 public:
   // True when the last kRunLength samples were all far above the mean.
   bool Add(base::Millis aLatency);
+  // True when a latency of at least aWaited would count as far above.
+  bool IsHigh(base::Millis aWaited) const;
+  // Samples far above the mean in a row so far.
+  uint32_t HighRun() const { return m_highRun; }
   void Reset() { *this = LatencyStep(); }
 
 private:
@@ -83,6 +88,8 @@
   // and holds none of the requests admitted before.
   void OnIncarnation(std::string_view aIncarnation, base::TimePoint aNow);
 
+  // For reports. Only TryAdmit decides: it may drop the limit itself, when
+  // first bytes are overdue.
   uint32_t Limit() const { return m_limit; }
   uint32_t Running() const { return m_running; }
   bool SuspectRunning() const { return m_suspectRunning; }
@@ -96,6 +103,8 @@
   void Forget();
   void AddLatency(const Ticket& aTicket, base::TimePoint aNow);
   void AddSuccess(const Ticket& aTicket);
+  void NoteFirstByte(const Ticket& aTicket);
+  bool Overdue(base::TimePoint aNow) const;
 
   catalog::UpstreamRule m_rule;
   std::string m_incarnation;
@@ -107,6 +116,8 @@
   uint64_t m_generation = 0; // rises when running work becomes void
   uint64_t m_epoch = 0;      // rises when the limit drops
   base::TimePoint m_pausedUntil;
+  // Admission times of streams without a first byte.
+  std::multiset<base::TimePoint> m_awaiting;
   LatencyStep m_streamLatency; // to the first byte
   LatencyStep m_unaryLatency;  // to the whole answer
 };
--- a/chivefront/policy/limiter_test.cc
+++ b/chivefront/policy/limiter_test.cc
@@ -147,6 +147,36 @@
   BOOST_TEST(limiter.Limit() == 2U);
 }
 
+// Guards against an upstream that stalls: without a first byte there is no
+// latency to see, and new work would go on to it.
+BOOST_AUTO_TEST_CASE(OverdueFirstBytesDropTheLimit)
+{
+  auto rule = Rule();
+  rule.m_coldLimit = 1;
+  UpstreamLimiter limiter(rule);
+  int64_t now = 0;
+  while (limiter.Limit() < 8) {
+    auto ticket = limiter.TryAdmit({ .m_stream = true }, At(now));
+    auto other = limiter.TryAdmit({ .m_stream = true }, At(now));
+    auto third = limiter.TryAdmit({ .m_stream = true }, At(now));
+    auto fourth = limiter.TryAdmit({ .m_stream = true }, At(now));
+    now += 100;
+    for (auto* each : { &ticket, &other, &third, &fourth }) {
+      if (*each) {
+        limiter.OnFirstByte(**each, At(now));
+        limiter.Finish(**each, Result::Success, At(now));
+      }
+    }
+  }
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(limiter.TryAdmit({ .m_stream = true }, At(now)).has_value());
+  }
+  BOOST_TEST(limiter.TryAdmit({ .m_stream = true }, At(now + 150)).has_value());
+  BOOST_TEST(
+    !limiter.TryAdmit({ .m_stream = true }, At(now + 400)).has_value());
+  BOOST_TEST(limiter.Limit() == 1U);
+}
+
 // Guards against two suspects on one upstream, which would make the innocent
 // one of them look guilty when it crashes.
 BOOST_AUTO_TEST_CASE(OneSuspectAtATime)
