--- a/bench/slopes/commit_cases.cc
+++ b/bench/slopes/commit_cases.cc
@@ -115,8 +115,8 @@
     const std::string suffix = "." + std::to_string(window);
     Slope cpu{ "commit.cpu" + suffix, "us per commit, 3 replicas", {}, {} };
     Slope wall{ "commit.wall" + suffix, "us per commit", {}, {} };
-    for (const double wanted : { 500.0, 1000.0, 2000.0 }) {
-      const double factor = window == 1 ? 0.2 : 1.0;
+    for (const double wanted : { 1000.0, 4000.0, 16000.0 }) {
+      const double factor = window == 1 ? 0.1 : 1.0;
       const auto count =
         std::max<size_t>(10, static_cast<size_t>(wanted * factor * aScale));
       const double cpuStart = ProcessCpuMicros();
