Expire announcements without walking over all agents each time

Change: the registry remembers the earliest expiry and returns until then. The residual of a slope is now relative to each point, so that such a curve shows.

--- a/bench/slopes/fit.cc
+++ b/bench/slopes/fit.cc
@@ -19,11 +19,9 @@
   const double count = static_cast<double>(aPoints.size());
   double sumX = 0;
   double sumY = 0;
-  double largest = 0;
   for (const Point& point : aPoints) {
     sumX += point.m_size;
     sumY += point.m_value;
-    largest = std::max(largest, std::abs(point.m_value));
   }
   const double meanX = sumX / count;
   const double meanY = sumY / count;
@@ -39,9 +37,11 @@
   for (const Point& point : aPoints) {
     const double off =
       point.m_value - (line.m_intercept + line.m_slope * point.m_size);
-    line.m_residual = std::max(line.m_residual, std::abs(off));
+    if (point.m_value != 0) {
+      line.m_residual =
+        std::max(line.m_residual, std::abs(off / point.m_value));
+    }
   }
-  line.m_residual = largest == 0 ? 0 : line.m_residual / largest;
   return line;
 }
 
--- a/bench/slopes/fit.h
+++ b/bench/slopes/fit.h
@@ -17,8 +17,8 @@
 {
   double m_slope = 0;
   double m_intercept = 0;
-  // Largest distance of a point from the line, as a share of the largest
-  // measured value.
+  // Largest distance of a point from the line, as a share of the point's own
+  // value, so that a curve shows at its small sizes too.
   double m_residual = 0;
 };
 
--- a/chivefront/control/registry.cc
+++ b/chivefront/control/registry.cc
@@ -1,6 +1,8 @@
 // Announcements, expiry and deltas of the upstream registry.
 #include "chivefront/control/registry.h"
 
+#include <algorithm>
+
 namespace chivefront::control {
 namespace detail {
 
@@ -96,8 +98,15 @@
 void
 UpstreamRegistry::Expire(base::TimePoint aNow)
 {
+  // Every agent lives at least until then, so there is nothing to look for.
+  // Without this each announcement would walk over all agents.
+  if (aNow < m_expiryDue) {
+    return;
+  }
+  m_expiryDue = aNow + kAnnounceLife;
   for (auto agent = m_agents.begin(); agent != m_agents.end();) {
     if (aNow < agent->second.m_expires) {
+      m_expiryDue = std::min(m_expiryDue, agent->second.m_expires);
       ++agent;
       continue;
     }
--- a/scripts/lib/capacity.py
+++ b/scripts/lib/capacity.py
@@ -83,7 +83,7 @@
     page.say()
     page.say("Command: `scripts/slopes`, which runs `slopes --json`: three sizes per "
              "slope, a least-squares line, and the largest distance of a point from "
-             "the line as a share of the largest value. Both ends of links run in "
+             "the line as a share of that point. Both ends of links run in "
              "one process on a shared machine, so CPU figures vary from run to run.")
     page.say()
     page.table(["slope", "value", "unit", "residual"], [
