Let the soak's callers start with the deployment, and refuse empty runs

Cause: the first soak passed with 0 requests: its callers probed entries before they were started and their thread ended. Change: the balancer starts with the callers; a run in which fewer than half of the requests were answered fails. Conclusion: a run without answers can no longer pass.

--- a/scripts/lib/callers.py
+++ b/scripts/lib/callers.py
@@ -41,6 +41,8 @@
         self.deployment = deployment
         self.ready = set()
         self.stopping = False
+
+    def start(self):
         threading.Thread(target=self._probe, daemon=True).start()
 
     def _probe(self):
@@ -66,6 +68,7 @@
         self.threads = []
 
     def start(self):
+        self.balancer.start()
         jobs = [self._chat] * 8 + [self._booking] * 3 + [self._forbidden]
         for number, job in enumerate(jobs):
             rng = random.Random(self.seed * 1000 + number)
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -166,7 +166,7 @@
     def admin(self, name, path):
         try:
             return http("GET", self.address(name, "admin"), path, seconds=5)
-        except OSError:
+        except (OSError, KeyError):  # KeyError: it is being started
             return 0, {}, b""
 
     def status(self):
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -393,6 +393,11 @@
         for promise in promises + extra:
             print(f"   {promise:14} {self.violations[promise]}"
                   f"  {self.examples.get(promise, '')}")
+        answered = sum(1 for h in heard if h.status == 200 and h.whole)
+        if answered < len(heard) / 2 or answered == 0:
+            print(f"only {answered} of {len(heard)} requests were answered: "
+                  "the run proves little")
+            return 1
         return sum(self.violations.values())
 
 
