Soak operators' commands together with a second fault

Change: out-of-service commands and operator races run beside a cut, isolated, frozen or silenced process; slopes measure memory by what the allocator holds.

--- a/bench/slopes/fit.cc
+++ b/bench/slopes/fit.cc
@@ -2,12 +2,10 @@
 #include "bench/slopes/fit.h"
 
 #include <sys/resource.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
-#include <fstream>
 
 #include <malloc.h>
 
@@ -59,14 +57,10 @@
 }
 
 double
-ResidentBytes()
+AllocatedBytes()
 {
-  malloc_trim(0); // memory freed by earlier measurements does not count
-  std::ifstream statm("/proc/self/statm");
-  double total = 0;
-  double resident = 0;
-  statm >> total >> resident;
-  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+  const struct mallinfo2 info = mallinfo2();
+  return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
 }
 
 void
--- a/bench/slopes/fit.h
+++ b/bench/slopes/fit.h
@@ -39,9 +39,10 @@
 double
 ProcessCpuMicros();
 
-// Resident memory of this process in bytes.
+// Bytes that this process holds from the allocator. Resident memory would
+// depend on what earlier measurements freed.
 double
-ResidentBytes();
+AllocatedBytes();
 
 // Prints the slopes as a table, then as JSON lines when aJson is set.
 void
--- a/bench/slopes/link_cases.cc
+++ b/bench/slopes/link_cases.cc
@@ -126,14 +126,14 @@
   const auto span = std::chrono::milliseconds(
     static_cast<int64_t>(4000 * std::max(aScale, 0.25)));
   for (const size_t links : { 10, 100, 300 }) {
-    const double before = ResidentBytes();
+    const double before = AllocatedBytes();
     const double cpuBefore = ProcessCpuMicros();
     Bed bed;
     bed.Connect(links);
     const double connected = ProcessCpuMicros();
     const double size = static_cast<double>(links);
     connect.m_points.push_back({ size, (connected - cpuBefore) / kEnds });
-    memory.m_points.push_back({ size, (ResidentBytes() - before) / kEnds });
+    memory.m_points.push_back({ size, (AllocatedBytes() - before) / kEnds });
     const double start = ProcessCpuMicros();
     std::this_thread::sleep_for(span);
     const double used = ProcessCpuMicros() - start;
--- a/bench/slopes/state_cases.cc
+++ b/bench/slopes/state_cases.cc
@@ -62,13 +62,13 @@
   Slope bytes{ "catalogue.snapshot.bytes", "bytes per entry", {}, {} };
   for (const size_t count : kSizes) {
     const double size = static_cast<double>(count);
-    const double before = ResidentBytes();
+    const double before = AllocatedBytes();
     const catalog::Entries entries = Teams(count);
     const double start = ProcessCpuMicros();
     std::vector<catalog::EntryError> errors;
     const catalog::Pointer built = catalog::Build(entries, 1, errors);
     cpu.m_points.push_back({ size, ProcessCpuMicros() - start });
-    memory.m_points.push_back({ size, ResidentBytes() - before });
+    memory.m_points.push_back({ size, AllocatedBytes() - before });
     wire::WatchReplyT reply;
     for (const auto& [key, value] : entries) {
       auto entry = std::make_unique<wire::ConfigEntryT>();
@@ -97,19 +97,21 @@
   Slope bytes{ "registry.snapshot.bytes", "bytes per upstream", {}, {} };
   for (const size_t count : kSizes) {
     const double size = static_cast<double>(count);
-    const double before = ResidentBytes();
+    const double before = AllocatedBytes();
     control::UpstreamRegistry registry(1);
     constexpr int kRounds = 5;
     double start = 0;
     for (int round = 0; round <= kRounds; ++round) {
       if (round == 1) {
-        memory.m_points.push_back({ size, ResidentBytes() - before });
+        memory.m_points.push_back({ size, AllocatedBytes() - before });
         start = ProcessCpuMicros();
       }
       for (size_t i = 0; i < count; ++i) {
         wire::AnnounceRequestT announcement;
         announcement.agent = "agent-" + std::to_string(i);
         announcement.incarnation = 1;
+        announcement.agent_address = "10.20.30.40:5060";
+        announcement.failure_domain = "region-07-domain-3";
         announcement.upstreams.push_back(
           std::make_unique<wire::UpstreamInfoT>(UpstreamRow(i)));
         registry.Announce(announcement, base::TimePoint());
@@ -182,7 +184,7 @@
   for (const double wanted : { 5000.0, 20000.0, 60000.0 }) {
     const auto count = static_cast<size_t>(wanted * aScale);
     const double size = static_cast<double>(count);
-    const double before = ResidentBytes();
+    const double before = AllocatedBytes();
     ledger::Ledger ledger;
     double logBytes = 0;
     double applied = 0;
@@ -195,7 +197,7 @@
       applied += ProcessCpuMicros() - start;
     }
     cpu.m_points.push_back({ size, applied });
-    memory.m_points.push_back({ size, ResidentBytes() - before });
+    memory.m_points.push_back({ size, AllocatedBytes() - before });
     bytes.m_points.push_back({ size, logBytes });
   }
   for (Slope* slope : { &cpu, &memory, &bytes }) {
--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -6,10 +6,12 @@
 """
 import argparse
 import collections
+import concurrent.futures
 import json
 import os
 import random
 import sys
+import threading
 import time
 
 from callers import Callers
@@ -22,6 +24,11 @@
 # One host clock serves all processes here; this covers the rounding to ms.
 CLOCK_SLACK_SECONDS = 0.005
 
+# Operators' commands meet a second fault at the same time: a process that does
+# not hear of the change is what they have to be safe against.
+OPERATOR_FAULTS = {"fault_domain_out", "fault_upstream_out",
+                   "fault_version_out", "fault_operator_race"}
+
 COLD = ["--bound", "8", "--cold-bound", "2", "--cold-requests", "6",
         "--token-ms", "4", "--exit-on-overload"]
 
@@ -230,7 +237,6 @@
             with open(path, "w") as handle:
                 json.dump(entries, handle)
             paths.append(path)
-        import concurrent.futures
         with concurrent.futures.ThreadPoolExecutor(2) as pool:
             codes = sorted(pool.map(lambda path: self.deployment.ctl(
                 "catalogue", "apply", path, "--expect",
@@ -245,6 +251,9 @@
         self.deployment.load_catalogue("examples/salins.json")
         self.callers.start()
         names = sorted(n for n in dir(self) if n.startswith("fault_"))
+        disturbing = ["fault_cut_links", "fault_isolate_control",
+                      "fault_freeze_control", "fault_freeze_entry",
+                      "fault_freeze_agent", "fault_silence_connections"]
         end = time.time() + self.seconds
         revision = 0
         order = []
@@ -252,9 +261,8 @@
             if not order:
                 order = self.rng.sample(names, len(names))
             name = order.pop()
-            print(f"   {name[6:]}", flush=True)
-            self.faults[name[6:]] += 1
-            getattr(self, name)()
+            self.inject(name, self.rng.choice(disturbing)
+                        if name in OPERATOR_FAULTS else None)
             self.deployment.wait_ready(40)
             revision = self.check_revision(revision)
             self.check_exits()
@@ -267,6 +275,21 @@
         if bad:
             self.violate("graceful", f"exit codes at the end: {bad}")
 
+    def inject(self, name, second):
+        """Runs a fault; with a second one, both at the same time."""
+        print(f"   {name[6:]}" + (f" with {second[6:]}" if second else ""),
+              flush=True)
+        self.faults[name[6:]] += 1
+        other = None
+        if second:
+            self.faults[second[6:]] += 1
+            other = threading.Thread(target=getattr(self, second))
+            other.start()
+            time.sleep(self.rng.uniform(0.0, 1.0))
+        getattr(self, name)()
+        if other:
+            other.join()
+
     def check_revision(self, last):
         revision = self.deployment.status().get("revision", last)
         if revision < last:
