Cut every entry and agent from control in the soak

Cause: a build whose freshness lease never ends passed the soak: with one process cut off, the check at the other end of the dispatch still held. Change: a fault that cuts all entries and agents from control while the links between them live, beside operators' commands.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -123,6 +123,17 @@
         for relay in relays:
             relay.set_mode("forward")
 
+    def fault_cut_everyone(self):
+        """All entries and agents lose control; the links between them live."""
+        mode = self.rng.choice(["cut", "silent"])
+        relays = [r for key, r in self.deployment.relays.items()
+                  if not key.startswith("control-")]
+        for relay in relays:
+            relay.set_mode(mode)
+        time.sleep(6.0)
+        for relay in relays:
+            relay.set_mode("forward")
+
     def fault_isolate_control(self):
         """A control process is cut off silently from its peers and watchers."""
         name = self.rng.choice(self.deployment.controls)
@@ -251,7 +262,8 @@
         self.deployment.load_catalogue("examples/salins.json")
         self.callers.start()
         names = sorted(n for n in dir(self) if n.startswith("fault_"))
-        disturbing = ["fault_cut_links", "fault_isolate_control",
+        disturbing = ["fault_cut_links", "fault_cut_everyone",
+                      "fault_isolate_control",
                       "fault_freeze_control", "fault_freeze_entry",
                       "fault_freeze_agent", "fault_silence_connections"]
         end = time.time() + self.seconds
