Withdraw versions that turn bad after their roll-out

A version that turned bad after its roll-out was done stayed in service.

Change: the leader of the configuration group looks every 2 s at the pooled evidence of each version in general use. A version that turned bad is withdrawn in one change, which also moves the model's version to a replacement and stops a done roll-out to the bad version. Without another version that is in service, allowed and proved, it records the event version_turned_bad and names the version in status.

Conclusion: a late turn ends in a committed withdrawal. Not covered: a new leader takes its reference from totals that may include bad times, and a rating service that starts to reject good answers looks like a late turn.

--- a/chivefront/control/policy_judge.cc
+++ b/chivefront/control/policy_judge.cc
@@ -8,6 +8,8 @@
 // hold; without it, hold and resume would alternate with every report.
 constexpr base::Millis kShortestHold{ 5000 };
 
+} // namespace detail
+
 policy::VersionCounts
 CountsOf(const wire::VersionEvidenceT& aRow)
 {
@@ -21,8 +23,6 @@
   return counts;
 }
 
-} // namespace detail
-
 RolloutDecision
 PolicyJudge::Judge(const catalog::Rollout& aRollout,
                    const wire::VersionEvidenceT& aFrom,
@@ -33,8 +33,8 @@
   Test& test =
     m_tests.try_emplace(key, Test{ policy::RolloutJudge(m_settings), aNow })
       .first->second;
-  const policy::Verdict verdict = test.m_judge.Look(detail::CountsOf(aTo),
-                                                    detail::CountsOf(aFrom),
+  const policy::Verdict verdict = test.m_judge.Look(CountsOf(aTo),
+                                                    CountsOf(aFrom),
                                                     aRollout.m_stage,
                                                     aRollout.m_maxExposed,
                                                     aNow);
--- a/chivefront/control/policy_judge.h
+++ b/chivefront/control/policy_judge.h
@@ -10,6 +10,9 @@
 
 namespace chivefront::control {
 
+policy::VersionCounts
+CountsOf(const wire::VersionEvidenceT& aRow);
+
 class PolicyJudge final : public RolloutJudge
 {
 public:
--- a/chivefront/control/server.cc
+++ b/chivefront/control/server.cc
@@ -9,7 +9,6 @@
 #include "chivefront/base/errors.h"
 #include "chivefront/base/ids.h"
 #include "chivefront/client/lease.h"
-#include "chivefront/control/system_changes.h"
 
 namespace chivefront::control {
 namespace detail {
@@ -405,35 +404,4 @@
   return revision;
 }
 
-net::Task<bool>
-Server::ProposeSystemChanges()
-{
-  const bool leads =
-    m_parts.m_config.Status().m_role == consensus::RaftRole::Leader;
-  if (!leads || m_systemChange || !Fresh()) {
-    co_return !m_stopped;
-  }
-  std::vector<wire::ChangeRequestT> changes =
-    QuarantineChanges(m_parts.m_store, m_parts.m_ledger.Crashers());
-  if (changes.empty()) {
-    changes = RolloutChanges(
-      m_parts.m_store,
-      m_parts.m_judge,
-      [this](const std::string& aVersion) {
-        const std::lock_guard lock(m_lock);
-        return m_holders.Evidence(aVersion);
-      },
-      m_parts.m_clock.Now());
-  }
-  if (!changes.empty()) {
-    // One at a time: the next step is made from the configuration after it.
-    m_systemChange = true;
-    m_changes.Submit(
-      std::move(changes.front()),
-      Proposer::System,
-      [this](const wire::ChangeReplyT&) { m_systemChange = false; });
-  }
-  co_return !m_stopped;
-}
-
 } // namespace chivefront::control
--- a/chivefront/control/server.h
+++ b/chivefront/control/server.h
@@ -23,6 +23,7 @@
 #include "chivefront/control/holders.h"
 #include "chivefront/control/registry.h"
 #include "chivefront/control/rollout_judge.h"
+#include "chivefront/control/version_watch.h"
 #include "chivefront/ledger/ledger.h"
 #include "chivefront/ledger/log_time.h"
 #include "chivefront/net/link.h"
@@ -99,6 +100,11 @@
   net::Task<bool> KeepFresh();
   net::Task<void> AskLeader(net::Link::Pointer aLink);
   net::Task<bool> ProposeSystemChanges();
+  wire::VersionEvidenceT EvidenceFor(const std::string& aVersion);
+  // Withdrawals of versions that turned bad; notes those that it can't
+  // replace.
+  std::vector<wire::ChangeRequestT> WatchVersions();
+  std::set<std::string> Serving(const catalog::Catalog& aCatalog);
   // What an operator should look at now; also notes since when.
   Concerns FindConcerns(const catalog::Catalog* aCatalog);
   // Call these with m_lock held.
@@ -115,6 +121,9 @@
   std::atomic<bool> m_stopped{ false };
   std::atomic<bool> m_systemChange{ false }; // one is under way
   int m_step = 0; // of KeepFresh; used on its strand only
+  // Used on the strand of ProposeSystemChanges only.
+  VersionWatch m_versionWatch;
+  int m_systemStep = 0;
 
   base::Counter& m_watches;
   base::Counter& m_staleWatches;
@@ -135,6 +144,9 @@
   };
   std::vector<Seen> m_seen; // revisions of the last seconds, rising
   uint64_t m_inForce = 0;   // never decreases
+  // Versions that turned bad and have no replacement, with the measure. Known
+  // to the leader only.
+  std::map<std::string, std::string> m_unreplaced;
   // Soft: since when this process sees each present concern.
   std::map<std::string, base::TimePoint> m_concernSince;
 };
--- /dev/null
+++ b/chivefront/control/server_system.cc
@@ -0,0 +1,98 @@
+// Changes that the leader proposes by itself.
+#include <utility>
+
+#include "chivefront/control/server.h"
+#include "chivefront/control/system_changes.h"
+
+namespace chivefront::control {
+namespace detail {
+
+// Pooling the evidence of each version walks over all holders, so versions in
+// general use are looked at every 2 s only.
+constexpr int kStepsPerVersions = 8;
+
+} // namespace detail
+
+wire::VersionEvidenceT
+Server::EvidenceFor(const std::string& aVersion)
+{
+  const std::lock_guard lock(m_lock);
+  return m_holders.Evidence(aVersion);
+}
+
+std::set<std::string>
+Server::Serving(const catalog::Catalog& aCatalog)
+{
+  const std::lock_guard lock(m_lock);
+  std::set<std::string> versions;
+  for (const wire::UpstreamInfoT& upstream : m_registry.All()) {
+    if (!upstream.leaving && !upstream.version.empty() &&
+        catalog::CheckInService(
+          aCatalog, upstream.name, upstream.failure_domain)
+          .ok()) {
+      versions.insert(upstream.version);
+    }
+  }
+  return versions;
+}
+
+std::vector<wire::ChangeRequestT>
+Server::WatchVersions()
+{
+  VersionWatch::Outcome outcome = m_versionWatch.Look(
+    m_parts.m_store,
+    [this](const std::string& aVersion) { return EvidenceFor(aVersion); },
+    [this](const catalog::Catalog& aCatalog) { return Serving(aCatalog); });
+  std::map<std::string, std::string> before;
+  {
+    const std::lock_guard lock(m_lock);
+    before = std::exchange(m_unreplaced, outcome.m_unreplaced);
+  }
+  for (const auto& [version, measure] : outcome.m_unreplaced) {
+    if (before.count(version) == 0) {
+      m_parts.m_events.Record("version_turned_bad",
+                              { { "version", version },
+                                { "measure", measure },
+                                { "withdrawn", "false" } });
+    }
+  }
+  return std::move(outcome.m_changes);
+}
+
+net::Task<bool>
+Server::ProposeSystemChanges()
+{
+  const bool leads =
+    m_parts.m_config.Status().m_role == consensus::RaftRole::Leader;
+  if (!leads) {
+    const std::lock_guard lock(m_lock);
+    m_unreplaced.clear(); // the new leader's to report
+  }
+  if (!leads || m_systemChange || !Fresh()) {
+    co_return !m_stopped;
+  }
+  std::vector<wire::ChangeRequestT> changes =
+    QuarantineChanges(m_parts.m_store, m_parts.m_ledger.Crashers());
+  if (changes.empty()) {
+    changes = RolloutChanges(
+      m_parts.m_store,
+      m_parts.m_judge,
+      [this](const std::string& aVersion) { return EvidenceFor(aVersion); },
+      m_parts.m_clock.Now());
+  }
+  ++m_systemStep;
+  if (changes.empty() && m_systemStep % detail::kStepsPerVersions == 0) {
+    changes = WatchVersions();
+  }
+  if (!changes.empty()) {
+    // One at a time: the next step is made from the configuration after it.
+    m_systemChange = true;
+    m_changes.Submit(
+      std::move(changes.front()),
+      Proposer::System,
+      [this](const wire::ChangeReplyT&) { m_systemChange = false; });
+  }
+  co_return !m_stopped;
+}
+
+} // namespace chivefront::control
--- a/chivefront/control/status.cc
+++ b/chivefront/control/status.cc
@@ -213,6 +213,12 @@
   }
   const base::TimePoint now = m_parts.m_clock.Now();
   const std::lock_guard lock(m_lock);
+  for (const auto& [version, measure] : m_unreplaced) {
+    concerns["version " + version] =
+      "turned bad (" + measure +
+      ") and no other version of its model is in service: put one into "
+      "service, or take this one out of service";
+  }
   if (!m_holders.Behind(m_inForce, now).empty()) {
     concerns["watchers"] =
       "some hold an old revision and start no new work; check their links to "
--- a/chivefront/control/system_changes.cc
+++ b/chivefront/control/system_changes.cc
@@ -11,15 +11,6 @@
 
 constexpr const char* kSystemName = "system";
 
-void
-AddEntry(wire::ChangeRequestT& aChange, std::string aKey, std::string aValue)
-{
-  auto entry = std::make_unique<wire::ConfigEntryT>();
-  entry->key = std::move(aKey);
-  entry->value = std::move(aValue);
-  aChange.entries.push_back(std::move(entry));
-}
-
 // The entry of aRollout after aDecision.
 std::string
 NextEntry(const std::string& aText,
@@ -65,6 +56,26 @@
 
 } // namespace detail
 
+wire::ChangeRequestT
+SystemChange(const std::string& aName, uint64_t aExpected)
+{
+  wire::ChangeRequestT change;
+  change.change_id =
+    absl::StrCat(detail::kSystemName, "/", aName, "/", aExpected);
+  change.operator_name = detail::kSystemName;
+  change.expected_revision = aExpected;
+  return change;
+}
+
+void
+AddEntry(wire::ChangeRequestT& aChange, std::string aKey, std::string aValue)
+{
+  auto entry = std::make_unique<wire::ConfigEntryT>();
+  entry->key = std::move(aKey);
+  entry->value = std::move(aValue);
+  aChange.entries.push_back(std::move(entry));
+}
+
 std::vector<wire::ChangeRequestT>
 QuarantineChanges(const ConfigStore& aStore,
                   const std::vector<ledger::Crasher>& aCrashers)
@@ -83,8 +94,7 @@
     if (!aStore.TextOf(key).empty() || aStore.OutcomeOf(change.change_id)) {
       continue;
     }
-    detail::AddEntry(
-      change, key, absl::StrCat("{\"losses\":", crasher.m_losses, "}"));
+    AddEntry(change, key, absl::StrCat("{\"losses\":", crasher.m_losses, "}"));
     changes.push_back(std::move(change));
   }
   return changes;
@@ -113,14 +123,10 @@
     if (decision.m_verdict == RolloutVerdict::Wait || text.empty()) {
       continue;
     }
-    wire::ChangeRequestT change;
-    change.change_id =
-      absl::StrCat(detail::kSystemName, "/", key, "/", catalog->m_revision);
-    change.operator_name = detail::kSystemName;
-    change.expected_revision = catalog->m_revision;
-    detail::AddEntry(change, key, detail::NextEntry(text, rollout, decision));
+    wire::ChangeRequestT change = SystemChange(key, catalog->m_revision);
+    AddEntry(change, key, detail::NextEntry(text, rollout, decision));
     if (decision.m_verdict == RolloutVerdict::Stop) {
-      detail::AddEntry(change, "out/version/" + rollout.m_to, "{}");
+      AddEntry(change, "out/version/" + rollout.m_to, "{}");
     }
     changes.push_back(std::move(change));
   }
--- a/chivefront/control/system_changes.h
+++ b/chivefront/control/system_changes.h
@@ -11,6 +11,13 @@
 
 namespace chivefront::control {
 
+// An empty change proposed by the control process itself. aName is unique
+// among changes made from the same revision.
+wire::ChangeRequestT
+SystemChange(const std::string& aName, uint64_t aExpected);
+void
+AddEntry(wire::ChangeRequestT& aChange, std::string aKey, std::string aValue);
+
 // One change per request that crashed often enough and is not quarantined.
 // The change id holds the time of the last loss, so that a quarantine lifted
 // by an operator returns only after another loss.
--- /dev/null
+++ b/chivefront/control/version_watch.h
@@ -0,0 +1,53 @@
+// Watches versions in general use for a turn to the worse, from the evidence
+// pooled at the leader, and gives the changes that withdraw them.
+//
+//   VersionWatch watch;
+//   auto outcome = watch.Look(store, evidence, serving);
+//   ... propose outcome.m_changes, report outcome.m_unreplaced ...
+//
+// The reference of a version is its own record up to the time when it had
+// enough of it here. A new leader starts with new references, taken from
+// totals that may include bad times; it then notices a further fall only.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chivefront/control/system_changes.h"
+#include "chivefront/policy/rollout_judge.h"
+
+namespace chivefront::control {
+
+// Versions that some upstream in service can run.
+using ServingVersions =
+  std::function<std::set<std::string>(const catalog::Catalog& aCatalog)>;
+
+// Not thread-safe.
+class VersionWatch
+{
+public:
+  struct Outcome
+  {
+    // One per bad version that another one can replace.
+    std::vector<wire::ChangeRequestT> m_changes;
+    // Bad versions without a replacement, with the measure that shows it.
+    std::map<std::string, std::string> m_unreplaced;
+  };
+
+  // aServing is called only when a version has turned bad.
+  Outcome Look(const ConfigStore& aStore,
+               const EvidenceOf& aEvidence,
+               const ServingVersions& aServing);
+
+private:
+  using Bad = std::map<std::string, std::string>; // version to measure
+
+  Bad FindBad(const catalog::Catalog& aCatalog, const EvidenceOf& aEvidence);
+
+  std::map<std::string, policy::VersionMonitor> m_monitors; // by version
+};
+
+} // namespace chivefront::control
--- a/chivefront/ctl/rollout_test.cc
+++ b/chivefront/ctl/rollout_test.cc
@@ -40,12 +40,18 @@
   return row;
 }
 
+client::Watcher::EvidenceSource
+Fixed(std::vector<wire::VersionEvidenceT> aRows)
+{
+  return [rows = std::move(aRows)](uint64_t) { return rows; };
+}
+
 // A watcher that polls one control process only.
 struct Entry : Host
 {
   Entry(const std::string& aName,
         const base::Endpoint& aControl,
-        std::vector<wire::VersionEvidenceT> aRows)
+        client::Watcher::EvidenceSource aSource)
     : Host(aName, wire::Role::Entry)
     , m_links(m_context, m_identity, { aControl })
     , m_watcher(m_context,
@@ -55,8 +61,7 @@
                 base::SteadyClock::Instance(),
                 m_events)
   {
-    m_watcher.SetEvidenceSource(
-      [rows = std::move(aRows)](uint64_t) { return rows; });
+    m_watcher.SetEvidenceSource(std::move(aSource));
     m_links.Start();
     m_watcher.Start();
     StartLoop();
@@ -78,17 +83,23 @@
 };
 
 void
-ApplyRollout(Cluster& aCluster)
+ApplyText(Cluster& aCluster, const std::string& aText)
 {
   auto session = aCluster.OpenSession();
   std::ostringstream out;
   ctl::ChangeOptions options;
   options.m_wait = false;
   const auto status = ctl::ApplyFile(
-    *session, aCluster.WriteFile(RolloutCatalogue()), options, { out, false });
+    *session, aCluster.WriteFile(aText), options, { out, false });
   BOOST_REQUIRE_MESSAGE(status.ok(), status);
 }
 
+void
+ApplyRollout(Cluster& aCluster)
+{
+  ApplyText(aCluster, RolloutCatalogue());
+}
+
 // Two followers and the leader, by name.
 std::vector<std::string>
 FollowersFirst(const Cluster& aCluster)
@@ -115,10 +126,10 @@
   const auto names = FollowersFirst(cluster);
   Entry first("e1",
               cluster.m_peers.at(names[0]),
-              { Evidence("v1", 450, 50), Evidence("v2", 6, 18) });
+              Fixed({ Evidence("v1", 450, 50), Evidence("v2", 6, 18) }));
   Entry second("e2",
                cluster.m_peers.at(names[1]),
-               { Evidence("v1", 450, 50), Evidence("v2", 6, 18) });
+               Fixed({ Evidence("v1", 450, 50), Evidence("v2", 6, 18) }));
   ApplyRollout(cluster);
   for (const Entry* entry : { &first, &second }) {
     WaitFor("withdrawn", [&] {
@@ -141,7 +152,7 @@
   const auto names = FollowersFirst(cluster);
   Entry entry("e1",
               cluster.m_peers.at(names[0]),
-              { Evidence("v1", 900, 100), Evidence("v2", 1850, 150) });
+              Fixed({ Evidence("v1", 900, 100), Evidence("v2", 1850, 150) }));
   ApplyRollout(cluster);
   cluster.Kill(names[2]);
   WaitFor("done", [&] {
@@ -155,14 +166,65 @@
   BOOST_TEST(catalog::VersionForSession(*view->m_catalog, "m", 1) == "v2");
 }
 
+// Guards against a version that turns bad in general use and is not withdrawn
+// because the leader does not watch it.
+BOOST_AUTO_TEST_CASE(LateTurnIsWithdrawnByTheLeader)
+{
+  Cluster cluster;
+  const auto names = FollowersFirst(cluster);
+  Host agent("a1", wire::Role::Agent);
+  client::ControlLinks links(
+    agent.m_context, agent.m_identity, cluster.Endpoints());
+  links.Start();
+  net::SpawnPeriodic(agent.m_context.get_executor(),
+                     "test",
+                     base::Millis(300),
+                     [&]() -> net::Task<bool> {
+                       wire::AnnounceRequestT request;
+                       request.agent = "a1";
+                       for (const char* version : { "v1", "v2" }) {
+                         auto info = std::make_unique<wire::UpstreamInfoT>();
+                         info->name = std::string("u-") + version;
+                         info->version = version;
+                         request.upstreams.push_back(std::move(info));
+                       }
+                       links.Broadcast(wire::MakeMessage(std::move(request)));
+                       co_return true;
+                     });
+  agent.StartLoop();
+  // 80% good for the time of two looks by the leader, then 40%.
+  Entry entry("e1",
+              cluster.m_peers.at(names[0]),
+              [polls = 0U, good = 800U, bad = 200U](uint64_t) mutable {
+                const bool turned = ++polls > 25;
+                good += turned ? 4 : 0;
+                bad += turned ? 6 : 0;
+                return std::vector{ Evidence("v2", good, bad) };
+              });
+  const std::string head = R"({"owner":"ops","class":"free",)";
+  const std::string version =
+    head + R"("model":"m","prompt_cost":1,"answer_cost":1,)" +
+    R"("limits":{"answer_tokens":9}})";
+  ApplyText(cluster,
+            R"({"model/m":)" + head +
+              R"("version":"v2","limits":{"concurrency":9}},"version/v1":)" +
+              version + R"(,"version/v2":)" + version + "}");
+  WaitFor("v2 is replaced", [&] {
+    const auto catalog = entry.m_watcher.LastView()->m_catalog;
+    return catalog->m_versionsOut.count("v2") == 1 &&
+           catalog::VersionForSession(*catalog, "m", 1) == "v1";
+  });
+  agent.StopLoop();
+}
+
 // Guards against entries that divide the teams' limits by too small a count,
 // and against an upstream that stays known after its agent fell silent.
 BOOST_AUTO_TEST_CASE(EntriesAndUpstreamsAreKnownEverywhere)
 {
   Cluster cluster;
   const auto names = FollowersFirst(cluster);
-  Entry first("e1", cluster.m_peers.at(names[0]), {});
-  Entry second("e2", cluster.m_peers.at(names[2]), {});
+  Entry first("e1", cluster.m_peers.at(names[0]), Fixed({}));
+  Entry second("e2", cluster.m_peers.at(names[2]), Fixed({}));
   auto agent = std::make_unique<Host>("a1", wire::Role::Agent);
   client::ControlLinks links(
     agent->m_context, agent->m_identity, cluster.Endpoints());
--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -407,4 +407,11 @@
   return std::exp(std::max(m_logRatings, m_logErrors));
 }
 
+JudgeReason
+VersionMonitor::Reason() const
+{
+  return m_logErrors > m_logRatings ? JudgeReason::Errors
+                                    : JudgeReason::Ratings;
+}
+
 } // namespace chivefront::policy
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -175,6 +175,8 @@
   // comparison without losing the sum. True when the version turned bad.
   bool Look(const VersionCounts& aTotals);
   double Evidence() const;
+  // The measure with the stronger evidence.
+  JudgeReason Reason() const;
 
 private:
   double m_rate;      // lower bound of the reference's acceptance
