Make roll-outs pausable, count from their start, and bound the hold

Cause: apply kept the stored state of an unchanged roll-out, so neither "paused" nor "running" had an effect. Evidence was the total since each entry's start. While held, 5% of answers were rated and the hold had no end. Removing a done roll-out sent new sessions back to the old version.

Change: - apply takes over state "paused" and "running"; it does not end the judge's hold and does not revive a roll-out that ended. - The leader commits the start of a roll-out (started) before it judges. Entries report rows since that start beside their totals (since, appended to VersionEvidence), and the judge begins anew with a new start. - While the judge holds a roll-out, all its answers are rated, and after 30 minutes without enough ratings it stops with reason no_ratings. - Removing a done roll-out is refused unless the model's version is its "to" or "to" is withdrawn.

With each part taken out, its test fails: ApplyPausesAndResumes, RemovalOfADoneRolloutNeedsTheModel, HoldWithoutRatingsEnds, RolloutsCountFromTheirStart, AllAnswersAreRatedWhileHeld, RolloutStepTable.

RolloutStepTable now gives its roll-outs a start, since a roll-out without one gets only that; the old rows check the same as before. The rows of the cluster tests carry the start of the roll-out, as entries send it.

--- a/chivefront/catalog/build.cc
+++ b/chivefront/catalog/build.cc
@@ -3,6 +3,7 @@
 
 #include <charconv>
 #include <functional>
+#include <limits>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/value.hpp>
@@ -19,6 +20,7 @@
 constexpr int64_t kMaxCount = 1000000;
 constexpr int64_t kMaxTokens = 1000000000000;
 constexpr int64_t kMaxSpanMs = 7LL * 24 * 3600 * 1000;
+constexpr int64_t kMaxRevision = std::numeric_limits<int64_t>::max();
 constexpr int64_t kPermille = 1000;
 constexpr size_t kHashDigits = 64;
 constexpr size_t kMaxIdBytes = 128;
@@ -195,6 +197,7 @@
     aReader.Error("state", "must be running, paused, stopped or done");
   }
   aReader.Text("reason", aRollout.m_reason, Need::Optional);
+  aReader.Whole("started", aRollout.m_started, 0, kMaxRevision, Need::Optional);
   ReadLimits(aReader, aErrors, [&](Reader& aLimits) {
     aLimits.Whole(
       "max_exposed", aRollout.m_maxExposed, 1, kMaxCount, Need::Optional);
--- a/chivefront/catalog/catalog.h
+++ b/chivefront/catalog/catalog.h
@@ -123,6 +123,10 @@
     { RolloutState::Done, "done" } },
 } };
 
+// The reason of a roll-out that the judge paused. One that an operator paused
+// has another reason and is left alone.
+inline constexpr const char* kHeldReason = "held until ratings come in";
+
 // The id of a roll-out is its model's id.
 struct Rollout : EntryHead
 {
@@ -133,6 +137,9 @@
   RolloutState m_state = RolloutState::Running;
   uint32_t m_maxExposed = 50; // requests before a verdict on the first stage
   std::string m_reason;
+  // Revision at which the control process noticed the definition; tells one
+  // roll-out from another with the same versions. 0 until then.
+  uint64_t m_started = 0;
 };
 
 struct Catalog
--- a/chivefront/control/config_store.cc
+++ b/chivefront/control/config_store.cc
@@ -57,6 +57,26 @@
     });
 }
 
+// A done roll-out decides the version of new sessions until the model does.
+void
+CheckRemovedRollouts(const catalog::Catalog& aBefore,
+                     const catalog::Catalog& aAfter,
+                     std::vector<catalog::EntryError>& aErrors)
+{
+  for (const auto& [id, rollout] : aBefore.m_rollouts) {
+    const catalog::Model* model = aAfter.FindModel(id);
+    if (rollout.m_state == catalog::RolloutState::Done && model != nullptr &&
+        aAfter.FindRollout(id) == nullptr &&
+        aAfter.m_versionsOut.count(rollout.m_to) == 0 &&
+        model->m_version != rollout.m_to) {
+      aErrors.push_back(
+        { "rollout/" + id,
+          "is done; to remove it, set the model's version to '" + rollout.m_to +
+            "' in the same change" });
+    }
+  }
+}
+
 } // namespace detail
 
 std::string
@@ -337,7 +357,10 @@
     }
   }
   std::vector<catalog::EntryError> problems;
-  (void)catalog::Build(entries, aBase + 1, problems);
+  const catalog::Pointer after = catalog::Build(entries, aBase + 1, problems);
+  if (const catalog::Pointer before = Catalog(); before && after) {
+    detail::CheckRemovedRollouts(*before, *after, problems);
+  }
   for (const catalog::EntryError& problem : problems) {
     errors.push_back(problem.m_path + ": " + problem.m_problem);
   }
--- a/chivefront/control/config_store_test.cc
+++ b/chivefront/control/config_store_test.cc
@@ -224,3 +224,45 @@
   const auto status = store.Restore("not a snapshot");
   BOOST_TEST((base::KindOf(status) == base::ErrorKind::Corrupt));
 }
+
+// Guards against new sessions that go back to the old version silently when a
+// roll-out that is done is removed.
+BOOST_AUTO_TEST_CASE(RemovalOfADoneRolloutNeedsTheModel)
+{
+  const std::string head = R"({"owner":"ops","class":"free",)";
+  const auto model = [&](const std::string& aVersion) {
+    return head + R"("version":")" + aVersion +
+           R"(","limits":{"concurrency":1}})";
+  };
+  const std::string version =
+    head + R"("model":"m","prompt_cost":1,"answer_cost":1,)" +
+    R"("limits":{"answer_tokens":9}})";
+  const auto rollout = [&](const std::string& aState) {
+    return head + R"("from":"v1","to":"v2","stages":[10],"limits":{},)" +
+           R"("state":")" + aState + R"("})";
+  };
+  for (const std::string state : { "done", "stopped", "running" }) {
+    ConfigStore store;
+    ApplyNow(store,
+             Change("a",
+                    0,
+                    { { "model/m", model("v1") },
+                      { "version/v1", version },
+                      { "version/v2", version },
+                      { "rollout/m", rollout(state) } }));
+    BOOST_REQUIRE(store.Catalog() != nullptr);
+    const auto errors =
+      [&](const std::vector<std::pair<std::string, std::string>>& aEntries) {
+        uint64_t base = 0;
+        return store.Validate(Change("b", store.Revision(), aEntries),
+                              control::Proposer::Operator,
+                              base);
+      };
+    const bool isDone = state == "done";
+    BOOST_TEST(errors({ { "rollout/m", "" } }).empty() == !isDone);
+    BOOST_TEST(
+      errors({ { "rollout/m", "" }, { "model/m", model("v2") } }).empty());
+    BOOST_TEST(
+      errors({ { "rollout/m", "" }, { "out/version/v2", "{}" } }).empty());
+  }
+}
--- a/chivefront/control/holders.cc
+++ b/chivefront/control/holders.cc
@@ -10,7 +10,7 @@
 // Each restart of an entry or agent is a new holder; 330 nodes and 4,000
 // agents with 3,100 restarts a day stay below this for a day.
 constexpr size_t kMaxHolders = 8192;
-constexpr size_t kMaxVersionsPerHolder = 256;
+constexpr size_t kMaxRowsPerHolder = 256;
 
 // Totals never fall; an older report that arrives late changes nothing.
 void
@@ -41,12 +41,19 @@
 Holders::Merge(Holder& aHolder, const Rows& aRows)
 {
   for (const auto& row : aRows) {
-    if (aHolder.m_evidence.size() >= detail::kMaxVersionsPerHolder &&
-        aHolder.m_evidence.count(row->version) == 0) {
-      continue;
+    const RowKey key{ row->since, row->version };
+    if (aHolder.m_evidence.size() >= detail::kMaxRowsPerHolder &&
+        aHolder.m_evidence.count(key) == 0) {
+      // Rows of the oldest roll-out make room, since it has ended.
+      const auto oldest = aHolder.m_evidence.lower_bound({ 1, "" });
+      if (oldest == aHolder.m_evidence.end() || key < oldest->first) {
+        continue;
+      }
+      aHolder.m_evidence.erase(oldest);
     }
-    wire::VersionEvidenceT& total = aHolder.m_evidence[row->version];
+    wire::VersionEvidenceT& total = aHolder.m_evidence[key];
     total.version = row->version;
+    total.since = row->since;
     detail::Raise(total, *row);
   }
 }
@@ -60,8 +67,8 @@
                      [](const auto& aLeft, const auto& aRight) {
                        return aLeft.second.m_seen < aRight.second.m_seen;
                      });
-  for (const auto& [version, row] : oldest->second.m_evidence) {
-    detail::Add(m_forgotten[version], row);
+  for (const auto& [key, row] : oldest->second.m_evidence) {
+    detail::Add(m_forgotten[key], row);
   }
   m_holders.erase(oldest);
 }
@@ -112,7 +119,7 @@
     report.holder = name;
     report.role = holder.m_role;
     report.have_revision = holder.m_revision;
-    for (const auto& [version, row] : holder.m_evidence) {
+    for (const auto& [key, row] : holder.m_evidence) {
       report.evidence.push_back(std::make_unique<wire::VersionEvidenceT>(row));
     }
     reports.push_back(std::move(report));
@@ -152,16 +159,18 @@
 }
 
 wire::VersionEvidenceT
-Holders::Evidence(const std::string& aVersion) const
+Holders::Evidence(const std::string& aVersion, uint64_t aSince) const
 {
+  const RowKey key{ aSince, aVersion };
   wire::VersionEvidenceT total;
-  const auto forgotten = m_forgotten.find(aVersion);
+  const auto forgotten = m_forgotten.find(key);
   if (forgotten != m_forgotten.end()) {
     total = forgotten->second;
   }
   total.version = aVersion;
+  total.since = aSince;
   for (const auto& [name, holder] : m_holders) {
-    const auto row = holder.m_evidence.find(aVersion);
+    const auto row = holder.m_evidence.find(key);
     if (row != holder.m_evidence.end()) {
       detail::Add(total, row->second);
     }
--- a/chivefront/control/holders.h
+++ b/chivefront/control/holders.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "chivefront/base/clock.h"
@@ -37,10 +38,13 @@
                                   base::TimePoint aNow) const;
   size_t Live(base::TimePoint aNow) const;
 
-  // Evidence about aVersion over all holders, also those that are gone.
-  wire::VersionEvidenceT Evidence(const std::string& aVersion) const;
+  // Evidence about aVersion over all holders, also those that are gone, since
+  // the start of a roll-out, or of each holder for 0.
+  wire::VersionEvidenceT Evidence(const std::string& aVersion,
+                                  uint64_t aSince) const;
 
 private:
+  using RowKey = std::pair<uint64_t, std::string>; // since, version
   struct Holder
   {
     wire::Role m_role = wire::Role::Entry;
@@ -48,7 +52,7 @@
     base::TimePoint m_seen;
     base::TimePoint m_polled; // here, not relayed
     bool m_direct = false;
-    std::map<std::string, wire::VersionEvidenceT> m_evidence; // by version
+    std::map<RowKey, wire::VersionEvidenceT> m_evidence;
   };
   using Rows = std::vector<std::unique_ptr<wire::VersionEvidenceT>>;
 
@@ -57,8 +61,8 @@
   void ForgetOldest();
 
   std::map<std::string, Holder> m_holders;
-  // Totals of forgotten holders, by version.
-  std::map<std::string, wire::VersionEvidenceT> m_forgotten;
+  // Totals of forgotten holders.
+  std::map<RowKey, wire::VersionEvidenceT> m_forgotten;
 };
 
 } // namespace chivefront::control
--- a/chivefront/control/policy_judge.cc
+++ b/chivefront/control/policy_judge.cc
@@ -29,10 +29,13 @@
                    const wire::VersionEvidenceT& aTo,
                    base::TimePoint aNow)
 {
-  const std::pair key{ aRollout.m_id, aRollout.m_to };
-  Test& test =
-    m_tests.try_emplace(key, Test{ policy::RolloutJudge(m_settings), aNow })
-      .first->second;
+  const Test fresh{ policy::RolloutJudge(m_settings), aNow };
+  auto& [started, test] =
+    m_tests.try_emplace(aRollout.m_id, aRollout.m_started, fresh).first->second;
+  if (started != aRollout.m_started) {
+    started = aRollout.m_started;
+    test = fresh;
+  }
   const policy::Verdict verdict = test.m_judge.Look(CountsOf(aTo),
                                                     CountsOf(aFrom),
                                                     aRollout.m_stage,
--- a/chivefront/control/policy_judge.h
+++ b/chivefront/control/policy_judge.h
@@ -34,9 +34,9 @@
   };
 
   const policy::JudgeSettings m_settings;
-  // By model and new version. A new leader starts with fresh tests; the
-  // evidence itself comes again from the holders.
-  std::map<std::pair<std::string, std::string>, Test> m_tests;
+  // By model and start of the roll-out; one of each model. A new leader starts
+  // with fresh tests; the evidence itself comes again from the holders.
+  std::map<std::string, std::pair<uint64_t, Test>> m_tests;
 };
 
 } // namespace chivefront::control
--- a/chivefront/control/rollout_judge.h
+++ b/chivefront/control/rollout_judge.h
@@ -28,9 +28,10 @@
 public:
   virtual ~RolloutJudge() = default;
 
-  // aFrom and aTo are totals over all holders since they started. Called for
-  // running roll-outs and those held by an earlier verdict, as often as
-  // evidence arrives, so the decision must be valid whenever it is asked for.
+  // aFrom and aTo are totals over all holders since the roll-out started.
+  // Called for running roll-outs and those held by an earlier verdict, as often
+  // as evidence arrives, so the decision must be valid whenever it is asked
+  // for.
   virtual RolloutDecision Judge(const catalog::Rollout& aRollout,
                                 const wire::VersionEvidenceT& aFrom,
                                 const wire::VersionEvidenceT& aTo,
--- a/chivefront/control/server.h
+++ b/chivefront/control/server.h
@@ -100,7 +100,8 @@
   net::Task<bool> KeepFresh();
   net::Task<void> AskLeader(net::Link::Pointer aLink);
   net::Task<bool> ProposeSystemChanges();
-  wire::VersionEvidenceT EvidenceFor(const std::string& aVersion);
+  wire::VersionEvidenceT EvidenceFor(const std::string& aVersion,
+                                     uint64_t aSince);
   // Withdrawals of versions that turned bad; notes those that it can't
   // replace.
   std::vector<wire::ChangeRequestT> WatchVersions();
--- a/chivefront/control/server_system.cc
+++ b/chivefront/control/server_system.cc
@@ -14,10 +14,10 @@
 } // namespace detail
 
 wire::VersionEvidenceT
-Server::EvidenceFor(const std::string& aVersion)
+Server::EvidenceFor(const std::string& aVersion, uint64_t aSince)
 {
   const std::lock_guard lock(m_lock);
-  return m_holders.Evidence(aVersion);
+  return m_holders.Evidence(aVersion, aSince);
 }
 
 std::set<std::string>
@@ -41,7 +41,9 @@
 {
   VersionWatch::Outcome outcome = m_versionWatch.Look(
     m_parts.m_store,
-    [this](const std::string& aVersion) { return EvidenceFor(aVersion); },
+    [this](const std::string& aVersion, uint64_t aSince) {
+      return EvidenceFor(aVersion, aSince);
+    },
     [this](const catalog::Catalog& aCatalog) { return Serving(aCatalog); });
   std::map<std::string, std::string> before;
   {
@@ -77,7 +79,9 @@
     changes = RolloutChanges(
       m_parts.m_store,
       m_parts.m_judge,
-      [this](const std::string& aVersion) { return EvidenceFor(aVersion); },
+      [this](const std::string& aVersion, uint64_t aSince) {
+        return EvidenceFor(aVersion, aSince);
+      },
       m_parts.m_clock.Now());
   }
   ++m_systemStep;
--- a/chivefront/control/soft_state_test.cc
+++ b/chivefront/control/soft_state_test.cc
@@ -154,7 +154,7 @@
   }
   leader.Polled(Poll("e2#1", wire::Role::Entry, 4), At(100));
   leader.Polled(Poll("agent#1", wire::Role::Agent, 5), At(100));
-  BOOST_TEST(leader.Evidence("v").good == 3U);
+  BOOST_TEST(leader.Evidence("v", 0).good == 3U);
   BOOST_TEST(leader.LiveEntries(At(200)) == 2U);
   BOOST_TEST(leader.Behind(5, At(200)) == std::vector<std::string>{ "e2#1" },
              boost::test_tools::per_element());
@@ -163,10 +163,32 @@
     leader.Polled(Poll("x" + std::to_string(i), wire::Role::Agent, 5),
                   At(5000));
   }
-  BOOST_TEST(leader.Evidence("v").good == 3U);
+  BOOST_TEST(leader.Evidence("v", 0).good == 3U);
   BOOST_TEST(follower.ToRelay(At(5000)).empty());
 }
 
+// Guards against evidence of before a roll-out that counts in it, and against
+// ended roll-outs whose rows leave no room for new ones.
+BOOST_AUTO_TEST_CASE(EvidenceIsKeptBySince)
+{
+  control::Holders leader;
+  for (uint64_t since = 0; since < 1000; ++since) {
+    auto poll = Poll("e1#1", wire::Role::Entry, 5);
+    poll.evidence.push_back(
+      std::make_unique<wire::VersionEvidenceT>(Evidence("v", since + 1, 0)));
+    poll.evidence.back()->since = since;
+    leader.Polled(poll, At(0));
+  }
+  BOOST_TEST(leader.Evidence("v", 0).good == 1U);
+  BOOST_TEST(leader.Evidence("v", 999).good == 1000U);
+  BOOST_TEST(leader.Evidence("v", 1).good == 0U);
+  for (int i = 0; i < 9000; ++i) {
+    leader.Polled(Poll("x" + std::to_string(i), wire::Role::Agent, 5),
+                  At(5000));
+  }
+  BOOST_TEST(leader.Evidence("v", 999).good == 1000U);
+}
+
 // Guards against a follower that calls itself fresh before it has applied the
 // revision that the leader confirmed.
 BOOST_AUTO_TEST_CASE(FreshnessWaitsForTheRevision)
@@ -199,6 +221,8 @@
     const char* m_expected; // parts of the entry after; empty for no change
   };
   for (const Row& row : {
+         // Evidence counts from the start, so that is committed first.
+         Row{ RolloutVerdict::Stop, R"("started":0)", R"("started":2)" },
          Row{ RolloutVerdict::Wait, R"("stage":0)", "" },
          Row{ RolloutVerdict::Advance, R"("stage":0)", R"("stage":1)" },
          Row{ RolloutVerdict::Advance, R"("stage":1)", R"("state":"done")" },
@@ -219,13 +243,19 @@
           { "version/v2", version },
           { "rollout/m",
             head + R"("from":"v1","to":"v2","stages":[10,1000],"limits":{},)" +
+              (std::string(row.m_progress).find("started") == std::string::npos
+                 ? R"("started":1,)"
+                 : "") +
               row.m_progress + "}" } });
     BOOST_REQUIRE(store.Catalog() != nullptr);
     FixedJudge judge(row.m_verdict);
     const auto changes = control::RolloutChanges(
       store,
       judge,
-      [](const std::string& aVersion) { return Evidence(aVersion, 1, 1); },
+      [](const std::string& aVersion, uint64_t aSince) {
+        BOOST_TEST(aSince == 1U);
+        return Evidence(aVersion, 1, 1);
+      },
       At(0));
     BOOST_TEST(changes.empty() == std::string(row.m_expected).empty());
     if (changes.empty()) {
@@ -236,6 +266,10 @@
     BOOST_TEST(store.Validate(change, control::Proposer::System, base).empty());
     BOOST_TEST(change.entries.front()->value.find(row.m_expected) !=
                std::string::npos);
+    if (std::string(row.m_progress) == R"("started":0)") {
+      BOOST_TEST(change.entries.size() == 1U);
+      continue;
+    }
     const bool withdrawn =
       change.entries.size() == 2 && change.entries[1]->key == "out/version/v2";
     BOOST_TEST(withdrawn == (row.m_verdict == RolloutVerdict::Stop));
--- a/chivefront/control/status.cc
+++ b/chivefront/control/status.cc
@@ -273,8 +273,8 @@
   array rollouts;
   if (catalog) {
     for (const auto& [model, rollout] : catalog->m_rollouts) {
-      rollouts.push_back(
-        detail::RolloutObject(rollout, m_holders.Evidence(rollout.m_to)));
+      rollouts.push_back(detail::RolloutObject(
+        rollout, m_holders.Evidence(rollout.m_to, rollout.m_started)));
     }
   }
   status["rollouts"] = std::move(rollouts);
--- a/chivefront/control/system_changes.cc
+++ b/chivefront/control/system_changes.cc
@@ -27,7 +27,7 @@
       break;
     case RolloutVerdict::Hold:
       entry["state"] = "paused";
-      entry["reason"] = kHeldReason;
+      entry["reason"] = catalog::kHeldReason;
       break;
     case RolloutVerdict::Advance:
       if (last) {
@@ -46,12 +46,20 @@
   return boost::json::serialize(entry);
 }
 
+std::string
+Started(const std::string& aText, uint64_t aRevision)
+{
+  boost::json::object entry = boost::json::parse(aText).as_object();
+  entry["started"] = aRevision;
+  return boost::json::serialize(entry);
+}
+
 bool
 IsJudged(const catalog::Rollout& aRollout)
 {
   return aRollout.m_state == catalog::RolloutState::Running ||
          (aRollout.m_state == catalog::RolloutState::Paused &&
-          aRollout.m_reason == kHeldReason);
+          aRollout.m_reason == catalog::kHeldReason);
 }
 
 } // namespace detail
@@ -115,11 +123,20 @@
     if (!detail::IsJudged(rollout)) {
       continue;
     }
-    const RolloutDecision decision = aJudge.Judge(
-      rollout, aEvidence(rollout.m_from), aEvidence(rollout.m_to), aNow);
     const std::string key = "rollout/" + model;
     // The expected revision guards against a text newer than the catalogue.
     const std::string text = aStore.TextOf(key);
+    if (rollout.m_started == 0 && !text.empty()) {
+      wire::ChangeRequestT change = SystemChange(key, catalog->m_revision);
+      AddEntry(change, key, detail::Started(text, catalog->m_revision));
+      changes.push_back(std::move(change));
+      continue;
+    }
+    const RolloutDecision decision =
+      aJudge.Judge(rollout,
+                   aEvidence(rollout.m_from, rollout.m_started),
+                   aEvidence(rollout.m_to, rollout.m_started),
+                   aNow);
     if (decision.m_verdict == RolloutVerdict::Wait || text.empty()) {
       continue;
     }
--- a/chivefront/control/system_changes.h
+++ b/chivefront/control/system_changes.h
@@ -25,12 +25,10 @@
 QuarantineChanges(const ConfigStore& aStore,
                   const std::vector<ledger::Crasher>& aCrashers);
 
+// Pooled evidence since the start of a roll-out, or of each process for 0.
 using EvidenceOf =
-  std::function<wire::VersionEvidenceT(const std::string& aVersion)>;
-
-// The reason of a roll-out that the judge paused. One that an operator paused
-// has another reason and is left alone.
-inline constexpr const char* kHeldReason = "held until ratings come in";
+  std::function<wire::VersionEvidenceT(const std::string& aVersion,
+                                       uint64_t aSince)>;
 
 // One change per roll-out that is held, resumes, advances, ends or stops. Each
 // expects the current revision, so that a step never meets a catalogue it was
--- a/chivefront/control/version_watch.cc
+++ b/chivefront/control/version_watch.cc
@@ -113,7 +113,7 @@
       m_monitors.erase(id);
       continue;
     }
-    const policy::VersionCounts counts = CountsOf(aEvidence(id));
+    const policy::VersionCounts counts = CountsOf(aEvidence(id, 0));
     auto monitor = m_monitors.find(id);
     if (monitor == m_monitors.end()) {
       if (counts.m_good + counts.m_bad < detail::kReferenceRatings &&
--- a/chivefront/control/version_watch_test.cc
+++ b/chivefront/control/version_watch_test.cc
@@ -57,7 +57,9 @@
   {
     return m_watch.Look(
       m_store,
-      [this](const std::string& aVersion) { return m_rows[aVersion]; },
+      [this](const std::string& aVersion, uint64_t) {
+        return m_rows[aVersion];
+      },
       [this](const catalog::Catalog&) { return m_serving; });
   }
 
--- a/chivefront/ctl/catalogue_commands.cc
+++ b/chivefront/ctl/catalogue_commands.cc
@@ -74,13 +74,47 @@
 {
   boost::json::value value = ParsedOrText(aText);
   if (auto* object = value.if_object()) {
-    for (const char* name : { "stage", "state", "reason" }) {
+    for (const char* name : { "stage", "state", "reason", "started" }) {
       object->erase(name);
     }
   }
   return value;
 }
 
+// The stored roll-out aBefore with the pause or the resumption that aWanted, of
+// the same definition, asks for. The judge's own pause and an end stay.
+std::string
+KeepProgress(const std::string& aBefore, const std::string& aWanted)
+{
+  boost::json::value before = ParsedOrText(aBefore);
+  const boost::json::value wanted = ParsedOrText(aWanted);
+  if (!before.is_object() || !wanted.is_object()) {
+    return aBefore;
+  }
+  boost::json::object& entry = before.get_object();
+  const auto textOf = [](const boost::json::object& aObject,
+                         const char* aName) -> std::string {
+    const auto* member = aObject.if_contains(aName);
+    return member != nullptr && member->is_string()
+             ? std::string(member->get_string())
+             : std::string();
+  };
+  const std::string asked = textOf(wanted.get_object(), "state");
+  const std::string state = textOf(entry, "state");
+  const bool isRunning = state.empty() || state == "running";
+  const bool isHeld = textOf(entry, "reason") == catalog::kHeldReason;
+  if (asked == "paused" && (isRunning || (state == "paused" && isHeld))) {
+    entry["state"] = "paused";
+    entry["reason"] = "paused by an operator";
+  } else if (asked == "running" && state == "paused" && !isHeld) {
+    entry["state"] = "running";
+    entry.erase("reason");
+  } else {
+    return aBefore;
+  }
+  return boost::json::serialize(entry);
+}
+
 wire::ChangeRequestT
 MakeChange(const ChangeOptions& aOptions)
 {
@@ -250,7 +284,7 @@
     if (key.rfind("rollout/", 0) == 0 && before != current.end() &&
         detail::RolloutDefinition(before->second) ==
           detail::RolloutDefinition(text)) {
-      text = before->second;
+      text = detail::KeepProgress(before->second, text);
     }
   }
   return catalog::Diff(current, wanted);
--- a/chivefront/ctl/ctl_test.cc
+++ b/chivefront/ctl/ctl_test.cc
@@ -64,6 +64,51 @@
                      "model/b remove\n");
 }
 
+// Guards against a pause that has no effect, and against a file with an old
+// state that revives an ended roll-out or ends the judge's hold.
+BOOST_AUTO_TEST_CASE(ApplyPausesAndResumes)
+{
+  const std::string definition = R"({"from":"1","to":"2","stages":[1,9])";
+  const std::string held =
+    std::string(R"(,"state":"paused","reason":")") + catalog::kHeldReason + '"';
+  const std::string byOperator =
+    R"(,"state":"paused","reason":"paused by an operator")";
+  struct Row
+  {
+    std::string m_stored;
+    std::string m_asked;
+    std::string m_after; // empty for no change
+  };
+  const std::string progress = R"(,"stage":1,"started":7)";
+  for (const Row& row : {
+         Row{ R"(,"state":"running")", R"(,"state":"paused")", byOperator },
+         Row{ "", R"(,"state":"paused")", byOperator },
+         Row{ held, R"(,"state":"paused")", byOperator },
+         Row{ byOperator, R"(,"state":"running")", R"(,"state":"running")" },
+         Row{ byOperator, R"(,"state":"paused")", "" },
+         Row{ byOperator, "", "" },
+         Row{ held, R"(,"state":"running")", "" },
+         Row{ R"(,"state":"stopped")", R"(,"state":"running")", "" },
+         Row{ R"(,"state":"done")", R"(,"state":"paused")", "" },
+       }) {
+    const catalog::Entries current{
+      { "rollout/a", definition + progress + row.m_stored + "}" }
+    };
+    const auto plan = ctl::PlanApply(
+      current, { { "rollout/a", definition + row.m_asked + "}" } });
+    BOOST_TEST(plan.empty() == row.m_after.empty(),
+               row.m_stored << " and " << row.m_asked);
+    if (!plan.empty() && !row.m_after.empty()) {
+      BOOST_TEST(
+        catalog::Diff(
+          { { "rollout/a", plan.front().m_after } },
+          { { "rollout/a", definition + progress + row.m_after + "}" } })
+          .empty(),
+        plan.front().m_after);
+    }
+  }
+}
+
 // Guards against records of several processes that are shown out of causal
 // order, twice, or although a filter excludes them.
 BOOST_AUTO_TEST_CASE(TimelineMergesInCausalOrder)
--- a/chivefront/ctl/rollout_test.cc
+++ b/chivefront/ctl/rollout_test.cc
@@ -61,7 +61,16 @@
                 base::SteadyClock::Instance(),
                 m_events)
   {
-    m_watcher.SetEvidenceSource(std::move(aSource));
+    // All rows count since the start of the roll-out, when there is one.
+    m_watcher.SetEvidenceSource(
+      [this, source = std::move(aSource)](uint64_t aSequence) mutable {
+        auto rows = source(aSequence);
+        const auto* rollout = m_watcher.LastView()->m_catalog->FindRollout("m");
+        for (wire::VersionEvidenceT& row : rows) {
+          row.since = rollout == nullptr ? 0 : rollout->m_started;
+        }
+        return rows;
+      });
     m_links.Start();
     m_watcher.Start();
     StartLoop();
--- a/chivefront/entry/cascade.cc
+++ b/chivefront/entry/cascade.cc
@@ -98,8 +98,12 @@
   if (!m_ratingsUp && m_parts.m_clock.Now() < m_askAgain) {
     return false;
   }
+  // A roll-out that is held goes on or ends by the ratings of the sessions that
+  // have the new version.
   if (!m_ratingsUp || (rollout != nullptr &&
-                       rollout->m_state == catalog::RolloutState::Running)) {
+                       (rollout->m_state == catalog::RolloutState::Running ||
+                        (rollout->m_state == catalog::RolloutState::Paused &&
+                         rollout->m_reason == catalog::kHeldReason)))) {
     return true;
   }
   return std::uniform_real_distribution<double>(0, 1)(m_random) <
--- a/chivefront/entry/chat_cascade_test.cc
+++ b/chivefront/entry/chat_cascade_test.cc
@@ -25,6 +25,7 @@
   net::Task<void> Handle(net::HttpExchange& aExchange)
   {
     net::HttpResponse response;
+    ++m_all;
     if (m_down) {
       response.m_status = 503;
     } else {
@@ -38,7 +39,8 @@
   }
 
   std::atomic<bool> m_down{ false };
-  std::atomic<uint32_t> m_asked{ 0 };
+  std::atomic<uint32_t> m_asked{ 0 }; // about small-1
+  std::atomic<uint32_t> m_all{ 0 };
   net::HttpServer m_server;
 };
 
@@ -111,6 +113,35 @@
   bench.m_loop.Stop();
 }
 
+// Guards against a hold that lasts because few of the answers that it waits
+// for are rated.
+BOOST_AUTO_TEST_CASE(AllAnswersAreRatedWhileHeld)
+{
+  constexpr uint32_t kRequests = 40;
+  Loop rating;
+  RatingStandIn ratings(rating.Context());
+  entry::EntryLimits limits;
+  limits.m_rating = ratings.m_server.Bound();
+  EntryBench bench(limits);
+  AgentStandIn agent(bench.m_loop.Context(), "agent-1", 11, AnswerWithText);
+  bench.m_control.Change([&](ControlStandIn& aControl) {
+    aControl.m_upstreams = { agent.Upstream("e1", "small-1") };
+    aControl.m_entries["rollout/small"] =
+      std::string(R"({"owner":"ops","class":"free","from":"small-1",)") +
+      R"("to":"small-2","stages":[10],"limits":{},"state":"paused",)" +
+      R"("reason":")" + catalog::kHeldReason + R"("})";
+  });
+  BOOST_REQUIRE(bench.WaitReady(1));
+  for (uint32_t i = 0; i < kRequests; ++i) {
+    const auto answer = bench.Call(EntryBench::Chat(false));
+    BOOST_REQUIRE(answer.ok());
+    BOOST_TEST(answer->m_status == 200);
+  }
+  bench.m_loop.Stop();
+  // The last ones may still be on their way.
+  BOOST_TEST(ratings.m_all > kRequests / 2);
+}
+
 BOOST_AUTO_TEST_CASE(TextOfAnswers)
 {
   BOOST_TEST(
--- a/chivefront/entry/core.cc
+++ b/chivefront/entry/core.cc
@@ -92,6 +92,7 @@
     m_agents.Update(*aView);
     m_placer.Update(*aView);
     m_flows.OnView(*aView);
+    m_flows.m_evidence.SetRollouts(*aView->m_catalog);
   });
   m_watcher.SetEvidenceSource(
     [this](uint64_t) { return m_flows.m_evidence.Totals(); });
--- a/chivefront/entry/evidence.h
+++ b/chivefront/entry/evidence.h
@@ -1,6 +1,6 @@
 // Counts per version that tell the roll-out judge how a version does. Totals
-// since the start of the process, so that a lost or repeated report does no
-// harm. Thread-safe.
+// since the start of the process and, for the versions of a roll-out, since
+// its start, so that a lost or repeated report does no harm. Thread-safe.
 #pragma once
 
 #include <map>
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "chivefront/base/clock.h"
+#include "chivefront/catalog/catalog.h"
 #include "chivefront/wire/protocol_generated.hpp"
 
 namespace chivefront::entry {
@@ -22,13 +23,27 @@
   void Failed(const std::string& aVersion, bool aUpstreamLost);
   void Rated(const std::string& aVersion, bool aAcceptable);
 
+  // Starts rows for new roll-outs and ends those of roll-outs that are gone.
+  void SetRollouts(const catalog::Catalog& aCatalog);
+
   std::vector<wire::VersionEvidenceT> Totals() const;
 
 private:
-  wire::VersionEvidenceT& Row(const std::string& aVersion);
+  struct RolloutRows
+  {
+    uint64_t m_started = 0; // 0 while the control process has not named it
+    std::string m_from;
+    std::string m_to;
+    std::map<std::string, wire::VersionEvidenceT> m_rows; // by version
+  };
+
+  // Calls aCount for each row of aVersion, with m_lock held.
+  template<typename Count>
+  void CountIn(const std::string& aVersion, const Count& aCount);
 
   mutable std::mutex m_lock;
-  std::map<std::string, wire::VersionEvidenceT> m_rows;
+  std::map<std::string, wire::VersionEvidenceT> m_rows; // by version
+  std::map<std::string, RolloutRows> m_rollouts;        // by model
 };
 
 } // namespace chivefront::entry
--- /dev/null
+++ b/chivefront/entry/evidence_test.cc
@@ -0,0 +1,64 @@
+// Tests of the counts that an entry reports.
+#define BOOST_TEST_MODULE evidence
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+
+#include "chivefront/entry/evidence.h"
+
+using namespace chivefront;
+
+namespace {
+
+catalog::Catalog
+WithRollout(const std::string& aTo, uint64_t aStarted)
+{
+  catalog::Catalog catalog;
+  catalog::Rollout& rollout = catalog.m_rollouts["m"];
+  rollout.m_id = "m";
+  rollout.m_from = "v1";
+  rollout.m_to = aTo;
+  rollout.m_started = aStarted;
+  return catalog;
+}
+
+// Requests on aVersion counted since aSince; nothing without a row.
+std::optional<uint64_t>
+Exposed(const entry::Evidence& aEvidence,
+        const std::string& aVersion,
+        uint64_t aSince)
+{
+  for (const auto& row : aEvidence.Totals()) {
+    if (row.version == aVersion && row.since == aSince) {
+      return row.exposed;
+    }
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+// Guards against requests of before a roll-out that count in it, against
+// requests lost until the start is committed, and against counts of a former
+// roll-out of the same versions.
+BOOST_AUTO_TEST_CASE(RolloutsCountFromTheirStart)
+{
+  entry::Evidence evidence;
+  evidence.Exposed("v1");
+  evidence.SetRollouts(WithRollout("v2", 0));
+  evidence.Exposed("v1");
+  evidence.Exposed("v2");
+  BOOST_TEST(evidence.Totals().size() == 2U); // not named yet
+  evidence.SetRollouts(WithRollout("v2", 7));
+  evidence.Exposed("v2");
+  evidence.Rated("v2", false);
+  BOOST_TEST((Exposed(evidence, "v1", 0) == 2U));
+  BOOST_TEST((Exposed(evidence, "v1", 7) == 1U));
+  BOOST_TEST((Exposed(evidence, "v2", 7) == 2U));
+  evidence.SetRollouts(WithRollout("v2", 9)); // put again
+  BOOST_TEST((Exposed(evidence, "v2", 9) == 0U));
+  BOOST_TEST((Exposed(evidence, "v2", 7) == std::nullopt));
+  evidence.SetRollouts({});
+  BOOST_TEST(evidence.Totals().size() == 2U);
+  BOOST_TEST((Exposed(evidence, "v2", 0) == 2U));
+}
--- a/chivefront/policy/rollout_judge.cc
+++ b/chivefront/policy/rollout_judge.cc
@@ -325,7 +325,11 @@
   const bool rated =
     2 * (aVersion.m_good + aVersion.m_bad) >= aVersion.m_exposed;
   if ((!complete && !waited) || !rated || rate <= kMinRate) {
-    return { JudgeAction::Hold, JudgeReason::None, 0 };
+    // Sessions that have the version go on while it is held, so a hold without
+    // an end would let the exposure grow without bound.
+    const bool isOver = aNow - *m_heldSince >= m_settings.m_longestHold;
+    return isOver ? Verdict{ JudgeAction::Stop, JudgeReason::NoRatings, 0 }
+                  : Verdict{ JudgeAction::Hold, JudgeReason::None, 0 };
   }
   const double known =
     Clamped(static_cast<double>(aPrevious.m_good) /
--- a/chivefront/policy/rollout_judge.h
+++ b/chivefront/policy/rollout_judge.h
@@ -63,15 +63,17 @@
   Losses,
   Latency,
   ExposureBound, // no proof at the bound; the likelier hypothesis decided
+  NoRatings,     // held for the longest time without enough ratings
 };
 
-inline constexpr base::NameTable<JudgeReason, 6> kJudgeReasonNames{ {
+inline constexpr base::NameTable<JudgeReason, 7> kJudgeReasonNames{ {
   { { JudgeReason::None, "none" },
     { JudgeReason::Ratings, "ratings" },
     { JudgeReason::Errors, "errors" },
     { JudgeReason::Losses, "losses" },
     { JudgeReason::Latency, "latency" },
-    { JudgeReason::ExposureBound, "exposure_bound" } },
+    { JudgeReason::ExposureBound, "exposure_bound" },
+    { JudgeReason::NoRatings, "no_ratings" } },
 } };
 
 struct JudgeSettings
@@ -92,6 +94,9 @@
   // Wait for missing ratings at the exposure bound before they are taken to
   // be lost.
   base::Millis m_ratingWait{ 30000 };
+  // Hold without enough ratings after which the roll-out is stopped. Long
+  // enough for a restart of the rating service.
+  base::Millis m_longestHold{ 30LL * 60 * 1000 };
 };
 
 struct Verdict
--- a/chivefront/policy/rollout_judge_test.cc
+++ b/chivefront/policy/rollout_judge_test.cc
@@ -97,6 +97,25 @@
   }
 }
 
+// Guards against a roll-out that is held for ever, with pinned sessions adding
+// exposure.
+BOOST_AUTO_TEST_CASE(HoldWithoutRatingsEnds)
+{
+  RolloutJudge judge;
+  VersionCounts counts;
+  counts.m_exposed = kMaxExposed;
+  const auto look = [&](int64_t aMs) {
+    ++counts.m_exposed;
+    return judge.Look(counts, Counts(800, 200), 0, kMaxExposed, At(aMs));
+  };
+  (void)look(0);
+  const int64_t longest = policy::JudgeSettings().m_longestHold.Count();
+  BOOST_TEST((look(longest - 1).m_action == JudgeAction::Hold));
+  const auto verdict = look(longest);
+  BOOST_TEST((verdict.m_action == JudgeAction::Stop));
+  BOOST_TEST((verdict.m_reason == JudgeReason::NoRatings));
+}
+
 // Guards against failures that ratings do not show.
 BOOST_AUTO_TEST_CASE(ErrorsLossesAndLatencyStop)
 {
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -2033,6 +2033,7 @@
   uint64_t errors = 0;
   uint64_t losses = 0;
   uint64_t latency_ms_sum = 0;
+  uint64_t since = 0;
 };
 
 struct VersionEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2046,7 +2047,8 @@
     VT_BAD = 10,
     VT_ERRORS = 12,
     VT_LOSSES = 14,
-    VT_LATENCY_MS_SUM = 16
+    VT_LATENCY_MS_SUM = 16,
+    VT_SINCE = 18
   };
   const flatbuffers::String *version() const {
     return GetPointer<const flatbuffers::String *>(VT_VERSION);
@@ -2069,6 +2071,9 @@
   uint64_t latency_ms_sum() const {
     return GetField<uint64_t>(VT_LATENCY_MS_SUM, 0);
   }
+  uint64_t since() const {
+    return GetField<uint64_t>(VT_SINCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VERSION) &&
@@ -2079,6 +2084,7 @@
            VerifyField<uint64_t>(verifier, VT_ERRORS, 8) &&
            VerifyField<uint64_t>(verifier, VT_LOSSES, 8) &&
            VerifyField<uint64_t>(verifier, VT_LATENCY_MS_SUM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
            verifier.EndTable();
   }
   VersionEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2111,6 +2117,9 @@
   void add_latency_ms_sum(uint64_t latency_ms_sum) {
     fbb_.AddElement<uint64_t>(VersionEvidence::VT_LATENCY_MS_SUM, latency_ms_sum, 0);
   }
+  void add_since(uint64_t since) {
+    fbb_.AddElement<uint64_t>(VersionEvidence::VT_SINCE, since, 0);
+  }
   explicit VersionEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2130,8 +2139,10 @@
     uint64_t bad = 0,
     uint64_t errors = 0,
     uint64_t losses = 0,
-    uint64_t latency_ms_sum = 0) {
+    uint64_t latency_ms_sum = 0,
+    uint64_t since = 0) {
   VersionEvidenceBuilder builder_(_fbb);
+  builder_.add_since(since);
   builder_.add_latency_ms_sum(latency_ms_sum);
   builder_.add_losses(losses);
   builder_.add_errors(errors);
@@ -2155,7 +2166,8 @@
     uint64_t bad = 0,
     uint64_t errors = 0,
     uint64_t losses = 0,
-    uint64_t latency_ms_sum = 0) {
+    uint64_t latency_ms_sum = 0,
+    uint64_t since = 0) {
   auto version__ = version ? _fbb.CreateString(version) : 0;
   return chivefront::wire::CreateVersionEvidence(
       _fbb,
@@ -2165,7 +2177,8 @@
       bad,
       errors,
       losses,
-      latency_ms_sum);
+      latency_ms_sum,
+      since);
 }
 
 flatbuffers::Offset<VersionEvidence> CreateVersionEvidence(flatbuffers::FlatBufferBuilder &_fbb, const VersionEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6370,6 +6383,7 @@
   { auto _e = errors(); _o->errors = _e; }
   { auto _e = losses(); _o->losses = _e; }
   { auto _e = latency_ms_sum(); _o->latency_ms_sum = _e; }
+  { auto _e = since(); _o->since = _e; }
 }
 
 inline flatbuffers::Offset<VersionEvidence> VersionEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VersionEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6387,6 +6401,7 @@
   auto _errors = _o->errors;
   auto _losses = _o->losses;
   auto _latency_ms_sum = _o->latency_ms_sum;
+  auto _since = _o->since;
   return chivefront::wire::CreateVersionEvidence(
       _fbb,
       _version,
@@ -6395,7 +6410,8 @@
       _bad,
       _errors,
       _losses,
-      _latency_ms_sum);
+      _latency_ms_sum,
+      _since);
 }
 
 inline HolderReportT::HolderReportT(const HolderReportT &o)
