Count every request in flight as a suspect

Cause: the ledger let only the suspects with the highest count gain. A new crashing request beside an innocent suspect gained nothing, so the innocent one took the blame each time.

Without the change NewCrashersGainBesideASuspect fails.

All replicas of a ledger group must run the same rule, so a mixed group must not see losses while it is upgraded.

--- a/chivefront/ledger/ledger.cc
+++ b/chivefront/ledger/ledger.cc
@@ -88,20 +88,13 @@
   }
   if (m_losses.try_emplace(aCommand.loss_id, m_time).second) {
     m_lossesByTime.emplace(m_time, aCommand.loss_id);
-    uint32_t highest = 0;
+    // policy::SuspectRule::AllInFlight. A rule that spares some of those in
+    // flight blames an innocent suspect for another request's crash; see
+    // docs/decisions/suspects.md.
     for (const uint64_t fingerprint : inFlight) {
       const auto found = m_suspects.find(fingerprint);
-      if (found != m_suspects.end()) {
-        highest = std::max(highest, found->second.losses);
-      }
-    }
-    for (const uint64_t fingerprint : inFlight) {
-      const auto found = m_suspects.find(fingerprint);
-      const uint32_t losses =
-        found == m_suspects.end() ? 0 : found->second.losses;
-      if (losses == highest) {
-        SetSuspect(fingerprint, losses + 1);
-      }
+      SetSuspect(fingerprint,
+                 found == m_suspects.end() ? 1 : found->second.losses + 1);
     }
   }
   for (const uint64_t fingerprint : inFlight) {
--- a/chivefront/policy/suspects.h
+++ b/chivefront/policy/suspects.h
@@ -33,7 +33,7 @@
 class SuspectCounts
 {
 public:
-  explicit SuspectCounts(SuspectRule aRule = SuspectRule::HighestOnly)
+  explicit SuspectCounts(SuspectRule aRule = SuspectRule::AllInFlight)
     : m_rule(aRule)
   {
   }
