Refuse key hashes that are not lower-case hexadecimal

Cause: validation checked the length of a key hash only. One in upper case was accepted and matched no caller key.

Change: key_hashes must be 64 digits out of 0-9 and a-f.

KeyHashesAreLowerCaseDigests fails without the change.

Conclusion: a hash that can't match is reported when it is applied.

--- a/chivefront/catalog/build.cc
+++ b/chivefront/catalog/build.cc
@@ -71,8 +71,12 @@
 {
   aReader.TextSet("key_hashes", aTeam.m_keyHashes, Need::Required);
   for (const std::string& hash : aTeam.m_keyHashes) {
-    if (hash.size() != kHashDigits) {
-      aReader.Error("key_hashes", "must hold hexadecimal SHA-256 digests");
+    // Keys are looked up by their digest in lower case.
+    if (hash.size() != kHashDigits ||
+        hash.find_first_not_of("0123456789abcdef") != std::string::npos) {
+      aReader.Error("key_hashes",
+                    "must hold SHA-256 digests of 64 lower-case hexadecimal "
+                    "digits");
     }
   }
   aReader.TextSet("models", aTeam.m_models, Need::Optional);
--- a/chivefront/catalog/catalog_test.cc
+++ b/chivefront/catalog/catalog_test.cc
@@ -71,6 +71,25 @@
   BOOST_TEST(built->TeamOfKey("other") == nullptr);
 }
 
+// Guards against a key hash that is accepted and matches no caller key.
+BOOST_AUTO_TEST_CASE(KeyHashesAreLowerCaseDigests)
+{
+  const auto isValid = [](const std::string& aHash) {
+    auto entries = Sample();
+    entries["team/other"] =
+      R"({"owner":"ops","class":"free","key_hashes":[")" + aHash +
+      R"("],"limits":{"requests_per_second":1,"concurrency":1,)"
+      R"("tokens_per_minute":1}})";
+    std::vector<catalog::EntryError> errors;
+    return catalog::Build(entries, 1, errors) != nullptr;
+  };
+  BOOST_TEST(isValid(std::string(64, 'a')));
+  BOOST_TEST(!isValid(std::string(64, 'A')));
+  BOOST_TEST(!isValid(std::string(63, 'a') + "g"));
+  BOOST_TEST(!isValid(std::string(63, 'a')));
+  BOOST_TEST(!isValid(std::string(65, 'a')));
+}
+
 // Guards against a validation that stops at the first error.
 BOOST_AUTO_TEST_CASE(AllErrorsAreListedWithTheirPaths)
 {
