Tell entries of suspects before the quarantine

Cause: only the entry that saw a loss marked further dispatches of that request as suspect; through other entries it ran beside innocent requests.

Change: WatchReply.suspects, an appended field, gives entries the 256 newest fingerprints with at least one loss. client::View keeps them, and the entry marks a dispatch of one of them as suspect. The agent then runs it as it runs other suspects and clears it when it completes.

Figures: the first dispatch of a fingerprint with a loss at another entry was not marked before and is marked after (SuspectsOfOtherEntriesAreMarked); NewestSuspectsComeFirst and SuspectsFollowTheAnswers check the list. They use the new field and do not compile without it.

--- a/chivefront/client/watcher.cc
+++ b/chivefront/client/watcher.cc
@@ -179,6 +179,18 @@
   m_view = std::move(view);
 }
 
+void
+Watcher::AcceptSuspects(const wire::WatchReplyT& aReply)
+{
+  std::set<uint64_t> suspects(aReply.suspects.begin(), aReply.suspects.end());
+  if (suspects == m_view->m_suspects) {
+    return;
+  }
+  auto view = std::make_shared<View>(*m_view);
+  view->m_suspects = std::move(suspects);
+  m_view = std::move(view);
+}
+
 bool
 Watcher::Accept(base::TimePoint aAskedAt, const wire::WatchReplyT& aReply)
 {
@@ -190,6 +202,7 @@
   if (!AcceptEntries(aReply)) {
     return false;
   }
+  AcceptSuspects(aReply);
   if (aReply.fresh) {
     m_lease.Confirm(aAskedAt, base::Millis(aReply.age_ms));
   }
--- a/chivefront/client/watcher.h
+++ b/chivefront/client/watcher.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -34,6 +35,7 @@
   catalog::Pointer m_catalog;                 // never null
   std::shared_ptr<const Registry> m_registry; // never null
   uint32_t m_liveEntries = 1;                 // entry processes, at least 1
+  std::set<uint64_t> m_suspects; // fingerprints with a loss; entries only
 };
 
 using ViewPointer = std::shared_ptr<const View>;
@@ -79,6 +81,7 @@
   net::Task<bool> Poll();
   wire::WatchRequestT MakeRequest() const;
   bool AcceptEntries(const wire::WatchReplyT& aReply);
+  void AcceptSuspects(const wire::WatchReplyT& aReply);
   void AcceptRegistry(const wire::WatchReplyT& aReply);
 
   net::asio::io_context& m_context;
--- a/chivefront/client/watcher_test.cc
+++ b/chivefront/client/watcher_test.cc
@@ -111,3 +111,17 @@
   BOOST_TEST(m_watcher.Revision() == 0U);
   BOOST_TEST(!m_watcher.FreshView().ok());
 }
+
+// Guards against suspects that an entry does not learn of, or keeps after they
+// were cleared; an answer that is refused must not change them.
+BOOST_FIXTURE_TEST_CASE(SuspectsFollowTheAnswers, Fixture)
+{
+  auto first = Reply(2, 0);
+  first.suspects = { 7, 8 };
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), first));
+  BOOST_TEST(m_watcher.LastView()->m_suspects.count(7) == 1U);
+  BOOST_TEST(!m_watcher.Accept(m_clock.Now(), Reply(1, 0)));
+  BOOST_TEST(m_watcher.LastView()->m_suspects.size() == 2U);
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), Reply(2, 0)));
+  BOOST_TEST(m_watcher.LastView()->m_suspects.empty());
+}
--- a/chivefront/control/server.cc
+++ b/chivefront/control/server.cc
@@ -20,6 +20,9 @@
 constexpr int kStepsPerQuestion = 2;
 constexpr base::Millis kAskTimeout{ 600 };
 constexpr base::Millis kSystemChangePeriod{ 250 };
+// 2 KB in each reply at most. Older suspects are known to the entries that saw
+// their losses.
+constexpr size_t kMaxSuspectsPerReply = 256;
 constexpr int kStepsPerConcerns = 10;
 constexpr size_t kMaxSeenRevisions = 4096;
 
@@ -172,6 +175,10 @@
       }
     }
   }
+  if (aRequest.role == wire::Role::Entry) {
+    reply.suspects =
+      m_parts.m_ledger.NewestSuspects(detail::kMaxSuspectsPerReply);
+  }
   Delta delta = m_parts.m_store.Since(aRequest.have_revision);
   reply.revision = delta.m_revision;
   reply.snapshot = delta.m_snapshot;
--- a/chivefront/entry/flow_test.cc
+++ b/chivefront/entry/flow_test.cc
@@ -230,6 +230,38 @@
   world.m_bench.m_loop.Stop();
 }
 
+// Guards against a crashing request that another entry dispatches as if it were
+// harmless, since it did not see the losses itself.
+BOOST_AUTO_TEST_CASE(SuspectsOfOtherEntriesAreMarked)
+{
+  std::atomic<uint64_t> fingerprint{ 0 };
+  std::atomic<bool> marked{ false };
+  OneAgent world([&](net::Link& aLink, wire::MessageT& aMessage) {
+    if (const auto* dispatch = aMessage.body.AsDispatch()) {
+      fingerprint = dispatch->fingerprint;
+      marked = dispatch->suspect;
+      AnswerWhole(aLink, *dispatch);
+    }
+  });
+  BOOST_REQUIRE(world.m_bench.Call(EntryBench::Chat(false)).ok());
+  BOOST_TEST(!marked);
+  for (const bool suspected : { true, false }) {
+    world.m_bench.m_control.Change([&](ControlStandIn& aControl) {
+      aControl.m_suspects.clear();
+      if (suspected) {
+        aControl.m_suspects.push_back(fingerprint);
+      }
+    });
+    while (world.m_bench.m_core.Watcher().LastView()->m_suspects.empty() ==
+           suspected) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    BOOST_REQUIRE(world.m_bench.Call(EntryBench::Chat(false)).ok());
+    BOOST_TEST(marked == suspected);
+  }
+  world.m_bench.m_loop.Stop();
+}
+
 // Guards against work by a stale view, and against a wrong "run" in refusals.
 BOOST_AUTO_TEST_CASE(NoDispatchWithoutAFreshView)
 {
--- a/chivefront/entry/runner.cc
+++ b/chivefront/entry/runner.cc
@@ -167,7 +167,8 @@
                          aAttempt.m_number,
                          aAttempt.m_upstream,
                          revision,
-                         m_suspects.Contains(aSpec.m_fingerprint),
+                         m_suspects.Contains(aSpec.m_fingerprint) ||
+                           (*view)->m_suspects.count(aSpec.m_fingerprint) != 0,
                          aSpec.m_deadline - now,
                          m_parts.m_limits.m_windowBytes)));
   aAttempt.m_sent = sent.ok();
--- a/chivefront/entry/test_bench.h
+++ b/chivefront/entry/test_bench.h
@@ -115,6 +115,7 @@
   // Guarded by m_lock; use Change.
   catalog::Entries m_entries = SampleEntries();
   std::vector<wire::UpstreamInfoT> m_upstreams;
+  std::vector<uint64_t> m_suspects;
   bool m_fresh = true;
   bool m_billsUp = true;
   std::map<std::string, std::string> m_pins;
@@ -149,6 +150,7 @@
     reply.live_entries = 1;
     reply.registry_epoch = 1;
     reply.registry_sequence = m_revision;
+    reply.suspects = m_suspects;
     if (aRequest.have_revision == m_revision) {
       return reply;
     }
--- a/chivefront/ledger/ledger.cc
+++ b/chivefront/ledger/ledger.cc
@@ -234,6 +234,21 @@
   return result;
 }
 
+std::vector<uint64_t>
+Ledger::NewestSuspects(size_t aMost) const
+{
+  const std::lock_guard lock(m_lock);
+  std::vector<uint64_t> result;
+  const auto& byTime = m_state->m_suspectsByTime;
+  for (auto row = byTime.rbegin(); row != byTime.rend(); ++row) {
+    if (result.size() == aMost) {
+      break;
+    }
+    result.push_back(row->second);
+  }
+  return result;
+}
+
 Ledger::Sizes
 Ledger::CountEntries() const
 {
--- a/chivefront/ledger/ledger.h
+++ b/chivefront/ledger/ledger.h
@@ -73,6 +73,8 @@
   uint64_t Time() const;
   // Requests with at least kQuarantineLosses suspicions.
   std::vector<Crasher> Crashers() const;
+  // Requests with at least one suspicion, at most aMost, newest first.
+  std::vector<uint64_t> NewestSuspects(size_t aMost) const;
   struct Sizes
   {
     size_t m_pins = 0;
--- a/chivefront/ledger/ledger_test.cc
+++ b/chivefront/ledger/ledger_test.cc
@@ -265,6 +265,24 @@
   BOOST_TEST(crashers.front().m_fingerprint == 3U);
 }
 
+// Guards against entries that are told of old suspects only, or without bound.
+BOOST_AUTO_TEST_CASE(NewestSuspectsComeFirst)
+{
+  Ledger machine;
+  Run(machine, Loss("l1", { 1 }), 1);
+  Run(machine, Loss("l2", { 2 }), 2);
+  Run(machine, Loss("l3", { 3 }), 3);
+  Run(machine, Loss("l4", { 1 }), 4);
+  BOOST_TEST(machine.NewestSuspects(2) == (std::vector<uint64_t>{ 1, 3 }),
+             boost::test_tools::per_element());
+  BOOST_TEST(machine.NewestSuspects(9).size() == 3U);
+  wire::ClearSuspectT clear;
+  clear.fingerprint = 1;
+  Run(machine, clear, 5);
+  BOOST_TEST(machine.NewestSuspects(2) == (std::vector<uint64_t>{ 3, 2 }),
+             boost::test_tools::per_element());
+}
+
 // Guards against a bound that drops what a promise rests on.
 BOOST_AUTO_TEST_CASE(FullLedgerRefusesByType)
 {
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -2479,6 +2479,7 @@
   std::vector<std::unique_ptr<chivefront::wire::UpstreamInfoT>> upstreams{};
   uint32_t live_entries = 0;
   uint64_t report_sequence = 0;
+  std::vector<uint64_t> suspects{};
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2500,7 +2501,8 @@
     VT_REGISTRY_SNAPSHOT = 18,
     VT_UPSTREAMS = 20,
     VT_LIVE_ENTRIES = 22,
-    VT_REPORT_SEQUENCE = 24
+    VT_REPORT_SEQUENCE = 24,
+    VT_SUSPECTS = 26
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -2535,6 +2537,9 @@
   uint64_t report_sequence() const {
     return GetField<uint64_t>(VT_REPORT_SEQUENCE, 0);
   }
+  const flatbuffers::Vector<uint64_t> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -2552,6 +2557,8 @@
            verifier.VerifyVectorOfTables(upstreams()) &&
            VerifyField<uint32_t>(verifier, VT_LIVE_ENTRIES, 4) &&
            VerifyField<uint64_t>(verifier, VT_REPORT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2596,6 +2603,9 @@
   void add_report_sequence(uint64_t report_sequence) {
     fbb_.AddElement<uint64_t>(WatchReply::VT_REPORT_SEQUENCE, report_sequence, 0);
   }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects) {
+    fbb_.AddOffset(WatchReply::VT_SUSPECTS, suspects);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2619,12 +2629,14 @@
     bool registry_snapshot = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>> upstreams = 0,
     uint32_t live_entries = 0,
-    uint64_t report_sequence = 0) {
+    uint64_t report_sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects = 0) {
   WatchReplyBuilder builder_(_fbb);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_revision(revision);
+  builder_.add_suspects(suspects);
   builder_.add_live_entries(live_entries);
   builder_.add_upstreams(upstreams);
   builder_.add_entries(entries);
@@ -2652,9 +2664,11 @@
     bool registry_snapshot = false,
     const std::vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> *upstreams = nullptr,
     uint32_t live_entries = 0,
-    uint64_t report_sequence = 0) {
+    uint64_t report_sequence = 0,
+    const std::vector<uint64_t> *suspects = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
+  auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       age_ms,
@@ -2667,7 +2681,8 @@
       registry_snapshot,
       upstreams__,
       live_entries,
-      report_sequence);
+      report_sequence,
+      suspects__);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6546,7 +6561,8 @@
         registry_sequence(o.registry_sequence),
         registry_snapshot(o.registry_snapshot),
         live_entries(o.live_entries),
-        report_sequence(o.report_sequence) {
+        report_sequence(o.report_sequence),
+        suspects(o.suspects) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -6565,6 +6581,7 @@
   std::swap(upstreams, o.upstreams);
   std::swap(live_entries, o.live_entries);
   std::swap(report_sequence, o.report_sequence);
+  std::swap(suspects, o.suspects);
   return *this;
 }
 
@@ -6588,6 +6605,7 @@
   { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<chivefront::wire::UpstreamInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = live_entries(); _o->live_entries = _e; }
   { auto _e = report_sequence(); _o->report_sequence = _e; }
+  { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6609,6 +6627,7 @@
   auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateUpstreamInfo(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _live_entries = _o->live_entries;
   auto _report_sequence = _o->report_sequence;
+  auto _suspects = _o->suspects.size() ? _fbb.CreateVector(_o->suspects) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -6621,7 +6640,8 @@
       _registry_snapshot,
       _upstreams,
       _live_entries,
-      _report_sequence);
+      _report_sequence,
+      _suspects);
 }
 
 inline AnnounceRequestT::AnnounceRequestT(const AnnounceRequestT &o)
