--- a/chivefront/control/policy_judge.cc
+++ b/chivefront/control/policy_judge.cc
@@ -8,6 +8,8 @@
 // hold; without it, hold and resume would alternate with every report.
 constexpr base::Millis kShortestHold{ 5000 };
 
+} // namespace detail
+
 policy::VersionCounts
 CountsOf(const wire::VersionEvidenceT& aRow)
 {
@@ -21,20 +23,21 @@
   return counts;
 }
 
-} // namespace detail
-
 RolloutDecision
 PolicyJudge::Judge(const catalog::Rollout& aRollout,
                    const wire::VersionEvidenceT& aFrom,
                    const wire::VersionEvidenceT& aTo,
                    base::TimePoint aNow)
 {
-  const std::pair key{ aRollout.m_id, aRollout.m_to };
-  Test& test =
-    m_tests.try_emplace(key, Test{ policy::RolloutJudge(m_settings), aNow })
-      .first->second;
-  const policy::Verdict verdict = test.m_judge.Look(detail::CountsOf(aTo),
-                                                    detail::CountsOf(aFrom),
+  const Test fresh{ policy::RolloutJudge(m_settings), aNow };
+  auto& [started, test] =
+    m_tests.try_emplace(aRollout.m_id, aRollout.m_started, fresh).first->second;
+  if (started != aRollout.m_started) {
+    started = aRollout.m_started;
+    test = fresh;
+  }
+  const policy::Verdict verdict = test.m_judge.Look(CountsOf(aTo),
+                                                    CountsOf(aFrom),
                                                     aRollout.m_stage,
                                                     aRollout.m_maxExposed,
                                                     aNow);
--- a/chivefront/control/system_changes.cc
+++ b/chivefront/control/system_changes.cc
@@ -11,15 +11,6 @@
 
 constexpr const char* kSystemName = "system";
 
-void
-AddEntry(wire::ChangeRequestT& aChange, std::string aKey, std::string aValue)
-{
-  auto entry = std::make_unique<wire::ConfigEntryT>();
-  entry->key = std::move(aKey);
-  entry->value = std::move(aValue);
-  aChange.entries.push_back(std::move(entry));
-}
-
 // The entry of aRollout after aDecision.
 std::string
 NextEntry(const std::string& aText,
@@ -36,7 +27,7 @@
       break;
     case RolloutVerdict::Hold:
       entry["state"] = "paused";
-      entry["reason"] = kHeldReason;
+      entry["reason"] = catalog::kHeldReason;
       break;
     case RolloutVerdict::Advance:
       if (last) {
@@ -55,16 +46,44 @@
   return boost::json::serialize(entry);
 }
 
+std::string
+Started(const std::string& aText, uint64_t aRevision)
+{
+  boost::json::object entry = boost::json::parse(aText).as_object();
+  entry["started"] = aRevision;
+  return boost::json::serialize(entry);
+}
+
 bool
 IsJudged(const catalog::Rollout& aRollout)
 {
   return aRollout.m_state == catalog::RolloutState::Running ||
          (aRollout.m_state == catalog::RolloutState::Paused &&
-          aRollout.m_reason == kHeldReason);
+          aRollout.m_reason == catalog::kHeldReason);
 }
 
 } // namespace detail
 
+wire::ChangeRequestT
+SystemChange(const std::string& aName, uint64_t aExpected)
+{
+  wire::ChangeRequestT change;
+  change.change_id =
+    absl::StrCat(detail::kSystemName, "/", aName, "/", aExpected);
+  change.operator_name = detail::kSystemName;
+  change.expected_revision = aExpected;
+  return change;
+}
+
+void
+AddEntry(wire::ChangeRequestT& aChange, std::string aKey, std::string aValue)
+{
+  auto entry = std::make_unique<wire::ConfigEntryT>();
+  entry->key = std::move(aKey);
+  entry->value = std::move(aValue);
+  aChange.entries.push_back(std::move(entry));
+}
+
 std::vector<wire::ChangeRequestT>
 QuarantineChanges(const ConfigStore& aStore,
                   const std::vector<ledger::Crasher>& aCrashers)
@@ -83,8 +102,7 @@
     if (!aStore.TextOf(key).empty() || aStore.OutcomeOf(change.change_id)) {
       continue;
     }
-    detail::AddEntry(
-      change, key, absl::StrCat("{\"losses\":", crasher.m_losses, "}"));
+    AddEntry(change, key, absl::StrCat("{\"losses\":", crasher.m_losses, "}"));
     changes.push_back(std::move(change));
   }
   return changes;
@@ -105,22 +123,27 @@
     if (!detail::IsJudged(rollout)) {
       continue;
     }
-    const RolloutDecision decision = aJudge.Judge(
-      rollout, aEvidence(rollout.m_from), aEvidence(rollout.m_to), aNow);
     const std::string key = "rollout/" + model;
     // The expected revision guards against a text newer than the catalogue.
     const std::string text = aStore.TextOf(key);
+    if (rollout.m_started == 0 && !text.empty()) {
+      wire::ChangeRequestT change = SystemChange(key, catalog->m_revision);
+      AddEntry(change, key, detail::Started(text, catalog->m_revision));
+      changes.push_back(std::move(change));
+      continue;
+    }
+    const RolloutDecision decision =
+      aJudge.Judge(rollout,
+                   aEvidence(rollout.m_from, rollout.m_started),
+                   aEvidence(rollout.m_to, rollout.m_started),
+                   aNow);
     if (decision.m_verdict == RolloutVerdict::Wait || text.empty()) {
       continue;
     }
-    wire::ChangeRequestT change;
-    change.change_id =
-      absl::StrCat(detail::kSystemName, "/", key, "/", catalog->m_revision);
-    change.operator_name = detail::kSystemName;
-    change.expected_revision = catalog->m_revision;
-    detail::AddEntry(change, key, detail::NextEntry(text, rollout, decision));
+    wire::ChangeRequestT change = SystemChange(key, catalog->m_revision);
+    AddEntry(change, key, detail::NextEntry(text, rollout, decision));
     if (decision.m_verdict == RolloutVerdict::Stop) {
-      detail::AddEntry(change, "out/version/" + rollout.m_to, "{}");
+      AddEntry(change, "out/version/" + rollout.m_to, "{}");
     }
     changes.push_back(std::move(change));
   }
--- a/chivefront/control/system_changes.h
+++ b/chivefront/control/system_changes.h
@@ -11,6 +11,13 @@
 
 namespace chivefront::control {
 
+// An empty change proposed by the control process itself. aName is unique
+// among changes made from the same revision.
+wire::ChangeRequestT
+SystemChange(const std::string& aName, uint64_t aExpected);
+void
+AddEntry(wire::ChangeRequestT& aChange, std::string aKey, std::string aValue);
+
 // One change per request that crashed often enough and is not quarantined.
 // The change id holds the time of the last loss, so that a quarantine lifted
 // by an operator returns only after another loss.
@@ -18,12 +25,10 @@
 QuarantineChanges(const ConfigStore& aStore,
                   const std::vector<ledger::Crasher>& aCrashers);
 
+// Pooled evidence since the start of a roll-out, or of each process for 0.
 using EvidenceOf =
-  std::function<wire::VersionEvidenceT(const std::string& aVersion)>;
-
-// The reason of a roll-out that the judge paused. One that an operator paused
-// has another reason and is left alone.
-inline constexpr const char* kHeldReason = "held until ratings come in";
+  std::function<wire::VersionEvidenceT(const std::string& aVersion,
+                                       uint64_t aSince)>;
 
 // One change per roll-out that is held, resumes, advances, ends or stops. Each
 // expects the current revision, so that a step never meets a catalogue it was
--- a/chivefront/ledger/ledger.cc
+++ b/chivefront/ledger/ledger.cc
@@ -88,20 +88,13 @@
   }
   if (m_losses.try_emplace(aCommand.loss_id, m_time).second) {
     m_lossesByTime.emplace(m_time, aCommand.loss_id);
-    uint32_t highest = 0;
+    // policy::SuspectRule::AllInFlight. A rule that spares some of those in
+    // flight blames an innocent suspect for another request's crash; see
+    // docs/decisions/suspects.md.
     for (const uint64_t fingerprint : inFlight) {
       const auto found = m_suspects.find(fingerprint);
-      if (found != m_suspects.end()) {
-        highest = std::max(highest, found->second.losses);
-      }
-    }
-    for (const uint64_t fingerprint : inFlight) {
-      const auto found = m_suspects.find(fingerprint);
-      const uint32_t losses =
-        found == m_suspects.end() ? 0 : found->second.losses;
-      if (losses == highest) {
-        SetSuspect(fingerprint, losses + 1);
-      }
+      SetSuspect(fingerprint,
+                 found == m_suspects.end() ? 1 : found->second.losses + 1);
     }
   }
   for (const uint64_t fingerprint : inFlight) {
@@ -241,6 +234,21 @@
   return result;
 }
 
+std::vector<uint64_t>
+Ledger::NewestSuspects(size_t aMost) const
+{
+  const std::lock_guard lock(m_lock);
+  std::vector<uint64_t> result;
+  const auto& byTime = m_state->m_suspectsByTime;
+  for (auto row = byTime.rbegin(); row != byTime.rend(); ++row) {
+    if (result.size() == aMost) {
+      break;
+    }
+    result.push_back(row->second);
+  }
+  return result;
+}
+
 Ledger::Sizes
 Ledger::CountEntries() const
 {
--- a/chivefront/ledger/ledger_test.cc
+++ b/chivefront/ledger/ledger_test.cc
@@ -237,7 +237,7 @@
   BOOST_TEST(machine.Crashers().empty());
   Run(machine, Loss("l2", { 3, 4 }), 3);
   const auto reply = Run(machine, Loss("l3", { 1, 3, 5 }), 4);
-  BOOST_REQUIRE(reply.suspects.size() == 2U);
+  BOOST_REQUIRE(reply.suspects.size() == 3U);
   const auto crashers = machine.Crashers();
   BOOST_REQUIRE(crashers.size() == 1U);
   BOOST_TEST(crashers.front().m_fingerprint == 3U);
@@ -248,6 +248,41 @@
   BOOST_TEST(machine.Crashers().empty());
 }
 
+// Guards against an innocent suspect that takes the blame each time for other
+// requests that crash beside it, which then go unnoticed.
+BOOST_AUTO_TEST_CASE(NewCrashersGainBesideASuspect)
+{
+  Ledger machine;
+  Run(machine, Loss("l1", { 1, 2 }), 1);
+  Run(machine, Loss("l2", { 1, 3 }), 2);
+  const auto reply = Run(machine, Loss("l3", { 3, 4 }), 3);
+  for (const auto& row : reply.suspects) {
+    BOOST_TEST(row->losses == (row->fingerprint == 3 ? 2U : 1U));
+  }
+  Run(machine, Loss("l4", { 3, 5 }), 4);
+  const auto crashers = machine.Crashers();
+  BOOST_REQUIRE(crashers.size() == 1U);
+  BOOST_TEST(crashers.front().m_fingerprint == 3U);
+}
+
+// Guards against entries that are told of old suspects only, or without bound.
+BOOST_AUTO_TEST_CASE(NewestSuspectsComeFirst)
+{
+  Ledger machine;
+  Run(machine, Loss("l1", { 1 }), 1);
+  Run(machine, Loss("l2", { 2 }), 2);
+  Run(machine, Loss("l3", { 3 }), 3);
+  Run(machine, Loss("l4", { 1 }), 4);
+  BOOST_TEST(machine.NewestSuspects(2) == (std::vector<uint64_t>{ 1, 3 }),
+             boost::test_tools::per_element());
+  BOOST_TEST(machine.NewestSuspects(9).size() == 3U);
+  wire::ClearSuspectT clear;
+  clear.fingerprint = 1;
+  Run(machine, clear, 5);
+  BOOST_TEST(machine.NewestSuspects(2) == (std::vector<uint64_t>{ 3, 2 }),
+             boost::test_tools::per_element());
+}
+
 // Guards against a bound that drops what a promise rests on.
 BOOST_AUTO_TEST_CASE(FullLedgerRefusesByType)
 {
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -2033,6 +2033,7 @@
   uint64_t errors = 0;
   uint64_t losses = 0;
   uint64_t latency_ms_sum = 0;
+  uint64_t since = 0;
 };
 
 struct VersionEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2046,7 +2047,8 @@
     VT_BAD = 10,
     VT_ERRORS = 12,
     VT_LOSSES = 14,
-    VT_LATENCY_MS_SUM = 16
+    VT_LATENCY_MS_SUM = 16,
+    VT_SINCE = 18
   };
   const flatbuffers::String *version() const {
     return GetPointer<const flatbuffers::String *>(VT_VERSION);
@@ -2069,6 +2071,9 @@
   uint64_t latency_ms_sum() const {
     return GetField<uint64_t>(VT_LATENCY_MS_SUM, 0);
   }
+  uint64_t since() const {
+    return GetField<uint64_t>(VT_SINCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_VERSION) &&
@@ -2079,6 +2084,7 @@
            VerifyField<uint64_t>(verifier, VT_ERRORS, 8) &&
            VerifyField<uint64_t>(verifier, VT_LOSSES, 8) &&
            VerifyField<uint64_t>(verifier, VT_LATENCY_MS_SUM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
            verifier.EndTable();
   }
   VersionEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2111,6 +2117,9 @@
   void add_latency_ms_sum(uint64_t latency_ms_sum) {
     fbb_.AddElement<uint64_t>(VersionEvidence::VT_LATENCY_MS_SUM, latency_ms_sum, 0);
   }
+  void add_since(uint64_t since) {
+    fbb_.AddElement<uint64_t>(VersionEvidence::VT_SINCE, since, 0);
+  }
   explicit VersionEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2130,8 +2139,10 @@
     uint64_t bad = 0,
     uint64_t errors = 0,
     uint64_t losses = 0,
-    uint64_t latency_ms_sum = 0) {
+    uint64_t latency_ms_sum = 0,
+    uint64_t since = 0) {
   VersionEvidenceBuilder builder_(_fbb);
+  builder_.add_since(since);
   builder_.add_latency_ms_sum(latency_ms_sum);
   builder_.add_losses(losses);
   builder_.add_errors(errors);
@@ -2155,7 +2166,8 @@
     uint64_t bad = 0,
     uint64_t errors = 0,
     uint64_t losses = 0,
-    uint64_t latency_ms_sum = 0) {
+    uint64_t latency_ms_sum = 0,
+    uint64_t since = 0) {
   auto version__ = version ? _fbb.CreateString(version) : 0;
   return chivefront::wire::CreateVersionEvidence(
       _fbb,
@@ -2165,7 +2177,8 @@
       bad,
       errors,
       losses,
-      latency_ms_sum);
+      latency_ms_sum,
+      since);
 }
 
 flatbuffers::Offset<VersionEvidence> CreateVersionEvidence(flatbuffers::FlatBufferBuilder &_fbb, const VersionEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2466,6 +2479,7 @@
   std::vector<std::unique_ptr<chivefront::wire::UpstreamInfoT>> upstreams{};
   uint32_t live_entries = 0;
   uint64_t report_sequence = 0;
+  std::vector<uint64_t> suspects{};
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2487,7 +2501,8 @@
     VT_REGISTRY_SNAPSHOT = 18,
     VT_UPSTREAMS = 20,
     VT_LIVE_ENTRIES = 22,
-    VT_REPORT_SEQUENCE = 24
+    VT_REPORT_SEQUENCE = 24,
+    VT_SUSPECTS = 26
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -2522,6 +2537,9 @@
   uint64_t report_sequence() const {
     return GetField<uint64_t>(VT_REPORT_SEQUENCE, 0);
   }
+  const flatbuffers::Vector<uint64_t> *suspects() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -2539,6 +2557,8 @@
            verifier.VerifyVectorOfTables(upstreams()) &&
            VerifyField<uint32_t>(verifier, VT_LIVE_ENTRIES, 4) &&
            VerifyField<uint64_t>(verifier, VT_REPORT_SEQUENCE, 8) &&
+           VerifyOffset(verifier, VT_SUSPECTS) &&
+           verifier.VerifyVector(suspects()) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2583,6 +2603,9 @@
   void add_report_sequence(uint64_t report_sequence) {
     fbb_.AddElement<uint64_t>(WatchReply::VT_REPORT_SEQUENCE, report_sequence, 0);
   }
+  void add_suspects(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects) {
+    fbb_.AddOffset(WatchReply::VT_SUSPECTS, suspects);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2606,12 +2629,14 @@
     bool registry_snapshot = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>> upstreams = 0,
     uint32_t live_entries = 0,
-    uint64_t report_sequence = 0) {
+    uint64_t report_sequence = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects = 0) {
   WatchReplyBuilder builder_(_fbb);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_revision(revision);
+  builder_.add_suspects(suspects);
   builder_.add_live_entries(live_entries);
   builder_.add_upstreams(upstreams);
   builder_.add_entries(entries);
@@ -2639,9 +2664,11 @@
     bool registry_snapshot = false,
     const std::vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> *upstreams = nullptr,
     uint32_t live_entries = 0,
-    uint64_t report_sequence = 0) {
+    uint64_t report_sequence = 0,
+    const std::vector<uint64_t> *suspects = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
+  auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       age_ms,
@@ -2654,7 +2681,8 @@
       registry_snapshot,
       upstreams__,
       live_entries,
-      report_sequence);
+      report_sequence,
+      suspects__);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6370,6 +6398,7 @@
   { auto _e = errors(); _o->errors = _e; }
   { auto _e = losses(); _o->losses = _e; }
   { auto _e = latency_ms_sum(); _o->latency_ms_sum = _e; }
+  { auto _e = since(); _o->since = _e; }
 }
 
 inline flatbuffers::Offset<VersionEvidence> VersionEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const VersionEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6387,6 +6416,7 @@
   auto _errors = _o->errors;
   auto _losses = _o->losses;
   auto _latency_ms_sum = _o->latency_ms_sum;
+  auto _since = _o->since;
   return chivefront::wire::CreateVersionEvidence(
       _fbb,
       _version,
@@ -6395,7 +6425,8 @@
       _bad,
       _errors,
       _losses,
-      _latency_ms_sum);
+      _latency_ms_sum,
+      _since);
 }
 
 inline HolderReportT::HolderReportT(const HolderReportT &o)
@@ -6530,7 +6561,8 @@
         registry_sequence(o.registry_sequence),
         registry_snapshot(o.registry_snapshot),
         live_entries(o.live_entries),
-        report_sequence(o.report_sequence) {
+        report_sequence(o.report_sequence),
+        suspects(o.suspects) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -6549,6 +6581,7 @@
   std::swap(upstreams, o.upstreams);
   std::swap(live_entries, o.live_entries);
   std::swap(report_sequence, o.report_sequence);
+  std::swap(suspects, o.suspects);
   return *this;
 }
 
@@ -6572,6 +6605,7 @@
   { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<chivefront::wire::UpstreamInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = live_entries(); _o->live_entries = _e; }
   { auto _e = report_sequence(); _o->report_sequence = _e; }
+  { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6593,6 +6627,7 @@
   auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateUpstreamInfo(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _live_entries = _o->live_entries;
   auto _report_sequence = _o->report_sequence;
+  auto _suspects = _o->suspects.size() ? _fbb.CreateVector(_o->suspects) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -6605,7 +6640,8 @@
       _registry_snapshot,
       _upstreams,
       _live_entries,
-      _report_sequence);
+      _report_sequence,
+      _suspects);
 }
 
 inline AnnounceRequestT::AnnounceRequestT(const AnnounceRequestT &o)
