Add scripts/bench, which measures real processes and writes the page

Deployment takes the failure domains as an argument. Its admin() answers 0 for a process that is still starting; before, a KeyError ended the readiness thread of the callers when an entry was restarted.

--- /dev/null
+++ b/scripts/lib/bench_load.py
@@ -0,0 +1,139 @@
+"""Sections of scripts/bench that need load only: latency, domain, free tier."""
+import time
+
+import bench_world as world
+
+WARM_MS = 6000
+WARM_SHARE = 0.9     # limits rise only while at least half used
+SHARE = 0.4          # of capacity, for latency
+DOMAIN_SHARE = 0.7   # the load the goal of design.md section 3 names
+FREE_TIMES = 10      # free load over capacity, from the same goal
+FREE_DEADLINE_MS = 2000  # else queued free work outlasts the run
+ADDED_RATE = 60
+ADDED_TOKENS = 5     # short answers keep the directly called engine unqueued
+SWITCH_SECONDS = 1.0
+
+
+def warm(deployment, site, seed):
+    """Brings the cold limits up, so that figures are of warm engines."""
+    world.Load(deployment, world.paying_mixes(site, WARM_SHARE),
+               WARM_MS, seed).wait()
+
+
+def latency(site, build, seed, seconds):
+    deployment = world.start(site, build, world.wide_team_limits)
+    with deployment:
+        warm(deployment, site, seed)
+        mixes = world.paying_mixes(site, SHARE)
+        mixes.append({"name": "service", "caller_key": site.teams[0] + "-key",
+                      "rate": 10, "service": site.service, "path": "/list",
+                      "method": "GET"})
+        before = cpu(deployment)
+        rows = world.Load(deployment, mixes, seconds * 1000, seed + 1).wait()
+        used = {part: after - before[part]
+                for part, after in cpu(deployment).items()}
+        answered = sum(row["answered"] for row in rows)
+        result = {"site": site.name, "answered": answered,
+                  "per_second": answered / seconds,
+                  "errors": world.errors_of(rows),
+                  "per_core": {part: answered / max(value, 0.01)
+                               for part, value in used.items()},
+                  "kinds": {name: times([r for r in rows if r["name"] == name])
+                            for name in ("cheap", "best", "service")}}
+        result["added"] = added(deployment, site, seed + 2, seconds)
+        return result
+
+
+def cpu(deployment):
+    return {part: world.cpu_seconds(deployment, part)
+            for part in ("entry", "agent")}
+
+
+def times(rows):
+    return {field: {q: world.weighted(rows, field, q) for q in ("p50", "p99")}
+            for field in ("first_token_ms", "total_ms", "between_tokens_ms")}
+
+
+def added(deployment, site, seed, seconds):
+    """Latency over the router minus that of a direct call in the same run."""
+    engine = deployment.add("direct", [
+        deployment.program("fake-engine"), "--name", "direct", "--model",
+        site.cheap, "--engine-version", site.cheap + "-1",
+        *world.engine_options(world.CHEAP_BATCH)]).start()
+    rows = world.Load(deployment, [world.mix(
+        "cheap", site.teams[0], ADDED_RATE, site.cheap,
+        max_tokens=ADDED_TOKENS)], seconds * 1000, seed,
+        engine.fields["listen"]).wait()
+    routed = times([r for r in rows if r["name"] == "cheap"])
+    direct = times([r for r in rows if r["name"] == "cheap/direct"])
+    return {"routed": routed, "direct": direct,
+            "requests": sum(r["answered"] for r in rows)}
+
+
+def domain(site, build, seed, seconds, repetitions):
+    """Takes the last domain, which has the fewest engines, out and back."""
+    results = []
+    with world.start(site, build, world.wide_team_limits) as deployment:
+        warm(deployment, site, seed)
+        for repetition in range(repetitions):
+            results.append(out_and_back(deployment, site,
+                                        seed + 10 * repetition, seconds))
+    return {"site": site.name, "runs": results}
+
+
+def out_and_back(deployment, site, seed, seconds):
+    """Phases overlap: each one starts when the last has sent all it had."""
+    out = site.domains[-1]
+    names = [u.name for u in site.upstreams() if u.domain == out]
+    moments, loads = {}, {}
+    for number, phase in enumerate(("before", "out", "back", "after")):
+        loads[phase] = world.Load(
+            deployment, world.paying_mixes(site, DOMAIN_SHARE),
+            seconds * 1000, seed + number)
+        end = time.monotonic() + seconds
+        if phase in ("out", "back"):
+            time.sleep(SWITCH_SECONDS)
+            moments[phase] = time.time()
+            deployment.must_ctl("out" if phase == "out" else "in", "domain",
+                                out)
+            moments[phase + " returned"] = time.time()
+        time.sleep(max(0, end - time.monotonic()))
+    rows = {phase: load.wait() for phase, load in loads.items()}
+    late = [t for t in world.starts_on(deployment, names)
+            if moments["out"] < t < moments["back"]]
+    last = max(late, default=moments["out"])
+    return {
+        "errors": {phase: world.errors_of(r) for phase, r in rows.items()},
+        "sent": sum(r["sent"] for phase in rows.values() for r in phase),
+        "p99": {phase: world.weighted(r, "first_token_ms", "p99")
+                for phase, r in rows.items()},
+        "last_after_start_ms": 1000 * (last - moments["out"]),
+        "last_after_return_ms": 1000 * (last - moments["out returned"]),
+        "command_ms": 1000 * (moments["out returned"] - moments["out"])}
+
+
+def free_tier(site, build, seed, seconds, repetitions):
+    """Paying load at half of capacity, without and with the free tier."""
+    runs = []
+    with world.start(site, build, world.wide_team_limits) as deployment:
+        warm(deployment, site, seed)
+        for repetition in range(repetitions):
+            one = {}
+            for part in ("without", "with"):
+                mixes = world.paying_mixes(site, 0.5)
+                if part == "with":
+                    mixes.append(world.mix(
+                        "free", site.free_team,
+                        FREE_TIMES * site.capacity()[0], site.cheap,
+                        deadline_ms=FREE_DEADLINE_MS))
+                rows = world.Load(deployment, mixes, seconds * 1000,
+                                  seed + repetition).wait()
+                paying = [r for r in rows if r["name"] != "free"]
+                free = [r for r in rows if r["name"] == "free"]
+                one[part] = {
+                    **times(paying), "errors": world.errors_of(paying),
+                    "sent": sum(r["sent"] for r in paying),
+                    "free_sent": sum(r["sent"] for r in free),
+                    "free_answered": sum(r["answered"] for r in free)}
+            runs.append(one)
+    return {"site": site.name, "runs": runs}
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -40,7 +40,8 @@
 class Deployment:
     def __init__(self, build, folder=None, controls=3, entries=2,
                  upstreams=None, relayed=False, rating=True, entry_options=(),
-                 agent_options=()):
+                 agent_options=(), domains=DOMAINS):
+        self.domains = domains
         self.bin = os.path.join(build, "bin")
         self.folder = folder or tempfile.mkdtemp(prefix="chivefront-")
         self.upstreams = upstreams if upstreams is not None else DEMO_UPSTREAMS
@@ -87,14 +88,14 @@
         peers = ",".join(
             f"{peer}={self.relay_to(f'{name}>{peer}', address)}"
             for peer, address in self.control_address.items() if peer != name)
-        domain = DOMAINS[self.controls.index(name) % len(DOMAINS)]
+        domain = self.domains[self.controls.index(name) % len(self.domains)]
         return self.add(name, [
             self.program("chivefront-control"), *self.common(name, domain),
             "--listen", self.control_address[name], "--peers", peers,
             "--data", os.path.join(self.folder, name)]).start()
 
     def start_entry(self, name):
-        domain = DOMAINS[self.entries.index(name) % len(DOMAINS)]
+        domain = self.domains[self.entries.index(name) % len(self.domains)]
         options = list(self.entry_options)
         if "rating" in self.processes:
             options += ["--rating", self.processes["rating"].fields["listen"]]
@@ -164,9 +165,10 @@
         return self.processes[name].fields[field]
 
     def admin(self, name, path):
+        """Status 0 when unreachable, or without an address while it starts."""
         try:
             return http("GET", self.address(name, "admin"), path, seconds=5)
-        except OSError:
+        except (OSError, KeyError):
             return 0, {}, b""
 
     def status(self):
