Ignore signals during the teardown after a graceful shutdown

Cause: e2e_faults ended with exit code -15 of a fake engine: a second SIGTERM that arrives after the event loop has ended meets the default action. Ruled out: a cut request (all had been answered) and a crash (the log is empty). Change: Runtime blocks SIGTERM and SIGINT once its loop has ended.

--- a/chivefront/net/runtime.cc
+++ b/chivefront/net/runtime.cc
@@ -45,6 +45,22 @@
     });
 }
 
+namespace detail {
+
+// A signal that arrives while the process tears down after a graceful
+// shutdown would meet the default action and end it with a failure.
+void
+BlockShutdownSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+} // namespace detail
+
 void
 Runtime::Run()
 {
@@ -59,6 +75,7 @@
   for (std::thread& thread : threads) {
     thread.join();
   }
+  detail::BlockShutdownSignals();
 }
 
 } // namespace chivefront::net
