Let an upstream that is still cold follow its rule

Change: a limiter at its cold limit takes the new cold limit; a ramped one keeps its limit, bounded by the new full limit. Conclusion: the rule is in force whichever comes first.

--- a/chivefront/policy/limiter.cc
+++ b/chivefront/policy/limiter.cc
@@ -61,6 +61,11 @@
 void
 UpstreamLimiter::SetRule(const catalog::UpstreamRule& aRule)
 {
+  // An agent often hears of an upstream before its rule; an upstream that is
+  // still at the cold limit follows the new rule in both directions.
+  if (m_limit == m_rule.m_coldLimit) {
+    m_limit = aRule.m_coldLimit;
+  }
   m_rule = aRule;
   m_limit = std::min(m_limit, aRule.m_fullLimit);
 }
--- a/chivefront/policy/limiter_test.cc
+++ b/chivefront/policy/limiter_test.cc
@@ -66,6 +66,23 @@
   BOOST_TEST(limiter.Limit() == 8U);
 }
 
+// Guards against an upstream that keeps the default limit of 1, because its
+// agent heard of it before its rule, and against a ramped one that is reset.
+BOOST_AUTO_TEST_CASE(ColdUpstreamFollowsItsRule)
+{
+  UpstreamLimiter limiter(catalog::UpstreamRule{});
+  catalog::UpstreamRule rule = Rule();
+  limiter.SetRule(rule);
+  BOOST_TEST(limiter.Limit() == rule.m_coldLimit);
+  RunBatches(limiter, 20, 100, 0);
+  rule.m_coldLimit = 4;
+  limiter.SetRule(rule);
+  BOOST_TEST(limiter.Limit() == rule.m_fullLimit);
+  rule.m_fullLimit = 5;
+  limiter.SetRule(rule);
+  BOOST_TEST(limiter.Limit() == 5U);
+}
+
 // Guards against more work at an upstream than its limit, whatever happens.
 BOOST_AUTO_TEST_CASE(NeverAdmitsMoreThanTheLimit)
 {
