Test a fixed list of faults on real processes

The soak's engines now are what the example catalogue's rule says (cold 2, 4 successes, 16 at most): with a bound of 8 and 6 cold requests, the rule itself allowed more than the engine could take, and the run counted 5 engines ended by overload. Conclusion: the check and its bound are unchanged; the stand-in now agrees with the rule it is operated under.

--- a/scripts/lib/soak.py
+++ b/scripts/lib/soak.py
@@ -29,7 +29,10 @@
 OPERATOR_FAULTS = {"fault_domain_out", "fault_upstream_out",
                    "fault_version_out", "fault_operator_race"}
 
-COLD = ["--bound", "8", "--cold-bound", "2", "--cold-requests", "6",
+# What upstream-rule/small-1 of the example catalogue says an engine can take:
+# 2 requests while cold, more after 4 successes, 16 at most. One more than that
+# ends the engine, and the soak counts it.
+COLD = ["--bound", "16", "--cold-bound", "2", "--cold-requests", "4",
         "--token-ms", "4", "--exit-on-overload"]
 
 UPSTREAMS = [
@@ -57,6 +60,7 @@
         self.graceful = []   # (entry, from, to)
         self.closed = []     # (upstream names, from, to, what)
         self.expected_down = set()
+        self.revision = 0
 
     def violate(self, promise, example):
         self.violations[promise] += 1
@@ -258,16 +262,13 @@
     # --- the run ----------------------------------------------------------
 
     def run(self):
-        self.deployment.start()
-        self.deployment.load_catalogue("examples/salins.json")
-        self.callers.start()
+        self.begin()
         names = sorted(n for n in dir(self) if n.startswith("fault_"))
         disturbing = ["fault_cut_links", "fault_cut_everyone",
                       "fault_isolate_control",
                       "fault_freeze_control", "fault_freeze_entry",
                       "fault_freeze_agent", "fault_silence_connections"]
         end = time.time() + self.seconds
-        revision = 0
         order = []
         while time.time() < end:
             if not order:
@@ -275,10 +276,29 @@
             name = order.pop()
             self.inject(name, self.rng.choice(disturbing)
                         if name in OPERATOR_FAULTS else None)
-            self.deployment.wait_ready(40)
-            revision = self.check_revision(revision)
-            self.check_exits()
-            time.sleep(0.5)
+            self.recover()
+        self.finish()
+
+    def run_list(self, faults):
+        """Injects the given (fault, second fault or None) in order."""
+        self.begin()
+        for name, second in faults:
+            self.inject("fault_" + name, "fault_" + second if second else None)
+            self.recover()
+        self.finish()
+
+    def begin(self):
+        self.deployment.start()
+        self.deployment.load_catalogue("examples/salins.json")
+        self.callers.start()
+
+    def recover(self):
+        self.deployment.wait_ready(40)
+        self.revision = self.check_revision(self.revision)
+        self.check_exits()
+        time.sleep(0.5)
+
+    def finish(self):
         self.callers.stop()
         wait_until(self.all_caught_up, 60, "all control replicas caught up")
         time.sleep(6)  # agents post what they still hold
