--- a/chivefront/entry/sessions.cc
+++ b/chivefront/entry/sessions.cc
@@ -24,23 +24,28 @@
 }
 
 std::optional<std::string>
-PinCache::Find(const std::string& aKey) const
+PinCache::Find(const std::string& aKey, base::TimePoint aNow) const
 {
   const Shard& shard = m_shards[IndexOf(aKey)];
   const std::lock_guard lock(shard.m_lock);
   const auto found = shard.m_pins.find(aKey);
-  if (found == shard.m_pins.end()) {
+  if (found == shard.m_pins.end() ||
+      aNow - found->second.m_committed > kPinRenewal) {
     return std::nullopt;
   }
-  return found->second;
+  return found->second.m_version;
 }
 
 void
-PinCache::Insert(const std::string& aKey, const std::string& aVersion)
+PinCache::Insert(const std::string& aKey,
+                 const std::string& aVersion,
+                 base::TimePoint aNow)
 {
   Shard& shard = m_shards[IndexOf(aKey)];
   const std::lock_guard lock(shard.m_lock);
-  if (!shard.m_pins.emplace(aKey, aVersion).second) {
+  const auto [pin, added] = shard.m_pins.emplace(aKey, Pin{ aVersion, aNow });
+  if (!added) {
+    pin->second.m_committed = aNow;
     return;
   }
   shard.m_order.push_back(aKey);
@@ -106,7 +111,7 @@
 std::optional<std::string>
 SessionPins::Cached(const std::string& aTeam, const std::string& aSession) const
 {
-  return m_cache.Find(detail::PinKey(aTeam, aSession));
+  return m_cache.Find(detail::PinKey(aTeam, aSession), m_parts.m_clock.Now());
 }
 
 net::Task<absl::StatusOr<std::string>>
@@ -116,13 +121,14 @@
                  base::TimePoint aDeadline)
 {
   const std::string key = detail::PinKey(aTeam, aSession);
-  if (auto cached = m_cache.Find(key)) {
+  if (auto cached = m_cache.Find(key, m_parts.m_clock.Now())) {
     co_return std::move(*cached);
   }
   wire::PinSessionT pin;
   pin.team = aTeam;
   pin.session = aSession;
   pin.version = aProposed;
+  const base::TimePoint askedAt = m_parts.m_clock.Now();
   const auto reply =
     co_await m_parts.m_ledger.Run(key, std::move(pin), aDeadline);
   if (!reply.ok()) {
@@ -135,7 +141,7 @@
     co_return base::MakeError(base::ErrorKind::Unavailable,
                               "the ledger confirmed a pin without a version");
   }
-  m_cache.Insert(key, reply->version);
+  m_cache.Insert(key, reply->version, askedAt);
   m_parts.m_events.Record("session_pinned",
                           { { "team", aTeam },
                             { "session", aSession },
--- a/chivefront/entry/sessions.h
+++ b/chivefront/entry/sessions.h
@@ -1,8 +1,9 @@
 // Which version a session is pinned to.
 //
 // A pin is committed in the ledger before the first dispatch of its session;
-// the first commit wins, and a committed pin never changes, so pins may be
-// cached without asking again.
+// the first commit wins, and a committed pin never changes while it is kept.
+// The ledger forgets pins that nobody committed again for 7 days, so a cached
+// pin is committed again once it is older than kPinRenewal.
 #pragma once
 
 #include <array>
@@ -16,6 +17,9 @@
 
 namespace chivefront::entry {
 
+// Far below the ledger's retention: a session in use never loses its pin.
+inline constexpr base::Millis kPinRenewal{ 24LL * 3600 * 1000 };
+
 // Committed pins; the oldest are forgotten first. Thread-safe.
 class PinCache
 {
@@ -25,15 +29,25 @@
   {
   }
 
-  std::optional<std::string> Find(const std::string& aKey) const;
-  void Insert(const std::string& aKey, const std::string& aVersion);
+  // Nothing when there is no pin or it has to be committed again.
+  std::optional<std::string> Find(const std::string& aKey,
+                                  base::TimePoint aNow) const;
+  // Notes that a pin was committed at aNow. The first version stays.
+  void Insert(const std::string& aKey,
+              const std::string& aVersion,
+              base::TimePoint aNow);
 
 private:
   static constexpr size_t kShards = 16;
+  struct Pin
+  {
+    std::string m_version;
+    base::TimePoint m_committed;
+  };
   struct Shard
   {
     mutable std::mutex m_lock;
-    std::unordered_map<std::string, std::string> m_pins;
+    std::unordered_map<std::string, Pin> m_pins;
     std::deque<std::string> m_order; // keys of m_pins, oldest first
   };
 
--- a/chivefront/entry/sessions_test.cc
+++ b/chivefront/entry/sessions_test.cc
@@ -23,13 +23,28 @@
 BOOST_AUTO_TEST_CASE(CacheKeepsTheFirstPin)
 {
   entry::PinCache cache(100);
-  cache.Insert("sales/s1", "small-1");
-  cache.Insert("sales/s1", "small-2");
-  BOOST_TEST(cache.Find("sales/s1").value() == "small-1");
+  const base::TimePoint now;
+  cache.Insert("sales/s1", "small-1", now);
+  cache.Insert("sales/s1", "small-2", now);
+  BOOST_TEST(cache.Find("sales/s1", now).value() == "small-1");
   for (int i = 0; i < 10000; ++i) {
-    cache.Insert("sales/x" + std::to_string(i), "small-1");
+    cache.Insert("sales/x" + std::to_string(i), "small-1", now);
   }
-  BOOST_TEST(!cache.Find("sales/s1").has_value()); // bounded
+  BOOST_TEST(!cache.Find("sales/s1", now).has_value()); // bounded
+}
+
+// Guards against a session that is used at one entry for longer than the
+// ledger keeps its pin, and is then pinned to another version by a second one.
+BOOST_AUTO_TEST_CASE(PinInUseIsCommittedAgain)
+{
+  entry::PinCache cache(100);
+  const base::TimePoint start;
+  cache.Insert("sales/s1", "small-1", start);
+  const base::TimePoint due = start + entry::kPinRenewal;
+  BOOST_TEST(cache.Find("sales/s1", due).has_value());
+  BOOST_TEST(!cache.Find("sales/s1", due + base::Millis(1)).has_value());
+  cache.Insert("sales/s1", "small-1", due + base::Millis(1));
+  BOOST_TEST(cache.Find("sales/s1", due + base::Millis(2)).has_value());
 }
 
 // Guards against new work on a withdrawn version, and a session moved to
