Show the agent's part of a request in the time line

Cause: the demo's time line of a request named the entry only. Conclusion: one request can be followed from caller to upstream and back.

--- a/chivefront/agent/agent.cc
+++ b/chivefront/agent/agent.cc
@@ -249,7 +249,23 @@
 absl::Status
 Agent::CheckBeforeSend(const wire::DispatchT& aDispatch)
 {
-  return Check(aDispatch).status();
+  const absl::Status status = Check(aDispatch).status();
+  if (status.ok()) {
+    RecordRun("sent_to_upstream", aDispatch);
+  }
+  return status;
+}
+
+void
+Agent::RecordRun(std::string_view aEvent, const wire::DispatchT& aDispatch)
+{
+  m_events.Record(aEvent,
+                  { { "team", aDispatch.team },
+                    { "upstream", aDispatch.upstream },
+                    { "version", aDispatch.version },
+                    { "attempt", std::to_string(aDispatch.attempt) },
+                    { "revision", std::to_string(Revision()) } },
+                  aDispatch.request_id);
 }
 
 void
@@ -269,6 +285,7 @@
     present->Resume(aLink, 0, credit); // sent twice: never run twice
     return;
   }
+  RecordRun("dispatch_received", run->Dispatch());
   auto shard = Check(run->Dispatch());
   absl::Status refusal = shard.status();
   if (refusal.ok() && m_settler.Full()) {
@@ -277,6 +294,7 @@
   }
   if (!refusal.ok()) {
     m_rejected.Increment();
+    RecordRun("dispatch_rejected", run->Dispatch());
     run->Reject(refusal, base::Millis(0));
     return;
   }
@@ -308,6 +326,7 @@
       break;
     case Admission::Kind::Refuse:
       m_rejected.Increment();
+      RecordRun("dispatch_rejected", aRun->Dispatch());
       aRun->Reject(admission.m_why, admission.m_retryAfter);
       break;
   }
@@ -336,6 +355,7 @@
   for (const RunKey& key : aKeys) {
     if (auto run = m_runs.Find(key)) {
       m_rejected.Increment();
+      RecordRun("dispatch_rejected", run->Dispatch());
       run->Reject(aWhy, base::Millis(0));
     }
   }
@@ -344,6 +364,7 @@
 void
 Agent::FirstByte(const RunPointer& aRun)
 {
+  RecordRun("upstream_answering", aRun->Dispatch());
   if (const ShardPointer shard = m_upstreams.Find(aRun->Dispatch().upstream)) {
     const std::lock_guard lock(shard->m_lock);
     shard->m_state.FirstByte(aRun->Key(), Now());
@@ -374,6 +395,7 @@
 void
 Agent::ResultKnown(const RunPointer& aRun, Settlement aSettlement)
 {
+  RecordRun("run_ended", aRun->Dispatch());
   if (aSettlement.m_bill || aSettlement.m_claim) {
     m_settler.Add({ aRun->Key().m_requestId, aRun->Dispatch().run },
                   std::move(aSettlement),
--- a/chivefront/agent/agent.h
+++ b/chivefront/agent/agent.h
@@ -69,6 +69,8 @@
   uint64_t Revision() const override { return m_watcher.Revision(); }
 
 private:
+  // One event of a run for the time line.
+  void RecordRun(std::string_view aEvent, const wire::DispatchT& aDispatch);
   net::Link::Handlers LinkHandlers();
   void OnLinkOpen(const net::Link::Pointer& aLink);
   void OnLinkClosed(const net::Link::Pointer& aLink);
--- a/tests/e2e_path.py
+++ b/tests/e2e_path.py
@@ -39,6 +39,19 @@
         raise Failure("the stream is empty")
 
 
+def check_timeline(d):
+    """One request is seen from the entry to the agent and back."""
+    request = d.chat("entry-1", KEY, "small", "Trace")[1]["X-Chivefront-Request"]
+    files = [os.path.join(d.folder, name + ".events") for name in d.processes
+             if os.path.exists(os.path.join(d.folder, name + ".events"))]
+    text = d.must_ctl("timeline", "--request", request, *files)
+    places = [text.find(event) for event in (
+        "request_received", "dispatched", "dispatch_received",
+        "sent_to_upstream", "run_ended", "billed", "answered")]
+    if min(places) < 0 or places != sorted(places):
+        raise Failure(f"the time line is not in causal order: {text}")
+
+
 def check_refusals(d):
     """Bad input gives a typed error that says whether the request was run."""
     path = "/v1/chat/completions"
@@ -101,6 +114,7 @@
         d.start()
         d.load_catalogue(os.path.join(ROOT, "examples", "salins.json"))
         check_answers(d)
+        check_timeline(d)
         check_refusals(d)
         check_sessions_and_bookings(d)
         check_domain(d)
