Halve the answer window of a reader to 16 KiB

Cause: 1,000 stalled readers of long answers took 82.2 KiB each at the entry, over the goal of 64 KiB: the window is held twice, as sent and as received. Ruled out: the kernel's buffers, which are not in the process.

--- a/chivefront/entry/entry_main.cc
+++ b/chivefront/entry/entry_main.cc
@@ -31,7 +31,7 @@
   aSettings.AddInteger("window-bytes",
                        "Answer bytes under way to one reader; an entry holds "
                        "at most 32 KiB more than this per stream.",
-                       32 * kKibi,
+                       16 * kKibi,
                        4 * kKibi,
                        kKibi * kKibi);
   aSettings.AddInteger("max-answer-bytes",
--- a/chivefront/entry/parts.h
+++ b/chivefront/entry/parts.h
@@ -20,7 +20,7 @@
   // Answer bytes an agent may have under way to one reader. With the slack of
   // one piece (16 KiB), one cut event (8 KiB) and the beginning that is kept
   // for rating (8 KiB) a reader holds at most 64 KiB of answer data here.
-  size_t m_windowBytes = 32 * 1024;
+  size_t m_windowBytes = 16 * 1024;
   // Answers that are not streamed are held whole until the bill is durable.
   size_t m_maxAnswerBytes = 1024 * 1024;
   base::Millis m_deadline{ 60000 };
