--- a/fakes/engine.cc
+++ b/fakes/engine.cc
@@ -301,7 +301,6 @@
 }
 
 // --- Requests
-// -----------------------------------------------------------------
 
 FakeEngine::Job
 FakeEngine::ReadJob(const net::HttpRequest& aRequest)
