Start the balancer of the bench's fault section

Cause: the last full bench left its faults section out with an exception. The balancer of scripts/lib/callers.py gained start() for the soak, and the bench did not call it: every request ended with 'no ready entry'. Ruled out: a fault of the product; no request was sent. Change: the section starts its balancer.

--- a/scripts/lib/bench_faults.py
+++ b/scripts/lib/bench_faults.py
@@ -112,6 +112,7 @@
         self.deployment, self.site = deployment, site
         self.rng = random.Random(seed)
         self.balancer = Balancer(deployment)
+        self.balancer.start()
         self.pool = concurrent.futures.ThreadPoolExecutor(PROBE_THREADS)
 
     def send(self):
