--- /dev/null
+++ b/chivefront/base/decision_log.cc
@@ -0,0 +1,128 @@
+// Bounded JSON lines.
+#include "chivefront/base/decision_log.h"
+
+#include <algorithm>
+#include <poll.h>
+#include <unistd.h>
+
+namespace chivefront::base {
+namespace detail {
+
+struct LineRate
+{
+  double m_perSecond;
+  double m_burst;
+};
+
+// By LogWeight. At 300 bytes a line they add up to 36 KB a second.
+constexpr std::array<LineRate, 3> kRates{ {
+  { 40, 200 },
+  { 60, 300 },
+  { 20, 40 },
+} };
+
+// A pipe that is ready for writing takes at least this much (PIPE_BUF).
+constexpr size_t kMaxLine = 4096;
+
+void
+AppendQuoted(std::string& aLine, std::string_view aText)
+{
+  constexpr char kHex[] = "0123456789abcdef";
+  aLine += '"';
+  for (const char c : aText) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '"' || c == '\\') {
+      aLine += '\\';
+      aLine += c;
+    } else if (byte < 0x20) {
+      aLine += "\\u00";
+      aLine += kHex[byte >> 4];
+      aLine += kHex[byte & 15];
+    } else {
+      aLine += c;
+    }
+  }
+  aLine += '"';
+}
+
+} // namespace detail
+
+DecisionLog::DecisionLog(std::string aProcess, const Clock& aClock)
+  : m_process(std::move(aProcess))
+  , m_clock(aClock)
+{
+  const TimePoint now = m_clock.Now();
+  for (size_t i = 0; i < m_buckets.size(); ++i) {
+    m_buckets[i] = { detail::kRates[i].m_burst, now };
+  }
+}
+
+bool
+DecisionLog::Take(LogWeight aWeight)
+{
+  const auto index = static_cast<size_t>(aWeight);
+  const detail::LineRate rate = detail::kRates[index];
+  Bucket& bucket = m_buckets[index];
+  const TimePoint now = m_clock.Now();
+  constexpr double kMillisPerSecond = 1000;
+  const double earned = rate.m_perSecond *
+                        static_cast<double>((now - bucket.m_at).Count()) /
+                        kMillisPerSecond;
+  bucket.m_tokens = std::min(rate.m_burst, bucket.m_tokens + earned);
+  bucket.m_at = now;
+  if (bucket.m_tokens < 1) {
+    return false;
+  }
+  bucket.m_tokens -= 1;
+  return true;
+}
+
+void
+DecisionLog::Record(std::string_view aEvent,
+                    LogWeight aWeight,
+                    LogFields aFields)
+{
+  const std::lock_guard lock(m_lock);
+  if (!Take(aWeight)) {
+    ++m_dropped;
+    return;
+  }
+  std::string line = "{\"at\":" + std::to_string(WallClockMillis());
+  line += ",\"process\":";
+  detail::AppendQuoted(line, m_process);
+  line += ",\"event\":";
+  detail::AppendQuoted(line, aEvent);
+  for (const LogField& field : aFields) {
+    line += ',';
+    detail::AppendQuoted(line, field.m_name);
+    line += ':';
+    detail::AppendQuoted(line, field.m_value);
+  }
+  if (m_dropped != m_reported) {
+    line += ",\"dropped_lines\":" + std::to_string(m_dropped);
+  }
+  line += "}\n";
+  Write(line);
+}
+
+void
+DecisionLog::Write(const std::string& aLine)
+{
+  pollfd ready{ STDOUT_FILENO, POLLOUT, 0 };
+  if (aLine.size() > detail::kMaxLine || poll(&ready, 1, 0) != 1 ||
+      (ready.revents & POLLOUT) == 0 ||
+      write(STDOUT_FILENO, aLine.data(), aLine.size()) < 0) {
+    ++m_dropped;
+    return;
+  }
+  m_reported = m_dropped;
+}
+
+uint64_t
+DecisionLog::Dropped() const
+{
+  const std::lock_guard lock(m_lock);
+  return m_dropped;
+}
+
+} // namespace chivefront::base
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -33,6 +33,7 @@
   std::string m_name;
   uint64_t m_identity = 0;
   std::vector<std::string> m_initial; // names of the first members
+  bool m_mayFound = true;             // as in GroupOptions
   base::Millis m_electionTimeout{ 400 };
   base::Millis m_heartbeat{ 100 };
   uint64_t m_seed = 0; // of the election timeouts
--- a/chivefront/consensus/driver.cc
+++ b/chivefront/consensus/driver.cc
@@ -57,6 +57,7 @@
   options.m_name = m_options.m_name;
   options.m_identity = state->m_identity;
   options.m_initial = m_options.m_initial;
+  options.m_mayFound = m_options.m_mayFound;
   options.m_electionTimeout = m_options.m_electionTimeout;
   options.m_heartbeat = m_options.m_heartbeat;
   options.m_seed = aSeed;
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -55,7 +55,10 @@
   uint32_t m_group = 0;
   std::string m_name;                 // this process
   std::vector<std::string> m_initial; // names of the first members
-  std::string m_folder;               // data folder of this group
+  // This replica may found the group with the others of m_initial. False for
+  // one that starts when the group exists: it waits to be admitted.
+  bool m_mayFound = true;
+  std::string m_folder; // data folder of this group
   base::Millis m_electionTimeout{ 400 };
   base::Millis m_heartbeat{ 100 };
   // A snapshot is taken after this many applied commands.
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -61,7 +61,7 @@
   const bool initial = std::count(m_options.m_initial.begin(),
                                   m_options.m_initial.end(),
                                   m_options.m_name) > 0;
-  if (m_hard.m_stage == Stage::Empty && initial &&
+  if (m_hard.m_stage == Stage::Empty && initial && m_options.m_mayFound &&
       m_empty.size() == m_options.m_initial.size()) {
     for (const auto& [name, identity] : m_empty) {
       m_hard.m_initial.push_back({ name, identity, true });
--- a/chivefront/control/peers.cc
+++ b/chivefront/control/peers.cc
@@ -30,7 +30,10 @@
              const net::LinkIdentity& aIdentity,
              const PeerMap& aPeers,
              const net::Link::Handlers& aHandlers)
-  : m_name(aIdentity.m_process)
+  : m_context(aContext)
+  , m_identity(aIdentity)
+  , m_handlers(aHandlers)
+  , m_name(aIdentity.m_process)
 {
   for (const auto& [name, endpoint] : aPeers) {
     if (name != m_name) {
@@ -43,6 +46,7 @@
 void
 Peers::Start()
 {
+  const std::lock_guard lock(m_lock);
   for (const auto& [name, connector] : m_connectors) {
     connector->Start();
   }
@@ -51,6 +55,8 @@
 void
 Peers::Stop()
 {
+  const std::lock_guard lock(m_lock);
+  m_stopped = true;
   for (const auto& [name, connector] : m_connectors) {
     connector->Stop();
   }
@@ -59,6 +65,7 @@
 std::vector<std::string>
 Peers::Names() const
 {
+  const std::lock_guard lock(m_lock);
   std::vector<std::string> names;
   for (const auto& [name, connector] : m_connectors) {
     names.push_back(name);
@@ -69,16 +76,36 @@
 net::Link::Pointer
 Peers::LinkTo(const std::string& aName) const
 {
+  const std::lock_guard lock(m_lock);
   const auto found = m_connectors.find(aName);
   return found == m_connectors.end() ? nullptr : found->second->Current();
 }
 
+net::Link::Pointer
+Peers::Reach(const std::string& aName)
+{
+  const std::lock_guard lock(m_lock);
+  const auto found = m_connectors.find(aName);
+  if (found != m_connectors.end()) {
+    return found->second->Current();
+  }
+  const auto address = base::Endpoint::Parse(aName);
+  if (m_stopped || aName == m_name || !address) {
+    return nullptr;
+  }
+  const auto connector = std::make_shared<net::LinkConnector>(
+    m_context, m_identity, *address, m_handlers);
+  m_connectors.emplace(aName, connector);
+  connector->Start();
+  return nullptr; // open at a later call
+}
+
 void
 Peers::SendEnvelope(uint32_t aGroup,
                     const std::string& aTo,
-                    const std::string& aPayload) const
+                    const std::string& aPayload)
 {
-  const net::Link::Pointer link = LinkTo(aTo);
+  const net::Link::Pointer link = Reach(aTo);
   // Another process may answer at this address after a mistake in --peers.
   if (!link || link->Peer().m_process != aTo) {
     return;
--- a/chivefront/control/peers.h
+++ b/chivefront/control/peers.h
@@ -1,8 +1,12 @@
 // The links of a control process to the other control processes.
+//
+// A process that is named by its address, like "10.0.0.4:7340", needs no place
+// in the list: the first envelope to it opens a link.
 #pragma once
 
 #include <map>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <vector>
 
@@ -16,7 +20,7 @@
 absl::StatusOr<PeerMap>
 ParsePeers(const std::string& aText);
 
-// Thread-safe after construction.
+// Thread-safe.
 class Peers
 {
 public:
@@ -32,14 +36,22 @@
   std::vector<std::string> Names() const;
   // The open link, or null.
   net::Link::Pointer LinkTo(const std::string& aName) const;
+  // The open link, or null. A name that is an address and has no link yet gets
+  // one.
+  net::Link::Pointer Reach(const std::string& aName);
   // Sends an envelope of a group; drops it when there is no link, as the
   // group's protocol allows.
   void SendEnvelope(uint32_t aGroup,
                     const std::string& aTo,
-                    const std::string& aPayload) const;
+                    const std::string& aPayload);
 
 private:
+  net::asio::io_context& m_context;
+  const net::LinkIdentity& m_identity;
+  const net::Link::Handlers m_handlers;
   const std::string m_name;
+  mutable std::mutex m_lock; // guards what follows
+  bool m_stopped = false;
   std::map<std::string, std::shared_ptr<net::LinkConnector>> m_connectors;
 };
 
--- /dev/null
+++ b/chivefront/proxy/entry.cc
@@ -0,0 +1,177 @@
+// Accepting callers, and the graceful shutdown.
+#include "chivefront/proxy/entry.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/proxy/caller_connection.h"
+#include "chivefront/proxy/exchange.h"
+
+namespace chivefront::proxy {
+using boost::system::error_code;
+using Tcp = net::asio::ip::tcp;
+
+namespace detail {
+
+constexpr base::Millis kSweepPeriod{ 500 };
+constexpr base::Millis kAcceptRetry{ 50 };
+constexpr base::Millis kDrainPoll{ 20 };
+// Before the first configuration a caller has these bounds.
+constexpr routing::CallerLimits kFirstLimits{};
+
+} // namespace detail
+
+Entry::Entry(net::asio::io_context& aContext,
+             EntryOptions aOptions,
+             site::Watch& aWatch,
+             const Dialect& aDialect,
+             base::DecisionLog& aLog,
+             base::Metrics& aMetrics)
+  : m_context(aContext)
+  , m_options(std::move(aOptions))
+  , m_watch(aWatch)
+  , m_acceptor(aContext)
+  , m_upstreams(aWatch, base::SteadyClock::Instance())
+  , m_evidence(aWatch)
+  , m_metrics(aMetrics)
+  , m_parts{ base::SteadyClock::Instance(),
+             aWatch,
+             m_upstreams,
+             aDialect,
+             m_evidence,
+             aLog,
+             m_metrics,
+             m_options.m_domain,
+             m_options.m_bounds }
+{
+  aWatch.SetEvidenceSource([this] { return m_evidence.Rows(); });
+}
+
+Entry::~Entry() = default;
+
+absl::Status
+Entry::Start()
+{
+  error_code error;
+  const auto address =
+    net::asio::ip::make_address(m_options.m_callers.m_address, error);
+  if (error) {
+    return base::MakeError(base::ErrorKind::Unavailable, error.message());
+  }
+  const Tcp::endpoint endpoint(address, m_options.m_callers.m_port);
+  m_acceptor.open(endpoint.protocol(), error);
+  m_acceptor.set_option(net::asio::socket_base::reuse_address(true), error);
+  m_acceptor.bind(endpoint, error);
+  if (!error) {
+    m_acceptor.listen(net::asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return base::MakeError(base::ErrorKind::Unavailable,
+                           m_options.m_callers.ToString() + ": " +
+                             error.message());
+  }
+  net::Spawn(m_context.get_executor(), "entry", [this]() -> net::Task<void> {
+    return AcceptLoop();
+  });
+  net::SpawnPeriodic(m_context.get_executor(),
+                     "entry",
+                     detail::kSweepPeriod,
+                     [this] { return Sweep(); });
+  return absl::OkStatus();
+}
+
+bool
+Entry::Ready() const
+{
+  return m_watch.View().m_config != nullptr && !m_parts.m_draining;
+}
+
+net::Task<bool>
+Entry::Sweep()
+{
+  m_upstreams.Sweep();
+  co_return true;
+}
+
+net::Task<void>
+Entry::AcceptLoop()
+{
+  while (m_acceptor.is_open()) {
+    error_code error;
+    Tcp::socket socket = co_await m_acceptor.async_accept(
+      net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (error == net::asio::error::operation_aborted) {
+      co_return;
+    }
+    if (error) {
+      m_parts.m_log.Record("accept_failed",
+                           base::LogWeight::State,
+                           { { "why", error.message() } });
+      co_await net::Sleep(detail::kAcceptRetry);
+      continue;
+    }
+    if (m_callers.size() >= m_options.m_connections) {
+      continue; // dropping the socket refuses the connection
+    }
+    auto caller = std::make_shared<CallerConnection>(std::move(socket));
+    m_callers.insert(caller);
+    net::Spawn(m_context.get_executor(),
+               "entry",
+               [this, caller]() -> net::Task<void> { return Serve(caller); });
+  }
+}
+
+net::Task<void>
+Entry::Serve(std::shared_ptr<CallerConnection> aCaller)
+{
+  bool again = true;
+  while (again) {
+    const routing::ConfigPointer config = m_watch.View().m_config;
+    const routing::CallerLimits limits =
+      config ? config->Limits() : detail::kFirstLimits;
+    const ReadEnd end = co_await aCaller->ReadRequest(limits);
+    if (end != ReadEnd::Request) {
+      break;
+    }
+    const auto exchange = std::make_shared<Exchange>(m_parts, aCaller);
+    co_await exchange->Run();
+    again = aCaller->KeepAlive();
+  }
+  aCaller->Close();
+  m_callers.erase(aCaller);
+}
+
+void
+Entry::CloseIdle()
+{
+  for (const auto& caller : m_callers) {
+    if (caller->Idle()) {
+      caller->Close();
+    }
+  }
+}
+
+net::Task<void>
+Entry::Drain(base::Millis aNotice, base::Millis aMost)
+{
+  const base::TimePoint started = m_parts.m_clock.Now();
+  m_parts.m_draining = true;
+  m_parts.m_log.Record(
+    "draining",
+    base::LogWeight::State,
+    { { "connections", static_cast<uint64_t>(m_callers.size()) } });
+  co_await net::Sleep(aNotice);
+  error_code ignored; // it is given up in any case
+  m_acceptor.close(ignored);
+  while (!m_callers.empty() && m_parts.m_clock.Now() - started < aMost) {
+    CloseIdle();
+    co_await net::Sleep(detail::kDrainPoll);
+  }
+  m_parts.m_log.Record(
+    "drained",
+    base::LogWeight::State,
+    { { "connections_cut", static_cast<uint64_t>(m_callers.size()) } });
+}
+
+} // namespace chivefront::proxy
--- /dev/null
+++ b/chivefront/proxy/entry_parts.cc
@@ -0,0 +1,68 @@
+// Evidence and metrics of an entry.
+#include "chivefront/proxy/entry_parts.h"
+
+namespace chivefront::proxy {
+
+void
+Evidence::Note(const std::string& aService,
+               const std::string& aVersion,
+               bool aGood)
+{
+  const auto& rollouts = m_watch.View().m_rollouts;
+  const auto found = rollouts.find(aService);
+  if (found == rollouts.end() ||
+      found->second.m_stage != site::RolloutStage::InProgress) {
+    return;
+  }
+  const site::Rollout& rollout = found->second;
+  const bool isNew = aVersion == rollout.m_version;
+  const std::string row = aService + "/" + (isNew ? aVersion : "*");
+  auto& counts = m_counts[{ static_cast<uint64_t>(rollout.m_orderedAt), row }];
+  (aGood ? counts.first : counts.second) += 1;
+}
+
+std::vector<wire::VersionEvidenceT>
+Evidence::Rows() const
+{
+  std::vector<wire::VersionEvidenceT> rows;
+  for (const auto& [key, counts] : m_counts) {
+    wire::VersionEvidenceT row;
+    row.version = key.second;
+    row.since = key.first;
+    row.exposed = counts.first + counts.second;
+    row.good = counts.first;
+    row.bad = counts.second;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+RequestMetrics::RequestMetrics(base::Metrics& aMetrics)
+  : m_received(aMetrics.AddCounter("chivefront_proxy_requests_total",
+                                   "Requests read from callers."))
+  , m_answered(aMetrics.AddCounter("chivefront_proxy_outcomes_total",
+                                   "How requests ended.",
+                                   "outcome=\"answered\""))
+  , m_refused(aMetrics.AddCounter("chivefront_proxy_outcomes_total",
+                                  "How requests ended.",
+                                  "outcome=\"refused\""))
+  , m_failed(aMetrics.AddCounter("chivefront_proxy_outcomes_total",
+                                 "How requests ended.",
+                                 "outcome=\"failed\""))
+  , m_callerLeft(aMetrics.AddCounter("chivefront_proxy_outcomes_total",
+                                     "How requests ended.",
+                                     "outcome=\"caller_left\""))
+  , m_repeats(aMetrics.AddCounter("chivefront_proxy_repeats_total",
+                                  "Requests sent to a further upstream."))
+  , m_resumed(aMetrics.AddCounter("chivefront_proxy_resumed_total",
+                                  "Streams that went on elsewhere."))
+  , m_escalated(
+      aMetrics.AddCounter("chivefront_proxy_escalated_total",
+                          "Answers dropped for one of a larger model."))
+  , m_firstByteMs(
+      aMetrics.AddSummary("chivefront_proxy_first_byte_ms",
+                          "Time from a request to the head of its answer."))
+{
+}
+
+} // namespace chivefront::proxy
--- /dev/null
+++ b/chivefront/proxy/entry_parts.h
@@ -0,0 +1,83 @@
+// What all requests of an entry share.
+#pragma once
+
+#include <map>
+#include <string>
+#include <utility>
+
+#include "chivefront/base/decision_log.h"
+#include "chivefront/base/metrics.h"
+#include "chivefront/proxy/dialect.h"
+#include "chivefront/proxy/upstreams.h"
+#include "chivefront/routing/budget.h"
+#include "chivefront/site/watch.h"
+
+namespace chivefront::proxy {
+
+// Bounds that all entries keep together; each keeps its share.
+struct SharedBounds
+{
+  // Repeats at a service, as a part of the requests for it, and beyond that.
+  double m_repeatRatio = 0.5;
+  double m_repeatExtra = 4;
+};
+
+// Counts good and bad answers of the versions of each service that is being
+// rolled out.
+class Evidence
+{
+public:
+  explicit Evidence(const site::Watch& aWatch)
+    : m_watch(aWatch)
+  {
+  }
+
+  void Note(const std::string& aService,
+            const std::string& aVersion,
+            bool aGood);
+  std::vector<wire::VersionEvidenceT> Rows() const;
+
+private:
+  using RowKey = std::pair<uint64_t, std::string>; // order time, row name
+  const site::Watch& m_watch;
+  std::map<RowKey, std::pair<uint64_t, uint64_t>> m_counts; // good, bad
+};
+
+struct RequestMetrics
+{
+  explicit RequestMetrics(base::Metrics& aMetrics);
+
+  base::Counter& m_received;
+  base::Counter& m_answered;
+  base::Counter& m_refused;
+  base::Counter& m_failed;
+  base::Counter& m_callerLeft;
+  base::Counter& m_repeats;
+  base::Counter& m_resumed;
+  base::Counter& m_escalated;
+  base::Summary& m_firstByteMs;
+};
+
+struct EntryParts
+{
+  const base::Clock& m_clock;
+  const site::Watch& m_watch;
+  Upstreams& m_upstreams;
+  const Dialect& m_dialect;
+  Evidence& m_evidence;
+  base::DecisionLog& m_log;
+  RequestMetrics& m_metrics;
+  const std::string m_domain; // failure domain of this entry
+  const SharedBounds m_bounds;
+  bool m_draining = false;
+  std::map<std::string, routing::RepeatBudget> m_repeats; // by service
+
+  routing::RepeatBudget& RepeatsOf(const std::string& aService)
+  {
+    return m_repeats
+      .try_emplace(aService, m_bounds.m_repeatRatio, m_bounds.m_repeatExtra)
+      .first->second;
+  }
+};
+
+} // namespace chivefront::proxy
--- /dev/null
+++ b/chivefront/proxy/upstream_connection.cc
@@ -0,0 +1,223 @@
+// HTTP/1.1 to upstreams on Boost.Beast's parser.
+#include "chivefront/proxy/upstream_connection.h"
+
+#include <charconv>
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include "chivefront/base/errors.h"
+
+namespace chivefront::proxy {
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = net::asio::ip::tcp;
+
+namespace detail {
+
+// A peer that acknowledges nothing for this long is taken to be gone. Two
+// seconds are several retransmissions within a region.
+constexpr int kUserTimeoutMs = 2000;
+constexpr int kProbeAfterSeconds = 1;
+constexpr int kProbes = 2;
+constexpr uint32_t kHeadBytes = 16 * 1024;
+constexpr int kMostInterimAnswers = 3;
+
+void
+SetOption(Tcp::socket& aSocket, int aLevel, int aName, int aValue)
+{
+  // A socket without the option works as before, only slower to notice a
+  // silent peer.
+  (void)setsockopt(
+    aSocket.native_handle(), aLevel, aName, &aValue, sizeof(aValue));
+}
+
+void
+DetectSilence(Tcp::socket& aSocket)
+{
+  SetOption(aSocket, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+  SetOption(aSocket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, kProbeAfterSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, kProbeAfterSeconds);
+  SetOption(aSocket, IPPROTO_TCP, TCP_KEEPCNT, kProbes);
+}
+
+absl::Status
+Failed(base::ErrorKind aKind, const error_code& aError)
+{
+  return base::MakeError(aKind, aError.message());
+}
+
+} // namespace detail
+
+UpstreamConnection::UpstreamConnection(
+  const net::asio::any_io_executor& aExecutor)
+  : m_socket(aExecutor)
+{
+}
+
+net::Task<absl::Status>
+UpstreamConnection::Connect(const base::Endpoint& aAddress,
+                            base::Millis aTimeout)
+{
+  error_code error;
+  const auto address = net::asio::ip::make_address(aAddress.m_address, error);
+  if (error) {
+    co_return detail::Failed(base::ErrorKind::NoUpstream, error);
+  }
+  const Tcp::endpoint endpoint(address, aAddress.m_port);
+  m_socket.open(endpoint.protocol(), error);
+  if (error) {
+    co_return detail::Failed(base::ErrorKind::NoUpstream, error);
+  }
+  detail::DetectSilence(m_socket);
+  net::asio::steady_timer timer(m_socket.get_executor());
+  timer.expires_after(aTimeout.ToChrono());
+  timer.async_wait([this](const error_code& aError) {
+    if (!aError) {
+      Close();
+    }
+  });
+  co_await m_socket.async_connect(
+    endpoint, net::asio::redirect_error(net::asio::use_awaitable, error));
+  timer.cancel();
+  if (error) {
+    co_return detail::Failed(base::ErrorKind::NoUpstream, error);
+  }
+  co_return absl::OkStatus();
+}
+
+net::Task<void>
+UpstreamConnection::WriteAll(std::shared_ptr<const std::string> aRequest)
+{
+  error_code error;
+  co_await net::asio::async_write(
+    m_socket,
+    net::asio::buffer(*aRequest),
+    net::asio::redirect_error(net::asio::use_awaitable, error));
+  m_written = !error;
+}
+
+net::Task<absl::Status>
+UpstreamConnection::Send(std::shared_ptr<const std::string> aRequest)
+{
+  m_used = true;
+  m_written = false;
+  // Most requests fit into the socket's buffer at once.
+  error_code error;
+  m_socket.non_blocking(true, error);
+  const size_t sent = m_socket.write_some(net::asio::buffer(*aRequest), error);
+  if (error && error != net::asio::error::would_block) {
+    // Not a byte was taken on a connection that the upstream had closed.
+    co_return detail::Failed(base::ErrorKind::NoUpstream, error);
+  }
+  if (sent == aRequest->size()) {
+    m_written = true;
+  } else {
+    auto rest = std::make_shared<const std::string>(aRequest->substr(sent));
+    co_await WriteAll(std::move(rest));
+  }
+  co_return co_await ReadHead();
+}
+
+net::Task<absl::Status>
+UpstreamConnection::ReadHead()
+{
+  for (int i = 0; i < detail::kMostInterimAnswers; ++i) {
+    m_parser.emplace();
+    m_parser->body_limit(boost::none);
+    m_parser->header_limit(detail::kHeadBytes);
+    error_code error;
+    co_await http::async_read_header(
+      m_socket,
+      m_buffer,
+      *m_parser,
+      net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (error) {
+      co_return detail::Failed(base::ErrorKind::LinkClosed, error);
+    }
+    constexpr unsigned kFirstFinal = 200;
+    if (m_parser->get().result_int() >= kFirstFinal) {
+      NoteKeepAlive();
+      co_return absl::OkStatus();
+    }
+  }
+  co_return base::MakeError(base::ErrorKind::BadFrame,
+                            "too many interim answers");
+}
+
+void
+UpstreamConnection::NoteKeepAlive()
+{
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto value = m_parser->get()[http::field::keep_alive];
+  const std::string_view text(value.data(), value.size());
+  const size_t at = text.find(kTimeout);
+  int64_t seconds = 0;
+  if (at != std::string_view::npos) {
+    const char* begin = text.data() + at + kTimeout.size();
+    (void)std::from_chars(begin, text.data() + text.size(), seconds);
+    constexpr int64_t kMillisPerSecond = 1000;
+    m_keepAlive = base::Millis(seconds * kMillisPerSecond);
+  }
+}
+
+net::Task<absl::StatusOr<std::string>>
+UpstreamConnection::Read()
+{
+  std::string piece;
+  while (piece.empty() && !m_parser->is_done()) {
+    auto& body = m_parser->get().body();
+    body.data = m_space.data();
+    body.size = m_space.size();
+    body.more = true;
+    error_code error;
+    co_await http::async_read_some(
+      m_socket,
+      m_buffer,
+      *m_parser,
+      net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (error && error != http::error::need_buffer) {
+      co_return detail::Failed(base::ErrorKind::AnswerIncomplete, error);
+    }
+    piece.assign(m_space.data(), m_space.size() - body.size);
+  }
+  co_return piece;
+}
+
+bool
+UpstreamConnection::Reusable() const
+{
+  return m_parser && m_parser->is_done() && m_written &&
+         m_parser->get().keep_alive() && m_buffer.size() == 0 &&
+         m_socket.is_open();
+}
+
+bool
+UpstreamConnection::Quiet()
+{
+  if (!m_socket.is_open() || m_buffer.size() != 0) {
+    return false;
+  }
+  char byte = 0;
+  error_code error;
+  m_socket.non_blocking(true, error);
+  (void)m_socket.receive(
+    net::asio::buffer(&byte, 1), Tcp::socket::message_peek, error);
+  return error == net::asio::error::would_block;
+}
+
+void
+UpstreamConnection::Close()
+{
+  error_code ignored; // the connection is given up in any case
+  m_socket.close(ignored);
+}
+
+} // namespace chivefront::proxy
--- /dev/null
+++ b/chivefront/routing/belief.cc
@@ -0,0 +1,97 @@
+// Updates of the belief about one upstream.
+#include "chivefront/routing/belief.h"
+
+#include <algorithm>
+
+namespace chivefront::routing {
+namespace detail {
+
+// A report older than this says nothing of the other entries' requests.
+constexpr base::Millis kReportLife{ 1500 };
+constexpr base::Millis kFirstPause{ 200 };
+constexpr base::Millis kLongestPause{ 2000 };
+constexpr uint32_t kMostDoublings = 4;
+constexpr base::Millis kFullPause{ 50 };
+// Weight of the newest answer in the moving averages.
+constexpr double kNewest = 0.1;
+// How long an unused part is likely to stay in an upstream's memory.
+constexpr base::Millis kPartLife{ 20000 };
+constexpr size_t kMostParts = 4096;
+
+} // namespace detail
+
+void
+Belief::OnLoad(uint32_t aRunning, uint32_t aWaiting, base::TimePoint aNow)
+{
+  m_reported = { aRunning, aWaiting, aNow, m_inFlight };
+}
+
+// The requests of other entries as reported, plus this one's own of now.
+double
+Belief::Load(base::TimePoint aNow) const
+{
+  if (aNow - m_reported.m_at > detail::kReportLife) {
+    return m_inFlight;
+  }
+  const double all = static_cast<double>(m_reported.m_running) +
+                     static_cast<double>(m_reported.m_waiting);
+  const double others = std::max(0.0, all - m_reported.m_ownThen);
+  return others + m_inFlight;
+}
+
+void
+Belief::OnAnswer()
+{
+  m_failures = 0;
+  m_closedUntil = base::TimePoint();
+}
+
+void
+Belief::OnFailure(base::TimePoint aNow)
+{
+  const uint32_t doublings = std::min(m_failures, detail::kMostDoublings);
+  const base::Millis pause = detail::kFirstPause * (int64_t(1) << doublings);
+  ++m_failures;
+  m_closedUntil = aNow + std::min(pause, detail::kLongestPause);
+}
+
+void
+Belief::OnFull(base::TimePoint aNow)
+{
+  m_closedUntil = std::max(m_closedUntil, aNow + detail::kFullPause);
+}
+
+void
+Belief::OnOutcome(bool aGood)
+{
+  m_failureShare += detail::kNewest * ((aGood ? 0.0 : 1.0) - m_failureShare);
+}
+
+void
+Belief::OnPace(double aRatio)
+{
+  m_pace += detail::kNewest * (aRatio - m_pace);
+}
+
+void
+Belief::NotePart(const std::string& aModelAndPart, base::TimePoint aNow)
+{
+  if (m_parts.size() >= detail::kMostParts) {
+    std::erase_if(m_parts, [&](const auto& aPart) {
+      return aNow - aPart.second > detail::kPartLife;
+    });
+    if (m_parts.size() >= detail::kMostParts) {
+      m_parts.clear();
+    }
+  }
+  m_parts[aModelAndPart] = aNow;
+}
+
+bool
+Belief::HoldsPart(const std::string& aModelAndPart, base::TimePoint aNow) const
+{
+  const auto found = m_parts.find(aModelAndPart);
+  return found != m_parts.end() && aNow - found->second < detail::kPartLife;
+}
+
+} // namespace chivefront::routing
--- /dev/null
+++ b/chivefront/routing/belief.h
@@ -0,0 +1,69 @@
+// What one entry believes of one upstream, from the answers that it got there
+// itself and from the upstream's registrations. Pure; not thread-safe.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "chivefront/base/clock.h"
+#include "chivefront/routing/budget.h"
+
+namespace chivefront::routing {
+
+// Load as an upstream told it at m_at.
+struct ReportedLoad
+{
+  uint32_t m_running = 0;
+  uint32_t m_waiting = 0;
+  base::TimePoint m_at;
+  uint32_t m_ownThen = 0; // of this entry's requests among them
+};
+
+class Belief
+{
+public:
+  void OnSent() { ++m_inFlight; }
+  void OnEnded() { m_inFlight -= m_inFlight > 0 ? 1 : 0; }
+  uint32_t InFlight() const { return m_inFlight; }
+
+  void OnLoad(uint32_t aRunning, uint32_t aWaiting, base::TimePoint aNow);
+  // Requests at the upstream, of all entries, as far as this one can tell.
+  double Load(base::TimePoint aNow) const;
+
+  // An answer came, whatever it said.
+  void OnAnswer();
+  // A connection failed, or an answer broke off.
+  void OnFailure(base::TimePoint aNow);
+  // It rejected a request for want of room.
+  void OnFull(base::TimePoint aNow);
+  // It answered with a failure of its own, or with success.
+  void OnOutcome(bool aGood);
+
+  // It gets no requests before this moment.
+  base::TimePoint ClosedUntil() const { return m_closedUntil; }
+  // Share of failures among its recent answers, 0 to 1.
+  double FailureShare() const { return m_failureShare; }
+
+  // Milliseconds to the first byte, relative to what is usual: 1 is usual.
+  void OnPace(double aRatio);
+  double Pace() const { return m_pace; }
+
+  RateBucket& ColdBucket() { return m_coldBucket; }
+
+  // Prompt parts that this entry sent there lately.
+  void NotePart(const std::string& aModelAndPart, base::TimePoint aNow);
+  bool HoldsPart(const std::string& aModelAndPart, base::TimePoint aNow) const;
+
+private:
+  uint32_t m_inFlight = 0; // of this entry
+  ReportedLoad m_reported;
+  uint32_t m_failures = 0; // in a row
+  base::TimePoint m_closedUntil;
+  double m_failureShare = 0;
+  double m_pace = 1;
+  RateBucket m_coldBucket;
+  std::unordered_map<std::string, base::TimePoint> m_parts; // last use
+};
+
+} // namespace chivefront::routing
--- /dev/null
+++ b/chivefront/routing/choice.cc
@@ -0,0 +1,101 @@
+// The estimate behind the choice of an upstream.
+#include "chivefront/routing/choice.h"
+
+#include "chivefront/routing/config.h"
+
+namespace chivefront::routing {
+namespace detail {
+
+// Estimated delay of a request when all slots are taken, in milliseconds, in
+// proportion to the share that is taken; beyond that it waits.
+constexpr double kFullDelayMs = 120;
+constexpr double kWaitPerRequestMs = 25;
+// Another failure domain costs a round trip and priced bytes.
+constexpr double kFarMs = 4;
+// Entries that know nothing of a part agree on where it goes by hashing it, so
+// that it is read once and not once per entry.
+constexpr double kAgreedShare = 0.5;
+// Failures up to this share are taken for the requests' own.
+constexpr double kTolerableFailures = 0.25;
+constexpr double kFailurePenaltyMs = 2000;
+
+// Rendezvous hashing: the upstream with the highest value for the part.
+size_t
+AgreedUpstream(const std::vector<Candidate>& aCandidates,
+               const std::string& aPart)
+{
+  size_t best = 0;
+  uint64_t bestValue = 0;
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    const uint64_t value =
+      StableHash(aPart + "@" + aCandidates[i].m_instance->m_id);
+    if (i == 0 || value > bestValue) {
+      best = i;
+      bestValue = value;
+    }
+  }
+  return best;
+}
+
+double
+ReadingMs(const Candidate& aCandidate,
+          const ChoiceNeed& aNeed,
+          bool aAgreed,
+          base::TimePoint aNow)
+{
+  double tokens = 0;
+  bool held = true; // a part counts only when all parts before it are held
+  for (const PartNeed& part : aNeed.m_shared) {
+    held = held && aCandidate.m_belief->HoldsPart(part.m_key, aNow);
+    if (!held) {
+      tokens += aAgreed ? part.m_tokens * kAgreedShare : part.m_tokens;
+    }
+  }
+  return tokens / aNeed.m_tokensPerMs;
+}
+
+double
+CostMs(const Candidate& aCandidate,
+       const ChoiceNeed& aNeed,
+       bool aAgreed,
+       base::TimePoint aNow)
+{
+  const Belief& belief = *aCandidate.m_belief;
+  const double load = belief.Load(aNow);
+  const double slots = aCandidate.m_slots > 0 ? aCandidate.m_slots : 1;
+  double cost = ReadingMs(aCandidate, aNeed, aAgreed, aNow);
+  cost += kFullDelayMs * load / slots;
+  cost += load > slots ? (load - slots) * kWaitPerRequestMs : 0;
+  cost += aCandidate.m_instance->m_domain == aNeed.m_ownDomain ? 0 : kFarMs;
+  cost *= belief.Pace() > 1 ? belief.Pace() : 1;
+  if (belief.FailureShare() > kTolerableFailures) {
+    cost += kFailurePenaltyMs * (belief.FailureShare() - kTolerableFailures);
+  }
+  return cost;
+}
+
+} // namespace detail
+
+size_t
+ChooseUpstream(const std::vector<Candidate>& aCandidates,
+               const ChoiceNeed& aNeed,
+               base::TimePoint aNow)
+{
+  size_t agreed = aCandidates.size();
+  if (!aNeed.m_shared.empty()) {
+    agreed = detail::AgreedUpstream(aCandidates, aNeed.m_shared.back().m_key);
+  }
+  size_t best = 0;
+  double bestCost = 0;
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    const double cost =
+      detail::CostMs(aCandidates[i], aNeed, i == agreed, aNow);
+    if (i == 0 || cost < bestCost) {
+      best = i;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+} // namespace chivefront::routing
--- /dev/null
+++ b/chivefront/site/messages.cc
@@ -0,0 +1,172 @@
+// Conversions for watch messages.
+#include "chivefront/site/messages.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include <absl/strings/str_split.h>
+
+#include "chivefront/base/errors.h"
+
+namespace chivefront::site {
+namespace {
+
+constexpr char kDocumentPrefix[] = "document/";
+constexpr char kDomainPrefix[] = "out/domain/";
+constexpr char kRolloutPrefix[] = "rollout/";
+
+uint32_t
+SpanUntil(base::TimePoint aWhen, base::TimePoint aNow)
+{
+  return static_cast<uint32_t>(std::max<int64_t>(0, (aWhen - aNow).Count()));
+}
+
+void
+Add(ConfigEntries& aEntries, std::string aKey, std::string aValue)
+{
+  auto entry = std::make_unique<wire::ConfigEntryT>();
+  entry->key = std::move(aKey);
+  entry->value = std::move(aValue);
+  aEntries.push_back(std::move(entry));
+}
+
+// The rest of aKey after aPrefix, or empty.
+std::string
+After(const std::string& aKey, const std::string& aPrefix)
+{
+  return aKey.compare(0, aPrefix.size(), aPrefix) == 0
+           ? aKey.substr(aPrefix.size())
+           : std::string();
+}
+
+bool
+ReadNumber(absl::string_view aText, int64_t& aNumber)
+{
+  const char* end = aText.data() + aText.size();
+  const auto [stop, error] = std::from_chars(aText.data(), end, aNumber);
+  return error == std::errc() && stop == end;
+}
+
+// "STAGE SPAN_MS ELAPSED_MS ORDERED_AT VERSION"
+bool
+ReadRollout(const std::string& aText, base::TimePoint aNow, Rollout& aRollout)
+{
+  const std::vector<std::string> words =
+    absl::StrSplit(aText, absl::MaxSplits(' ', 4));
+  int64_t span = 0;
+  int64_t elapsed = 0;
+  int64_t orderedAt = 0;
+  if (words.size() != 5 || !ReadNumber(words[1], span) ||
+      !ReadNumber(words[2], elapsed) || !ReadNumber(words[3], orderedAt)) {
+    return false;
+  }
+  const auto stage = kRolloutStageNames.Find(words[0]);
+  if (!stage) {
+    return false;
+  }
+  aRollout.m_stage = *stage;
+  aRollout.m_span = base::Millis(span);
+  aRollout.m_started = aNow - base::Millis(elapsed);
+  aRollout.m_orderedAt = orderedAt;
+  aRollout.m_version = words[4];
+  return true;
+}
+
+} // namespace
+
+wire::UpstreamInfoT
+ToWire(const routing::Instance& aInstance, base::TimePoint aNow)
+{
+  wire::UpstreamInfoT info;
+  info.name = aInstance.m_id;
+  info.service = aInstance.m_service;
+  info.address = aInstance.m_address.ToString();
+  info.failure_domain = aInstance.m_domain;
+  info.version = aInstance.m_version;
+  info.slots = aInstance.m_slots;
+  info.leaving = aInstance.m_state != routing::InstanceState::Ready;
+  info.removed = aInstance.m_state == routing::InstanceState::Gone;
+  info.born = aInstance.m_born;
+  info.sequence = aInstance.m_sequence;
+  info.warmup_ms = SpanUntil(aInstance.m_coldUntil, aNow);
+  info.age_ms = SpanUntil(aNow, aInstance.m_heard);
+  return info;
+}
+
+bool
+FromWire(const wire::UpstreamInfoT& aInfo,
+         base::TimePoint aNow,
+         routing::Instance& aInstance)
+{
+  const auto address = base::Endpoint::Parse(aInfo.address);
+  if (!address) {
+    return false;
+  }
+  aInstance.m_id = aInfo.name;
+  aInstance.m_service = aInfo.service;
+  aInstance.m_address = *address;
+  aInstance.m_domain = aInfo.failure_domain;
+  aInstance.m_version = aInfo.version;
+  aInstance.m_slots = aInfo.slots;
+  aInstance.m_state = aInfo.removed   ? routing::InstanceState::Gone
+                      : aInfo.leaving ? routing::InstanceState::Draining
+                                      : routing::InstanceState::Ready;
+  aInstance.m_born = aInfo.born;
+  aInstance.m_sequence = aInfo.sequence;
+  aInstance.m_coldUntil = aNow + base::Millis(aInfo.warmup_ms);
+  aInstance.m_heard = aNow - base::Millis(aInfo.age_ms);
+  return true;
+}
+
+ConfigEntries
+ToEntries(const State& aState, uint64_t aHaveNumber, base::TimePoint aNow)
+{
+  ConfigEntries entries;
+  if (aState.m_document && aState.m_number > aHaveNumber) {
+    Add(entries,
+        kDocumentPrefix + std::to_string(aState.m_number),
+        *aState.m_document);
+  }
+  for (const std::string& domain : aState.m_domainsOut) {
+    Add(entries, kDomainPrefix + domain, "");
+  }
+  for (const auto& [service, rollout] : aState.m_rollouts) {
+    std::string value(kRolloutStageNames.Name(rollout.m_stage));
+    value += " " + std::to_string(rollout.m_span.Count());
+    value += " " + std::to_string((aNow - rollout.m_started).Count());
+    value += " " + std::to_string(rollout.m_orderedAt);
+    value += " " + rollout.m_version;
+    Add(entries, kRolloutPrefix + service, std::move(value));
+  }
+  return entries;
+}
+
+absl::Status
+FromEntries(const ConfigEntries& aEntries, base::TimePoint aNow, State& aState)
+{
+  for (const auto& entry : aEntries) {
+    const std::string& key = entry->key;
+    if (const std::string number = After(key, kDocumentPrefix);
+        !number.empty()) {
+      int64_t value = 0;
+      if (!ReadNumber(number, value)) {
+        return base::MakeError(base::ErrorKind::Invalid, "document number");
+      }
+      aState.m_number = static_cast<uint64_t>(value);
+      aState.m_document = std::make_shared<const std::string>(entry->value);
+    } else if (const std::string domain = After(key, kDomainPrefix);
+               !domain.empty()) {
+      aState.m_domainsOut.insert(domain);
+    } else if (const std::string service = After(key, kRolloutPrefix);
+               !service.empty()) {
+      Rollout rollout;
+      if (!ReadRollout(entry->value, aNow, rollout)) {
+        return base::MakeError(base::ErrorKind::Invalid, "roll-out " + service);
+      }
+      aState.m_rollouts[service] = rollout;
+    }
+  }
+  return absl::OkStatus();
+}
+
+} // namespace chivefront::site
--- /dev/null
+++ b/chivefront/site/node.cc
@@ -0,0 +1,461 @@
+// Assembly of a control process, and its answers to links.
+#include "chivefront/site/node.h"
+
+#include <algorithm>
+#include <set>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
+#include "chivefront/control/confirmer.h"
+#include "chivefront/control/holders.h"
+#include "chivefront/control/peers.h"
+#include "chivefront/site/messages.h"
+#include "chivefront/site/rollout_verdict.h"
+
+namespace chivefront::site {
+namespace detail {
+
+constexpr uint32_t kGroup = 0;
+constexpr base::Millis kJudgePeriod{ 200 };
+// How long a planned stop waits for another replica to take over.
+constexpr base::Millis kTransferTime{ 1500 };
+constexpr base::Millis kTransferPoll{ 30 };
+// A document may have hundreds of kilobytes, and the disk is small.
+constexpr uint64_t kSnapshotEvery = 64;
+constexpr uint64_t kTrailing = 16;
+constexpr uint64_t kSegmentBytes = 1024 * 1024;
+// Row of evidence about all versions of a service but the one rolled out.
+constexpr char kOtherVersions[] = "*";
+
+std::string
+EvidenceRow(const std::string& aService, const std::string& aVersion)
+{
+  return aService + "/" + aVersion;
+}
+
+AnswerCounts
+CountsOf(const wire::VersionEvidenceT& aRow)
+{
+  return { aRow.good, aRow.bad };
+}
+
+} // namespace detail
+
+struct Node::Parts
+{
+  Parts(net::asio::io_context& aContext,
+        const net::LinkIdentity& aIdentity,
+        NodeOptions aOptions,
+        base::EventLog& aEvents,
+        base::Metrics& aMetrics,
+        base::DecisionLog& aLog)
+    : m_context(aContext)
+    , m_options(std::move(aOptions))
+    , m_clock(base::SteadyClock::Instance())
+    , m_log(aLog)
+    , m_handlers(MakeHandlers())
+    , m_peers(aContext, aIdentity, {}, m_handlers)
+    , m_links(aContext, aIdentity, m_handlers)
+    , m_store(m_clock)
+    , m_group(
+        MakeGroupOptions(),
+        m_store,
+        [this](const std::string& aTo, const std::string& aPayload) {
+          m_peers.SendEnvelope(detail::kGroup, aTo, aPayload);
+        },
+        m_options.m_onFatal,
+        aEvents)
+    , m_replica(m_group)
+    , m_confirmer(m_replica)
+    , m_watches(aMetrics.AddCounter("chivefront_site_watches_total",
+                                    "Polls of entries answered."))
+    , m_registrations(aMetrics.AddCounter("chivefront_site_registrations_total",
+                                          "Records of upstreams taken in."))
+    , m_orders(aMetrics.AddCounter("chivefront_site_orders_total",
+                                   "Commands proposed."))
+  {
+  }
+
+  std::string Name() const { return m_options.m_listen.ToString(); }
+
+  net::Link::Handlers MakeHandlers()
+  {
+    net::Link::Handlers handlers;
+    handlers.m_onOpen = [this](const net::Link::Pointer& aLink) {
+      m_log.Record("link_open",
+                   base::LogWeight::State,
+                   { { "peer", aLink->Peer().m_process } });
+    };
+    handlers.m_onMessage = [this](const net::Link::Pointer& aLink,
+                                  wire::MessageT aMessage) {
+      Handle(aLink, aMessage);
+    };
+    handlers.m_onClose = [this](const net::Link::Pointer& aLink,
+                                const absl::Status& aWhy) {
+      m_log.Record("link_closed",
+                   base::LogWeight::State,
+                   { { "peer", aLink->Peer().m_process },
+                     { "why", base::MessageOf(aWhy) } });
+    };
+    return handlers;
+  }
+
+  consensus::GroupOptions MakeGroupOptions() const
+  {
+    consensus::GroupOptions options;
+    options.m_group = detail::kGroup;
+    options.m_name = Name();
+    options.m_initial = m_options.m_seeds;
+    options.m_mayFound = m_options.m_mayFound;
+    options.m_folder = m_options.m_folder;
+    options.m_snapshotEvery = detail::kSnapshotEvery;
+    options.m_trailing = detail::kTrailing;
+    options.m_segmentBytes = detail::kSegmentBytes;
+    return options;
+  }
+
+  void Handle(const net::Link::Pointer& aLink, wire::MessageT& aMessage);
+  void OnWatch(const net::Link::Pointer& aLink,
+               uint64_t aCorrelation,
+               const wire::WatchRequestT& aRequest);
+  void OnAnnounce(const wire::AnnounceRequestT& aRequest);
+  void Broadcast(const routing::Instance& aRecord);
+  std::set<std::string> Others() const;
+  net::Task<bool> Judge();
+  void NoteLeader();
+
+  net::asio::io_context& m_context;
+  const NodeOptions m_options;
+  const base::Clock& m_clock;
+  base::DecisionLog& m_log;
+  const net::Link::Handlers m_handlers;
+  control::Peers m_peers;
+  net::LinkServer m_links;
+  Store m_store;
+  consensus::Group m_group;
+  control::GroupReplica m_replica;
+  control::Confirmer m_confirmer;
+  base::Counter& m_watches;
+  base::Counter& m_registrations;
+  base::Counter& m_orders;
+  const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
+  routing::Registry m_registry;
+  control::Holders m_holders;
+  std::string m_lastLeader;
+  bool m_stopped = false;
+};
+
+void
+Node::Parts::Handle(const net::Link::Pointer& aLink, wire::MessageT& aMessage)
+{
+  wire::BodyUnion& body = aMessage.body;
+  switch (body.type) {
+    case wire::Body::WatchRequest:
+      return OnWatch(aLink, aMessage.correlation, *body.AsWatchRequest());
+    case wire::Body::AnnounceRequest:
+      return OnAnnounce(*body.AsAnnounceRequest());
+    case wire::Body::RaftEnvelope: {
+      const wire::RaftEnvelopeT& envelope = *body.AsRaftEnvelope();
+      if (aLink->Peer().m_role == wire::Role::Control) {
+        m_group.Receive(
+          envelope.from,
+          std::string(envelope.payload.begin(), envelope.payload.end()));
+      }
+      return;
+    }
+    default:
+      m_log.Record("unexpected_message",
+                   base::LogWeight::State,
+                   { { "peer", aLink->Peer().m_process },
+                     { "body", wire::EnumNameBody(body.type) } });
+  }
+}
+
+// Only the leader calls its answer fresh; a follower's serves an entry that
+// reaches nobody else.
+void
+Node::Parts::OnWatch(const net::Link::Pointer& aLink,
+                     uint64_t aCorrelation,
+                     const wire::WatchRequestT& aRequest)
+{
+  const base::TimePoint now = m_clock.Now();
+  m_watches.Increment();
+  m_holders.Polled(aRequest, now);
+  const auto state = m_store.Current();
+  const consensus::GroupStatus status = m_group.Status();
+  wire::WatchReplyT reply;
+  reply.fresh = status.m_role == consensus::RaftRole::Leader;
+  reply.leader = status.m_leader;
+  for (const consensus::Replica& replica : status.m_replicas) {
+    reply.members.push_back(replica.m_name);
+  }
+  reply.live_entries = reply.fresh ? m_holders.LiveEntries(now) : 0;
+  reply.revision = state->m_revision;
+  reply.snapshot = aRequest.have_revision != state->m_revision;
+  if (reply.snapshot) {
+    reply.entries = ToEntries(*state, aRequest.have_number, now);
+  }
+  // Sequence numbers of another incarnation mean nothing here.
+  const bool known = aRequest.registry_epoch == m_epoch;
+  const uint64_t since = known ? aRequest.registry_sequence : 0;
+  reply.registry_epoch = m_epoch;
+  reply.registry_sequence = m_registry.Sequence();
+  for (const routing::Instance& instance : m_registry.ChangedSince(since)) {
+    reply.upstreams.push_back(
+      std::make_unique<wire::UpstreamInfoT>(ToWire(instance, now)));
+  }
+  (void)aLink->Reply(aCorrelation, std::move(reply));
+}
+
+void
+Node::Parts::OnAnnounce(const wire::AnnounceRequestT& aRequest)
+{
+  const base::TimePoint now = m_clock.Now();
+  for (const auto& info : aRequest.upstreams) {
+    routing::Instance record;
+    if (FromWire(*info, now, record) && m_registry.Merge(record)) {
+      m_registrations.Increment();
+    }
+  }
+}
+
+// All other control processes that this one has heard of.
+std::set<std::string>
+Node::Parts::Others() const
+{
+  std::set<std::string> names(m_options.m_seeds.begin(),
+                              m_options.m_seeds.end());
+  for (const consensus::Replica& replica : m_group.Status().m_replicas) {
+    names.insert(replica.m_name);
+  }
+  names.erase(Name());
+  return names;
+}
+
+void
+Node::Parts::Broadcast(const routing::Instance& aRecord)
+{
+  const base::TimePoint now = m_clock.Now();
+  for (const std::string& name : Others()) {
+    const net::Link::Pointer link = m_peers.Reach(name);
+    if (!link) {
+      continue; // the next record of the upstream reaches it
+    }
+    wire::AnnounceRequestT announce;
+    announce.agent = Name();
+    announce.upstreams.push_back(
+      std::make_unique<wire::UpstreamInfoT>(ToWire(aRecord, now)));
+    (void)link->Send(wire::MakeMessage(std::move(announce)));
+  }
+}
+
+void
+Node::Parts::NoteLeader()
+{
+  const consensus::GroupStatus status = m_group.Status();
+  if (status.m_leader == m_lastLeader) {
+    return;
+  }
+  m_lastLeader = status.m_leader;
+  m_log.Record("leader_changed",
+               base::LogWeight::State,
+               { { "leader", status.m_leader },
+                 { "term", status.m_term },
+                 { "committed", status.m_committed } });
+}
+
+net::Task<bool>
+Node::Parts::Judge()
+{
+  const base::TimePoint now = m_clock.Now();
+  m_registry.Expire(now);
+  NoteLeader();
+  if (!m_group.IsLeader()) {
+    co_return !m_stopped;
+  }
+  const auto state = m_store.Current();
+  for (const auto& [service, rollout] : state->m_rollouts) {
+    if (rollout.m_stage != RolloutStage::InProgress) {
+      continue;
+    }
+    const auto since = static_cast<uint64_t>(rollout.m_orderedAt);
+    const AnswerCounts moved = detail::CountsOf(m_holders.Evidence(
+      detail::EvidenceRow(service, rollout.m_version), since));
+    const AnswerCounts others = detail::CountsOf(m_holders.Evidence(
+      detail::EvidenceRow(service, detail::kOtherVersions), since));
+    const auto stage = JudgeRollout(rollout, moved, others, now);
+    if (!stage) {
+      continue;
+    }
+    m_log.Record("rollout_judged",
+                 base::LogWeight::State,
+                 { { "service", service },
+                   { "version", rollout.m_version },
+                   { "stage", kRolloutStageNames.Name(*stage) },
+                   { "good", moved.m_good },
+                   { "bad", moved.m_bad },
+                   { "others_good", others.m_good },
+                   { "others_bad", others.m_bad },
+                   { "elapsed_ms", (now - rollout.m_started).Count() } });
+    // A lost proposal is made again at the next look.
+    m_replica.Propose(Encode(EndRollout{ service, rollout.m_version, *stage }),
+                      [](const absl::StatusOr<std::string>&) {});
+  }
+  co_return !m_stopped;
+}
+
+Node::Node(net::asio::io_context& aContext,
+           const net::LinkIdentity& aIdentity,
+           NodeOptions aOptions,
+           base::EventLog& aEvents,
+           base::Metrics& aMetrics,
+           base::DecisionLog& aLog)
+  : m_parts(std::make_unique<Parts>(aContext,
+                                    aIdentity,
+                                    std::move(aOptions),
+                                    aEvents,
+                                    aMetrics,
+                                    aLog))
+{
+}
+
+Node::~Node()
+{
+  Stop();
+}
+
+absl::Status
+Node::Start()
+{
+  if (absl::Status status = m_parts->m_group.Start(); !status.ok()) {
+    return status;
+  }
+  if (absl::Status status =
+        m_parts->m_links.Listen(m_parts->m_options.m_listen);
+      !status.ok()) {
+    return status;
+  }
+  for (const std::string& seed : m_parts->m_options.m_seeds) {
+    (void)m_parts->m_peers.Reach(seed);
+  }
+  net::SpawnPeriodic(m_parts->m_context.get_executor(),
+                     "site",
+                     detail::kJudgePeriod,
+                     [this] { return m_parts->Judge(); });
+  return absl::OkStatus();
+}
+
+net::Task<absl::StatusOr<Outcome>>
+Node::Order(Command aCommand)
+{
+  using Result = absl::StatusOr<std::string>;
+  m_parts->m_orders.Increment();
+  std::function<void(std::function<void(Result)>)> propose =
+    [this, text = Encode(aCommand)](std::function<void(Result)> aDone) {
+      m_parts->m_replica.Propose(text, std::move(aDone));
+    };
+  const Result result = co_await net::AwaitCallback<Result>(std::move(propose));
+  if (!result.ok()) {
+    co_return result.status();
+  }
+  co_return DecodeOutcome(*result);
+}
+
+net::Task<absl::StatusOr<std::shared_ptr<const State>>>
+Node::ReadNewest()
+{
+  using Result = absl::StatusOr<uint64_t>;
+  std::function<void(std::function<void(Result)>)> confirm =
+    [this](std::function<void(Result)> aDone) {
+      m_parts->m_confirmer.Ask(std::move(aDone));
+    };
+  const Result index = co_await net::AwaitCallback<Result>(std::move(confirm));
+  if (!index.ok()) {
+    co_return index.status();
+  }
+  co_return m_parts->m_store.Current();
+}
+
+std::shared_ptr<const State>
+Node::Held() const
+{
+  return m_parts->m_store.Current();
+}
+
+std::string
+Node::Leader() const
+{
+  return m_parts->m_group.Status().m_leader;
+}
+
+bool
+Node::Leads() const
+{
+  return m_parts->m_group.IsLeader();
+}
+
+bool
+Node::Register(const routing::Instance& aRecord)
+{
+  const routing::Instance* held = m_parts->m_registry.Find(aRecord.m_id);
+  const bool news = held == nullptr || held->m_state != aRecord.m_state ||
+                    held->m_born != aRecord.m_born;
+  if (!m_parts->m_registry.Merge(aRecord)) {
+    return false;
+  }
+  m_parts->m_registrations.Increment();
+  if (news) {
+    m_parts->m_log.Record(
+      "upstream_registered",
+      base::LogWeight::State,
+      { { "upstream", aRecord.m_id },
+        { "service", aRecord.m_service },
+        { "address", aRecord.m_address.ToString() },
+        { "version", aRecord.m_version },
+        { "state", routing::kInstanceStateNames.Name(aRecord.m_state) },
+        { "sequence", aRecord.m_sequence } });
+  }
+  m_parts->Broadcast(aRecord);
+  return true;
+}
+
+void
+Node::Unregister(const std::string& aId, uint64_t aBorn)
+{
+  if (!m_parts->m_registry.Remove(aId, aBorn, m_parts->m_clock.Now())) {
+    return;
+  }
+  m_parts->m_log.Record(
+    "upstream_left", base::LogWeight::State, { { "upstream", aId } });
+  m_parts->Broadcast(*m_parts->m_registry.Find(aId));
+}
+
+void
+Node::AddSeeds(const std::vector<std::string>& aNames)
+{
+  for (const std::string& name : aNames) {
+    (void)m_parts->m_peers.Reach(name);
+  }
+}
+
+net::Task<void>
+Node::Leave()
+{
+  const base::TimePoint deadline =
+    m_parts->m_clock.Now() + detail::kTransferTime;
+  while (m_parts->m_group.IsLeader() && m_parts->m_clock.Now() < deadline) {
+    m_parts->m_group.TransferLeadership();
+    co_await net::Sleep(detail::kTransferPoll);
+  }
+  m_parts->m_stopped = true;
+  m_parts->m_links.Stop();
+  m_parts->m_peers.Stop();
+}
+
+void
+Node::Stop()
+{
+  m_parts->m_group.Stop();
+}
+
+} // namespace chivefront::site
--- /dev/null
+++ b/chivefront/site/watch.cc
@@ -0,0 +1,230 @@
+// Polling of control processes by an entry.
+#include "chivefront/site/watch.h"
+
+#include <algorithm>
+#include <iterator>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/site/messages.h"
+
+namespace chivefront::site {
+namespace detail {
+
+// A tenth of the time within which a change has to be in force.
+constexpr base::Millis kPollPeriod{ 200 };
+constexpr base::Millis kPollTimeout{ 500 };
+
+} // namespace detail
+
+Watch::Watch(net::asio::io_context& aContext,
+             const net::LinkIdentity& aIdentity,
+             const std::vector<std::string>& aSeeds,
+             const base::Clock& aClock,
+             base::DecisionLog& aLog,
+             routing::DocumentDecoder aDecoder)
+  : m_context(aContext)
+  , m_identity(aIdentity)
+  , m_clock(aClock)
+  , m_log(aLog)
+  , m_decoder(std::move(aDecoder))
+  , m_holder(aIdentity.m_process + "#" +
+             std::to_string(aIdentity.m_incarnation))
+{
+  AddSeeds(aSeeds);
+}
+
+void
+Watch::AddSeeds(const std::vector<std::string>& aNames)
+{
+  for (const std::string& name : aNames) {
+    Connect(name);
+  }
+}
+
+void
+Watch::SetEvidenceSource(EvidenceSource aSource)
+{
+  m_evidence = std::move(aSource);
+}
+
+// A control process is named by its address.
+void
+Watch::Connect(const std::string& aName)
+{
+  const auto address = base::Endpoint::Parse(aName);
+  if (!address || m_control.count(aName) > 0) {
+    return;
+  }
+  net::Link::Handlers handlers;
+  handlers.m_onOpen = [](const net::Link::Pointer&) {};
+  handlers.m_onMessage = [](const net::Link::Pointer&, const wire::MessageT&) {
+  };
+  handlers.m_onClose = [](const net::Link::Pointer&, const absl::Status&) {};
+  const auto connector = std::make_shared<net::LinkConnector>(
+    m_context, m_identity, *address, handlers);
+  m_control.emplace(aName, connector);
+  connector->Start();
+}
+
+void
+Watch::Start()
+{
+  net::SpawnPeriodic(m_context.get_executor(),
+                     "watch",
+                     detail::kPollPeriod,
+                     [this] { return Poll(); });
+}
+
+void
+Watch::Stop()
+{
+  m_stopped = true;
+  for (const auto& [name, connector] : m_control) {
+    connector->Stop();
+  }
+}
+
+// The leader if it can be reached, else the others in turn.
+net::Link::Pointer
+Watch::Choose()
+{
+  const auto leader = m_control.find(m_leader);
+  if (leader != m_control.end()) {
+    if (net::Link::Pointer link = leader->second->Current()) {
+      return link;
+    }
+  }
+  for (size_t i = 0; i < m_control.size(); ++i) {
+    const size_t index = ++m_turn % m_control.size();
+    if (net::Link::Pointer link =
+          std::next(m_control.begin(), static_cast<ptrdiff_t>(index))
+            ->second->Current()) {
+      return link;
+    }
+  }
+  return nullptr;
+}
+
+wire::WatchRequestT
+Watch::MakeRequest()
+{
+  wire::WatchRequestT request;
+  request.holder = m_holder;
+  request.role = wire::Role::Entry;
+  request.have_revision = m_view.m_revision;
+  request.have_number = m_view.m_number;
+  request.registry_epoch = m_registryEpoch;
+  request.registry_sequence = m_registrySequence;
+  if (m_evidence) {
+    for (wire::VersionEvidenceT& row : m_evidence()) {
+      request.evidence.push_back(
+        std::make_unique<wire::VersionEvidenceT>(std::move(row)));
+    }
+  }
+  return request;
+}
+
+net::Task<bool>
+Watch::Poll()
+{
+  const net::Link::Pointer link = Choose();
+  bool answered = false;
+  if (link) {
+    wire::MessageT message = wire::MakeMessage(MakeRequest());
+    const auto reply =
+      co_await link->Call(std::move(message), detail::kPollTimeout);
+    const wire::WatchReplyT* answer =
+      reply.ok() ? reply->body.AsWatchReply() : nullptr;
+    answered = answer != nullptr;
+    if (answered) {
+      Accept(*answer);
+    }
+  }
+  if (!answered) {
+    m_leader.clear();
+  }
+  if (answered != m_connected) {
+    m_connected = answered;
+    m_log.Record(
+      answered ? "control_regained" : "control_lost",
+      base::LogWeight::State,
+      { { "revision", m_view.m_revision }, { "number", m_view.m_number } });
+  }
+  m_view.m_registry.Expire(m_clock.Now());
+  co_return !m_stopped;
+}
+
+void
+Watch::Accept(const wire::WatchReplyT& aReply)
+{
+  const base::TimePoint now = m_clock.Now();
+  AcceptMembers(aReply);
+  m_leader = aReply.leader;
+  if (aReply.fresh) {
+    m_view.m_freshAt = now;
+    m_view.m_liveEntries = std::max<uint32_t>(1, aReply.live_entries);
+  }
+  if (aReply.snapshot && aReply.revision > m_view.m_revision) {
+    AcceptState(aReply, now);
+  }
+  AcceptInstances(aReply, now);
+}
+
+void
+Watch::AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow)
+{
+  State state;
+  if (const absl::Status status = FromEntries(aReply.entries, aNow, state);
+      !status.ok()) {
+    m_log.Record("state_refused",
+                 base::LogWeight::State,
+                 { { "why", base::MessageOf(status) } });
+    return;
+  }
+  if (state.m_document && state.m_number > m_view.m_number) {
+    const auto config = m_decoder(*state.m_document);
+    if (!config.ok()) {
+      // Control accepts only what it can read: releases differ.
+      m_log.Record("configuration_refused",
+                   base::LogWeight::State,
+                   { { "number", state.m_number },
+                     { "why", base::MessageOf(config.status()) } });
+      return;
+    }
+    m_view.m_config = *config;
+    m_view.m_number = state.m_number;
+  }
+  m_view.m_domainsOut = std::move(state.m_domainsOut);
+  m_view.m_rollouts = std::move(state.m_rollouts);
+  m_view.m_revision = aReply.revision;
+  m_log.Record(
+    "state_adopted",
+    base::LogWeight::State,
+    { { "number", m_view.m_number },
+      { "revision", m_view.m_revision },
+      { "domains_out", static_cast<uint64_t>(m_view.m_domainsOut.size()) },
+      { "rollouts", static_cast<uint64_t>(m_view.m_rollouts.size()) } });
+}
+
+void
+Watch::AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow)
+{
+  for (const auto& info : aReply.upstreams) {
+    routing::Instance record;
+    if (FromWire(*info, aNow, record)) {
+      (void)m_view.m_registry.Merge(record); // old news is no error
+    }
+  }
+  m_registryEpoch = aReply.registry_epoch;
+  m_registrySequence = aReply.registry_sequence;
+}
+
+void
+Watch::AcceptMembers(const wire::WatchReplyT& aReply)
+{
+  for (const std::string& name : aReply.members) {
+    Connect(name);
+  }
+}
+
+} // namespace chivefront::site
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -1803,6 +1803,12 @@
   uint32_t queued = 0;
   bool leaving = false;
   bool removed = false;
+  std::string address{};
+  uint64_t born = 0;
+  uint64_t sequence = 0;
+  uint32_t slots = 0;
+  uint32_t warmup_ms = 0;
+  uint32_t age_ms = 0;
 };
 
 struct UpstreamInfo FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1822,7 +1828,13 @@
     VT_RUNNING = 22,
     VT_QUEUED = 24,
     VT_LEAVING = 26,
-    VT_REMOVED = 28
+    VT_REMOVED = 28,
+    VT_ADDRESS = 30,
+    VT_BORN = 32,
+    VT_SEQUENCE = 34,
+    VT_SLOTS = 36,
+    VT_WARMUP_MS = 38,
+    VT_AGE_MS = 40
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -1863,6 +1875,24 @@
   bool removed() const {
     return GetField<uint8_t>(VT_REMOVED, 0) != 0;
   }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  uint32_t warmup_ms() const {
+    return GetField<uint32_t>(VT_WARMUP_MS, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -1885,6 +1915,13 @@
            VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
            VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
            VerifyField<uint8_t>(verifier, VT_REMOVED, 1) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WARMUP_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
   UpstreamInfoT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1935,6 +1972,24 @@
   void add_removed(bool removed) {
     fbb_.AddElement<uint8_t>(UpstreamInfo::VT_REMOVED, static_cast<uint8_t>(removed), 0);
   }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(UpstreamInfo::VT_ADDRESS, address);
+  }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(UpstreamInfo::VT_BORN, born, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(UpstreamInfo::VT_SEQUENCE, sequence, 0);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(UpstreamInfo::VT_SLOTS, slots, 0);
+  }
+  void add_warmup_ms(uint32_t warmup_ms) {
+    fbb_.AddElement<uint32_t>(UpstreamInfo::VT_WARMUP_MS, warmup_ms, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(UpstreamInfo::VT_AGE_MS, age_ms, 0);
+  }
   explicit UpstreamInfoBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1960,8 +2015,20 @@
     uint32_t running = 0,
     uint32_t queued = 0,
     bool leaving = false,
-    bool removed = false) {
+    bool removed = false,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    uint64_t born = 0,
+    uint64_t sequence = 0,
+    uint32_t slots = 0,
+    uint32_t warmup_ms = 0,
+    uint32_t age_ms = 0) {
   UpstreamInfoBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_born(born);
+  builder_.add_age_ms(age_ms);
+  builder_.add_warmup_ms(warmup_ms);
+  builder_.add_slots(slots);
+  builder_.add_address(address);
   builder_.add_queued(queued);
   builder_.add_running(running);
   builder_.add_limit(limit);
@@ -1997,7 +2064,13 @@
     uint32_t running = 0,
     uint32_t queued = 0,
     bool leaving = false,
-    bool removed = false) {
+    bool removed = false,
+    const char *address = nullptr,
+    uint64_t born = 0,
+    uint64_t sequence = 0,
+    uint32_t slots = 0,
+    uint32_t warmup_ms = 0,
+    uint32_t age_ms = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto agent__ = agent ? _fbb.CreateString(agent) : 0;
   auto agent_address__ = agent_address ? _fbb.CreateString(agent_address) : 0;
@@ -2005,6 +2078,7 @@
   auto model__ = model ? _fbb.CreateString(model) : 0;
   auto version__ = version ? _fbb.CreateString(version) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
   return chivefront::wire::CreateUpstreamInfo(
       _fbb,
       name__,
@@ -2019,7 +2093,13 @@
       running,
       queued,
       leaving,
-      removed);
+      removed,
+      address__,
+      born,
+      sequence,
+      slots,
+      warmup_ms,
+      age_ms);
 }
 
 flatbuffers::Offset<UpstreamInfo> CreateUpstreamInfo(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamInfoT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2307,6 +2387,7 @@
   uint64_t report_sequence = 0;
   std::vector<std::unique_ptr<chivefront::wire::VersionEvidenceT>> evidence{};
   std::vector<std::unique_ptr<chivefront::wire::HolderReportT>> reports{};
+  uint64_t have_number = 0;
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2325,7 +2406,8 @@
     VT_REGISTRY_SEQUENCE = 12,
     VT_REPORT_SEQUENCE = 14,
     VT_EVIDENCE = 16,
-    VT_REPORTS = 18
+    VT_REPORTS = 18,
+    VT_HAVE_NUMBER = 20
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -2351,6 +2433,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *reports() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *>(VT_REPORTS);
   }
+  uint64_t have_number() const {
+    return GetField<uint64_t>(VT_HAVE_NUMBER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -2366,6 +2451,7 @@
            VerifyOffset(verifier, VT_REPORTS) &&
            verifier.VerifyVector(reports()) &&
            verifier.VerifyVectorOfTables(reports()) &&
+           VerifyField<uint64_t>(verifier, VT_HAVE_NUMBER, 8) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2401,6 +2487,9 @@
   void add_reports(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>>> reports) {
     fbb_.AddOffset(WatchRequest::VT_REPORTS, reports);
   }
+  void add_have_number(uint64_t have_number) {
+    fbb_.AddElement<uint64_t>(WatchRequest::VT_HAVE_NUMBER, have_number, 0);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2421,8 +2510,10 @@
     uint64_t registry_sequence = 0,
     uint64_t report_sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>> evidence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>>> reports = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>>> reports = 0,
+    uint64_t have_number = 0) {
   WatchRequestBuilder builder_(_fbb);
+  builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
@@ -2448,7 +2539,8 @@
     uint64_t registry_sequence = 0,
     uint64_t report_sequence = 0,
     const std::vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *evidence = nullptr,
-    const std::vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *reports = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *reports = nullptr,
+    uint64_t have_number = 0) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -2461,7 +2553,8 @@
       registry_sequence,
       report_sequence,
       evidence__,
-      reports__);
+      reports__,
+      have_number);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2480,6 +2573,8 @@
   uint32_t live_entries = 0;
   uint64_t report_sequence = 0;
   std::vector<uint64_t> suspects{};
+  std::string leader{};
+  std::vector<std::string> members{};
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2502,7 +2597,9 @@
     VT_UPSTREAMS = 20,
     VT_LIVE_ENTRIES = 22,
     VT_REPORT_SEQUENCE = 24,
-    VT_SUSPECTS = 26
+    VT_SUSPECTS = 26,
+    VT_LEADER = 28,
+    VT_MEMBERS = 30
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -2540,6 +2637,12 @@
   const flatbuffers::Vector<uint64_t> *suspects() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECTS);
   }
+  const flatbuffers::String *leader() const {
+    return GetPointer<const flatbuffers::String *>(VT_LEADER);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *members() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MEMBERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -2559,6 +2662,11 @@
            VerifyField<uint64_t>(verifier, VT_REPORT_SEQUENCE, 8) &&
            VerifyOffset(verifier, VT_SUSPECTS) &&
            verifier.VerifyVector(suspects()) &&
+           VerifyOffset(verifier, VT_LEADER) &&
+           verifier.VerifyString(leader()) &&
+           VerifyOffset(verifier, VT_MEMBERS) &&
+           verifier.VerifyVector(members()) &&
+           verifier.VerifyVectorOfStrings(members()) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2606,6 +2714,12 @@
   void add_suspects(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects) {
     fbb_.AddOffset(WatchReply::VT_SUSPECTS, suspects);
   }
+  void add_leader(flatbuffers::Offset<flatbuffers::String> leader) {
+    fbb_.AddOffset(WatchReply::VT_LEADER, leader);
+  }
+  void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members) {
+    fbb_.AddOffset(WatchReply::VT_MEMBERS, members);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2630,12 +2744,16 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>> upstreams = 0,
     uint32_t live_entries = 0,
     uint64_t report_sequence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects = 0,
+    flatbuffers::Offset<flatbuffers::String> leader = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0) {
   WatchReplyBuilder builder_(_fbb);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_revision(revision);
+  builder_.add_members(members);
+  builder_.add_leader(leader);
   builder_.add_suspects(suspects);
   builder_.add_live_entries(live_entries);
   builder_.add_upstreams(upstreams);
@@ -2665,10 +2783,14 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> *upstreams = nullptr,
     uint32_t live_entries = 0,
     uint64_t report_sequence = 0,
-    const std::vector<uint64_t> *suspects = nullptr) {
+    const std::vector<uint64_t> *suspects = nullptr,
+    const char *leader = nullptr,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
+  auto leader__ = leader ? _fbb.CreateString(leader) : 0;
+  auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       age_ms,
@@ -2682,7 +2804,9 @@
       upstreams__,
       live_entries,
       report_sequence,
-      suspects__);
+      suspects__,
+      leader__,
+      members__);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6342,6 +6466,12 @@
   { auto _e = queued(); _o->queued = _e; }
   { auto _e = leaving(); _o->leaving = _e; }
   { auto _e = removed(); _o->removed = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = born(); _o->born = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = slots(); _o->slots = _e; }
+  { auto _e = warmup_ms(); _o->warmup_ms = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
 }
 
 inline flatbuffers::Offset<UpstreamInfo> UpstreamInfo::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UpstreamInfoT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6365,6 +6495,12 @@
   auto _queued = _o->queued;
   auto _leaving = _o->leaving;
   auto _removed = _o->removed;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _born = _o->born;
+  auto _sequence = _o->sequence;
+  auto _slots = _o->slots;
+  auto _warmup_ms = _o->warmup_ms;
+  auto _age_ms = _o->age_ms;
   return chivefront::wire::CreateUpstreamInfo(
       _fbb,
       _name,
@@ -6379,7 +6515,13 @@
       _running,
       _queued,
       _leaving,
-      _removed);
+      _removed,
+      _address,
+      _born,
+      _sequence,
+      _slots,
+      _warmup_ms,
+      _age_ms);
 }
 
 inline VersionEvidenceT *VersionEvidence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -6486,7 +6628,8 @@
         have_revision(o.have_revision),
         registry_epoch(o.registry_epoch),
         registry_sequence(o.registry_sequence),
-        report_sequence(o.report_sequence) {
+        report_sequence(o.report_sequence),
+        have_number(o.have_number) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
@@ -6502,6 +6645,7 @@
   std::swap(report_sequence, o.report_sequence);
   std::swap(evidence, o.evidence);
   std::swap(reports, o.reports);
+  std::swap(have_number, o.have_number);
   return *this;
 }
 
@@ -6522,6 +6666,7 @@
   { auto _e = report_sequence(); _o->report_sequence = _e; }
   { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = std::unique_ptr<chivefront::wire::VersionEvidenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = reports(); if (_e) { _o->reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->reports[_i] = std::unique_ptr<chivefront::wire::HolderReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = have_number(); _o->have_number = _e; }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6540,6 +6685,7 @@
   auto _report_sequence = _o->report_sequence;
   auto _evidence = _o->evidence.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> (_o->evidence.size(), [](size_t i, _VectorArgs *__va) { return CreateVersionEvidence(*__va->__fbb, __va->__o->evidence[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _reports = _o->reports.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>> (_o->reports.size(), [](size_t i, _VectorArgs *__va) { return CreateHolderReport(*__va->__fbb, __va->__o->reports[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _have_number = _o->have_number;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -6549,7 +6695,8 @@
       _registry_sequence,
       _report_sequence,
       _evidence,
-      _reports);
+      _reports,
+      _have_number);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -6562,7 +6709,9 @@
         registry_snapshot(o.registry_snapshot),
         live_entries(o.live_entries),
         report_sequence(o.report_sequence),
-        suspects(o.suspects) {
+        suspects(o.suspects),
+        leader(o.leader),
+        members(o.members) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -6582,6 +6731,8 @@
   std::swap(live_entries, o.live_entries);
   std::swap(report_sequence, o.report_sequence);
   std::swap(suspects, o.suspects);
+  std::swap(leader, o.leader);
+  std::swap(members, o.members);
   return *this;
 }
 
@@ -6606,6 +6757,8 @@
   { auto _e = live_entries(); _o->live_entries = _e; }
   { auto _e = report_sequence(); _o->report_sequence = _e; }
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = _e->Get(_i); } } }
+  { auto _e = leader(); if (_e) _o->leader = _e->str(); }
+  { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6628,6 +6781,8 @@
   auto _live_entries = _o->live_entries;
   auto _report_sequence = _o->report_sequence;
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector(_o->suspects) : 0;
+  auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
+  auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -6641,7 +6796,9 @@
       _upstreams,
       _live_entries,
       _report_sequence,
-      _suspects);
+      _suspects,
+      _leader,
+      _members);
 }
 
 inline AnnounceRequestT::AnnounceRequestT(const AnnounceRequestT &o)
--- a/cmake/parts.cmake
+++ b/cmake/parts.cmake
@@ -22,6 +22,9 @@
 # A test names the promises it proves in a line "// Promises: a, b" of its
 # source; each becomes the ctest label promise-<name>.
 function(chivefront_test name)
+  if(NOT CHIVEFRONT_TESTS)
+    return()
+  endif()
   cmake_parse_arguments(ARG "" "SOURCE" "DEPS" ${ARGN})
   add_executable(${name} ${ARG_SOURCE})
   target_compile_definitions(${name} PRIVATE BOOST_TEST_DYN_LINK)
