Close idle callers without losing what arrives; guard the connect timer

Change: a closed caller connection serves nothing that was read before; a drain closes a connection only when nothing waits on it; the timer's handler checks that the connection still waits.

--- a/chivefront/proxy/caller_connection.cc
+++ b/chivefront/proxy/caller_connection.cc
@@ -77,7 +77,7 @@
     const size_t got = co_await m_stream.async_read_some(
       m_buffer.prepare(detail::kReadBytes),
       net::asio::redirect_error(net::asio::use_awaitable, error));
-    if (error) {
+    if (error || m_closed) {
       co_return ReadEnd::Closed;
     }
     m_buffer.commit(got);
@@ -111,6 +111,9 @@
     co_await Refuse(status);
     co_return ReadEnd::Refused;
   }
+  if (m_closed) {
+    co_return ReadEnd::Closed;
+  }
   m_stream.expires_never();
   m_keepAlive = parser.get().keep_alive();
   constexpr unsigned kHttp11 = 11;
@@ -237,9 +240,21 @@
     });
 }
 
+void
+CallerConnection::CloseIfIdle()
+{
+  error_code error;
+  const bool arriving =
+    m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
+  if (m_idle && !arriving) {
+    Close();
+  }
+}
+
 void
 CallerConnection::Close()
 {
+  m_closed = true;
   m_stream.close();
 }
 
--- a/chivefront/proxy/caller_connection.h
+++ b/chivefront/proxy/caller_connection.h
@@ -62,8 +62,8 @@
   void StopWatching();
 
   net::asio::any_io_executor Executor() { return m_stream.get_executor(); }
-  // Between two requests.
-  bool Idle() const { return m_idle; }
+  // Closes the connection unless a request has begun to arrive.
+  void CloseIfIdle();
   void Close();
 
 private:
@@ -76,6 +76,8 @@
   CallerRequest m_request;
   uint64_t m_watch = 0; // number of the watch that holds
   bool m_idle = true;
+  // Set by Close: what was read before it must not be served after it.
+  bool m_closed = false;
   bool m_keepAlive = true;
   bool m_started = false;
   bool m_ended = false;
--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -146,9 +146,7 @@
 Entry::CloseIdle()
 {
   for (const auto& caller : m_callers) {
-    if (caller->Idle()) {
-      caller->Close();
-    }
+    caller->CloseIfIdle();
   }
 }
 
--- a/chivefront/proxy/upstream_connection.cc
+++ b/chivefront/proxy/upstream_connection.cc
@@ -79,13 +79,17 @@
   detail::DetectSilence(m_socket);
   net::asio::steady_timer timer(m_socket.get_executor());
   timer.expires_after(aTimeout.ToChrono());
-  timer.async_wait([this](const error_code& aError) {
-    if (!aError) {
+  // The timer may have fired when it is cancelled, and its handler then runs
+  // after this connection is gone.
+  const auto waiting = std::make_shared<bool>(true);
+  timer.async_wait([this, waiting](const error_code& aError) {
+    if (!aError && *waiting) {
       Close();
     }
   });
   co_await m_socket.async_connect(
     endpoint, net::asio::redirect_error(net::asio::use_awaitable, error));
+  *waiting = false;
   timer.cancel();
   if (error) {
     co_return detail::Failed(base::ErrorKind::NoUpstream, error);
