Let hosts join a consensus group that no list names

Cause: the group's members were the names it was founded with; a host that comes at another address, or a fourth one, could never take part, so the loss of a second founder would have stopped the group.

Change: open membership. Any process that asks becomes a learner; a learner that has caught up becomes a voter when voters are missing, and a voter that is silent for 5 s is removed when a learner can follow it, each by one single-server change. A process that was removed asks again, also at the leader that others name.

--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -33,7 +33,10 @@
   std::string m_name;
   uint64_t m_identity = 0;
   std::vector<std::string> m_initial; // names of the first members
-  bool m_mayFound = true;             // as in GroupOptions
+  // As in GroupOptions.
+  bool m_mayFound = true;
+  uint32_t m_openVoters = 0;
+  base::Millis m_replaceAfter{ 5000 };
   base::Millis m_electionTimeout{ 400 };
   base::Millis m_heartbeat{ 100 };
   uint64_t m_seed = 0; // of the election timeouts
@@ -195,6 +198,12 @@
   std::optional<Membership> NextMembership(base::TimePoint aNow) const;
   void AdoptMembership(uint64_t aIndex, Membership aMembership);
   void ArrangePeers();
+  bool SilentFor(uint64_t aIdentity,
+                 base::Millis aSpan,
+                 base::TimePoint aNow) const;
+  size_t CountVoters() const;
+  size_t WantedVoters() const;
+  std::optional<Membership> ReplaceSilent(base::TimePoint aNow) const;
   bool IsCaughtUp(const Peer& aPeer, base::TimePoint aNow) const;
   bool HeardRecently(uint64_t aIdentity, base::TimePoint aNow) const;
   uint32_t CountCaughtUp(base::TimePoint aNow) const;
@@ -231,6 +240,8 @@
   uint64_t m_transferTo = 0;
   base::TimePoint m_transferDue;
   std::map<std::string, uint64_t> m_strangers; // identity by name
+  // Leader that another process named; asked for admission beside m_initial.
+  std::string m_leaderHint;
 
   // Before the first membership.
   base::TimePoint m_helloDue;
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -58,6 +58,12 @@
   // This replica may found the group with the others of m_initial. False for
   // one that starts when the group exists: it waits to be admitted.
   bool m_mayFound = true;
+  // 0: only processes named in m_initial take part, and all of them vote.
+  // Otherwise any process that asks takes part, first without a vote; this many
+  // vote, and one that votes and is silent for m_replaceAfter gives its place
+  // to another one that holds everything committed.
+  uint32_t m_openVoters = 0;
+  base::Millis m_replaceAfter{ 5000 };
   std::string m_folder; // data folder of this group
   base::Millis m_electionTimeout{ 400 };
   base::Millis m_heartbeat{ 100 };
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -11,7 +11,14 @@
 // Later: a process with the name of a member but another identity becomes a
 // learner. Once it has caught up, the old replica is removed and the new one
 // becomes a voter, each by a single-server change.
+//
+// Open membership (GroupOptions::m_openVoters): a process with a new name
+// becomes a learner as well. A learner that has caught up becomes a voter when
+// voters are missing; a voter that has been silent for long is removed when
+// such a learner is there to follow it. A removed replica that comes back is a
+// learner again.
 #include <algorithm>
+#include <set>
 
 #include "chivefront/consensus/codec.h"
 #include "chivefront/consensus/core.h"
@@ -20,6 +27,15 @@
 
 using base::TimePoint;
 
+namespace {
+
+// Members of an open group, so that names without end can't fill it.
+constexpr size_t kMostMembers = 16;
+// A silent learner is kept this many times longer than a silent voter.
+constexpr int64_t kLearnerPatience = 4;
+
+} // namespace
+
 Message
 RaftCore::Hello(bool aAnswer) const
 {
@@ -28,6 +44,9 @@
   hello.m_flag = aAnswer;
   hello.m_stage = m_hard.m_stage;
   hello.m_members = m_hard.m_initial;
+  if (aAnswer && m_options.m_openVoters > 0) {
+    hello.m_data = m_leader;
+  }
   return hello;
 }
 
@@ -36,6 +55,10 @@
 bool
 RaftCore::SeeksAdmission(TimePoint aNow) const
 {
+  // A voter that was removed meanwhile does not know it.
+  if (m_options.m_openVoters > 0 && !HearsLeader(aNow)) {
+    return true;
+  }
   return m_hard.m_stage != Stage::Active ||
          (!IsVoter(m_options.m_identity) && !HearsLeader(aNow));
 }
@@ -43,7 +66,12 @@
 void
 RaftCore::SayHello()
 {
-  for (const std::string& name : m_options.m_initial) {
+  std::set<std::string> names(m_options.m_initial.begin(),
+                              m_options.m_initial.end());
+  if (!m_leaderHint.empty()) {
+    names.insert(m_leaderHint);
+  }
+  for (const std::string& name : names) {
     if (name != m_options.m_name) {
       Message hello = Hello(false);
       hello.m_round = m_nonce;
@@ -144,6 +172,9 @@
       aMessage.m_round == m_nonce) {
     OnHelloAnswer(aFrom, aMessage);
   }
+  if (aMessage.m_flag && !aMessage.m_data.empty()) {
+    m_leaderHint = aMessage.m_data;
+  }
   if (!aMessage.m_flag) {
     Message answer = Hello(true);
     answer.m_round = aMessage.m_round;
@@ -164,11 +195,72 @@
   if (aName == m_options.m_name || m_peers.count(aIdentity) > 0) {
     return;
   }
+  bool known = false;
   for (const auto& [identity, peer] : m_peers) {
+    known = known || peer.m_name == aName;
     if (peer.m_name == aName && !HeardRecently(identity, aNow)) {
       m_strangers[aName] = aIdentity;
     }
   }
+  if (!known && m_options.m_openVoters > 0 && Members().size() < kMostMembers) {
+    m_strangers[aName] = aIdentity;
+  }
+}
+
+// Time since aIdentity was heard; members count as heard when a term starts.
+bool
+RaftCore::SilentFor(uint64_t aIdentity,
+                    base::Millis aSpan,
+                    TimePoint aNow) const
+{
+  const auto found = m_peers.find(aIdentity);
+  return found != m_peers.end() && aNow - found->second.m_heard >= aSpan;
+}
+
+size_t
+RaftCore::CountVoters() const
+{
+  return static_cast<size_t>(std::count_if(
+    Members().begin(), Members().end(), [](const Replica& aReplica) {
+      return aReplica.m_voter;
+    }));
+}
+
+size_t
+RaftCore::WantedVoters() const
+{
+  return m_options.m_openVoters > 0 ? m_options.m_openVoters
+                                    : m_options.m_initial.size();
+}
+
+// Open membership: the change that gives the place of a voter that is silent
+// for long to a learner, or that forgets a learner that is.
+std::optional<Membership>
+RaftCore::ReplaceSilent(TimePoint aNow) const
+{
+  if (m_options.m_openVoters == 0) {
+    return std::nullopt;
+  }
+  const auto ready = [&](const Replica& aReplica) {
+    const auto peer = m_peers.find(aReplica.m_identity);
+    return !aReplica.m_voter && peer != m_peers.end() &&
+           IsCaughtUp(peer->second, aNow);
+  };
+  const Membership& members = Members();
+  const bool follower = std::any_of(members.begin(), members.end(), ready);
+  for (const Replica& replica : members) {
+    const base::Millis patience =
+      replica.m_voter ? m_options.m_replaceAfter
+                      : m_options.m_replaceAfter * kLearnerPatience;
+    if (!SilentFor(replica.m_identity, patience, aNow) ||
+        (replica.m_voter && !follower)) {
+      continue;
+    }
+    Membership next = members;
+    std::erase(next, replica);
+    return next;
+  }
+  return std::nullopt;
 }
 
 bool
@@ -202,18 +294,25 @@
   return count;
 }
 
-// Every first member has one replica, a voter that holds everything committed.
+// All voters that are wanted are there, each on a host of its own, and hold
+// everything committed.
 bool
 RaftCore::IsRepaired(TimePoint aNow) const
 {
   std::set<std::string> names;
+  size_t voters = 0;
   for (const Replica& replica : Members()) {
-    names.insert(replica.m_name);
+    if (replica.m_voter) {
+      ++voters;
+      names.insert(replica.m_name);
+    }
   }
-  return IsLeader() && m_memberships.back().first <= m_commit &&
-         Members().size() == m_options.m_initial.size() &&
-         names.size() == Members().size() &&
-         CountCaughtUp(aNow) == Members().size();
+  // Replicas that stand by are no part of a repair.
+  const bool replacing =
+    m_options.m_openVoters == 0 && voters != Members().size();
+  return IsLeader() && m_memberships.back().first <= m_commit && !replacing &&
+         voters == WantedVoters() && names.size() == voters &&
+         CountCaughtUp(aNow) == voters;
 }
 
 // The next single-server change that is due, if any. The old voter is removed
@@ -252,12 +351,14 @@
     }
     if (old != next.end()) {
       next.erase(old);
-    } else {
+    } else if (CountVoters() < WantedVoters()) {
       next[i].m_voter = true;
+    } else {
+      continue; // it stands by
     }
     return next;
   }
-  return std::nullopt;
+  return ReplaceSilent(aNow);
 }
 
 void
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -10,11 +10,15 @@
 constexpr int64_t kLateMillis = 300;
 
 GroupOptions
-OptionsOf(const std::string& aName, const std::vector<std::string>& aNames)
+OptionsOf(const std::string& aName,
+          const std::vector<std::string>& aFounders,
+          bool aOpen)
 {
   GroupOptions options;
   options.m_name = aName;
-  options.m_initial = aNames;
+  options.m_initial = aFounders;
+  options.m_openVoters = aOpen ? static_cast<uint32_t>(aFounders.size()) : 0;
+  options.m_replaceAfter = base::Millis(1500);
   // Small bounds, so that short histories rotate, compact and send snapshots.
   options.m_snapshotEvery = 20;
   options.m_trailing = 5;
@@ -67,10 +71,14 @@
   return absl::OkStatus();
 }
 
-Simulation::Simulation(uint64_t aSeed, std::vector<std::string> aNames)
+Simulation::Simulation(uint64_t aSeed,
+                       std::vector<std::string> aNames,
+                       const std::vector<std::string>& aSpares)
   : m_random(aSeed)
-  , m_names(std::move(aNames))
+  , m_founders(std::move(aNames))
+  , m_names(m_founders)
 {
+  m_names.insert(m_names.end(), aSpares.begin(), aSpares.end());
   for (const std::string& name : m_names) {
     m_hosts[name].m_disk = std::make_unique<MemoryDisk>();
     Restart(name);
@@ -112,7 +120,7 @@
   host.m_machine = std::make_unique<Machine>();
   host.m_machine->m_owner = this;
   host.m_driver = std::make_unique<Driver>(
-    OptionsOf(aName, m_names),
+    OptionsOf(aName, m_founders, m_names.size() > m_founders.size()),
     *host.m_machine,
     *host.m_disk,
     [this, aName](const std::string& aTo, std::string aPayload) {
@@ -292,7 +300,8 @@
     return false;
   }
   for (const Replica& replica : StatusOf(leader).m_replicas) {
-    if (m_hosts.at(replica.m_name).m_identity != replica.m_identity) {
+    if (replica.m_voter &&
+        m_hosts.at(replica.m_name).m_identity != replica.m_identity) {
       return false;
     }
   }
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -25,7 +25,11 @@
     uint32_t m_latePercent = 0; // messages that arrive 300 ms late
   };
 
-  explicit Simulation(uint64_t aSeed, std::vector<std::string> aNames);
+  // With aSpares the membership is open: aNames found the group, and the spares
+  // take part without being named to the others.
+  explicit Simulation(uint64_t aSeed,
+                      std::vector<std::string> aNames,
+                      const std::vector<std::string>& aSpares = {});
 
   // One millisecond.
   void Step();
@@ -111,7 +115,8 @@
   void CheckCommitted(const std::string& aName);
 
   std::mt19937_64 m_random;
-  const std::vector<std::string> m_names;
+  const std::vector<std::string> m_founders;
+  std::vector<std::string> m_names; // of all hosts
   base::EventLog m_events{ "simulation", "", 1 };
   base::TimePoint m_now;
   std::map<std::string, Host> m_hosts;
