Bound repeats by a sliding window; ask another upstream when a head is late

Change: repeats are counted against the requests of the same sliding window and a share of the fixed extra; a repeatable request whose head is later than half its goal and the time to read its prompt goes to another upstream.

--- a/chivefront/proxy/entry_parts.h
+++ b/chivefront/proxy/entry_parts.h
@@ -17,9 +17,11 @@
 // Bounds that all entries keep together; each keeps its share.
 struct SharedBounds
 {
-  // Repeats at a service, as a part of the requests for it, and beyond that.
-  double m_repeatRatio = 0.5;
-  double m_repeatExtra = 4;
+  // Repeats at a service in any window of m_repeatWindow, as a part of the
+  // requests for it, and beyond that over all entries.
+  double m_repeatRatio = 0.1;
+  double m_repeatExtra = 0;
+  base::Millis m_repeatWindow{ 10000 };
 };
 
 // Counts good and bad answers of the versions of each service that is being
@@ -75,9 +77,13 @@
   routing::RepeatBudget& RepeatsOf(const std::string& aService)
   {
     return m_repeats
-      .try_emplace(aService, m_bounds.m_repeatRatio, m_bounds.m_repeatExtra)
+      .try_emplace(aService, m_bounds.m_repeatRatio, m_bounds.m_repeatWindow)
       .first->second;
   }
+  double RepeatExtra() const
+  {
+    return m_bounds.m_repeatExtra / m_watch.View().m_liveEntries;
+  }
 };
 
 } // namespace chivefront::proxy
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -24,6 +24,9 @@
 // Answers of other requests that are read past on one connection.
 constexpr int kMostStrayAnswers = 2;
 
+// The largest model of an upstream reads at least this fast when it is idle.
+constexpr double kSlowestTokensPerMs = 30;
+
 constexpr unsigned kFirstFailure = 500;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kAfterSuccess = 300;
@@ -71,6 +74,7 @@
   , m_facts(aParts.m_dialect.ReadCaller(m_caller->Request()))
   , m_config(aParts.m_watch.View().m_config)
   , m_timer(m_caller->Executor())
+  , m_hedgeTimer(m_caller->Executor())
 {
 }
 
@@ -121,7 +125,7 @@
   m_deadline = m_received + patience;
   m_service =
     m_config->FindService(routing::ChooseService(*m_route, m_facts.m_attempt));
-  m_parts.RepeatsOf(m_service->m_name).OnFirstAttempt();
+  m_parts.RepeatsOf(m_service->m_name).OnFirstAttempt(m_received);
   co_return true;
 }
 
@@ -173,7 +177,8 @@
   if (m_sends >= m_route->m_maxAttempts || m_stop != Stop::No) {
     return false;
   }
-  if (!m_parts.RepeatsOf(m_service->m_name).Take()) {
+  if (!m_parts.RepeatsOf(m_service->m_name)
+         .Take(m_parts.RepeatExtra(), m_parts.m_clock.Now())) {
     return false;
   }
   m_parts.m_metrics.m_repeats.Increment();
@@ -331,7 +336,17 @@
   m_sentAt = m_parts.m_clock.Now();
   ++m_sends;
   NotePromptParts(aUpstream);
+  m_hedgeTimer.expires_after(HeadPatience(aUpstream).ToChrono());
+  m_hedgeTimer.async_wait([self = shared_from_this(), send = m_sends](
+                            const boost::system::error_code& aError) {
+    if (!aError && self->m_sends == send && !self->m_headRead) {
+      self->GiveUpHead();
+    }
+  });
+  m_headRead = false;
   status = co_await m_connection->Send(std::move(text));
+  m_headRead = true;
+  m_hedgeTimer.cancel();
   if (m_stop != Stop::No) {
     co_return Stopped{};
   }
@@ -657,6 +672,39 @@
   co_await Fail(504, "time_over");
 }
 
+// How long the head of an answer is waited for before another upstream is
+// asked. A request that can't be repeated, or has no attempt left, waits.
+base::Millis
+Exchange::HeadPatience(const Upstream& aUpstream) const
+{
+  const bool last = m_sends >= m_route->m_maxAttempts;
+  const base::TimePoint now = m_parts.m_clock.Now();
+  const bool busy = aUpstream.m_belief.Load(now) >
+                    static_cast<double>(aUpstream.m_instance.m_slots);
+  if (!IsRepeatable() || last || busy || m_route->m_goal <= base::Millis(0)) {
+    return Left() + detail::kRetryLater; // the deadline comes first
+  }
+  const auto reading =
+    static_cast<int64_t>(m_facts.m_promptTokens / detail::kSlowestTokensPerMs);
+  return m_route->m_goal / 2 + base::Millis(reading);
+}
+
+// Another upstream is likely to answer sooner than this one.
+void
+Exchange::GiveUpHead()
+{
+  if (m_stop != Stop::No || !m_connection) {
+    return;
+  }
+  m_parts.m_log.Record(
+    "head_given_up",
+    base::LogWeight::Failure,
+    { { "request", m_facts.m_attempt },
+      { "upstream", m_lastUpstream },
+      { "waited_ms", (m_parts.m_clock.Now() - m_sentAt).Count() } });
+  m_connection->Close();
+}
+
 std::shared_ptr<const std::string>
 Exchange::RequestText(const Upstream& aUpstream)
 {
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -90,6 +90,8 @@
   void Arm();
   void Disarm();
   void OnStop(Stop aWhy);
+  base::Millis HeadPatience(const Upstream& aUpstream) const;
+  void GiveUpHead();
   bool MayRepeat();
   bool IsRepeatable() const;
   bool LargerModelLeft() const;
@@ -114,7 +116,9 @@
   const routing::Service* m_service = nullptr;
   const routing::Team* m_team = nullptr;
   base::TimePoint m_deadline;
-  net::asio::steady_timer m_timer;
+  net::asio::steady_timer m_timer;      // of m_deadline
+  net::asio::steady_timer m_hedgeTimer; // of the head of an answer
+  bool m_headRead = false;
   Stop m_stop = Stop::No;
   std::unique_ptr<UpstreamConnection> m_connection; // of the running attempt
   uint32_t m_sends = 0;
--- a/chivefront/routing/budget.h
+++ b/chivefront/routing/budget.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
+#include <cstdint>
 
 #include "chivefront/base/clock.h"
 
@@ -49,34 +51,71 @@
   base::TimePoint m_at;
 };
 
-// A budget of repeats that grows with the requests that need none: each first
-// attempt earns a part of a repeat. The sum over all entries keeps the bound
-// because each entry keeps it for the requests that it received itself.
+// A bound of repeats in any window of a given length: a part of the requests of
+// that window, and a number beyond it. The sum over all entries keeps the bound
+// because each entry counts the requests that it received itself and takes its
+// share of the number. Counts are kept by slices of the window, and a window is
+// taken one slice longer for repeats than for requests, so that no placement of
+// the window exceeds the bound.
 class RepeatBudget
 {
 public:
-  RepeatBudget(double aRatio, double aMost)
+  RepeatBudget(double aRatio, base::Millis aWindow)
     : m_ratio(aRatio)
-    , m_most(aMost)
-    , m_left(aMost)
+    , m_slice(aWindow / kSlices)
   {
   }
 
-  void OnFirstAttempt() { m_left = std::min(m_most, m_left + m_ratio); }
-  bool Take()
+  void OnFirstAttempt(base::TimePoint aNow) { Slot(aNow).m_requests += 1; }
+
+  // aExtra: this entry's share of the repeats beyond the part.
+  bool Take(double aExtra, base::TimePoint aNow)
   {
-    if (m_left < 1) {
+    Slice& current = Slot(aNow);
+    double requests = 0;
+    double repeats = 0;
+    const int64_t now = NumberOf(aNow);
+    for (const Slice& slice : m_slices) {
+      const int64_t age = now - slice.m_number;
+      requests += age < kSlices ? slice.m_requests : 0;
+      repeats += age <= kSlices ? slice.m_repeats : 0;
+    }
+    if (repeats + 1 > m_ratio * requests + aExtra) {
       return false;
     }
-    m_left -= 1;
+    current.m_repeats += 1;
     return true;
   }
-  double Left() const { return m_left; }
 
 private:
+  static constexpr int64_t kSlices = 20;
+  static constexpr int64_t kNever = -1000;
+
+  struct Slice
+  {
+    int64_t m_number = kNever;
+    double m_requests = 0;
+    double m_repeats = 0;
+  };
+
+  int64_t NumberOf(base::TimePoint aNow) const
+  {
+    return aNow.SinceBoot().Count() / std::max<int64_t>(1, m_slice.Count());
+  }
+
+  Slice& Slot(base::TimePoint aNow)
+  {
+    const int64_t number = NumberOf(aNow);
+    Slice& slice = m_slices[static_cast<size_t>(number) % m_slices.size()];
+    if (slice.m_number != number) {
+      slice = { number, 0, 0 };
+    }
+    return slice;
+  }
+
   const double m_ratio;
-  const double m_most;
-  double m_left;
+  const base::Millis m_slice;
+  std::array<Slice, kSlices + 1> m_slices;
 };
 
 } // namespace chivefront::routing
