Hold the requests of a restarted entry until it knows where to send them

Change: a request waits for the first configuration for at most half of its time, and, in the 3 s after it, for upstreams that have not registered yet. The caller's leaving and its deadline are watched from the start.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -15,6 +15,9 @@
 constexpr base::Millis kConnectTime{ 400 };
 // Attempts to find an upstream while all are briefly closed.
 constexpr base::Millis kFindPeriod{ 15 };
+// Registrations come about once a second; a new entry has heard of all
+// upstreams after this.
+constexpr base::Millis kRegistrationTime{ 3000 };
 // A refused caller has a third of its time left to come back.
 constexpr base::Millis kRetrySoon{ 250 };
 constexpr base::Millis kRetryLater{ 1000 };
@@ -88,13 +91,33 @@
 Exchange::Run()
 {
   m_parts.m_metrics.m_received.Increment();
-  const bool accepted = co_await Accept();
-  if (!accepted) {
-    co_return;
-  }
+  m_deadline =
+    m_received + m_facts.m_patience.value_or(detail::kDefaultPatience);
   Arm();
-  co_await Serve();
+  co_await AwaitConfiguration();
+  bool accepted = false;
+  if (m_stop == Stop::No) {
+    accepted = co_await Accept();
+  }
+  if (accepted) {
+    ArmTimer(); // the route may allow less time
+    co_await Serve();
+  }
   Disarm();
+  co_await AnswerStop();
+}
+
+// An entry that has just started learns its configuration within a second as a
+// rule; a caller that waits for it is served sooner than one that is refused.
+net::Task<void>
+Exchange::AwaitConfiguration()
+{
+  const base::Millis most = Left() / 2;
+  while (!m_config && m_stop == Stop::No &&
+         m_parts.m_clock.Now() - m_received < most) {
+    co_await net::Sleep(detail::kFindPeriod);
+    m_config = m_parts.m_watch.View().m_config;
+  }
 }
 
 // Finds route, key and service; answers the request when there is none.
@@ -131,6 +154,14 @@
 
 void
 Exchange::Arm()
+{
+  ArmTimer();
+  m_caller->WatchForLeave(
+    [self = shared_from_this()] { self->OnStop(Stop::CallerLeft); });
+}
+
+void
+Exchange::ArmTimer()
 {
   m_timer.expires_after(Left().ToChrono());
   m_timer.async_wait(
@@ -139,8 +170,6 @@
         self->OnStop(Stop::TimeOver);
       }
     });
-  m_caller->WatchForLeave(
-    [self = shared_from_this()] { self->OnStop(Stop::CallerLeft); });
 }
 
 void
@@ -228,6 +257,18 @@
   }
 }
 
+// While an entry is new, upstreams that it has not heard of may be there: they
+// register about once a second. Later only short closures are waited for.
+bool
+Exchange::MayWaitFor(NoUpstream aWhy) const
+{
+  const base::TimePoint now = m_parts.m_clock.Now();
+  if (now - m_parts.m_watch.View().m_configuredAt < detail::kRegistrationTime) {
+    return Left() > (m_deadline - m_received) / 2;
+  }
+  return aWhy != NoUpstream::None && (now - m_received) * 4 < m_route->m_goal;
+}
+
 // Waits for a short while when all upstreams are closed for the moment.
 net::Task<UpstreamPointer>
 Exchange::FindUpstream()
@@ -238,8 +279,7 @@
     if (upstream) {
       co_return upstream;
     }
-    const base::Millis waited = m_parts.m_clock.Now() - m_received;
-    if (why == NoUpstream::None || waited * 4 >= m_route->m_goal) {
+    if (!MayWaitFor(why)) {
       break;
     }
     co_await net::Sleep(detail::kFindPeriod);
@@ -278,6 +318,12 @@
     }
     again = co_await Settle(std::move(end));
   }
+}
+
+// What a caller hears whose request was ended from outside an attempt.
+net::Task<void>
+Exchange::AnswerStop()
+{
   if (m_stop == Stop::TimeOver && !m_caller->Ended()) {
     co_await AnswerTimeOver();
   } else if (m_stop == Stop::CallerLeft && !m_caller->Ended()) {
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -66,8 +66,11 @@
     TimeOver,
   };
 
+  net::Task<void> AwaitConfiguration();
   net::Task<bool> Accept();
   net::Task<void> Serve();
+  net::Task<void> AnswerStop();
+  bool MayWaitFor(NoUpstream aWhy) const;
   net::Task<AttemptEnd> Attempt(UpstreamPointer aUpstream);
   net::Task<AttemptEnd> Converse(Upstream& aUpstream);
   net::Task<absl::Status> OpenConnection(Upstream& aUpstream);
@@ -88,6 +91,7 @@
   net::Task<void> AnswerTimeOver();
 
   void Arm();
+  void ArmTimer();
   void Disarm();
   void OnStop(Stop aWhy);
   base::Millis HeadPatience(const Upstream& aUpstream) const;
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -191,6 +191,9 @@
                      { "why", base::MessageOf(config.status()) } });
       return;
     }
+    if (!m_view.m_config) {
+      m_view.m_configuredAt = aNow;
+    }
     m_view.m_config = *config;
     m_view.m_number = state.m_number;
   }
