--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -30,6 +30,9 @@
     }
   }
   ResetElectionTimer(aNow);
+  // After a restart of all replicas nobody leads. A pre-vote disturbs no leader
+  // that is there, so the first one need not wait for a whole timeout.
+  m_electionDue = aNow + (m_electionDue - aNow) / 2;
 }
 
 const Membership&
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -10,6 +10,7 @@
 #include "chivefront/control/holders.h"
 #include "chivefront/control/peers.h"
 #include "chivefront/site/messages.h"
+#include "chivefront/site/registry_file.h"
 #include "chivefront/site/rollout_verdict.h"
 
 namespace chivefront::site {
@@ -17,6 +18,7 @@
 
 constexpr uint32_t kGroup = 0;
 constexpr base::Millis kJudgePeriod{ 200 };
+constexpr base::Millis kSavePeriod{ 1000 };
 // How long a planned stop waits for another replica to take over.
 constexpr base::Millis kTransferTime{ 1500 };
 constexpr base::Millis kTransferPoll{ 30 };
@@ -67,6 +69,7 @@
         aEvents)
     , m_replica(m_group)
     , m_confirmer(m_replica)
+    , m_registryFile(m_options.m_folder + "/upstreams")
     , m_watches(aMetrics.AddCounter("chivefront_site_watches_total",
                                     "Polls of entries answered."))
     , m_registrations(aMetrics.AddCounter("chivefront_site_registrations_total",
@@ -124,6 +127,7 @@
   std::set<std::string> Others() const;
   net::Task<bool> Judge();
   void NoteLeader();
+  void SaveRegistry(base::TimePoint aNow);
 
   net::asio::io_context& m_context;
   const NodeOptions m_options;
@@ -139,6 +143,9 @@
   base::Counter& m_watches;
   base::Counter& m_registrations;
   base::Counter& m_orders;
+  RegistryFile m_registryFile;
+  uint64_t m_savedSequence = 0; // of m_registry
+  base::TimePoint m_savedAt;
   const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
   routing::Registry m_registry;
   control::Holders m_holders;
@@ -265,11 +272,29 @@
                  { "committed", status.m_committed } });
 }
 
+void
+Node::Parts::SaveRegistry(base::TimePoint aNow)
+{
+  if (m_registry.Sequence() == m_savedSequence ||
+      aNow - m_savedAt < detail::kSavePeriod) {
+    return;
+  }
+  m_savedSequence = m_registry.Sequence();
+  m_savedAt = aNow;
+  if (const absl::Status status = m_registryFile.Save(m_registry, aNow);
+      !status.ok()) {
+    m_log.Record("registry_not_saved",
+                 base::LogWeight::State,
+                 { { "why", base::MessageOf(status) } });
+  }
+}
+
 net::Task<bool>
 Node::Parts::Judge()
 {
   const base::TimePoint now = m_clock.Now();
   m_registry.Expire(now);
+  SaveRegistry(now);
   NoteLeader();
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
@@ -336,6 +361,11 @@
       !status.ok()) {
     return status;
   }
+  const absl::Status loaded =
+    m_parts->m_registryFile.Load(m_parts->m_registry, m_parts->m_clock.Now());
+  m_parts->m_log.Record("registry_loaded",
+                        base::LogWeight::State,
+                        { { "result", base::MessageOf(loaded) } });
   for (const std::string& seed : m_parts->m_options.m_seeds) {
     (void)m_parts->m_peers.Reach(seed);
   }
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -13,6 +13,8 @@
 // A tenth of the time within which a change has to be in force.
 constexpr base::Millis kPollPeriod{ 200 };
 constexpr base::Millis kPollTimeout{ 500 };
+// Until the first configuration.
+constexpr base::Millis kFirstPollPeriod{ 40 };
 
 } // namespace detail
 
@@ -69,10 +71,17 @@
 void
 Watch::Start()
 {
-  net::SpawnPeriodic(m_context.get_executor(),
-                     "watch",
-                     detail::kPollPeriod,
-                     [this] { return Poll(); });
+  net::Spawn(m_context.get_executor(), "watch", [this]() -> net::Task<void> {
+    bool again = true;
+    while (again) {
+      again = co_await Poll();
+      base::Millis pause = detail::kPollPeriod;
+      if (!m_view.m_config) {
+        pause = detail::kFirstPollPeriod;
+      }
+      co_await net::Sleep(pause);
+    }
+  });
 }
 
 void
