--- /dev/null
+++ b/chivefront/proxy/event_stream_test.cc
@@ -0,0 +1,35 @@
+// Boundaries of events.
+#define BOOST_TEST_MODULE proxy_event_stream
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/proxy/event_stream.h"
+
+using chivefront::proxy::EventSplitter;
+
+BOOST_AUTO_TEST_CASE(OnlyWholeEventsArePassedOn)
+{
+  EventSplitter events;
+  BOOST_TEST(events.Add("id: 1\ndata: a\n") == "");
+  BOOST_TEST(events.Add("\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  BOOST_TEST(events.LastId().value() == 1U);
+  BOOST_TEST(events.Rest() == "id: 2\nda");
+  // The upstream is lost; another one begins after event 1.
+  events.Restart();
+  BOOST_TEST(events.Add("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+  BOOST_TEST(events.LastId().value() == 2U);
+}
+
+// Every way to cut the bytes gives the same events.
+BOOST_AUTO_TEST_CASE(CutsDoNotMatter)
+{
+  const std::string text =
+    "id: 7\ndata: x\n\nid:8\ndata: y\n\nversion: 2\nid: 9\ndata: z\n\n";
+  for (size_t cut = 0; cut <= text.size(); ++cut) {
+    EventSplitter events;
+    std::string got = events.Add(text.substr(0, cut));
+    got += events.Add(text.substr(cut));
+    BOOST_TEST(got == text);
+    BOOST_TEST(events.LastId().value() == 9U);
+    BOOST_TEST(events.Rest().empty());
+  }
+}
--- a/chivefront/routing/budget.h
+++ b/chivefront/routing/budget.h
@@ -54,9 +54,8 @@
 // A bound of repeats in any window of a given length: a part of the requests of
 // that window, and a number beyond it. The sum over all entries keeps the bound
 // because each entry counts the requests that it received itself and takes its
-// share of the number. Counts are kept by slices of the window, and a window is
-// taken one slice longer for repeats than for requests, so that no placement of
-// the window exceeds the bound.
+// share of the number. Counts are kept by slices of the window, and the window
+// is taken one slice longer for repeats than for requests.
 class RepeatBudget
 {
 public:
--- /dev/null
+++ b/chivefront/routing/choice_test.cc
@@ -0,0 +1,158 @@
+// Where requests go under the load patterns of heavy days.
+#define BOOST_TEST_MODULE routing_choice
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <memory>
+
+#include "chivefront/routing/choice.h"
+#include "chivefront/routing/rollout_share.h"
+
+using namespace chivefront;
+using namespace chivefront::routing;
+
+namespace {
+
+constexpr base::TimePoint kNow{ base::Millis(100000) };
+
+struct Fleet
+{
+  explicit Fleet(size_t aCount, uint32_t aSlots = 64)
+  {
+    for (size_t i = 0; i < aCount; ++i) {
+      auto instance = std::make_unique<Instance>();
+      instance->m_id = "upstream-" + std::to_string(i);
+      instance->m_domain = i % 2 == 0 ? "near" : "far";
+      m_instances.push_back(std::move(instance));
+      m_beliefs.push_back(std::make_unique<Belief>());
+      m_candidates.push_back(
+        { m_instances.back().get(), m_beliefs.back().get(), aSlots });
+    }
+  }
+
+  size_t Choose(const ChoiceNeed& aNeed) const
+  {
+    return ChooseUpstream(m_candidates, aNeed, kNow);
+  }
+
+  std::vector<std::unique_ptr<Instance>> m_instances;
+  std::vector<std::unique_ptr<Belief>> m_beliefs;
+  std::vector<Candidate> m_candidates;
+};
+
+ChoiceNeed
+Near()
+{
+  ChoiceNeed need;
+  need.m_ownDomain = "near";
+  return need;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(IdleUpstreamsOfTheOwnDomainComeFirst)
+{
+  const Fleet fleet(4);
+  BOOST_TEST(fleet.Choose(Near()) % 2 == 0U);
+}
+
+// Pattern: a burst of small requests at one entry.
+BOOST_AUTO_TEST_CASE(BurstSpreadsOverAllUpstreams)
+{
+  Fleet fleet(4, 6);
+  std::map<size_t, int> counts;
+  for (int i = 0; i < 24; ++i) {
+    const size_t chosen = fleet.Choose(Near());
+    fleet.m_beliefs[chosen]->OnSent();
+    counts[chosen] += 1;
+  }
+  for (const auto& [index, count] : counts) {
+    BOOST_TEST(count <= 7, "upstream " << index);
+  }
+  BOOST_TEST(counts.size() == 4U);
+}
+
+// Pattern: many entries with requests on one subject, none of which has sent
+// any yet: they agree on the upstream that reads it.
+BOOST_AUTO_TEST_CASE(EntriesAgreeWhereALongPromptIsRead)
+{
+  ChoiceNeed need = Near();
+  need.m_shared = { { "m/lead", 500 }, { "m/subject", 5000 } };
+  const size_t first = Fleet(9).Choose(need);
+  need.m_ownDomain = "far";
+  BOOST_TEST(Fleet(9).Choose(need) == first);
+}
+
+BOOST_AUTO_TEST_CASE(CachedPromptGoesBeforeDistance)
+{
+  Fleet fleet(4);
+  ChoiceNeed need = Near();
+  need.m_shared = { { "m/lead", 500 }, { "m/subject", 5000 } };
+  for (const PartNeed& part : need.m_shared) {
+    fleet.m_beliefs[3]->NotePart(part.m_key, kNow);
+  }
+  BOOST_TEST(fleet.Choose(need) == 3U);
+  // Not when that upstream is far beyond its slots.
+  fleet.m_beliefs[3]->OnLoad(60, 30, kNow);
+  BOOST_TEST(fleet.Choose(need) != 3U);
+}
+
+// Pattern: one upstream fails half of its requests while its health is good.
+BOOST_AUTO_TEST_CASE(FailingUpstreamIsAvoidedAndComesBack)
+{
+  Fleet fleet(2);
+  for (int i = 0; i < 20; ++i) {
+    fleet.m_beliefs[0]->OnOutcome(i % 2 == 0);
+  }
+  BOOST_TEST(fleet.Choose(Near()) == 1U);
+  for (int i = 0; i < 40; ++i) {
+    fleet.m_beliefs[0]->OnOutcome(true);
+  }
+  BOOST_TEST(fleet.Choose(Near()) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(PausesGrowAndEnd)
+{
+  Belief belief;
+  belief.OnFailure(kNow);
+  const base::TimePoint first = belief.ClosedUntil();
+  belief.OnFailure(kNow);
+  BOOST_TEST((belief.ClosedUntil() > first));
+  BOOST_TEST((belief.ClosedUntil() - kNow <= base::Millis(2000)));
+  belief.OnAnswer();
+  BOOST_TEST((belief.ClosedUntil() <= kNow));
+}
+
+// Reports are late: the entry's own requests since the report count in full.
+BOOST_AUTO_TEST_CASE(LoadAddsOwnRequestsToAReport)
+{
+  Belief belief;
+  belief.OnSent();
+  belief.OnLoad(10, 2, kNow);
+  belief.OnSent();
+  belief.OnSent();
+  BOOST_TEST(belief.Load(kNow) == 14);
+  // A report says nothing after a while.
+  BOOST_TEST(belief.Load(kNow + base::Millis(5000)) == 3);
+}
+
+// A version that turns bad late has met few requests until then, and a session
+// never moves back.
+BOOST_AUTO_TEST_CASE(RolloutStaysSmallUntilItsLastPhase)
+{
+  constexpr base::Millis kSpan{ 24000 };
+  int exposed = 0;
+  int all = 0;
+  for (uint64_t session = 0; session < 500; ++session) {
+    bool moved = false;
+    for (base::Millis at(0); at < RolloutEnd(kSpan);
+         at = at + base::Millis(240)) {
+      const bool onNew = OnNewVersion(session, at, kSpan);
+      BOOST_REQUIRE(!moved || onNew);
+      moved = onNew;
+      exposed += onNew ? 1 : 0;
+      ++all;
+    }
+  }
+  BOOST_TEST(exposed * 100 < all * 15);
+}
--- /dev/null
+++ b/chivefront/routing/registry_test.cc
@@ -0,0 +1,96 @@
+// Registrations that are late, repeated, out of order or of a dead incarnation.
+#define BOOST_TEST_MODULE routing_registry
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/routing/registry.h"
+
+using namespace chivefront;
+using namespace chivefront::routing;
+
+namespace {
+
+Instance
+Record(const std::string& aId, uint64_t aBorn, uint64_t aSequence)
+{
+  Instance record;
+  record.m_id = aId;
+  record.m_service = "app";
+  record.m_address = { "10.0.0.9", 80 };
+  record.m_born = aBorn;
+  record.m_sequence = aSequence;
+  record.m_heard = base::TimePoint(base::Millis(1000));
+  return record;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(OldRecordsChangeNothing)
+{
+  Registry registry;
+  Instance draining = Record("a", 10, 5);
+  draining.m_state = InstanceState::Draining;
+  BOOST_TEST(registry.Merge(draining));
+  BOOST_TEST(!registry.Merge(Record("a", 10, 4)));
+  BOOST_TEST(!registry.Merge(Record("a", 10, 5)));
+  BOOST_TEST(!registry.Merge(Record("a", 9, 50)));
+  const bool draining_ = registry.Find("a")->m_state == InstanceState::Draining;
+  BOOST_TEST(draining_);
+}
+
+// An id that starts anew counts from one again.
+BOOST_AUTO_TEST_CASE(LaterIncarnationOfAnIdHolds)
+{
+  Registry registry;
+  registry.Merge(Record("a", 10, 50));
+  BOOST_TEST(registry.Merge(Record("a", 20, 1)));
+  BOOST_TEST(!registry.Merge(Record("a", 10, 51)));
+  BOOST_TEST(registry.Find("a")->m_born == 20U);
+}
+
+// Pattern: a registration of a crashed upstream was held up by a partition and
+// arrives after its successor registered at the same address.
+BOOST_AUTO_TEST_CASE(AddressBelongsToTheYoungest)
+{
+  Registry registry;
+  registry.Merge(Record("old", 10, 5));
+  Instance successor = Record("new", 20, 1);
+  successor.m_service = "other";
+  BOOST_TEST(registry.Merge(successor));
+  const bool gone = registry.Find("old")->m_state == InstanceState::Gone;
+  BOOST_TEST(gone);
+  BOOST_TEST(!registry.Merge(Record("old", 10, 6)));
+  const bool ready = registry.Find("new")->m_state == InstanceState::Ready;
+  BOOST_TEST(ready);
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftStaysAway)
+{
+  Registry registry;
+  registry.Merge(Record("a", 10, 5));
+  const base::TimePoint now(base::Millis(2000));
+  BOOST_TEST(!registry.Remove("a", 9, now)); // an earlier incarnation's
+  BOOST_TEST(registry.Remove("a", 10, now));
+  BOOST_TEST(!registry.Merge(Record("a", 10, 7)));
+  BOOST_TEST(registry.Merge(Record("a", 11, 1)));
+}
+
+BOOST_AUTO_TEST_CASE(ChangesAreToldOnceAndInFull)
+{
+  Registry registry;
+  registry.Merge(Record("a", 10, 1));
+  const uint64_t seen = registry.Sequence();
+  BOOST_TEST(registry.ChangedSince(seen).empty());
+  BOOST_TEST(registry.ChangedSince(0).size() == 1U);
+  registry.Remove("a", 10, base::TimePoint(base::Millis(2000)));
+  BOOST_TEST(registry.ChangedSince(seen).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SilentUpstreamsAreForgotten)
+{
+  Registry registry;
+  registry.Merge(Record("a", 10, 1));
+  registry.Expire(base::TimePoint(base::Millis(1000)) + kInstanceLife);
+  BOOST_TEST(registry.Find("a") != nullptr);
+  registry.Expire(base::TimePoint(base::Millis(2000)) + kInstanceLife * 2);
+  BOOST_TEST(registry.Find("a") == nullptr);
+}
