--- a/chivefront/routing/budget.h
+++ b/chivefront/routing/budget.h
@@ -51,43 +51,50 @@
   base::TimePoint m_at;
 };
 
-// A bound of repeats in any window of a given length: a part of the requests of
-// that window, and a number beyond it. The sum over all entries keeps the bound
+// A bound of repeats in any sliding window: a part of the requests of that
+// window, of the one half a window earlier or of the one before it, whichever
+// has most, and a number beyond it. The sum over all entries keeps the bound
 // because each entry counts the requests that it received itself and takes its
-// share of the number. Counts are kept by slices of the window, and the window
-// is taken one slice longer for repeats than for requests.
+// share of the number.
+//
+// Counts are kept by slices of the window. A repeat is granted only if no
+// window that will contain it exceeds the bound, whatever comes; slices that a
+// window may cover in part count for repeats and not for requests.
 class RepeatBudget
 {
 public:
   RepeatBudget(double aRatio, base::Millis aWindow)
     : m_ratio(aRatio)
-    , m_slice(aWindow / kSlices)
+    , m_sliceMillis(std::max<int64_t>(1, aWindow.Count() / kSlices))
   {
   }
 
-  void OnFirstAttempt(base::TimePoint aNow) { Slot(aNow).m_requests += 1; }
+  void OnFirstAttempt(base::TimePoint aNow)
+  {
+    SliceAt(NumberOf(aNow)).m_requests += 1;
+  }
 
   // aExtra: this entry's share of the repeats beyond the part.
   bool Take(double aExtra, base::TimePoint aNow)
   {
-    Slice& current = Slot(aNow);
-    double requests = 0;
-    double repeats = 0;
     const int64_t now = NumberOf(aNow);
-    for (const Slice& slice : m_slices) {
-      const int64_t age = now - slice.m_number;
-      requests += age < kSlices ? slice.m_requests : 0;
-      repeats += age <= kSlices ? slice.m_repeats : 0;
+    for (int64_t end = now; end < now + kSlices; ++end) {
+      const double repeats = Sum(end - kSlices, now, &Slice::m_repeats);
+      const double requests =
+        std::max({ Sum(end - kSlices + 1, now, &Slice::m_requests),
+                   RequestsBefore(end - kSlices / 2),
+                   RequestsBefore(end - kSlices) });
+      if (repeats + 1 > m_ratio * requests + aExtra) {
+        return false;
+      }
     }
-    if (repeats + 1 > m_ratio * requests + aExtra) {
-      return false;
-    }
-    current.m_repeats += 1;
+    SliceAt(now).m_repeats += 1;
     return true;
   }
 
 private:
-  static constexpr int64_t kSlices = 20;
+  static constexpr int64_t kSlices = 20; // of a window; even
+  static constexpr int64_t kKept = 2 * kSlices + 1;
   static constexpr int64_t kNever = -1000;
 
   struct Slice
@@ -99,22 +106,39 @@
 
   int64_t NumberOf(base::TimePoint aNow) const
   {
-    return aNow.SinceBoot().Count() / std::max<int64_t>(1, m_slice.Count());
+    return aNow.SinceBoot().Count() / m_sliceMillis;
   }
 
-  Slice& Slot(base::TimePoint aNow)
+  Slice& SliceAt(int64_t aNumber)
   {
-    const int64_t number = NumberOf(aNow);
-    Slice& slice = m_slices[static_cast<size_t>(number) % m_slices.size()];
-    if (slice.m_number != number) {
-      slice = { number, 0, 0 };
+    Slice& slice = m_slices[static_cast<size_t>(aNumber % kKept)];
+    if (slice.m_number != aNumber) {
+      slice = { aNumber, 0, 0 };
     }
     return slice;
   }
 
+  // Of the slices aFirst to aLast, both included.
+  double Sum(int64_t aFirst, int64_t aLast, double Slice::*aCount) const
+  {
+    double sum = 0;
+    for (const Slice& slice : m_slices) {
+      if (slice.m_number >= aFirst && slice.m_number <= aLast) {
+        sum += slice.*aCount;
+      }
+    }
+    return sum;
+  }
+
+  // Requests of the slices that every window contains that ends in slice aEnd.
+  double RequestsBefore(int64_t aEnd) const
+  {
+    return Sum(aEnd - kSlices + 1, aEnd - 1, &Slice::m_requests);
+  }
+
   const double m_ratio;
-  const base::Millis m_slice;
-  std::array<Slice, kSlices + 1> m_slices;
+  const int64_t m_sliceMillis;
+  std::array<Slice, kKept> m_slices;
 };
 
 } // namespace chivefront::routing
