--- a/chivefront/proxy/caller_connection.cc
+++ b/chivefront/proxy/caller_connection.cc
@@ -103,8 +103,12 @@
       parser,
       net::asio::redirect_error(net::asio::use_awaitable, error));
   }
-  if (error) {
-    const int status = detail::StatusOfReadError(error);
+  const bool oddFraming =
+    !error && parser.get().count(http::field::transfer_encoding) > 0 &&
+    !parser.chunked();
+  if (error || oddFraming) {
+    // Where the body of a request with an unknown encoding ends is not known.
+    const int status = oddFraming ? 400 : detail::StatusOfReadError(error);
     if (status == 0) {
       co_return ReadEnd::Closed;
     }
