Avoid upstreams that are slower than the others

Cause: engines that work several times as long were chosen like the others (the belief had a pace that nothing set), and a new version that is slow was not found: only failures counted.

Change: the time to the head for the size of the prompt, and the time between events, are compared with the usual ones of the route and model; a pace above 1.6 costs like load and is forgotten after 8 s of silence. Answers 3.5 times as late as usual count against their version in a roll-out.

Test: SlowUpstreamIsAvoidedAndTriedAgain.

--- a/chivefront/proxy/entry_parts.h
+++ b/chivefront/proxy/entry_parts.h
@@ -10,6 +10,7 @@
 #include "chivefront/proxy/dialect.h"
 #include "chivefront/proxy/upstreams.h"
 #include "chivefront/routing/budget.h"
+#include "chivefront/routing/pace.h"
 #include "chivefront/site/watch.h"
 
 namespace chivefront::proxy {
@@ -72,6 +73,7 @@
   const std::string m_domain; // failure domain of this entry
   const SharedBounds m_bounds;
   bool m_draining = false;
+  routing::PaceBook m_paces{};
   std::map<std::string, routing::RepeatBudget> m_repeats; // by service
 
   routing::RepeatBudget& RepeatsOf(const std::string& aService)
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -30,6 +30,14 @@
 // The largest model of an upstream reads at least this fast when it is idle.
 constexpr double kSlowestTokensPerMs = 30;
 
+// An answer that takes this many times as long as usual counts against its
+// version.
+constexpr double kSlowAnswer = 3.5;
+// Fixed part of the time to the head, as tokens that are read meanwhile.
+constexpr double kFixedTokens = 3000;
+// Pieces of a stream from which its pace can be told.
+constexpr uint64_t kFewestPieces = 8;
+
 constexpr unsigned kFirstFailure = 500;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kAfterSuccess = 300;
@@ -269,6 +277,35 @@
   return aWhy != NoUpstream::None && (now - m_received) * 4 < m_route->m_goal;
 }
 
+// Time to the head, for the size of what is read before it.
+void
+Exchange::NoteHeadPace(Upstream& aUpstream)
+{
+  m_headAt = m_parts.m_clock.Now();
+  m_pieces = 0;
+  const auto waited = static_cast<double>((m_headAt - m_sentAt).Count());
+  const double size = detail::kFixedTokens + m_facts.m_promptTokens;
+  const double ratio = m_parts.m_paces.Ratio(
+    "head/" + m_route->m_name + "/" + Model(), (waited + 1) / size);
+  m_slow = ratio > detail::kSlowAnswer;
+  aUpstream.m_belief.OnPace(ratio, m_headAt);
+}
+
+// Time between the events of a stream.
+void
+Exchange::NoteEventPace(Upstream& aUpstream)
+{
+  if (m_pieces < detail::kFewestPieces) {
+    return;
+  }
+  const base::TimePoint now = m_parts.m_clock.Now();
+  const auto took = static_cast<double>((now - m_headAt).Count());
+  const double ratio = m_parts.m_paces.Ratio(
+    "event/" + Model(), (took + 1) / static_cast<double>(m_pieces));
+  m_slow = m_slow || ratio > detail::kSlowAnswer;
+  aUpstream.m_belief.OnPace(ratio, now);
+}
+
 // Waits for a short while when all upstreams are closed for the moment.
 net::Task<UpstreamPointer>
 Exchange::FindUpstream()
@@ -456,6 +493,7 @@
     co_return NotRun{ "rejected_" + std::to_string(status) };
   }
   aUpstream.m_belief.OnAnswer();
+  NoteHeadPace(aUpstream);
   std::string head = AnswerHead(m_connection->Head());
   if (!detail::IsSuccess(status)) {
     co_return co_await PassWhole(aUpstream, std::move(head));
@@ -523,7 +561,7 @@
   }
   const bool good = status < detail::kFirstFailure;
   m_parts.m_evidence.Note(
-    m_service->m_name, aUpstream.m_instance.m_version, good);
+    m_service->m_name, aUpstream.m_instance.m_version, good && !m_slow);
   aUpstream.m_belief.OnOutcome(good);
   if (streaming) {
     (void)co_await m_caller->EndStream();
@@ -555,6 +593,7 @@
     if (piece->empty()) {
       break;
     }
+    ++m_pieces;
     std::string events = m_events.Add(*piece);
     if (events.empty()) {
       continue;
@@ -576,8 +615,9 @@
   if (!m_events.Rest().empty()) {
     co_return CutOff{ "ended in an event" };
   }
+  NoteEventPace(aUpstream);
   m_parts.m_evidence.Note(
-    m_service->m_name, aUpstream.m_instance.m_version, true);
+    m_service->m_name, aUpstream.m_instance.m_version, !m_slow);
   aUpstream.m_belief.OnOutcome(true);
   if (!m_caller->Started()) {
     std::string head = aHead;
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -105,6 +105,8 @@
     const UpstreamConnection::Parser::value_type& aHead) const;
   UpstreamNeed Need() const;
   void NotePromptParts(Upstream& aUpstream) const;
+  void NoteHeadPace(Upstream& aUpstream);
+  void NoteEventPace(Upstream& aUpstream);
   std::string Model() const;
   void LogEnd(base::LogWeight aWeight,
               std::string_view aEvent,
@@ -133,6 +135,9 @@
   EventSplitter m_events;
   std::optional<FailedThere> m_failure; // of the last attempt that failed
   base::TimePoint m_sentAt;
+  base::TimePoint m_headAt;
+  uint64_t m_pieces = 0; // of the running attempt's stream
+  bool m_slow = false;   // the running attempt took much longer than usual
 };
 
 } // namespace chivefront::proxy
--- a/chivefront/routing/belief.cc
+++ b/chivefront/routing/belief.cc
@@ -14,6 +14,10 @@
 constexpr base::Millis kFullPause{ 50 };
 // Weight of the newest answer in the moving averages.
 constexpr double kNewest = 0.1;
+// Prompts differ much, so one slow answer is no proof.
+constexpr double kNewestPace = 0.2;
+// After this much silence an upstream is taken to be as fast as the others.
+constexpr double kPaceLifeMs = 8000;
 // How long an unused part is likely to stay in an upstream's memory.
 constexpr base::Millis kPartLife{ 20000 };
 constexpr size_t kMostParts = 4096;
@@ -68,9 +72,19 @@
 }
 
 void
-Belief::OnPace(double aRatio)
+Belief::OnPace(double aRatio, base::TimePoint aNow)
 {
-  m_pace += detail::kNewest * (aRatio - m_pace);
+  const double pace = Pace(aNow);
+  m_pace = pace + detail::kNewestPace * (aRatio - pace);
+  m_paceAt = aNow;
+}
+
+double
+Belief::Pace(base::TimePoint aNow) const
+{
+  const auto silent = static_cast<double>((aNow - m_paceAt).Count());
+  const double kept = std::max(0.0, 1 - silent / detail::kPaceLifeMs);
+  return 1 + (m_pace - 1) * kept;
 }
 
 void
--- a/chivefront/routing/belief.h
+++ b/chivefront/routing/belief.h
@@ -45,9 +45,11 @@
   // Share of failures among its recent answers, 0 to 1.
   double FailureShare() const { return m_failureShare; }
 
-  // Milliseconds to the first byte, relative to what is usual: 1 is usual.
-  void OnPace(double aRatio);
-  double Pace() const { return m_pace; }
+  // An answer took aRatio times as long as usual.
+  void OnPace(double aRatio, base::TimePoint aNow);
+  // How much slower than usual it is believed to be; 1 is usual. Goes back to 1
+  // when nothing is heard, so that the upstream is tried again.
+  double Pace(base::TimePoint aNow) const;
 
   RateBucket& ColdBucket() { return m_coldBucket; }
 
@@ -62,6 +64,7 @@
   base::TimePoint m_closedUntil;
   double m_failureShare = 0;
   double m_pace = 1;
+  base::TimePoint m_paceAt; // of the last update
   RateBucket m_coldBucket;
   std::unordered_map<std::string, base::TimePoint> m_parts; // last use
 };
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -15,6 +15,10 @@
 // Entries that know nothing of a part agree on where it goes by hashing it, so
 // that it is read once and not once per entry.
 constexpr double kAgreedShare = 0.5;
+// Answers that take up to this many times as long as usual are taken for the
+// requests' own; beyond it each further time counts like a loaded upstream.
+constexpr double kTolerablePace = 1.6;
+constexpr double kSlowPenaltyMs = 150;
 // Failures up to this share are taken for the requests' own.
 constexpr double kTolerableFailures = 0.25;
 constexpr double kFailurePenaltyMs = 2000;
@@ -67,7 +71,9 @@
   cost += kFullDelayMs * load / slots;
   cost += load > slots ? (load - slots) * kWaitPerRequestMs : 0;
   cost += aCandidate.m_instance->m_domain == aNeed.m_ownDomain ? 0 : kFarMs;
-  cost *= belief.Pace() > 1 ? belief.Pace() : 1;
+  if (const double pace = belief.Pace(aNow); pace > kTolerablePace) {
+    cost += kSlowPenaltyMs * (pace - 1);
+  }
   if (belief.FailureShare() > kTolerableFailures) {
     cost += kFailurePenaltyMs * (belief.FailureShare() - kTolerableFailures);
   }
--- a/chivefront/routing/choice_test.cc
+++ b/chivefront/routing/choice_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "chivefront/routing/choice.h"
+#include "chivefront/routing/pace.h"
 #include "chivefront/routing/rollout_share.h"
 
 using namespace chivefront;
@@ -111,6 +112,23 @@
   BOOST_TEST(fleet.Choose(Near()) == 0U);
 }
 
+// Pattern: one upstream works eight times as long as the others.
+BOOST_AUTO_TEST_CASE(SlowUpstreamIsAvoidedAndTriedAgain)
+{
+  Fleet fleet(2);
+  PaceBook paces;
+  for (int i = 0; i < 40; ++i) {
+    (void)paces.Ratio("stream", 10);
+  }
+  for (int i = 0; i < 5; ++i) {
+    fleet.m_beliefs[0]->OnPace(paces.Ratio("stream", 80), kNow);
+  }
+  BOOST_TEST(fleet.Choose(Near()) == 1U);
+  // Slow answers of one hardly change what is usual.
+  BOOST_TEST(paces.Ratio("stream", 10) > 0.6);
+  BOOST_TEST(fleet.m_beliefs[0]->Pace(kNow + base::Millis(9000)) == 1);
+}
+
 BOOST_AUTO_TEST_CASE(PausesGrowAndEnd)
 {
   Belief belief;
