--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -33,8 +33,8 @@
   BOOST_TEST(!registry.Merge(Record("a", 10, 4)));
   BOOST_TEST(!registry.Merge(Record("a", 10, 5)));
   BOOST_TEST(!registry.Merge(Record("a", 9, 50)));
-  const bool draining_ = registry.Find("a")->m_state == InstanceState::Draining;
-  BOOST_TEST(draining_);
+  const bool kept = registry.Find("a")->m_state == InstanceState::Draining;
+  BOOST_TEST(kept);
 }
 
 // An id that starts anew counts from one again.
