Give running requests the time of a newer configuration

Ruled out: the budget of repeats (an attempt was left, and the engine ended only after the cut).

Change: when the time of a request is over, the route is looked up in the configuration in force, and the request goes on if that allows it more time.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -175,11 +175,38 @@
   m_timer.async_wait(
     [self = shared_from_this()](const boost::system::error_code& aError) {
       if (!aError) {
-        self->OnStop(Stop::TimeOver);
+        self->OnTime();
       }
     });
 }
 
+// A configuration that came meanwhile may allow the route more time; its
+// operator then expects that the request is not cut by the older one.
+void
+Exchange::OnTime()
+{
+  const routing::ConfigPointer config = m_parts.m_watch.View().m_config;
+  if (m_route != nullptr && config != nullptr && config != m_config) {
+    const routing::Route* route =
+      config->FindRoute(m_route->m_host, m_route->m_prefix);
+    const base::TimePoint deadline =
+      route != nullptr ? m_received + Patience(*route) : m_deadline;
+    if (deadline > m_deadline) {
+      m_deadline = deadline;
+      ArmTimer();
+      return;
+    }
+  }
+  OnStop(Stop::TimeOver);
+}
+
+base::Millis
+Exchange::Patience(const routing::Route& aRoute) const
+{
+  return std::min(m_facts.m_patience.value_or(detail::kDefaultPatience),
+                  aRoute.m_timeout);
+}
+
 void
 Exchange::Disarm()
 {
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -93,7 +93,9 @@
   void Arm();
   void ArmTimer();
   void Disarm();
+  void OnTime();
   void OnStop(Stop aWhy);
+  base::Millis Patience(const routing::Route& aRoute) const;
   base::Millis HeadPatience(const Upstream& aUpstream) const;
   void GiveUpHead();
   bool MayRepeat();
--- a/chivefront/proxy/proxy_test.cc
+++ b/chivefront/proxy/proxy_test.cc
@@ -162,7 +162,7 @@
 
 struct World
 {
-  World()
+  explicit World(base::Millis aTimeout = base::Millis(2000))
     : m_watch(m_context,
               m_identity,
               {},
@@ -175,6 +175,14 @@
     , m_two(m_context)
   {
     m_identity.m_process = "entry";
+    m_config = MakeConfig(aTimeout);
+    // Any free port: it is closed again before the entry binds it.
+    const Tcp::acceptor probe(m_context, Tcp::endpoint(Tcp::v4(), 0));
+    m_port = probe.local_endpoint().port();
+  }
+
+  static routing::ConfigPointer MakeConfig(base::Millis aTimeout)
+  {
     routing::ConfigParts parts;
     parts.m_number = 1;
     parts.m_services.push_back({ "app" });
@@ -186,7 +194,7 @@
       route.m_idempotent = route.m_name == "plain";
       route.m_stream = route.m_name == "stream";
       route.m_resumable = route.m_stream;
-      route.m_timeout = base::Millis(2000);
+      route.m_timeout = aTimeout;
       route.m_goal = base::Millis(1000);
       route.m_maxAttempts = 3;
       route.m_services = { { "app", 1 } };
@@ -195,10 +203,7 @@
       }
       parts.m_routes.push_back(route);
     }
-    m_config = *routing::Config::Build(std::move(parts));
-    // Any free port: it is closed again before the entry binds it.
-    const Tcp::acceptor probe(m_context, Tcp::endpoint(Tcp::v4(), 0));
-    m_port = probe.local_endpoint().port();
+    return *routing::Config::Build(std::move(parts));
   }
 
   void Start()
@@ -213,14 +218,14 @@
   }
 
   // Gives the entry its configuration and the scripted upstreams.
-  void Configure()
+  void Configure(uint64_t aNumber = 1)
   {
     wire::WatchReplyT reply;
     reply.fresh = true;
     reply.snapshot = true;
-    reply.revision = 1;
+    reply.revision = aNumber;
     auto entry = std::make_unique<wire::ConfigEntryT>();
-    entry->key = "document/1";
+    entry->key = "document/" + std::to_string(aNumber);
     entry->value = "text";
     reply.entries.push_back(std::move(entry));
     for (const ScriptedUpstream* upstream : { &m_one, &m_two }) {
@@ -471,6 +476,28 @@
   BOOST_TEST(m_one.m_closedByPeer == 1);
 }
 
+// Pattern: the operator gives a route more time while requests run on it.
+// (tesfaye-fans hunt-1abc-7 and hunt-c955-27, LOST: streams cut after 6 s.)
+BOOST_AUTO_TEST_CASE(NewerConfigurationGivesRunningRequestsMoreTime)
+{
+  World world(base::Millis(300));
+  world.Start();
+  world.Configure();
+  world.m_one.Answer(kEventsHead + Chunk("id: 1\ndata: a\n\n") + kHold);
+  net::Spawn(
+    world.m_context.get_executor(), "test", [&world]() -> net::Task<void> {
+      co_await net::Sleep(base::Millis(100));
+      world.m_config = World::MakeConfig(base::Millis(900));
+      world.Configure(2);
+    });
+  const base::TimePoint start = base::SteadyClock::Instance().Now();
+  (void)world.Call(Request("stream", "Model: any\r\n"), 1500);
+  // It ended by the time of the newer configuration, not before.
+  const base::Millis took = base::SteadyClock::Instance().Now() - start;
+  BOOST_TEST(took.Count() >= 800);
+  BOOST_TEST(world.m_one.m_closedByPeer == 1);
+}
+
 // Pattern: an upstream takes requests and never answers, its health is good.
 BOOST_FIXTURE_TEST_CASE(SilentUpstreamIsGivenUp, Running)
 {
