--- a/chivefront/client/watcher.cc
+++ b/chivefront/client/watcher.cc
@@ -156,7 +156,8 @@
 void
 Watcher::AcceptRegistry(const wire::WatchReplyT& aReply)
 {
-  const bool changed = aReply.registry_epoch != m_registryEpoch ||
+  const bool changed = !aReply.upstreams.empty() ||
+                       aReply.registry_epoch != m_registryEpoch ||
                        aReply.registry_sequence != m_registrySequence;
   if (!changed && aReply.live_entries == m_view->m_liveEntries) {
     return;
@@ -209,6 +210,13 @@
   return true;
 }
 
+bool
+Watcher::KnowsRegistry() const
+{
+  const std::lock_guard lock(m_lock);
+  return m_registryEpoch != 0;
+}
+
 absl::StatusOr<ViewPointer>
 Watcher::FreshView() const
 {
--- a/chivefront/client/watcher.h
+++ b/chivefront/client/watcher.h
@@ -72,6 +72,9 @@
   // Revision of the last view; 0 before the first answer.
   uint64_t Revision() const;
   bool Fresh() const;
+  // Whether a control process has sent its whole registry; before that, single
+  // upstreams may be known from processes that have just started.
+  bool KnowsRegistry() const;
 
   // Takes in an answer to a question sent at aAskedAt. Public for tests;
   // returns false when the answer was refused (older revision, invalid).
--- a/chivefront/client/watcher_test.cc
+++ b/chivefront/client/watcher_test.cc
@@ -38,6 +38,13 @@
     entry->value = "{}";
     aReply.entries.push_back(std::move(entry));
   }
+
+  static void PutUpstream(wire::WatchReplyT& aReply, const std::string& aName)
+  {
+    auto upstream = std::make_unique<wire::UpstreamInfoT>();
+    upstream->name = aName;
+    aReply.upstreams.push_back(std::move(upstream));
+  }
 };
 
 } // namespace
@@ -102,6 +109,33 @@
   BOOST_TEST(m_watcher.LastView()->m_catalog->m_domainsOut.size() == 1U);
 }
 
+// Guards against requests that find no upstream because every control process
+// has just started, and against a process that has heard of few upstreams
+// taking the others away. Fails when additions need a new epoch to be taken in.
+BOOST_FIXTURE_TEST_CASE(YoungControlAddsUpstreamsAndRemovesNone, Fixture)
+{
+  auto young = Reply(1, 0);
+  PutUpstream(young, "u1");
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), young));
+  BOOST_TEST(m_watcher.LastView()->m_registry->count("u1") == 1U);
+  BOOST_TEST(!m_watcher.KnowsRegistry());
+  auto complete = Reply(1, 0);
+  complete.registry_epoch = 7;
+  complete.registry_sequence = 2;
+  complete.registry_snapshot = true;
+  PutUpstream(complete, "u2");
+  PutUpstream(complete, "u3");
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), complete));
+  BOOST_TEST(m_watcher.KnowsRegistry());
+  BOOST_TEST(m_watcher.LastView()->m_registry->count("u1") == 0U);
+  auto other = Reply(1, 0);
+  other.registry_epoch = 7;
+  other.registry_sequence = 2;
+  PutUpstream(other, "u4");
+  BOOST_TEST(m_watcher.Accept(m_clock.Now(), other));
+  BOOST_TEST(m_watcher.LastView()->m_registry->size() == 3U);
+}
+
 // Guards against an invalid configuration replacing a valid one.
 BOOST_FIXTURE_TEST_CASE(InvalidConfigurationIsRefused, Fixture)
 {
--- a/chivefront/control/registry.cc
+++ b/chivefront/control/registry.cc
@@ -145,6 +145,16 @@
   return delta;
 }
 
+RegistryDelta
+UpstreamRegistry::Additions(uint64_t aEpoch, uint64_t aSequence) const
+{
+  RegistryDelta delta;
+  delta.m_epoch = aEpoch;
+  delta.m_sequence = aSequence;
+  delta.m_upstreams = All();
+  return delta;
+}
+
 std::vector<wire::UpstreamInfoT>
 UpstreamRegistry::All() const
 {
--- a/chivefront/control/registry.h
+++ b/chivefront/control/registry.h
@@ -43,6 +43,10 @@
   size_t Announce(const wire::AnnounceRequestT& aRequest, base::TimePoint aNow);
   void Expire(base::TimePoint aNow);
   RegistryDelta Since(uint64_t aEpoch, uint64_t aSequence) const;
+  // What has been heard so far, for a process too young to have heard of every
+  // upstream: it removes nothing, and the asker's position stays as it was, so
+  // that a later Since() sends the whole registry.
+  RegistryDelta Additions(uint64_t aEpoch, uint64_t aSequence) const;
 
   size_t Size() const { return m_upstreams.size(); }
   std::vector<wire::UpstreamInfoT> All() const;
--- a/chivefront/control/server.cc
+++ b/chivefront/control/server.cc
@@ -162,10 +162,14 @@
     reply.registry_sequence = aRequest.registry_sequence;
     // A process that has just started, or is cut off, may not have heard of
     // upstreams that are well; its watchers keep what they know.
-    if (reply.fresh && now - m_started >= kAnnounceLife) {
+    if (reply.fresh) {
       m_registry.Expire(now);
       RegistryDelta delta =
-        m_registry.Since(aRequest.registry_epoch, aRequest.registry_sequence);
+        now - m_started >= kAnnounceLife
+          ? m_registry.Since(aRequest.registry_epoch,
+                             aRequest.registry_sequence)
+          : m_registry.Additions(aRequest.registry_epoch,
+                                 aRequest.registry_sequence);
       reply.registry_epoch = delta.m_epoch;
       reply.registry_sequence = delta.m_sequence;
       reply.registry_snapshot = delta.m_snapshot;
--- a/chivefront/control/soft_state_test.cc
+++ b/chivefront/control/soft_state_test.cc
@@ -136,6 +136,20 @@
   BOOST_TEST(registry.Since(7, second.m_sequence + 1).m_snapshot);
 }
 
+// Guards against a control process that has just started and hides what it has
+// heard, or moves its watchers' position so that they never ask for the rest.
+BOOST_AUTO_TEST_CASE(YoungRegistrySendsAdditions)
+{
+  control::UpstreamRegistry registry(7);
+  registry.Announce(Announce("a", { "u1", "u2" }), At(0));
+  const auto additions = registry.Additions(5, 3);
+  BOOST_TEST(additions.m_upstreams.size() == 2U);
+  BOOST_TEST(!additions.m_snapshot);
+  BOOST_TEST(additions.m_epoch == 5U);
+  BOOST_TEST(additions.m_sequence == 3U);
+  BOOST_TEST(registry.Since(5, 3).m_snapshot);
+}
+
 // Guards against a lost, repeated or doubly relayed report that changes the
 // evidence, and against evidence that is lost with its holder.
 BOOST_AUTO_TEST_CASE(EvidenceIsPooledOnce)
--- a/chivefront/entry/core.h
+++ b/chivefront/entry/core.h
@@ -29,7 +29,10 @@
   absl::Status Start(const base::Endpoint& aCallers);
 
   // Whether the balancer should send requests here.
-  bool Ready() const { return !m_leaving && m_watcher.Fresh(); }
+  bool Ready() const
+  {
+    return !m_leaving && m_watcher.Fresh() && m_watcher.KnowsRegistry();
+  }
   // JSON for the admin port.
   std::string Status() const;
 
