--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -341,6 +341,18 @@
   aUpstream.m_belief.OnPace(ratio, now);
 }
 
+void
+Exchange::NotePassed()
+{
+  const base::TimePoint now = m_parts.m_clock.Now();
+  if (m_firstPassedAt == base::TimePoint()) {
+    m_firstPassedAt = now;
+  } else {
+    m_longestPause = std::max(m_longestPause, now - m_lastPassedAt);
+  }
+  m_lastPassedAt = now;
+}
+
 // Waits for a short while when all upstreams are closed for the moment.
 net::Task<UpstreamPointer>
 Exchange::FindUpstream()
@@ -646,6 +658,7 @@
       m_connection->Close();
       co_return Stopped{};
     }
+    NotePassed();
   }
   if (!m_events.Rest().empty()) {
     co_return CutOff{ "ended in an event" };
@@ -931,6 +944,11 @@
       { "sends", static_cast<uint64_t>(m_sends) },
       { "may_have_run", m_mayHaveRun ? "yes" : "no" },
       { "took_ms", (now - m_received).Count() },
+      { "first_ms",
+        m_firstPassedAt == base::TimePoint()
+          ? int64_t(0)
+          : (m_firstPassedAt - m_received).Count() },
+      { "longest_pause_ms", m_longestPause.Count() },
       { "number", m_config ? m_config->Number() : uint64_t(0) },
       { "control_age_ms",
         heard ? std::to_string((now - view.m_freshAt).Count()) : "never" } });
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -109,6 +109,7 @@
   void NotePromptParts(Upstream& aUpstream) const;
   void NoteHeadPace(Upstream& aUpstream);
   void NoteEventPace(Upstream& aUpstream);
+  void NotePassed();
   std::string Model() const;
   void LogAttempt(std::string_view aEnd, std::string_view aWhy) const;
   void LogEnd(base::LogWeight aWeight,
@@ -140,6 +141,9 @@
   base::TimePoint m_sentAt;
   base::TimePoint m_headAt;
   uint64_t m_pieces = 0; // of the running attempt's stream
+  base::TimePoint m_firstPassedAt; // first bytes of the answer to the caller
+  base::TimePoint m_lastPassedAt;
+  base::Millis m_longestPause; // between bytes that were passed on
   bool m_slow = false;   // the running attempt took much longer than usual
 };
 
--- a/chivefront/routing/choice_test.cc
+++ b/chivefront/routing/choice_test.cc
@@ -84,6 +84,23 @@
   BOOST_TEST(Fleet(9).Choose(need) == first);
 }
 
+// Pattern: many short requests whose shared parts are cheap to read; a somewhat
+// busier upstream nearby costs less than bytes between failure domains.
+BOOST_AUTO_TEST_CASE(ShortPromptsStayInTheOwnDomain)
+{
+  Fleet fleet(4);
+  ChoiceNeed need = Near();
+  need.m_shared = { { "m/question", 200 } };
+  fleet.m_beliefs[1]->NotePart("m/question", kNow); // far
+  fleet.m_beliefs[0]->OnLoad(8, 0, kNow);
+  fleet.m_beliefs[2]->OnLoad(8, 0, kNow);
+  BOOST_TEST(fleet.Choose(need) % 2 == 0U);
+  // Near ones with half of their slots taken are left.
+  fleet.m_beliefs[0]->OnLoad(32, 0, kNow);
+  fleet.m_beliefs[2]->OnLoad(32, 0, kNow);
+  BOOST_TEST(fleet.Choose(need) % 2 == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(CachedPromptGoesBeforeDistance)
 {
   Fleet fleet(4);
