--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -103,8 +103,6 @@
   bool LargerModelLeft() const;
   base::Millis Left() const;
   std::shared_ptr<const std::string> RequestText(const Upstream& aUpstream);
-  std::string AnswerHead(
-    const UpstreamConnection::Parser::value_type& aHead) const;
   UpstreamNeed Need() const;
   void NotePromptParts(Upstream& aUpstream) const;
   void NoteHeadPace(Upstream& aUpstream);
@@ -140,11 +138,11 @@
   std::optional<FailedThere> m_failure; // of the last attempt that failed
   base::TimePoint m_sentAt;
   base::TimePoint m_headAt;
-  uint64_t m_pieces = 0; // of the running attempt's stream
+  uint64_t m_pieces = 0;           // of the running attempt's stream
   base::TimePoint m_firstPassedAt; // first bytes of the answer to the caller
   base::TimePoint m_lastPassedAt;
   base::Millis m_longestPause; // between bytes that were passed on
-  bool m_slow = false;   // the running attempt took much longer than usual
+  bool m_slow = false; // the running attempt took much longer than usual
 };
 
 } // namespace chivefront::proxy
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -11,7 +11,8 @@
 constexpr double kFullDelayMs = 120;
 constexpr double kWaitPerRequestMs = 25;
 // Another failure domain costs a round trip and priced bytes: more than reading
-// a short prompt again, less than reading a long one or meeting a busy upstream.
+// a short prompt again, less than reading a long one or meeting a busy
+// upstream.
 constexpr double kFarMs = 20;
 // Entries that know nothing of a part agree on where it goes by hashing it, so
 // that it is read once and not once per entry.
