Leave upstreams that fall silent in the middle of streams

A head was awaited for half the goal even from an upstream whose streams had all stopped, and a request was given up there also when nobody else was open or the repeat budget was spent, and then failed. Change: pure rules in routing/silence.h. A stream leaves after half of its route's pause goal, or four times that when the upstream sends to others; a head is not awaited from a silent upstream; the repeat is taken and another upstream looked for before the connection is closed. A timer that fires late, after a pause of the process, reads what has come first. Silent upstreams get new requests last. NewerConfigurationGivesRunningRequestsMoreTime now runs with one upstream: with two, its silent stream rightly goes on at the other; its bound is the same.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -31,7 +31,7 @@
   , m_facts(aParts.m_dialect.ReadCaller(m_caller->Request()))
   , m_config(aParts.m_watch.View().m_config)
   , m_timer(m_caller->Executor())
-  , m_hedgeTimer(m_caller->Executor())
+  , m_silenceTimer(m_caller->Executor())
 {
 }
 
@@ -188,6 +188,10 @@
 bool
 Exchange::MayRepeat()
 {
+  if (m_repeatGranted) {
+    m_repeatGranted = false;
+    return m_stop == Stop::No;
+  }
   if (m_sends >= m_route->m_maxAttempts || m_stop != Stop::No) {
     return false;
   }
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -72,7 +72,7 @@
   net::Task<void> AnswerStop();
   bool MayWaitFor(NoUpstream aWhy) const;
   net::Task<AttemptEnd> Attempt(UpstreamPointer aUpstream);
-  net::Task<AttemptEnd> Converse(Upstream& aUpstream);
+  net::Task<AttemptEnd> Converse(const UpstreamPointer& aUpstream);
   net::Task<absl::Status> OpenConnection(Upstream& aUpstream);
   net::Task<AttemptEnd> TakeAnswer(Upstream& aUpstream);
   net::Task<AttemptEnd> PassWhole(Upstream& aUpstream, std::string aHead);
@@ -97,7 +97,9 @@
   void OnStop(Stop aWhy);
   base::Millis Patience(const routing::Route& aRoute) const;
   base::Millis HeadPatience(const Upstream& aUpstream) const;
-  void GiveUpHead();
+  void WatchSilence(const UpstreamPointer& aUpstream, base::Millis aWait);
+  void OnSilence(const UpstreamPointer& aUpstream);
+  bool MayGoElsewhere();
   bool MayRepeat();
   bool IsRepeatable() const;
   bool LargerModelLeft() const;
@@ -124,12 +126,12 @@
   const routing::Service* m_service = nullptr;
   const routing::Team* m_team = nullptr;
   base::TimePoint m_deadline;
-  net::asio::steady_timer m_timer;      // of m_deadline
-  net::asio::steady_timer m_hedgeTimer; // of the head of an answer
-  bool m_headRead = false;
+  net::asio::steady_timer m_timer;        // of m_deadline
+  net::asio::steady_timer m_silenceTimer; // of the running attempt
   Stop m_stop = Stop::No;
   std::unique_ptr<UpstreamConnection> m_connection; // of the running attempt
   uint32_t m_sends = 0;
+  bool m_repeatGranted = false; // the next repeat has been taken already
   bool m_mayHaveRun = false;
   std::vector<std::string> m_tried;
   std::string m_lastUpstream;
@@ -137,7 +139,9 @@
   EventSplitter m_events;
   std::optional<FailedThere> m_failure; // of the last attempt that failed
   base::TimePoint m_sentAt;
-  base::TimePoint m_headAt;
+  base::TimePoint m_headAt;        // of the running attempt; none yet: not set
+  base::TimePoint m_pieceAt;       // newest bytes of the running attempt
+  base::Millis m_headPatience;     // of the running attempt
   uint64_t m_pieces = 0;           // of the running attempt's stream
   base::TimePoint m_firstPassedAt; // first bytes of the answer to the caller
   base::TimePoint m_lastPassedAt;
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -6,6 +6,7 @@
 #include "chivefront/proxy/forwarding.h"
 #include "chivefront/proxy/retry_times.h"
 #include "chivefront/routing/model_choice.h"
+#include "chivefront/routing/silence.h"
 
 namespace chivefront::proxy {
 namespace http = boost::beast::http;
@@ -34,6 +35,26 @@
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kAfterSuccess = 300;
 
+// A timer that fires this late tells that the process stood still.
+constexpr base::Millis kLateTimer{ 150 };
+
+// Counts a stream at its upstream while its events are awaited.
+class RunningStream
+{
+public:
+  RunningStream(routing::Belief& aBelief, base::TimePoint aBegun)
+    : m_belief(aBelief)
+  {
+    m_belief.OnStreamBegun(aBegun);
+  }
+  ~RunningStream() { m_belief.OnStreamEnded(); }
+  RunningStream(const RunningStream&) = delete;
+  RunningStream& operator=(const RunningStream&) = delete;
+
+private:
+  routing::Belief& m_belief;
+};
+
 bool
 IsSuccess(unsigned aStatus)
 {
@@ -48,7 +69,8 @@
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_tried.push_back(m_lastUpstream);
   aUpstream->m_belief.OnSent();
-  AttemptEnd end = co_await Converse(*aUpstream);
+  AttemptEnd end = co_await Converse(aUpstream);
+  m_silenceTimer.cancel();
   aUpstream->m_belief.OnEnded();
   m_events.Restart();
   if (m_connection) {
@@ -78,43 +100,37 @@
 }
 
 net::Task<Exchange::AttemptEnd>
-Exchange::Converse(Upstream& aUpstream)
+Exchange::Converse(const UpstreamPointer& aUpstream)
 {
-  absl::Status status = co_await OpenConnection(aUpstream);
+  absl::Status status = co_await OpenConnection(*aUpstream);
   if (m_stop != Stop::No) {
     co_return Stopped{};
   }
   if (!status.ok()) {
-    aUpstream.m_belief.OnFailure(m_parts.m_clock.Now());
+    aUpstream->m_belief.OnFailure(m_parts.m_clock.Now());
     co_return NotRun{ "connect: " + std::string(base::MessageOf(status)) };
   }
-  std::shared_ptr<const std::string> text = RequestText(aUpstream);
+  std::shared_ptr<const std::string> text = RequestText(*aUpstream);
   m_sentAt = m_parts.m_clock.Now();
   ++m_sends;
-  NotePromptParts(aUpstream);
-  m_hedgeTimer.expires_after(HeadPatience(aUpstream).ToChrono());
-  m_hedgeTimer.async_wait([self = shared_from_this(), send = m_sends](
-                            const boost::system::error_code& aError) {
-    if (!aError && self->m_sends == send && !self->m_headRead) {
-      self->GiveUpHead();
-    }
-  });
-  m_headRead = false;
+  NotePromptParts(*aUpstream);
+  m_headAt = base::TimePoint();
+  m_pieceAt = m_sentAt;
+  m_headPatience = HeadPatience(*aUpstream);
+  WatchSilence(aUpstream, std::min(m_headPatience, routing::kSilence));
   status = co_await m_connection->Send(std::move(text));
-  m_headRead = true;
-  m_hedgeTimer.cancel();
   if (m_stop != Stop::No) {
     co_return Stopped{};
   }
   if (!status.ok()) {
     m_connection->Close();
-    aUpstream.m_belief.OnFailure(m_parts.m_clock.Now());
+    aUpstream->m_belief.OnFailure(m_parts.m_clock.Now());
     if (base::KindOf(status) == base::ErrorKind::NoUpstream) {
       co_return NotRun{ "send: " + std::string(base::MessageOf(status)) };
     }
     co_return Lost{ std::string(base::MessageOf(status)) };
   }
-  co_return co_await TakeAnswer(aUpstream);
+  co_return co_await TakeAnswer(*aUpstream);
 }
 
 net::Task<Exchange::AttemptEnd>
@@ -251,6 +267,7 @@
 net::Task<Exchange::AttemptEnd>
 Exchange::PassEvents(Upstream& aUpstream, std::string aHead)
 {
+  const detail::RunningStream running(aUpstream.m_belief, m_headAt);
   while (true) {
     const auto piece = co_await m_connection->Read();
     if (m_stop != Stop::No) {
@@ -267,6 +284,8 @@
       break;
     }
     ++m_pieces;
+    m_pieceAt = m_parts.m_clock.Now();
+    aUpstream.m_belief.OnHeard(m_pieceAt);
     std::string events = m_events.Add(*piece);
     if (events.empty()) {
       continue;
@@ -318,27 +337,71 @@
   return m_route->m_goal / 2 + base::Millis(reading);
 }
 
-// Another upstream is likely to answer sooner than this one.
+// Looks after aWait whether the running attempt gets an answer.
+void
+Exchange::WatchSilence(const UpstreamPointer& aUpstream, base::Millis aWait)
+{
+  const base::TimePoint due = m_parts.m_clock.Now() + aWait;
+  m_silenceTimer.expires_after(aWait.ToChrono());
+  m_silenceTimer.async_wait(
+    [self = shared_from_this(), aUpstream, send = m_sends, due](
+      const boost::system::error_code& aError) {
+      if (aError || self->m_sends != send || !self->m_connection) {
+        return;
+      }
+      // After a pause of the process itself, what has arrived is read first.
+      if (self->m_parts.m_clock.Now() - due > detail::kLateTimer) {
+        self->WatchSilence(aUpstream, routing::kSilence);
+        return;
+      }
+      self->OnSilence(aUpstream);
+    });
+}
+
+// Leaves the upstream when another one is likely to answer sooner.
 void
-Exchange::GiveUpHead()
+Exchange::OnSilence(const UpstreamPointer& aUpstream)
 {
-  if (m_stop != Stop::No || !m_connection) {
+  const base::TimePoint now = m_parts.m_clock.Now();
+  const routing::Belief& belief = aUpstream->m_belief;
+  const bool headRead = m_headAt != base::TimePoint();
+  const bool leaves =
+    headRead
+      ? routing::LeavesStream(belief, m_route->m_pauseGoal, m_pieceAt, now)
+      : routing::LeavesHead(belief, m_headPatience, m_sentAt, now);
+  if (!leaves || !MayGoElsewhere()) {
+    WatchSilence(aUpstream, routing::kSilence);
     return;
   }
-  m_parts.m_log.Record(
-    "head_given_up",
-    base::LogWeight::Failure,
-    { { "request", m_facts.m_attempt },
-      { "upstream", m_lastUpstream },
-      { "waited_ms", (m_parts.m_clock.Now() - m_sentAt).Count() } });
+  m_parts.m_log.Record("silent_upstream_left",
+                       base::LogWeight::Failure,
+                       { { "request", m_facts.m_attempt },
+                         { "upstream", m_lastUpstream },
+                         { "head", headRead ? "read" : "awaited" },
+                         { "waited_ms", (now - m_sentAt).Count() },
+                         { "silent_ms", (now - m_pieceAt).Count() },
+                         { "heard_ms", (now - belief.HeardAt()).Count() } });
   m_connection->Close();
 }
 
-// Time to the head, for the size of what is read before it.
+// Whether a repeat was taken from the budget for an upstream that is there.
+bool
+Exchange::MayGoElsewhere()
+{
+  const bool resumable = !m_caller->Started() || m_events.LastId();
+  if (!IsRepeatable() || !resumable || m_repeatGranted ||
+      !m_parts.m_upstreams.AnyOpen(Need())) {
+    return false;
+  }
+  m_repeatGranted = MayRepeat();
+  return m_repeatGranted;
+}
+
 void
 Exchange::NoteHeadPace(Upstream& aUpstream)
 {
   m_headAt = m_parts.m_clock.Now();
+  m_pieceAt = m_headAt;
   m_pieces = 0;
   const auto waited = static_cast<double>((m_headAt - m_sentAt).Count());
   const double size = detail::kFixedTokens + m_facts.m_promptTokens;
--- a/chivefront/proxy/proxy_test.cc
+++ b/chivefront/proxy/proxy_test.cc
@@ -196,6 +196,7 @@
       route.m_resumable = route.m_stream;
       route.m_timeout = aTimeout;
       route.m_goal = base::Millis(1000);
+      route.m_pauseGoal = base::Millis(800);
       route.m_maxAttempts = 3;
       route.m_services = { { "app", 1 } };
       if (route.m_stream) {
@@ -229,6 +230,9 @@
     entry->value = "text";
     reply.entries.push_back(std::move(entry));
     for (const ScriptedUpstream* upstream : { &m_one, &m_two }) {
+      if (m_alone && upstream == &m_two) {
+        continue;
+      }
       auto info = std::make_unique<wire::UpstreamInfoT>();
       info->name = upstream == &m_one ? "one" : "two";
       info->service = "app";
@@ -304,6 +308,7 @@
   ScriptedUpstream m_one;
   ScriptedUpstream m_two;
   uint16_t m_port = 0;
+  bool m_alone = false; // the entry hears of m_one only
   std::unique_ptr<Entry> m_entry;
 };
 
@@ -428,6 +433,32 @@
   BOOST_TEST(Has(m_two.m_requests[0], "After: 1"));
 }
 
+// Pattern: an upstream loses its network in the middle of a stream.
+BOOST_FIXTURE_TEST_CASE(SilentStreamGoesOnElsewhere, Running)
+{
+  m_one.Answer(kEventsHead + Chunk("id: 1\ndata: a\n\n") + kHold);
+  m_two.Answer(kEventsHead + Chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n");
+  const std::string answer = Call(Request("stream", "Model: any\r\n"));
+  BOOST_TEST(Has(answer, "\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n"));
+  BOOST_REQUIRE(m_two.m_requests.size() == 1U);
+  BOOST_TEST(Has(m_two.m_requests[0], "After: 1"));
+  BOOST_TEST(m_one.m_closedByPeer == 1);
+}
+
+// A stream is not ended for its silence when no upstream could go on with it.
+BOOST_FIXTURE_TEST_CASE(SilentStreamWaitsWhenNobodyElseIsThere, World)
+{
+  Start();
+  m_alone = true;
+  Configure();
+  m_one.Answer(kEventsHead + Chunk("id: 1\ndata: a\n\n") + kHold);
+  (void)Call(Request("stream", "Model: any\r\n"), 1200);
+  BOOST_TEST(m_one.m_requests.size() == 1U);
+  BOOST_TEST(m_two.m_requests.empty());
+  // It was the caller that left.
+  BOOST_TEST(m_one.m_closedByPeer == 1);
+}
+
 // A stream that ends for good without its end must not look complete.
 BOOST_FIXTURE_TEST_CASE(StreamThatCannotGoOnLooksCut, Running)
 {
@@ -482,6 +513,7 @@
 {
   World world(base::Millis(300));
   world.Start();
+  world.m_alone = true; // a silent stream would go on at the other upstream
   world.Configure();
   world.m_one.Answer(kEventsHead + Chunk("id: 1\ndata: a\n\n") + kHold);
   net::Spawn(
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -84,13 +84,13 @@
   return aService.m_warmupPerSecond / m_watch.View().m_liveEntries;
 }
 
-UpstreamPointer
-Upstreams::Choose(const UpstreamNeed& aNeed, NoUpstream& aWhy)
+// All that may be given the request of aNeed at this moment.
+std::vector<UpstreamPointer>
+Upstreams::OpenFor(const UpstreamNeed& aNeed, NoUpstream& aWhy)
 {
   const base::TimePoint now = m_clock.Now();
   const double coldShare = ColdShare(*aNeed.m_service);
   std::vector<UpstreamPointer> open;
-  std::vector<routing::Candidate> candidates;
   aWhy = NoUpstream::None;
   const auto consider = [&](const routing::Instance& aInstance) {
     if (!IsOpen(aInstance, aNeed) || !VersionFits(aInstance, aNeed)) {
@@ -108,15 +108,35 @@
       return;
     }
     open.push_back(upstream);
-    candidates.push_back(
-      { &upstream->m_instance, &belief, upstream->m_instance.m_slots });
   };
   m_watch.View().m_registry.ForEach(consider);
-  if (candidates.empty()) {
+  return open;
+}
+
+bool
+Upstreams::AnyOpen(const UpstreamNeed& aNeed)
+{
+  NoUpstream why = NoUpstream::None;
+  return !OpenFor(aNeed, why).empty();
+}
+
+UpstreamPointer
+Upstreams::Choose(const UpstreamNeed& aNeed, NoUpstream& aWhy)
+{
+  const base::TimePoint now = m_clock.Now();
+  const std::vector<UpstreamPointer> open = OpenFor(aNeed, aWhy);
+  if (open.empty()) {
     return nullptr;
   }
+  std::vector<routing::Candidate> candidates;
+  for (const UpstreamPointer& upstream : open) {
+    candidates.push_back({ &upstream->m_instance,
+                           &upstream->m_belief,
+                           upstream->m_instance.m_slots });
+  }
   const UpstreamPointer chosen =
     open[routing::ChooseUpstream(candidates, aNeed.m_choice, now)];
+  const double coldShare = ColdShare(*aNeed.m_service);
   if (chosen->m_instance.m_coldUntil > now && coldShare > 0) {
     (void)chosen->m_belief.ColdBucket().Take(
       coldShare, detail::kColdBurst, now);
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -57,6 +57,9 @@
   // the reason in aWhy when there is none now.
   UpstreamPointer Choose(const UpstreamNeed& aNeed, NoUpstream& aWhy);
 
+  // Whether Choose would find one now.
+  bool AnyOpen(const UpstreamNeed& aNeed);
+
   // An idle connection that is still sound, or null.
   std::unique_ptr<UpstreamConnection> TakeIdle(Upstream& aUpstream);
   // Keeps a connection whose last answer was read to its end.
@@ -76,6 +79,8 @@
   bool VersionFits(const routing::Instance& aInstance,
                    const UpstreamNeed& aNeed) const;
   UpstreamPointer Track(const routing::Instance& aInstance);
+  std::vector<UpstreamPointer> OpenFor(const UpstreamNeed& aNeed,
+                                       NoUpstream& aWhy);
   double ColdShare(const routing::Service& aService) const;
 
   const site::Watch& m_watch;
--- a/chivefront/routing/belief.cc
+++ b/chivefront/routing/belief.cc
@@ -87,6 +87,19 @@
   return 1 + (m_pace - 1) * kept;
 }
 
+void
+Belief::OnStreamBegun(base::TimePoint aNow)
+{
+  ++m_streams;
+  m_heardAt = aNow;
+}
+
+bool
+Belief::IsSilent(base::TimePoint aNow) const
+{
+  return m_streams > 0 && aNow - m_heardAt > kSilence;
+}
+
 void
 Belief::NotePart(const std::string& aModelAndPart, base::TimePoint aNow)
 {
--- a/chivefront/routing/belief.h
+++ b/chivefront/routing/belief.h
@@ -11,6 +11,9 @@
 
 namespace chivefront::routing {
 
+// Events of a running stream come many times as often as this.
+inline constexpr base::Millis kSilence{ 400 };
+
 // Load as an upstream told it at m_at.
 struct ReportedLoad
 {
@@ -51,6 +54,16 @@
   // when nothing is heard, so that the upstream is tried again.
   double Pace(base::TimePoint aNow) const;
 
+  // Bytes of an answer came.
+  void OnHeard(base::TimePoint aNow) { m_heardAt = aNow; }
+  // An answer's events begin to come, or no more of them are expected.
+  void OnStreamBegun(base::TimePoint aNow);
+  void OnStreamEnded() { m_streams -= m_streams > 0 ? 1 : 0; }
+  // Whether it is in the middle of streams and has sent nothing for long, as
+  // one that was cut off does.
+  bool IsSilent(base::TimePoint aNow) const;
+  base::TimePoint HeardAt() const { return m_heardAt; }
+
   RateBucket& ColdBucket() { return m_coldBucket; }
 
   // Prompt parts that this entry sent there lately.
@@ -65,6 +78,8 @@
   double m_failureShare = 0;
   double m_pace = 1;
   base::TimePoint m_paceAt; // of the last update
+  uint32_t m_streams = 0;   // of this entry, whose events are coming
+  base::TimePoint m_heardAt;
   RateBucket m_coldBucket;
   std::unordered_map<std::string, base::TimePoint> m_parts; // last use
 };
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -21,6 +21,8 @@
 // requests' own; beyond it each further time counts like a loaded upstream.
 constexpr double kTolerablePace = 1.6;
 constexpr double kSlowPenaltyMs = 150;
+// An upstream whose streams have stopped is the last to get new requests.
+constexpr double kSilentPenaltyMs = 2000;
 // Failures up to this share are taken for the requests' own.
 constexpr double kTolerableFailures = 0.25;
 constexpr double kFailurePenaltyMs = 2000;
@@ -76,6 +78,7 @@
   if (const double pace = belief.Pace(aNow); pace > kTolerablePace) {
     cost += kSlowPenaltyMs * (pace - 1);
   }
+  cost += belief.IsSilent(aNow) ? kSilentPenaltyMs : 0;
   if (belief.FailureShare() > kTolerableFailures) {
     cost += kFailurePenaltyMs * (belief.FailureShare() - kTolerableFailures);
   }
--- a/chivefront/routing/config.h
+++ b/chivefront/routing/config.h
@@ -40,8 +40,9 @@
   bool m_public = false;         // needs no key
   bool m_prefixAffinity = false; // prompts share parts that upstreams cache
   base::Millis m_timeout{ 0 };
-  base::Millis m_goal{ 0 }; // for the first byte that counts
-  int m_priority = 0;       // 0 is the most urgent
+  base::Millis m_goal{ 0 };      // for the first byte that counts
+  base::Millis m_pauseGoal{ 0 }; // between events of a stream; 0: none
+  int m_priority = 0;            // 0 is the most urgent
   uint32_t m_maxAttempts = 1;
   std::vector<WeightedService> m_services;
   std::vector<std::string> m_models; // smallest first; empty: caller's choice
--- /dev/null
+++ b/chivefront/routing/silence_test.cc
@@ -0,0 +1,52 @@
+// When requests leave an upstream that sends nothing.
+#define BOOST_TEST_MODULE routing_silence
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/routing/silence.h"
+
+using namespace chivefront;
+using namespace chivefront::routing;
+using base::Millis;
+
+namespace {
+
+constexpr base::TimePoint kNow{ Millis(100000) };
+constexpr Millis kGoal{ 1000 };
+
+} // namespace
+
+// Pattern: upstreams lose their network in the middle of streams; without this
+// the streams stood for over three seconds (salins-booking scale-1).
+BOOST_AUTO_TEST_CASE(StreamLeavesASilentUpstreamWithinItsPauseGoal)
+{
+  Belief belief;
+  belief.OnStreamBegun(kNow);
+  BOOST_TEST(!LeavesStream(belief, kGoal, kNow, kNow + Millis(499)));
+  BOOST_TEST(LeavesStream(belief, kGoal, kNow, kNow + Millis(500)));
+}
+
+// Pattern: memory is short and the newest stream is put back for a second.
+BOOST_AUTO_TEST_CASE(StreamWaitsForAnUpstreamThatSendsToOthers)
+{
+  Belief belief;
+  belief.OnStreamBegun(kNow);
+  belief.OnHeard(kNow + Millis(900));
+  BOOST_TEST(!LeavesStream(belief, kGoal, kNow, kNow + Millis(1000)));
+  belief.OnHeard(kNow + Millis(1900));
+  BOOST_TEST(LeavesStream(belief, kGoal, kNow, kNow + Millis(2000)));
+}
+
+// Pattern: requests wait for heads at an upstream whose streams have stopped.
+BOOST_AUTO_TEST_CASE(HeadsAreNotAwaitedFromASilentUpstream)
+{
+  Belief belief;
+  const Millis patience(1400);
+  BOOST_TEST(!LeavesHead(belief, patience, kNow, kNow + Millis(1000)));
+  belief.OnStreamBegun(kNow);
+  BOOST_TEST(LeavesHead(belief, patience, kNow, kNow + Millis(1000)));
+  belief.OnHeard(kNow + Millis(900)); // it reads long prompts and goes on
+  BOOST_TEST(!LeavesHead(belief, patience, kNow, kNow + Millis(1000)));
+  BOOST_TEST(LeavesHead(belief, patience, kNow, kNow + Millis(1400)));
+  belief.OnStreamEnded();
+  BOOST_TEST(!belief.IsSilent(kNow + Millis(5000)));
+}
