Count prompts that wait at an upstream

Change: the reported queue, less believed with the report's age, and the entry's own requests without a head cost 80 ms each. Tests: QueueOfPromptsIsAvoidedAlsoByItsSubject, OwnRequestsWaitUntilTheirHeads.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -107,6 +107,7 @@
   std::shared_ptr<const std::string> RequestText(const Upstream& aUpstream);
   UpstreamNeed Need() const;
   void NotePromptParts(Upstream& aUpstream) const;
+  void NoteHead(Upstream& aUpstream);
   void NoteHeadPace(Upstream& aUpstream);
   void NoteEventPace(Upstream& aUpstream);
   void NotePassed();
@@ -139,6 +140,7 @@
   EventSplitter m_events;
   std::optional<FailedThere> m_failure; // of the last attempt that failed
   base::TimePoint m_sentAt;
+  bool m_awaitsHead = false;       // the running attempt counts as waiting
   base::TimePoint m_headAt;        // of the running attempt; none yet: not set
   base::TimePoint m_pieceAt;       // newest bytes of the running attempt
   base::Millis m_headPatience;     // of the running attempt
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -69,8 +69,10 @@
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_tried.push_back(m_lastUpstream);
   aUpstream->m_belief.OnSent();
+  m_awaitsHead = true;
   AttemptEnd end = co_await Converse(aUpstream);
   m_silenceTimer.cancel();
+  NoteHead(*aUpstream);
   aUpstream->m_belief.OnEnded();
   m_events.Restart();
   if (m_connection) {
@@ -165,6 +167,7 @@
       co_return Lost{ "stray answer" };
     }
   }
+  NoteHead(aUpstream);
   const base::TimePoint now = m_parts.m_clock.Now();
   const unsigned status = m_connection->Head().result_int();
   if (facts.m_load) {
@@ -397,6 +400,15 @@
   return m_repeatGranted;
 }
 
+void
+Exchange::NoteHead(Upstream& aUpstream)
+{
+  if (m_awaitsHead) {
+    m_awaitsHead = false;
+    aUpstream.m_belief.OnHead();
+  }
+}
+
 void
 Exchange::NoteHeadPace(Upstream& aUpstream)
 {
--- a/chivefront/routing/belief.cc
+++ b/chivefront/routing/belief.cc
@@ -27,7 +27,7 @@
 void
 Belief::OnLoad(uint32_t aRunning, uint32_t aWaiting, base::TimePoint aNow)
 {
-  m_reported = { aRunning, aWaiting, aNow, m_inFlight };
+  m_reported = { aRunning, aWaiting, aNow, m_inFlight, m_awaited };
 }
 
 // The requests of other entries as reported, plus this one's own of now.
@@ -43,6 +43,20 @@
   return others + m_inFlight;
 }
 
+// What others had waiting as reported, less and less of it with the report's
+// age, plus this entry's own.
+double
+Belief::Waiting(base::TimePoint aNow) const
+{
+  const auto age = static_cast<double>((aNow - m_reported.m_at).Count());
+  const auto life = static_cast<double>(detail::kReportLife.Count());
+  const double kept = std::max(0.0, 1 - age / life);
+  const double others = std::max(0.0,
+                                 static_cast<double>(m_reported.m_waiting) -
+                                   m_reported.m_ownWaitingThen);
+  return others * kept + m_awaited;
+}
+
 void
 Belief::OnAnswer()
 {
--- a/chivefront/routing/belief.h
+++ b/chivefront/routing/belief.h
@@ -20,19 +20,29 @@
   uint32_t m_running = 0;
   uint32_t m_waiting = 0;
   base::TimePoint m_at;
-  uint32_t m_ownThen = 0; // of this entry's requests among them
+  uint32_t m_ownThen = 0;        // of this entry's requests among them
+  uint32_t m_ownWaitingThen = 0; // of those, the ones without a first byte
 };
 
 class Belief
 {
 public:
-  void OnSent() { ++m_inFlight; }
+  void OnSent()
+  {
+    ++m_inFlight;
+    ++m_awaited;
+  }
+  // The head of an answer came, or none will come.
+  void OnHead() { m_awaited -= m_awaited > 0 ? 1 : 0; }
   void OnEnded() { m_inFlight -= m_inFlight > 0 ? 1 : 0; }
   uint32_t InFlight() const { return m_inFlight; }
 
   void OnLoad(uint32_t aRunning, uint32_t aWaiting, base::TimePoint aNow);
   // Requests at the upstream, of all entries, as far as this one can tell.
   double Load(base::TimePoint aNow) const;
+  // Those among them that have not begun to run: their prompts are read before
+  // that of a new one.
+  double Waiting(base::TimePoint aNow) const;
 
   // An answer came, whatever it said.
   void OnAnswer();
@@ -72,6 +82,7 @@
 
 private:
   uint32_t m_inFlight = 0; // of this entry
+  uint32_t m_awaited = 0;  // of those, without a head
   ReportedLoad m_reported;
   uint32_t m_failures = 0; // in a row
   base::TimePoint m_closedUntil;
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -10,6 +10,9 @@
 // proportion to the share that is taken; beyond that it waits.
 constexpr double kFullDelayMs = 120;
 constexpr double kWaitPerRequestMs = 25;
+// For each request that has not begun to run: its prompt is read first, and
+// long prompts of large models take this much.
+constexpr double kPromptAheadMs = 80;
 // Another failure domain costs a round trip and priced bytes: more than reading
 // a short prompt again, less than reading a long one or meeting a busy
 // upstream.
@@ -74,6 +77,7 @@
   double cost = ReadingMs(aCandidate, aNeed, aAgreed, aNow);
   cost += kFullDelayMs * load / slots;
   cost += load > slots ? (load - slots) * kWaitPerRequestMs : 0;
+  cost += kPromptAheadMs * belief.Waiting(aNow);
   cost += aCandidate.m_instance->m_domain == aNeed.m_ownDomain ? 0 : kFarMs;
   if (const double pace = belief.Pace(aNow); pace > kTolerablePace) {
     cost += kSlowPenaltyMs * (pace - 1);
--- a/chivefront/routing/choice_test.cc
+++ b/chivefront/routing/choice_test.cc
@@ -115,6 +115,40 @@
   BOOST_TEST(fleet.Choose(need) != 3U);
 }
 
+// Pattern: everybody asks about one subject, whose upstream has a queue of long
+// prompts while others have none. (tesfaye-fans scale-1, after 40 s: six of
+// 18 upstreams had 178 of 220 requests that waited in vain.)
+BOOST_AUTO_TEST_CASE(QueueOfPromptsIsAvoidedAlsoByItsSubject)
+{
+  Fleet fleet(4);
+  ChoiceNeed need = Near();
+  need.m_shared = { { "m/lead", 500 }, { "m/subject", 5000 } };
+  for (const PartNeed& part : need.m_shared) {
+    fleet.m_beliefs[2]->NotePart(part.m_key, kNow);
+  }
+  fleet.m_beliefs[2]->OnLoad(8, 0, kNow); // running ones are no queue
+  BOOST_TEST(fleet.Choose(need) == 2U);
+  fleet.m_beliefs[2]->OnLoad(8, 1, kNow);
+  BOOST_TEST(fleet.Choose(need) != 2U);
+  // What was reported is believed less and less.
+  BOOST_TEST(
+    ChooseUpstream(fleet.m_candidates, need, kNow + base::Millis(1400)) == 2U);
+}
+
+// An entry counts its own requests as waiting until their heads come.
+BOOST_AUTO_TEST_CASE(OwnRequestsWaitUntilTheirHeads)
+{
+  Belief belief;
+  belief.OnSent();
+  belief.OnSent();
+  BOOST_TEST(belief.Waiting(kNow) == 2);
+  belief.OnLoad(0, 5, kNow); // two of the five are its own
+  BOOST_TEST(belief.Waiting(kNow) == 5);
+  belief.OnHead();
+  belief.OnHead();
+  BOOST_TEST(belief.Waiting(kNow) == 3);
+}
+
 // Pattern: one upstream fails half of its requests while its health is good.
 BOOST_AUTO_TEST_CASE(FailingUpstreamIsAvoidedAndComesBack)
 {
