--- a/chivefront/base/base_test.cc
+++ b/chivefront/base/base_test.cc
@@ -101,7 +101,19 @@
   Metrics metrics;
   metrics.AddCounter("c_total", "Count.", "class=\"free\"").Increment(3);
   metrics.AddSummary("s", "Span.").Observe(2);
+  metrics.AddHistogram("h", "Time.", "kind=\"once\"").Observe(7);
+  metrics.AddHistogram("h", "Time.", "kind=\"once\"").Observe(90000);
   const std::string text = metrics.Render();
+  BOOST_TEST(text.find("h_bucket{kind=\"once\",le=\"5\"} 0\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("h_bucket{kind=\"once\",le=\"10\"} 1\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("h_bucket{kind=\"once\",le=\"20000\"} 1\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("h_bucket{kind=\"once\",le=\"+Inf\"} 2\n") !=
+             std::string::npos);
+  BOOST_TEST(text.find("h_sum{kind=\"once\"} 90007\n") != std::string::npos);
+  BOOST_TEST(text.find("h_count{kind=\"once\"} 2\n") != std::string::npos);
   BOOST_TEST(text.find("c_total{class=\"free\"} 3\n") != std::string::npos);
   BOOST_TEST(text.find("s_count 1\n") != std::string::npos);
 }
--- a/chivefront/base/metrics.cc
+++ b/chivefront/base/metrics.cc
@@ -40,6 +40,24 @@
        << aType << "\n";
 }
 
+void
+WriteBuckets(std::ostream& aOut,
+             const std::string& aName,
+             const std::string& aLabel,
+             const Histogram& aHistogram)
+{
+  const std::string label = aLabel.empty() ? std::string() : aLabel + ",";
+  const std::string bucket = aName + "_bucket{" + label + "le=\"";
+  for (size_t i = 0; i < Histogram::kBoundsMs.size(); ++i) {
+    aOut << bucket << Histogram::kBoundsMs[i] << "\"} "
+         << aHistogram.CountUpTo(i) << "\n";
+  }
+  const uint64_t count = aHistogram.Count();
+  aOut << bucket << "+Inf\"} " << count << "\n"
+       << aName << "_sum" << Braced(aLabel) << " " << aHistogram.Sum() << "\n"
+       << aName << "_count" << Braced(aLabel) << " " << count << "\n";
+}
+
 } // namespace detail
 
 struct Summary::Accumulator
@@ -133,6 +151,14 @@
   return Add(m_summaries, aName, aHelp, aLabel);
 }
 
+Histogram&
+Metrics::AddHistogram(std::string_view aName,
+                      std::string_view aHelp,
+                      std::string_view aLabel)
+{
+  return Add(m_histograms, aName, aHelp, aLabel);
+}
+
 std::string
 Metrics::Render() const
 {
@@ -165,6 +191,12 @@
           << summary->Count() << "\n";
     }
   }
+  for (const auto& [name, family] : m_histograms) {
+    detail::WriteHead(out, name, family.m_help, "histogram");
+    for (const auto& [label, histogram] : family.m_members) {
+      detail::WriteBuckets(out, name, label, *histogram);
+    }
+  }
   return out.str();
 }
 
--- a/chivefront/base/metrics.h
+++ b/chivefront/base/metrics.h
@@ -1,4 +1,5 @@
-// Counters, gauges and latency summaries with Prometheus text output.
+// Counters, gauges, summaries and histograms of times with Prometheus text
+// output.
 //
 //   base::Counter& refused = metrics.AddCounter(
 //     "chivefront_refused_total", "Requests refused before dispatch.");
@@ -15,6 +16,8 @@
 #include <string>
 #include <string_view>
 
+#include "chivefront/base/histogram.h"
+
 namespace chivefront::base {
 
 class Counter
@@ -71,6 +74,9 @@
   Summary& AddSummary(std::string_view aName,
                       std::string_view aHelp,
                       std::string_view aLabel = {});
+  Histogram& AddHistogram(std::string_view aName,
+                          std::string_view aHelp,
+                          std::string_view aLabel = {});
 
   // Prometheus text exposition format.
   std::string Render() const;
@@ -95,6 +101,7 @@
   Families<Counter> m_counters;
   Families<Gauge> m_gauges;
   Families<Summary> m_summaries;
+  Families<Histogram> m_histograms;
 };
 
 } // namespace chivefront::base
--- a/chivefront/ctl/commands.h
+++ b/chivefront/ctl/commands.h
@@ -86,6 +86,18 @@
           uint32_t aLimit,
           Output aOutput);
 
+struct ExplainOptions
+{
+  std::vector<std::string> m_files; // logs of any processes
+  std::string m_request;            // id of the caller's attempt
+};
+
+// What was decided for one request of a chivefront-node entry, what its
+// processes and upstreams went through meanwhile, and the cause of its end.
+// BadRequest when no line is about it.
+absl::Status
+ExplainRequest(const ExplainOptions& aOptions, Output aOutput);
+
 struct TimelineOptions
 {
   std::vector<std::string> m_files;
--- a/chivefront/ctl/ctl_main.cc
+++ b/chivefront/ctl/ctl_main.cc
@@ -18,6 +18,7 @@
   ctl::SessionOptions m_session;
   ctl::ChangeOptions m_change;
   ctl::TimelineOptions m_timeline;
+  ctl::ExplainOptions m_explain;
   bool m_json = false;
   bool m_noWait = false;
   int64_t m_timeoutMs = 10000;
@@ -180,6 +181,17 @@
       return ctl::ShowTimeline(aLine.m_timeline, aOutput);
     };
   });
+  CLI::App* explain = aApp.add_subcommand(
+    "explain", "Tell why a request of a chivefront-node ended as it did.");
+  explain->add_option("files", aLine.m_explain.m_files, "Logs of processes.")
+    ->required();
+  explain->add_option("--request", aLine.m_explain.m_request, "Attempt id.")
+    ->required();
+  explain->callback([&aLine] {
+    aLine.m_local = [&aLine](ctl::Output aOutput) {
+      return ctl::ExplainRequest(aLine.m_explain, aOutput);
+    };
+  });
 }
 
 void
--- a/chivefront/ctl/timeline.cc
+++ b/chivefront/ctl/timeline.cc
@@ -7,11 +7,11 @@
 #include <sstream>
 
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
 #include "chivefront/base/errors.h"
 #include "chivefront/ctl/commands.h"
+#include "chivefront/ctl/records.h"
 #include "chivefront/ctl/table.h"
 #include "chivefront/net/http_client.h"
 
@@ -26,15 +26,6 @@
   boost::json::object m_record;
 };
 
-std::string
-Member(const boost::json::object& aRecord, const char* aName)
-{
-  const auto* value = aRecord.if_contains(aName);
-  const auto* text = value == nullptr ? nullptr : value->if_string();
-  return text == nullptr ? std::string()
-                         : std::string(text->begin(), text->end());
-}
-
 bool
 Matches(const boost::json::object& aRecord, const TimelineOptions& aOptions)
 {
@@ -54,19 +45,14 @@
 {
   std::string line;
   while (std::getline(aLines, line)) {
-    boost::json::error_code error;
-    boost::json::value value = boost::json::parse(line, error);
-    if (error || !value.is_object()) {
+    std::optional<boost::json::object> record = ParseRecord(line);
+    if (!record) {
       continue;
     }
     Event event;
-    event.m_record = std::move(value.get_object());
-    const auto* stamp = event.m_record.if_contains("hlc");
-    boost::json::error_code notNumber;
-    if (stamp != nullptr) {
-      event.m_stamp = stamp->to_number<uint64_t>(notNumber);
-    }
-    if (stamp != nullptr && !notNumber && Matches(event.m_record, aOptions)) {
+    event.m_record = std::move(*record);
+    event.m_stamp = NumberMember(event.m_record, "hlc");
+    if (event.m_stamp != 0 && Matches(event.m_record, aOptions)) {
       aEvents.push_back(std::move(event));
     }
   }
--- a/chivefront/proxy/entry_parts.cc
+++ b/chivefront/proxy/entry_parts.cc
@@ -37,6 +37,27 @@
   return rows;
 }
 
+RequestKind
+KindOf(const routing::Route& aRoute)
+{
+  if (aRoute.m_stream) {
+    return RequestKind::Stream;
+  }
+  return aRoute.m_idempotent ? RequestKind::Idempotent : RequestKind::Once;
+}
+
+AnswerTimes::AnswerTimes(base::Metrics& aMetrics, RequestKind aKind)
+  : m_toHead(aMetrics.AddHistogram(
+      "chivefront_proxy_head_ms",
+      "Time from a request to the head of its answer.",
+      "kind=\"" + std::string(kRequestKindNames.Name(aKind)) + "\""))
+  , m_toEnd(aMetrics.AddHistogram(
+      "chivefront_proxy_answer_ms",
+      "Time from a request to the end of its answer.",
+      "kind=\"" + std::string(kRequestKindNames.Name(aKind)) + "\""))
+{
+}
+
 RequestMetrics::RequestMetrics(base::Metrics& aMetrics)
   : m_received(aMetrics.AddCounter("chivefront_proxy_requests_total",
                                    "Requests read from callers."))
@@ -59,10 +80,24 @@
   , m_escalated(
       aMetrics.AddCounter("chivefront_proxy_escalated_total",
                           "Answers dropped for one of a larger model."))
-  , m_firstByteMs(
-      aMetrics.AddSummary("chivefront_proxy_first_byte_ms",
-                          "Time from a request to the head of its answer."))
+  , m_idempotentTimes(aMetrics, RequestKind::Idempotent)
+  , m_onceTimes(aMetrics, RequestKind::Once)
+  , m_streamTimes(aMetrics, RequestKind::Stream)
 {
 }
 
+AnswerTimes&
+RequestMetrics::TimesOf(const routing::Route& aRoute)
+{
+  switch (KindOf(aRoute)) {
+    case RequestKind::Idempotent:
+      return m_idempotentTimes;
+    case RequestKind::Once:
+      return m_onceTimes;
+    case RequestKind::Stream:
+      break;
+  }
+  return m_streamTimes;
+}
+
 } // namespace chivefront::proxy
--- a/chivefront/proxy/entry_parts.h
+++ b/chivefront/proxy/entry_parts.h
@@ -46,9 +46,36 @@
   std::map<RowKey, std::pair<uint64_t, uint64_t>> m_counts; // good, bad
 };
 
+// What may be done again with a request whose first attempt is lost.
+enum class RequestKind
+{
+  Idempotent, // sent again
+  Once,       // nothing
+  Stream,     // goes on after its last event, if the route allows it
+};
+
+inline constexpr base::NameTable<RequestKind, 3> kRequestKindNames{ {
+  { { RequestKind::Idempotent, "idempotent" },
+    { RequestKind::Once, "once" },
+    { RequestKind::Stream, "stream" } },
+} };
+
+RequestKind
+KindOf(const routing::Route& aRoute);
+
+// Times of the answers to one kind of request, in milliseconds.
+struct AnswerTimes
+{
+  AnswerTimes(base::Metrics& aMetrics, RequestKind aKind);
+
+  base::Histogram& m_toHead;
+  base::Histogram& m_toEnd;
+};
+
 struct RequestMetrics
 {
   explicit RequestMetrics(base::Metrics& aMetrics);
+  AnswerTimes& TimesOf(const routing::Route& aRoute);
 
   base::Counter& m_received;
   base::Counter& m_answered;
@@ -58,7 +85,9 @@
   base::Counter& m_repeats;
   base::Counter& m_resumed;
   base::Counter& m_escalated;
-  base::Summary& m_firstByteMs;
+  AnswerTimes m_idempotentTimes;
+  AnswerTimes m_onceTimes;
+  AnswerTimes m_streamTimes;
 };
 
 struct EntryParts
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -330,6 +330,8 @@
   }
   if (std::holds_alternative<Delivered>(aEnd)) {
     m_parts.m_metrics.m_answered.Increment();
+    m_parts.m_metrics.TimesOf(*m_route).m_toEnd.Observe(
+      static_cast<double>((m_parts.m_clock.Now() - m_received).Count()));
     LogEnd(base::LogWeight::Success, "request_answered", 200, "");
   } else {
     m_parts.m_metrics.m_callerLeft.Increment();
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -201,7 +201,7 @@
     m_connection->Close();
     co_return Doubtful{};
   }
-  m_parts.m_metrics.m_firstByteMs.Observe(
+  m_parts.m_metrics.TimesOf(*m_route).m_toHead.Observe(
     static_cast<double>((now - m_received).Count()));
   if (m_route->m_stream) {
     co_return co_await PassEvents(aUpstream, std::move(head));
