--- /dev/null
+++ b/chivefront/proxy/entry_bench.h
@@ -0,0 +1,351 @@
+// An entry between real connections, for tests: scripted upstreams and callers
+// on loopback.
+#pragma once
+
+#include <charconv>
+#include <deque>
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/base/errors.h"
+#include "chivefront/proxy/entry.h"
+
+namespace chivefront::proxy::testing {
+
+using boost::system::error_code;
+using Tcp = net::asio::ip::tcp;
+
+inline constexpr char kBreak[] =
+  "<break>";                              // in a script: the connection closes
+inline constexpr char kHold[] = "<hold>"; // in a script: nothing more comes
+
+// Header names of these tests.
+class TestDialect final : public Dialect
+{
+public:
+  CallerFacts ReadCaller(const Fields& aFields) const override
+  {
+    CallerFacts facts;
+    facts.m_attempt = Get(aFields, "Id");
+    facts.m_patience = base::Millis(Number(Get(aFields, "Patience"), 3000));
+    facts.m_model = Get(aFields, "Model");
+    facts.m_anyModel = facts.m_model == "any";
+    return facts;
+  }
+  bool IsReserved(std::string_view aName) const override
+  {
+    return aName == "Patience" || aName == "Model";
+  }
+  void WriteForward(const ForwardFacts& aFacts,
+                    std::string& aHead) const override
+  {
+    aHead += "Left: " + std::to_string(aFacts.m_left.Count()) + "\r\n";
+    aHead += "Model: " + aFacts.m_model + "\r\n";
+    if (aFacts.m_lastEvent) {
+      aHead += "After: " + std::to_string(*aFacts.m_lastEvent) + "\r\n";
+    }
+  }
+  AnswerFacts ReadAnswer(int aStatus, const Fields& aFields) const override
+  {
+    AnswerFacts facts;
+    facts.m_attempt = Get(aFields, "Id");
+    facts.m_sealed = aFields.count("Seal") > 0;
+    facts.m_notRun = aStatus == 503;
+    if (aFields.count("Sure") > 0) {
+      facts.m_confidence = static_cast<int>(Number(Get(aFields, "Sure"), 0));
+    }
+    return facts;
+  }
+
+private:
+  static std::string Get(const Fields& aFields, const char* aName)
+  {
+    const auto value = aFields[aName];
+    return std::string(value.data(), value.size());
+  }
+  static int64_t Number(const std::string& aText, int64_t aDefault)
+  {
+    int64_t number = aDefault;
+    (void)std::from_chars(aText.data(), aText.data() + aText.size(), number);
+    return number;
+  }
+};
+
+// Answers each request with the next script; "$ID" stands for the request's id.
+class ScriptedUpstream
+{
+public:
+  explicit ScriptedUpstream(net::asio::io_context& aContext)
+    : m_acceptor(aContext, Tcp::endpoint(Tcp::v4(), 0))
+  {
+    net::Spawn(
+      aContext.get_executor(), "upstream", [this] { return Accept(); });
+  }
+
+  void Answer(std::string aScript) { m_scripts.push_back(std::move(aScript)); }
+  uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+
+  std::vector<std::string> m_requests; // heads
+  int m_closedByPeer = 0; // connections that ended while a script held
+
+private:
+  net::Task<void> Accept()
+  {
+    while (true) {
+      Tcp::socket socket =
+        co_await m_acceptor.async_accept(net::asio::use_awaitable);
+      auto shared = std::make_shared<Tcp::socket>(std::move(socket));
+      net::Spawn(m_acceptor.get_executor(), "upstream", [this, shared] {
+        return Serve(shared);
+      });
+    }
+  }
+
+  net::Task<void> Serve(std::shared_ptr<Tcp::socket> aSocket)
+  {
+    std::string buffer;
+    while (true) {
+      error_code error;
+      const size_t end = co_await net::asio::async_read_until(
+        *aSocket,
+        net::asio::dynamic_buffer(buffer),
+        "\r\n\r\n",
+        net::asio::redirect_error(net::asio::use_awaitable, error));
+      if (error) {
+        co_return;
+      }
+      const std::string head = buffer.substr(0, end);
+      buffer.erase(0, end);
+      m_requests.push_back(head);
+      std::string script = kBreak;
+      if (!m_scripts.empty()) {
+        script = m_scripts.front();
+        m_scripts.pop_front();
+      }
+      const bool breaks = script.find(kBreak) != std::string::npos;
+      const bool holds = script.find(kHold) != std::string::npos;
+      script = script.substr(0, script.find('<'));
+      const size_t from = head.find("\r\nId: ") + 6;
+      const std::string id = head.substr(from, head.find('\r', from) - from);
+      for (size_t at = script.find("$ID"); at != std::string::npos;
+           at = script.find("$ID")) {
+        script.replace(at, 3, id);
+      }
+      co_await net::asio::async_write(
+        *aSocket,
+        net::asio::buffer(script),
+        net::asio::redirect_error(net::asio::use_awaitable, error));
+      if (breaks) {
+        aSocket->close(error);
+        co_return;
+      }
+      if (holds) {
+        co_await aSocket->async_wait(
+          Tcp::socket::wait_read,
+          net::asio::redirect_error(net::asio::use_awaitable, error));
+        ++m_closedByPeer;
+        co_return;
+      }
+    }
+  }
+
+  Tcp::acceptor m_acceptor;
+  std::deque<std::string> m_scripts;
+};
+
+struct World
+{
+  explicit World(base::Millis aTimeout = base::Millis(2000))
+    : m_watch(m_context,
+              m_identity,
+              {},
+              base::SteadyClock::Instance(),
+              m_log,
+              [this](std::string_view) {
+                return absl::StatusOr<routing::ConfigPointer>(m_config);
+              })
+    , m_one(m_context)
+    , m_two(m_context)
+  {
+    m_identity.m_process = "entry";
+    m_config = MakeConfig(aTimeout);
+    // Any free port: it is closed again before the entry binds it.
+    const Tcp::acceptor probe(m_context, Tcp::endpoint(Tcp::v4(), 0));
+    m_port = probe.local_endpoint().port();
+  }
+
+  static routing::ConfigPointer MakeConfig(base::Millis aTimeout)
+  {
+    routing::ConfigParts parts;
+    parts.m_number = 1;
+    parts.m_services.push_back({ "app" });
+    for (const char* kind : { "plain", "once", "stream" }) {
+      routing::Route route;
+      route.m_name = kind;
+      route.m_host = "desk.example";
+      route.m_prefix = "/" + std::string(kind) + "/";
+      route.m_idempotent = route.m_name == "plain";
+      route.m_stream = route.m_name == "stream";
+      route.m_resumable = route.m_stream;
+      route.m_timeout = aTimeout;
+      route.m_goal = base::Millis(1000);
+      route.m_pauseGoal = base::Millis(800);
+      route.m_maxAttempts = 3;
+      route.m_services = { { "app", 1 } };
+      if (route.m_stream) {
+        route.m_models = { "small", "middle", "large" };
+      }
+      parts.m_routes.push_back(route);
+    }
+    return *routing::Config::Build(std::move(parts));
+  }
+
+  void Start()
+  {
+    EntryOptions options;
+    options.m_callers = { "127.0.0.1", m_port };
+    options.m_domain = "near";
+    options.m_bounds = { 1, 100, base::Millis(10000) };
+    m_entry = std::make_unique<Entry>(
+      m_context, options, m_watch, m_dialect, m_log, m_metrics);
+    BOOST_REQUIRE(m_entry->Start().ok());
+  }
+
+  // Gives the entry its configuration and the scripted upstreams.
+  void Configure(uint64_t aNumber = 1)
+  {
+    wire::WatchReplyT reply;
+    reply.fresh = true;
+    reply.snapshot = true;
+    reply.revision = aNumber;
+    auto entry = std::make_unique<wire::ConfigEntryT>();
+    entry->key = "document/" + std::to_string(aNumber);
+    entry->value = "text";
+    reply.entries.push_back(std::move(entry));
+    for (const ScriptedUpstream* upstream : { &m_one, &m_two }) {
+      if (m_alone && upstream == &m_two) {
+        continue;
+      }
+      auto info = std::make_unique<wire::UpstreamInfoT>();
+      info->name = upstream == &m_one ? "one" : "two";
+      info->service = "app";
+      // The entry prefers its own failure domain.
+      info->failure_domain = upstream == &m_one ? "near" : "far";
+      info->address = "127.0.0.1:" + std::to_string(upstream->Port());
+      info->slots = 4;
+      info->sequence = 1;
+      reply.upstreams.push_back(std::move(info));
+    }
+    m_watch.Accept(reply);
+  }
+
+  void RunFor(int64_t aMillis)
+  {
+    m_context.restart();
+    m_context.run_for(std::chrono::milliseconds(aMillis));
+  }
+
+  // Sends aRequest on a new connection and returns what comes back until the
+  // entry closes it or aMillis have passed.
+  std::string Call(const std::string& aRequest, int64_t aMillis = 1500)
+  {
+    auto socket = std::make_shared<Tcp::socket>(m_context);
+    auto got = std::make_shared<std::string>();
+    auto done = std::make_shared<bool>(false);
+    net::Spawn(m_context.get_executor(),
+               "caller",
+               [this, socket, got, done, aRequest]() -> net::Task<void> {
+                 co_await Converse(socket, got, aRequest);
+                 *done = true;
+               });
+    const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(aMillis);
+    while (std::chrono::steady_clock::now() < until && !*done) {
+      RunFor(10);
+    }
+    error_code ignored;
+    socket->close(ignored);
+    RunFor(20);
+    return *got;
+  }
+
+  net::Task<void> Converse(std::shared_ptr<Tcp::socket> aSocket,
+                           std::shared_ptr<std::string> aGot,
+                           std::string aRequest) const
+  {
+    error_code error;
+    const Tcp::endpoint entry(net::asio::ip::make_address("127.0.0.1"), m_port);
+    co_await aSocket->async_connect(
+      entry, net::asio::redirect_error(net::asio::use_awaitable, error));
+    co_await net::asio::async_write(
+      *aSocket,
+      net::asio::buffer(aRequest),
+      net::asio::redirect_error(net::asio::use_awaitable, error));
+    std::array<char, 4096> space{};
+    while (!error) {
+      const size_t got = co_await aSocket->async_read_some(
+        net::asio::buffer(space),
+        net::asio::redirect_error(net::asio::use_awaitable, error));
+      aGot->append(space.data(), got);
+    }
+    aSocket->close(error);
+  }
+
+  net::asio::io_context m_context{ 1 };
+  net::LinkIdentity m_identity;
+  base::DecisionLog m_log{ "test", base::SteadyClock::Instance() };
+  base::Metrics m_metrics;
+  TestDialect m_dialect;
+  routing::ConfigPointer m_config;
+  site::Watch m_watch;
+  ScriptedUpstream m_one;
+  ScriptedUpstream m_two;
+  uint16_t m_port = 0;
+  bool m_alone = false; // the entry hears of m_one only
+  std::unique_ptr<Entry> m_entry;
+};
+
+struct Running : World
+{
+  Running()
+  {
+    Start();
+    Configure();
+  }
+};
+
+inline std::string
+Request(const std::string& aRoute, const std::string& aMore = "")
+{
+  return "GET /" + aRoute + "/x HTTP/1.1\r\nHost: desk.example\r\nId: r1\r\n" +
+         aMore + "Connection: close\r\n\r\n";
+}
+
+inline const std::string kGood =
+  "HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\nContent-Length: 4\r\n\r\ngood";
+inline const std::string kEventsHead =
+  "HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\nSure: 90\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n";
+
+inline std::string
+Chunk(const std::string& aText)
+{
+  constexpr char kHex[] = "0123456789abcdef";
+  const size_t size = aText.size();
+  return std::string(1, kHex[size >> 4]) + kHex[size & 15] + "\r\n" + aText +
+         "\r\n";
+}
+
+inline bool
+Has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
+} // namespace chivefront::proxy::testing
