--- a/chivefront/proxy/proxy_test.cc
+++ b/chivefront/proxy/proxy_test.cc
@@ -131,7 +131,7 @@
   for (int i = 0; i < 20; ++i) {
     net::Spawn(m_context.get_executor(), "test", [this]() -> net::Task<void> {
       auto connection =
-        std::make_unique<UpstreamConnection>(m_context.get_executor());
+        std::make_unique<proxy::UpstreamConnection>(m_context.get_executor());
       const base::Endpoint address{ "127.0.0.1", m_one.Port() };
       (void)co_await connection->Connect(address, kTimeout);
       connection.reset();
