Ask the next model after a slight doubt, the largest after a strong one

Cause: each doubted answer of the smallest model went to the largest, which takes most of an upstream's time and two thirds of all that models cost. Change: kept from 55 as before; from 45 the next model is asked and kept from 40; below, the largest. Test: model_choice_test.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -321,10 +321,11 @@
     m_mayHaveRun = true;
     co_return co_await AfterFailure(std::move(*failed));
   }
-  if (std::holds_alternative<Doubtful>(aEnd)) {
+  if (const auto* doubtful = std::get_if<Doubtful>(&aEnd)) {
     m_mayHaveRun = true;
     m_parts.m_metrics.m_escalated.Increment();
-    m_model = routing::LargerModel(m_model, m_route->m_models.size());
+    m_model = routing::LargerModel(
+      m_model, m_route->m_models.size(), doubtful->m_confidence);
     m_tried.clear(); // any upstream runs the larger model
     co_return true;
   }
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -52,7 +52,9 @@
   };
   // The model doubts its answer; none of it has reached the caller.
   struct Doubtful
-  {};
+  {
+    int m_confidence = 0;
+  };
   // The caller left, the time is over, or the caller can't be written to.
   struct Stopped
   {};
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -196,10 +196,9 @@
     co_return Lost{ "unsealed" };
   }
   if (facts.m_confidence && LargerModelLeft() && !m_caller->Started() &&
-      *facts.m_confidence < routing::ModelChoice().m_keepConfidence &&
-      MayRepeat()) {
+      !routing::KeepsAnswer(m_model, *facts.m_confidence) && MayRepeat()) {
     m_connection->Close();
-    co_return Doubtful{};
+    co_return Doubtful{ *facts.m_confidence };
   }
   m_parts.m_metrics.TimesOf(*m_route).m_toHead.Observe(
     static_cast<double>((now - m_received).Count()));
--- a/chivefront/routing/model_choice.h
+++ b/chivefront/routing/model_choice.h
@@ -1,38 +1,34 @@
 // Which model of a route answers, and whether its answer is kept: the smallest
 // model first, a larger one when the model itself doubts its answer. Pure.
+// Models are numbered from the smallest, 0.
 #pragma once
 
 #include <cstddef>
 
 namespace chivefront::routing {
 
-namespace detail {
+// Confidence (0 to 100) from which an answer of the smallest model is kept.
+inline constexpr int kKeepSmallest = 55;
+// Of the models between, which are asked only what is likely within them.
+inline constexpr int kKeepMiddle = 40;
+// From this doubt upward the next larger model is likely to be enough.
+inline constexpr int kSlightDoubt = 45;
 
-// Answers of lower confidence (0 to 100) are asked for again at the next
-// larger model.
-constexpr int kKeepConfidence = 55;
-
-} // namespace detail
-
-// Models are numbered from the smallest, 0, to aModels - 1.
-struct ModelChoice
-{
-  size_t m_first = 0;
-  // Answers below it are dropped while a larger model is left.
-  int m_keepConfidence = detail::kKeepConfidence;
-};
-
-inline ModelChoice
-ChooseModel(size_t /*aModels*/)
+inline bool
+KeepsAnswer(size_t aModel, int aConfidence)
 {
-  return {};
+  return aConfidence >= (aModel == 0 ? kKeepSmallest : kKeepMiddle);
 }
 
-// The model that is asked after aModel gave an answer of low confidence.
+// The model of aModels that is asked after aModel gave an answer of
+// aConfidence that was not kept.
 inline size_t
-LargerModel(size_t aModel, size_t aModels)
+LargerModel(size_t aModel, size_t aModels, int aConfidence)
 {
-  return aModel + 1 < aModels ? aModels - 1 : aModel;
+  if (aModel + 1 >= aModels) {
+    return aModel;
+  }
+  return aConfidence >= kSlightDoubt ? aModel + 1 : aModels - 1;
 }
 
 } // namespace chivefront::routing
