Await a whole answer that comes slowly

Cause: the rule for silent streams looked at the time of the last piece, which only streams noted, so an idempotent request left an upstream that was sending a long body for more than half of the pause goal, or a second without one. Found by reading; no run showed it. Change: each piece of any answer is noted. Test: WholeAnswerThatComesSlowlyIsAwaited, failed before.

--- a/chivefront/proxy/entry_bench.h
+++ b/chivefront/proxy/entry_bench.h
@@ -24,6 +24,7 @@
 inline constexpr char kBreak[] =
   "<break>";                              // in a script: the connection closes
 inline constexpr char kHold[] = "<hold>"; // in a script: nothing more comes
+inline constexpr char kPause[] = "<pause>"; // in a script: goes on 0.25 s later
 
 // Header names of these tests.
 class TestDialect final : public Dialect
@@ -130,17 +131,14 @@
       }
       const bool breaks = script.find(kBreak) != std::string::npos;
       const bool holds = script.find(kHold) != std::string::npos;
-      script = script.substr(0, script.find('<'));
+      script = script.substr(0, script.find(breaks ? kBreak : kHold));
       const size_t from = head.find("\r\nId: ") + 6;
       const std::string id = head.substr(from, head.find('\r', from) - from);
       for (size_t at = script.find("$ID"); at != std::string::npos;
            at = script.find("$ID")) {
         script.replace(at, 3, id);
       }
-      co_await net::asio::async_write(
-        *aSocket,
-        net::asio::buffer(script),
-        net::asio::redirect_error(net::asio::use_awaitable, error));
+      co_await Write(*aSocket, std::move(script));
       if (breaks) {
         aSocket->close(error);
         co_return;
@@ -155,6 +153,24 @@
     }
   }
 
+  static net::Task<void> Write(Tcp::socket& aSocket, std::string aScript)
+  {
+    while (!aScript.empty()) {
+      const size_t pause = aScript.find(kPause);
+      const std::string part = aScript.substr(0, pause);
+      error_code error;
+      co_await net::asio::async_write(
+        aSocket,
+        net::asio::buffer(part),
+        net::asio::redirect_error(net::asio::use_awaitable, error));
+      if (error || pause == std::string::npos) {
+        co_return;
+      }
+      co_await net::Sleep(base::Millis(250));
+      aScript.erase(0, pause + sizeof(kPause) - 1);
+    }
+  }
+
   Tcp::acceptor m_acceptor;
   std::deque<std::string> m_scripts;
 };
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -109,6 +109,7 @@
   std::shared_ptr<const std::string> RequestText(const Upstream& aUpstream);
   UpstreamNeed Need() const;
   void NotePromptParts(Upstream& aUpstream) const;
+  void NotePiece(Upstream& aUpstream);
   void NoteHead(Upstream& aUpstream);
   void NoteHeadPace(Upstream& aUpstream);
   void NoteEventPace(Upstream& aUpstream);
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -231,6 +231,7 @@
     if (piece->empty()) {
       break;
     }
+    NotePiece(aUpstream);
     body += *piece;
     if (body.size() <= detail::kHeldBytes && !streaming) {
       continue;
@@ -286,8 +287,7 @@
       break;
     }
     ++m_pieces;
-    m_pieceAt = m_parts.m_clock.Now();
-    aUpstream.m_belief.OnHeard(m_pieceAt);
+    NotePiece(aUpstream);
     std::string events = m_events.Add(*piece);
     if (events.empty()) {
       continue;
@@ -399,6 +399,13 @@
   return m_repeatGranted;
 }
 
+void
+Exchange::NotePiece(Upstream& aUpstream)
+{
+  m_pieceAt = m_parts.m_clock.Now();
+  aUpstream.m_belief.OnHeard(m_pieceAt);
+}
+
 void
 Exchange::NoteHead(Upstream& aUpstream)
 {
--- a/chivefront/proxy/proxy_test.cc
+++ b/chivefront/proxy/proxy_test.cc
@@ -16,6 +16,19 @@
   BOOST_TEST(Has(answer, "\r\n\r\ngood"));
 }
 
+// Pattern: long answers over a slow link. Each pause is short, so nobody
+// leaves.
+BOOST_FIXTURE_TEST_CASE(WholeAnswerThatComesSlowlyIsAwaited, Running)
+{
+  const std::string pause = kPause;
+  m_one.Answer("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\n"
+               "Content-Length: 4\r\n\r\ns" +
+               pause + "l" + pause + "o" + pause + "w");
+  m_two.Answer(kGood);
+  BOOST_TEST(Has(Call(Request("plain")), "\r\n\r\nslow"));
+  BOOST_TEST(m_two.m_requests.empty());
+}
+
 // An upstream that sends a second answer to an earlier request.
 BOOST_FIXTURE_TEST_CASE(StrayAnswerIsReadPast, Running)
 {
