Do not take a slow caller for a silent upstream

Cause: while an entry writes to a caller that reads slowly it reads nothing from the upstream, and the rule for silence counted that time: the stream left a sound upstream, and others avoided it. Change: the time of a write does not count, neither for the stream nor for the upstream. Test: SlowCallerIsNoSilenceOfTheUpstream, failed before.

--- a/chivefront/proxy/entry_bench.h
+++ b/chivefront/proxy/entry_bench.h
@@ -303,7 +303,10 @@
       *aSocket,
       net::asio::buffer(aRequest),
       net::asio::redirect_error(net::asio::use_awaitable, error));
-    std::array<char, 4096> space{};
+    if (m_readAfter > base::Millis(0)) {
+      co_await net::Sleep(m_readAfter);
+    }
+    std::array<char, 65536> space{};
     while (!error) {
       const size_t got = co_await aSocket->async_read_some(
         net::asio::buffer(space),
@@ -323,7 +326,8 @@
   ScriptedUpstream m_one;
   ScriptedUpstream m_two;
   uint16_t m_port = 0;
-  bool m_alone = false; // the entry hears of m_one only
+  bool m_alone = false;          // the entry hears of m_one only
+  base::Millis m_readAfter{ 0 }; // callers begin to read so long after sending
   std::unique_ptr<Entry> m_entry;
 };
 
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -146,6 +146,7 @@
   bool m_awaitsHead = false;       // the running attempt counts as waiting
   base::TimePoint m_headAt;        // of the running attempt; none yet: not set
   base::TimePoint m_pieceAt;       // newest bytes of the running attempt
+  bool m_writing = false;          // to the caller; nothing is read meanwhile
   base::Millis m_headPatience;     // of the running attempt
   uint64_t m_pieces = 0;           // of the running attempt's stream
   base::TimePoint m_firstPassedAt; // first bytes of the answer to the caller
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -38,21 +38,35 @@
 // A timer that fires this late tells that the process stood still.
 constexpr base::Millis kLateTimer{ 150 };
 
-// Counts a stream at its upstream while its events are awaited.
+// Counts a stream at its upstream while its events are awaited, which is not
+// while the caller is written to.
 class RunningStream
 {
 public:
-  RunningStream(routing::Belief& aBelief, base::TimePoint aBegun)
+  explicit RunningStream(routing::Belief& aBelief)
     : m_belief(aBelief)
   {
-    m_belief.OnStreamBegun(aBegun);
   }
-  ~RunningStream() { m_belief.OnStreamEnded(); }
+  ~RunningStream() { Pause(); }
   RunningStream(const RunningStream&) = delete;
   RunningStream& operator=(const RunningStream&) = delete;
 
+  void Pause()
+  {
+    if (m_counted) {
+      m_counted = false;
+      m_belief.OnStreamEnded();
+    }
+  }
+  void Resume(base::TimePoint aNow)
+  {
+    m_counted = true;
+    m_belief.OnStreamBegun(aNow);
+  }
+
 private:
   routing::Belief& m_belief;
+  bool m_counted = false;
 };
 
 bool
@@ -118,6 +132,7 @@
   NotePromptParts(*aUpstream);
   m_headAt = base::TimePoint();
   m_pieceAt = m_sentAt;
+  m_writing = false;
   m_headPatience = HeadPatience(*aUpstream);
   WatchSilence(aUpstream, std::min(m_headPatience, routing::kSilence));
   status = co_await m_connection->Send(std::move(text));
@@ -270,7 +285,8 @@
 net::Task<Exchange::AttemptEnd>
 Exchange::PassEvents(Upstream& aUpstream, std::string aHead)
 {
-  const detail::RunningStream running(aUpstream.m_belief, m_headAt);
+  detail::RunningStream running(aUpstream.m_belief);
+  running.Resume(m_headAt);
   while (true) {
     const auto piece = co_await m_connection->Read();
     if (m_stop != Stop::No) {
@@ -292,6 +308,8 @@
     if (events.empty()) {
       continue;
     }
+    running.Pause();
+    m_writing = true;
     absl::Status written;
     if (!m_caller->Started()) {
       std::string head = aHead;
@@ -306,6 +324,10 @@
       co_return Stopped{};
     }
     NotePassed();
+    // Only from now on it could have sent more.
+    m_writing = false;
+    m_pieceAt = m_parts.m_clock.Now();
+    running.Resume(m_pieceAt);
   }
   if (!m_events.Rest().empty()) {
     co_return CutOff{ "ended in an event" };
@@ -371,7 +393,7 @@
     headRead
       ? routing::LeavesStream(belief, m_route->m_pauseGoal, m_pieceAt, now)
       : routing::LeavesHead(belief, m_headPatience, m_sentAt, now);
-  if (!leaves || !MayGoElsewhere()) {
+  if (m_writing || !leaves || !MayGoElsewhere()) {
     WatchSilence(aUpstream, routing::kSilence);
     return;
   }
--- a/chivefront/proxy/proxy_stream_test.cc
+++ b/chivefront/proxy/proxy_stream_test.cc
@@ -32,6 +32,26 @@
   BOOST_TEST(m_one.m_closedByPeer == 1);
 }
 
+// Pattern: a caller reads slowly, so that the entry stops reading, too. The
+// upstream is not to blame.
+BOOST_FIXTURE_TEST_CASE(SlowCallerIsNoSilenceOfTheUpstream, Running)
+{
+  m_readAfter = base::Millis(1200);
+  constexpr size_t kEventBytes = 32 * 1024;
+  constexpr int kEvents = 320; // more than sockets buffer
+  std::string events;
+  for (int i = 1; i <= kEvents; ++i) {
+    events += "id: " + std::to_string(i) +
+              "\ndata: " + std::string(kEventBytes, 'x') + "\n\n";
+  }
+  m_one.Answer("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\nSure: 90\r\n"
+               "Content-Length: " +
+               std::to_string(events.size()) + "\r\n\r\n" + events);
+  const std::string answer = Call(Request("stream", "Model: any\r\n"), 1900);
+  BOOST_TEST(m_two.m_requests.empty());
+  BOOST_TEST(Has(answer, "id: 320\n"));
+}
+
 // A stream is not ended for its silence when no upstream could go on with it.
 BOOST_FIXTURE_TEST_CASE(SilentStreamWaitsWhenNobodyElseIsThere, World)
 {
