Keep failures out of streams that go on

Change: an answer that is no success never joins a stream; what this answer has sent is a flag of its own again. Test: FailureIsNoPartOfAStream (500, 404), failed before.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -119,6 +119,7 @@
   void NoteHead(Upstream& aUpstream);
   void NoteHeadPace(Upstream& aUpstream);
   void NoteEventPace(Upstream& aUpstream);
+  void NoteOutcome(Upstream& aUpstream, bool aGood);
   void NotePassed();
   std::string Model() const;
   void LogAttempt(std::string_view aEnd, std::string_view aWhy) const;
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -190,6 +190,12 @@
   NoteHeadPace(aUpstream);
   std::string head = ForwardedHead(m_connection->Head());
   if (!detail::IsSuccess(status)) {
+    if (m_caller->Started()) {
+      // A stream goes on with events only.
+      m_connection->Close();
+      NoteOutcome(aUpstream, status < detail::kFirstFailure);
+      co_return FailedThere{ m_answerStatus, {}, {} };
+    }
     co_return co_await PassWhole(aUpstream, std::move(head));
   }
   if (!facts.m_sealed ||
@@ -239,6 +245,7 @@
 Exchange::PassWhole(Upstream& aUpstream, std::string aHead)
 {
   std::string body;
+  bool streaming = false; // parts of this answer have been passed on
   while (true) {
     const auto piece = co_await m_connection->Read();
     if (m_stop != Stop::No) {
@@ -247,7 +254,7 @@
     if (!piece.ok()) {
       m_connection->Close();
       aUpstream.m_belief.OnFailure(m_parts.m_clock.Now());
-      if (m_caller->Started()) {
+      if (streaming) {
         m_caller->Close();
         co_return Stopped{};
       }
@@ -258,9 +265,10 @@
     }
     NotePiece(aUpstream);
     body += *piece;
-    if (body.size() <= detail::kHeldBytes && !m_caller->Started()) {
+    if (body.size() <= detail::kHeldBytes && !streaming) {
       continue;
     }
+    streaming = true;
     const absl::Status written = co_await PassOn(aHead, std::move(body));
     body.clear();
     if (!written.ok()) {
@@ -268,14 +276,12 @@
     }
   }
   const bool good = m_answerStatus < static_cast<int>(detail::kFirstFailure);
-  m_parts.m_evidence.Note(
-    m_service->m_name, aUpstream.m_instance.m_version, good && !m_slow);
-  aUpstream.m_belief.OnOutcome(good);
-  if (!good && !m_caller->Started()) {
+  NoteOutcome(aUpstream, good);
+  if (!good && !streaming) {
     co_return FailedThere{ m_answerStatus, std::move(aHead), std::move(body) };
   }
   absl::Status written;
-  if (m_caller->Started()) {
+  if (streaming) {
     written = co_await m_caller->EndStream();
   } else {
     written = co_await m_caller->WriteWhole(
@@ -322,9 +328,7 @@
     co_return CutOff{ "ended in an event" };
   }
   NoteEventPace(aUpstream);
-  m_parts.m_evidence.Note(
-    m_service->m_name, aUpstream.m_instance.m_version, !m_slow);
-  aUpstream.m_belief.OnOutcome(true);
+  NoteOutcome(aUpstream, true);
   absl::Status written;
   if (!m_caller->Started()) {
     written =
--- a/chivefront/proxy/exchange_silence.cc
+++ b/chivefront/proxy/exchange_silence.cc
@@ -146,6 +146,16 @@
   aUpstream.m_belief.OnPace(ratio, now);
 }
 
+// How a whole answer counts for its upstream and its version. A slow one is no
+// better for the version than a failed one.
+void
+Exchange::NoteOutcome(Upstream& aUpstream, bool aGood)
+{
+  m_parts.m_evidence.Note(
+    m_service->m_name, aUpstream.m_instance.m_version, aGood && !m_slow);
+  aUpstream.m_belief.OnOutcome(aGood);
+}
+
 void
 Exchange::NotePassed()
 {
--- a/chivefront/proxy/proxy_stream_test.cc
+++ b/chivefront/proxy/proxy_stream_test.cc
@@ -20,6 +20,25 @@
   BOOST_TEST(Has(m_two.m_requests[0], "After: 1"));
 }
 
+// Pattern: the upstream where a stream goes on answers with a failure.
+// (tesfaye-fans hunt-0296-15 and fresh-d96d, ORDER: its body was added and the
+// stream ended as if it were complete.)
+BOOST_AUTO_TEST_CASE(FailureIsNoPartOfAStream)
+{
+  for (const char* status : { "500 Oops", "404 Gone" }) {
+    Running world;
+    world.m_one.Answer(kEventsHead + Chunk("id: 1\ndata: a\n\n") + kBreak);
+    world.m_two.Answer("HTTP/1.1 " + std::string(status) +
+                       "\r\nId: $ID\r\nSeal: s\r\nContent-Length: 3\r\n\r\n"
+                       "bad");
+    const std::string answer = world.Call(Request("stream", "Model: any\r\n"));
+    BOOST_TEST(world.m_two.m_requests.size() == 1U, status);
+    BOOST_TEST(Has(answer, "id: 1"), status);
+    BOOST_TEST(!Has(answer, "bad"), status);
+    BOOST_TEST(!Has(answer, "0\r\n\r\n"), status);
+  }
+}
+
 // Pattern: a stream breaks late, while the other upstream is shut out for a
 // moment after failures. How long the stream has run does not matter.
 BOOST_FIXTURE_TEST_CASE(StreamWaitsForAnUpstreamThatIsClosedBriefly, Running)
