Report the membership of the control group

Cause: logs named the leader only, so a group that is too small could not be told from a replica that lost its log, or from a leader that nobody finds. Change: members_changed record and two gauges for voters, in a class of its own that also takes the leader's record out of node.cc.

--- /dev/null
+++ b/chivefront/site/group_reporter.cc
@@ -0,0 +1,90 @@
+// Comparison of a group's status with the one that was reported last.
+#include "chivefront/site/group_reporter.h"
+
+#include <algorithm>
+
+namespace chivefront::site {
+namespace {
+
+uint64_t
+CountVoters(const consensus::GroupStatus& aStatus)
+{
+  return static_cast<uint64_t>(
+    std::count_if(aStatus.m_replicas.begin(),
+                  aStatus.m_replicas.end(),
+                  [](const auto& aReplica) { return aReplica.m_voter; }));
+}
+
+// One word for each member, for example "10.0.0.1:7340/voter/5f3a". The
+// identity distinguishes a host that lost its disk from the host before.
+std::string
+DescribeMembers(const consensus::GroupStatus& aStatus)
+{
+  std::string text;
+  for (const consensus::Replica& replica : aStatus.m_replicas) {
+    text += text.empty() ? "" : " ";
+    text += replica.m_name + (replica.m_voter ? "/voter/" : "/learner/") +
+            std::to_string(replica.m_identity);
+  }
+  return text;
+}
+
+} // namespace
+
+GroupReporter::GroupReporter(uint32_t aWantedVoters,
+                             base::Metrics& aMetrics,
+                             base::DecisionLog& aLog)
+  : m_wantedVoters(aWantedVoters)
+  , m_log(aLog)
+  , m_votersGauge(
+      aMetrics.AddGauge("chivefront_site_voters",
+                        "Voters of the group as known to this process."))
+  , m_wantedVotersGauge(
+      aMetrics.AddGauge("chivefront_site_voters_wanted",
+                        "Voters that the stated tolerance needs."))
+{
+  m_wantedVotersGauge.Set(aWantedVoters);
+}
+
+void
+GroupReporter::Report(const consensus::GroupStatus& aStatus)
+{
+  ReportLeader(aStatus);
+  ReportMembers(aStatus);
+}
+
+void
+GroupReporter::ReportLeader(const consensus::GroupStatus& aStatus)
+{
+  if (aStatus.m_leader == m_leader) {
+    return;
+  }
+  m_leader = aStatus.m_leader;
+  m_log.Record("leader_changed",
+               base::LogCategory::State,
+               { { "leader", aStatus.m_leader },
+                 { "term", aStatus.m_term },
+                 { "committed", aStatus.m_commitIndex } });
+}
+
+void
+GroupReporter::ReportMembers(const consensus::GroupStatus& aStatus)
+{
+  std::string members = DescribeMembers(aStatus);
+  if (m_membersReported && members == m_members) {
+    return;
+  }
+  m_membersReported = true;
+  m_members = std::move(members);
+  const uint64_t voters = CountVoters(aStatus);
+  m_votersGauge.Set(static_cast<int64_t>(voters));
+  m_log.Record("members_changed",
+               base::LogCategory::State,
+               { { "voters", voters },
+                 { "wanted", static_cast<uint64_t>(m_wantedVoters) },
+                 { "members", m_members },
+                 { "last_index", aStatus.m_lastIndex },
+                 { "committed", aStatus.m_commitIndex } });
+}
+
+} // namespace chivefront::site
--- /dev/null
+++ b/chivefront/site/group_reporter.h
@@ -0,0 +1,40 @@
+// Reports what a control process knows about its consensus group: a log record
+// for each change of the leader or of the membership, and gauges for alerts.
+//
+//   site::GroupReporter reporter(wantedVoters, metrics, log);
+//   reporter.Report(group.Status());
+#pragma once
+
+#include <string>
+
+#include "chivefront/base/decision_log.h"
+#include "chivefront/base/metrics.h"
+#include "chivefront/consensus/group.h"
+
+namespace chivefront::site {
+
+class GroupReporter
+{
+public:
+  // aWantedVoters is the number of voters that the stated tolerance needs.
+  GroupReporter(uint32_t aWantedVoters,
+                base::Metrics& aMetrics,
+                base::DecisionLog& aLog);
+
+  void Report(const consensus::GroupStatus& aStatus);
+
+private:
+  void ReportLeader(const consensus::GroupStatus& aStatus);
+  void ReportMembers(const consensus::GroupStatus& aStatus);
+
+  const uint32_t m_wantedVoters;
+  base::DecisionLog& m_log;
+  base::Gauge& m_votersGauge;
+  base::Gauge& m_wantedVotersGauge;
+  std::string m_leader;
+  // The first membership is reported even if it is empty.
+  bool m_membersReported = false;
+  std::string m_members; // as in the log record
+};
+
+} // namespace chivefront::site
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -9,6 +9,7 @@
 #include "chivefront/control/leadership_confirmer.h"
 #include "chivefront/control/peers.h"
 #include "chivefront/control/watcher_table.h"
+#include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
 #include "chivefront/site/registry_file.h"
 #include "chivefront/site/rollout_verdict.h"
@@ -71,6 +72,7 @@
         aEvents)
     , m_replica(m_group)
     , m_confirmer(m_replica)
+    , m_groupReporter(m_options.m_voters, aMetrics, aLog)
     , m_registryFile(m_options.m_folder + "/upstreams")
     , m_watchCounter(aMetrics.AddCounter("chivefront_site_watches_total",
                                          "Polls of entries answered."))
@@ -130,7 +132,6 @@
   void Broadcast(const routing::Instance& aRecord);
   std::set<std::string> OtherControlProcesses() const;
   net::Task<bool> OnTick();
-  void LogLeaderChange();
   void SaveRegistry(base::TimePoint aNow);
 
   net::asio::io_context& m_context;
@@ -144,16 +145,16 @@
   consensus::Group m_group;
   control::GroupReplica m_replica;
   control::LeadershipConfirmer m_confirmer;
+  GroupReporter m_groupReporter;
+  RegistryFile m_registryFile;
   base::Counter& m_watchCounter;
   base::Counter& m_registrationCounter;
   base::Counter& m_commandCounter;
-  RegistryFile m_registryFile;
   uint64_t m_savedSequence = 0; // of m_registry
   base::TimePoint m_savedAt;
   const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
   routing::Registry m_registry;
   control::WatcherTable m_watchers;
-  std::string m_loggedLeader;
   bool m_stopped = false;
 };
 
@@ -267,21 +268,6 @@
   }
 }
 
-void
-Node::Impl::LogLeaderChange()
-{
-  const consensus::GroupStatus status = m_group.Status();
-  if (status.m_leader == m_loggedLeader) {
-    return;
-  }
-  m_loggedLeader = status.m_leader;
-  m_log.Record("leader_changed",
-               base::LogCategory::State,
-               { { "leader", status.m_leader },
-                 { "term", status.m_term },
-                 { "committed", status.m_commitIndex } });
-}
-
 void
 Node::Impl::SaveRegistry(base::TimePoint aNow)
 {
@@ -305,7 +291,7 @@
   const base::TimePoint now = m_clock.Now();
   m_registry.Expire(now);
   SaveRegistry(now);
-  LogLeaderChange();
+  m_groupReporter.Report(m_group.Status());
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
   }
