Acknowledge no command before the control group has grown

An operator could see an acknowledged configuration disappear: until the voters that join after the first start have been added, two of three voters were enough, and two lost disks could be just these.

--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -152,6 +152,8 @@
   for (auto& [identity, peer] : m_peers) {
     peer.m_lastHeard = aNow;
   }
+  m_growthVoters = 0;
+  UpdateGrowth(aNow);
   m_termStartIndex = m_log.LastIndex() + 1;
   AppendToLog({ m_hardState.m_term, m_termStartIndex, EntryKind::NoOp, "" });
   m_heartbeatPending = true;
@@ -375,6 +377,7 @@
       }
     }
     ProposeMembershipChange(aNow);
+    UpdateGrowth(aNow);
   } else if (aNow >= m_electionDue) {
     ResetElectionTimer(aNow);
     if (MayVote() && IsVoter(m_options.m_identity)) {
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -111,7 +111,8 @@
   base::TimePoint NextDeadline() const;
 
   // Appends a command and returns the index of its entry. Returns nothing when
-  // this replica is not the leader or is transferring its leadership.
+  // this replica is not the leader, is transferring its leadership, or waits
+  // for voters that join.
   std::optional<uint64_t> Propose(std::string aCommand);
   // Confirms by a round of messages to a majority that this replica leads. The
   // result is a LeadershipConfirmation with the request id aRequestId.
@@ -229,6 +230,8 @@
                    base::TimePoint aNow) const;
   size_t CountVoters() const;
   size_t TargetVoters() const;
+  bool MayAcknowledge() const;
+  void UpdateGrowth(base::TimePoint aNow);
   std::optional<Membership> RemoveSilentReplica(base::TimePoint aNow) const;
   bool IsCaughtUp(const Peer& aPeer, base::TimePoint aNow) const;
   bool HeardRecently(uint64_t aIdentity, base::TimePoint aNow) const;
@@ -270,6 +273,11 @@
   std::vector<std::pair<uint64_t, uint64_t>> m_pendingConfirmations;
   uint64_t m_transferTarget = 0; // identity; 0 when no transfer is in progress
   base::TimePoint m_transferDeadline;
+  // Dynamic membership with fewer voters than the target: commands are refused
+  // until m_growthDeadline. A change of the number of voters extends it.
+  size_t m_growthVoters = 0; // number of voters at the last tick
+  base::TimePoint m_growthDeadline;
+  bool m_growthTimedOut = false; // as of the last tick
   // Replicas to be added as learners: identity by process name.
   std::map<std::string, uint64_t> m_admissionRequests;
 
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -66,6 +66,7 @@
   // members, and all of them vote. Otherwise the membership is dynamic: any
   // process may join, as a learner at first, and this many members vote. A
   // voter that is silent for m_replaceAfter is replaced by a caught-up learner.
+  // While voters are expected to join, commands get NotLeader.
   uint32_t m_targetVoters = 0;
   base::Millis m_replaceAfter{ 5000 };
   std::string m_folder; // data folder of this group
--- a/chivefront/consensus/leader.cc
+++ b/chivefront/consensus/leader.cc
@@ -17,7 +17,7 @@
 std::optional<uint64_t>
 RaftCore::Propose(std::string aCommand)
 {
-  if (!IsLeader() || m_transferTarget != 0) {
+  if (!IsLeader() || m_transferTarget != 0 || !MayAcknowledge()) {
     return std::nullopt;
   }
   const uint64_t index = m_log.LastIndex() + 1;
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -33,6 +33,10 @@
 // Maximum number of members with dynamic membership. Bounds the membership when
 // processes with ever new names ask for admission.
 constexpr size_t kMaxMembers = 16;
+// How long a leader waits for another voter to join before it accepts commands
+// with fewer voters than the target. Joining takes some heartbeats; the group
+// of a deployment with too few hosts serves after this time.
+constexpr base::Millis kGrowthTimeout{ 2000 };
 // A silent learner is removed after this many times m_replaceAfter.
 constexpr int64_t kLearnerSilenceFactor = 4;
 
@@ -244,6 +248,27 @@
                                       : m_options.m_initialMembers.size();
 }
 
+// With fewer voters than the target, the tolerated number of lost disks could
+// leave no majority, so a command must not be acknowledged while voters are
+// still expected to join.
+bool
+RaftCore::MayAcknowledge() const
+{
+  return m_growthTimedOut || CountVoters() >= TargetVoters();
+}
+
+void
+RaftCore::UpdateGrowth(TimePoint aNow)
+{
+  const size_t voters = CountVoters();
+  if (voters != m_growthVoters) {
+    m_growthVoters = voters;
+    m_growthDeadline = aNow + kGrowthTimeout;
+  }
+  // The voters of a static membership are fixed.
+  m_growthTimedOut = m_options.m_targetVoters == 0 || aNow >= m_growthDeadline;
+}
+
 // Dynamic membership: the change that removes a voter that has been silent for
 // m_replaceAfter, if a caught-up learner can replace it, or a learner that has
 // been silent for kLearnerSilenceFactor times as long.
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -9,18 +9,22 @@
 
 constexpr int64_t kLateMillis = 300;
 
+} // namespace
+
 GroupOptions
-OptionsOf(const std::string& aName,
-          const std::vector<std::string>& aInitialNames,
-          bool aDynamic)
+Simulation::OptionsOf(const std::string& aName) const
 {
+  const bool isDynamic = m_names.size() > m_initialNames.size();
+  const auto initial = static_cast<uint32_t>(m_initialNames.size());
   GroupOptions options;
   options.m_name = aName;
-  options.m_initialMembers = aInitialNames;
-  options.m_targetVoters =
-    aDynamic ? static_cast<uint32_t>(aInitialNames.size()) : 0;
+  options.m_initialMembers = m_initialNames;
+  if (isDynamic) {
+    options.m_targetVoters =
+      m_layout.m_targetVoters > 0 ? m_layout.m_targetVoters : initial;
+  }
   options.m_replaceAfter = base::Millis(1500);
-  options.m_fastFirstElection = aDynamic;
+  options.m_fastFirstElection = isDynamic;
   // Small limits, so that short runs start new segments, compact the log and
   // send snapshots.
   options.m_snapshotEvery = 20;
@@ -30,8 +34,6 @@
   return options;
 }
 
-} // namespace
-
 std::string
 Simulation::RecordingMachine::Apply(uint64_t, std::string_view aCommand)
 {
@@ -77,9 +79,11 @@
 
 Simulation::Simulation(uint64_t aSeed,
                        std::vector<std::string> aNames,
-                       const std::vector<std::string>& aSpares)
+                       const std::vector<std::string>& aSpares,
+                       SimulationLayout aLayout)
   : m_random(aSeed)
   , m_initialNames(std::move(aNames))
+  , m_layout(std::move(aLayout))
   , m_names(m_initialNames)
 {
   m_names.insert(m_names.end(), aSpares.begin(), aSpares.end());
@@ -124,7 +128,7 @@
   host.m_machine = std::make_unique<RecordingMachine>();
   host.m_machine->m_owner = this;
   host.m_driver = std::make_unique<RaftDriver>(
-    OptionsOf(aName, m_initialNames, m_names.size() > m_initialNames.size()),
+    OptionsOf(aName),
     *host.m_machine,
     *host.m_disk,
     [this, aName](const std::string& aTo, std::string aPayload) {
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -15,6 +15,12 @@
 
 namespace chivefront::consensus {
 
+// Properties of a simulated group beyond the names of its hosts.
+struct SimulationLayout
+{
+  uint32_t m_targetVoters = 0; // 0: as many as there are initial members
+};
+
 class Simulation
 {
 public:
@@ -30,7 +36,8 @@
   // the spares join without being configured on the initial members.
   explicit Simulation(uint64_t aSeed,
                       std::vector<std::string> aNames,
-                      const std::vector<std::string>& aSpares = {});
+                      const std::vector<std::string>& aSpares = {},
+                      SimulationLayout aLayout = {});
 
   // Advances the time by one millisecond.
   void Step();
@@ -118,9 +125,11 @@
             std::string aPayload);
   void Process(const std::string& aName);
   void CheckCommitted(const std::string& aName);
+  GroupOptions OptionsOf(const std::string& aName) const;
 
   std::mt19937_64 m_random;
   const std::vector<std::string> m_initialNames;
+  const SimulationLayout m_layout;
   std::vector<std::string> m_names; // of all hosts
   base::EventLog m_events{ "simulation", "", 1 };
   base::TimePoint m_now;
--- /dev/null
+++ b/chivefront/consensus/tolerance_test.cc
@@ -0,0 +1,123 @@
+// A group that must bear the loss of two hosts at once, with their disks, and
+// that starts from three initial members and five hosts that join.
+// Promises: config
+#define BOOST_TEST_MODULE tolerance
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+#include "chivefront/consensus/simulation.h"
+
+using namespace chivefront::consensus;
+
+namespace {
+
+constexpr uint32_t kTargetVoters = 5;
+constexpr int64_t kStartMillis = 4000;
+constexpr int64_t kRecoveryMillis = 12000;
+constexpr uint64_t kSeeds = 60;
+const std::vector<std::string> kSeedHosts{ "a", "b", "c" };
+const std::vector<std::string> kJoiningHosts{ "d", "e", "f", "g", "h" };
+
+SimulationLayout
+FiveVoters()
+{
+  SimulationLayout layout;
+  layout.m_targetVoters = kTargetVoters;
+  return layout;
+}
+
+std::vector<std::string>
+Voters(Simulation& aSimulation)
+{
+  std::vector<std::string> names;
+  const std::string leader = aSimulation.Leader();
+  if (leader.empty()) {
+    return names;
+  }
+  for (const Replica& replica : aSimulation.StatusOf(leader).m_replicas) {
+    if (replica.m_voter) {
+      names.push_back(replica.m_name);
+    }
+  }
+  return names;
+}
+
+// All hosts lose power at once; those of aLost come back with empty disks.
+void
+LosePower(Simulation& aSimulation, const std::vector<std::string>& aLost)
+{
+  for (const std::string& name : aSimulation.Names()) {
+    if (std::count(aLost.begin(), aLost.end(), name) > 0) {
+      aSimulation.LoseDisk(name);
+    } else {
+      aSimulation.Crash(name);
+    }
+  }
+  for (const std::string& name : aSimulation.Names()) {
+    aSimulation.Restart(name);
+  }
+}
+
+// Writes until one more command is acknowledged.
+bool
+AcknowledgeWrite(Simulation& aSimulation)
+{
+  const size_t before = aSimulation.Acknowledged();
+  for (int64_t i = 0; i < kStartMillis; ++i) {
+    aSimulation.Write();
+    aSimulation.Step();
+    if (aSimulation.Acknowledged() > before) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+// Guards against a control group that two lost disks end for good, with every
+// acknowledged configuration: no leader was elected afterwards.
+BOOST_AUTO_TEST_CASE(TwoLostDisksKeepAcknowledgedWrites)
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, FiveVoters());
+    simulation.Run(kStartMillis);
+    std::vector<std::string> voters = Voters(simulation);
+    BOOST_REQUIRE_MESSAGE(voters.size() == kTargetVoters, "seed " << seed);
+    BOOST_REQUIRE(AcknowledgeWrite(simulation));
+    std::shuffle(voters.begin(), voters.end(), simulation.Random());
+    LosePower(simulation, { voters[0], voters[1] });
+    simulation.Run(kRecoveryMillis);
+    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+  }
+}
+
+// Guards against an acknowledgement that rests on too few hosts: until the
+// group had grown, two of three voters were enough, and the loss of these two
+// disks lost the write.
+BOOST_AUTO_TEST_CASE(FirstAcknowledgedWriteSurvivesTwoLostDisks)
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, FiveVoters());
+    BOOST_REQUIRE(AcknowledgeWrite(simulation));
+    std::vector<std::string> voters = Voters(simulation);
+    std::shuffle(voters.begin(), voters.end(), simulation.Random());
+    LosePower(simulation, { voters[0], voters[1] });
+    simulation.Run(kRecoveryMillis);
+    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+  }
+}
+
+// Guards against a group that never accepts a command because the deployment
+// has fewer hosts than voters are wanted.
+BOOST_AUTO_TEST_CASE(TooFewHostsStillServe)
+{
+  Simulation simulation(5, kSeedHosts, { "d" }, FiveVoters());
+  simulation.Crash("d");
+  simulation.Run(kStartMillis);
+  BOOST_TEST(Voters(simulation).size() == 3U);
+  BOOST_TEST(AcknowledgeWrite(simulation));
+}
