Spread the voters of the control group over the failure domains

Operators of a deployment with several control hosts in a domain could lose the group with one domain: learners became voters in the order in which they asked. Cause: the group did not know the domains. Change: members carry their domain (new optional fields of the Raft schema); the learner whose domain has the fewest voters votes next, and a voter of a domain with too many gives its vote up when a learner elsewhere can take it. A learner that can vote now comes before the removal of another lost voter. The choice is a module of its own, without network.

--- a/chivefront/consensus/codec.cc
+++ b/chivefront/consensus/codec.cc
@@ -49,7 +49,8 @@
     members.push_back(raft::CreateMember(aBuilder,
                                          aBuilder.CreateString(replica.m_name),
                                          replica.m_identity,
-                                         replica.m_voter));
+                                         replica.m_voter,
+                                         aBuilder.CreateString(replica.m_domain)));
   }
   return aBuilder.CreateVector(members);
 }
@@ -81,8 +82,10 @@
   Membership membership;
   if (aTable.members() != nullptr) {
     for (const raft::Member* member : *aTable.members()) {
-      membership.push_back(
-        { ToString(member->name()), member->identity(), member->voter() });
+      membership.push_back({ ToString(member->name()),
+                             member->identity(),
+                             member->voter(),
+                             ToString(member->domain()) });
     }
   }
   return membership;
@@ -135,6 +138,7 @@
   const auto members = PackMembers(builder, aMessage.m_members);
   const auto entries = PackEntries(builder, aMessage.m_entries);
   const auto data = builder.CreateString(aMessage.m_data);
+  const auto domain = builder.CreateString(aMessage.m_domain);
   return Finish(builder,
                 raft::CreateMessage(builder,
                                     aMessage.m_kind,
@@ -152,7 +156,8 @@
                                     aMessage.m_stage,
                                     members,
                                     entries,
-                                    data));
+                                    data,
+                                    domain));
 }
 
 absl::StatusOr<Message>
@@ -179,6 +184,7 @@
   message.m_members = UnpackMembers(*table);
   message.m_entries = UnpackEntries(*table, table->index() + 1);
   message.m_data = ToString(table->data());
+  message.m_domain = ToString(table->domain());
   return message;
 }
 
--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -174,6 +174,7 @@
     request.m_logTerm = m_log.LastTerm();
     request.m_flag = aPreVote;
     request.m_forced = aForced;
+    request.m_domain = m_options.m_domain;
     Send(replica.m_name, std::move(request));
   }
 }
@@ -240,7 +241,7 @@
                         TimePoint aNow)
 {
   if (IsLeader()) {
-    RecordAdmissionRequest(aFrom, aMessage.m_from, aNow);
+    RecordAdmissionRequest(aFrom, aMessage, aNow);
   }
   if (!MayVote() || (!aMessage.m_forced && HearsLeader(aNow))) {
     return;
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -35,6 +35,7 @@
 struct CoreOptions
 {
   std::string m_name;
+  std::string m_domain; // failure domain of this replica
   uint64_t m_identity = 0;
   // Names of the initial members.
   std::vector<std::string> m_initialMembers;
@@ -219,7 +220,7 @@
   void Activate();
   void OnHelloReply(const std::string& aFrom, const Message& aMessage);
   void RecordAdmissionRequest(const std::string& aName,
-                              uint64_t aIdentity,
+                              const Message& aMessage,
                               base::TimePoint aNow);
   void ProposeMembershipChange(base::TimePoint aNow);
   std::optional<Membership> NextMembership(base::TimePoint aNow) const;
@@ -232,6 +233,10 @@
   size_t TargetVoters() const;
   bool MayAcknowledge() const;
   void UpdateGrowth(base::TimePoint aNow);
+  std::set<uint64_t> ReadyLearners(base::TimePoint aNow) const;
+  std::optional<Membership> AdmitReplica() const;
+  std::optional<Membership> ReplaceLostVoter(base::TimePoint aNow) const;
+  std::optional<Membership> ImproveVoters(base::TimePoint aNow) const;
   std::optional<Membership> RemoveSilentReplica(base::TimePoint aNow) const;
   bool IsCaughtUp(const Peer& aPeer, base::TimePoint aNow) const;
   bool HeardRecently(uint64_t aIdentity, base::TimePoint aNow) const;
@@ -278,8 +283,8 @@
   size_t m_growthVoters = 0; // number of voters at the last tick
   base::TimePoint m_growthDeadline;
   bool m_growthTimedOut = false; // as of the last tick
-  // Replicas to be added as learners: identity by process name.
-  std::map<std::string, uint64_t> m_admissionRequests;
+  // Replicas to be added as learners, by process name.
+  std::map<std::string, Replica> m_admissionRequests;
 
   // The leader that another process named in a reply to a hello. Hellos go to
   // it as well as to m_initialMembers.
@@ -288,8 +293,8 @@
   // Bootstrap and admission.
   base::TimePoint m_helloDue;
   uint64_t m_helloNonce = 0; // of the hellos sent in the current stage
-  // Identities, by name, of the initial members known to be empty.
-  std::map<std::string, uint64_t> m_emptyMembers;
+  // The initial members known to be empty, by name.
+  std::map<std::string, Replica> m_emptyMembers;
   // Names of the initial members that prepared the same membership.
   std::set<std::string> m_preparedMembers;
 
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -51,12 +51,14 @@
   std::string m_name; // process name, under which its link is found
   uint64_t m_identity = 0;
   bool m_voter = false;
+  std::string m_domain; // failure domain; empty when not known
 };
 
 struct GroupOptions
 {
   uint32_t m_group = 0;                      // number of the group, for events
   std::string m_name;                        // of this process
+  std::string m_domain;                      // failure domain of this process
   std::vector<std::string> m_initialMembers; // names of the initial members
   // This replica may bootstrap the group together with the other initial
   // members. False for a replica that joins an existing group: it waits until
@@ -66,6 +68,7 @@
   // members, and all of them vote. Otherwise the membership is dynamic: any
   // process may join, as a learner at first, and this many members vote. A
   // voter that is silent for m_replaceAfter is replaced by a caught-up learner.
+  // The voters are spread over the failure domains, as far as members allow it.
   // While voters are expected to join, commands get NotLeader.
   uint32_t m_targetVoters = 0;
   base::Millis m_replaceAfter{ 5000 };
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -23,6 +23,7 @@
 
 #include "chivefront/consensus/codec.h"
 #include "chivefront/consensus/core.h"
+#include "chivefront/consensus/voter_choice.h"
 
 namespace chivefront::consensus {
 
@@ -50,6 +51,7 @@
   hello.m_flag = aIsReply;
   hello.m_stage = m_hardState.m_stage;
   hello.m_members = m_hardState.m_initialMembers;
+  hello.m_domain = m_options.m_domain;
   if (aIsReply && m_options.m_targetVoters > 0) {
     hello.m_data = m_leader;
   }
@@ -93,15 +95,17 @@
 void
 RaftCore::AdvanceBootstrap()
 {
-  m_emptyMembers[m_options.m_name] = m_options.m_identity;
+  m_emptyMembers[m_options.m_name] = {
+    m_options.m_name, m_options.m_identity, true, m_options.m_domain
+  };
   const bool initial = std::count(m_options.m_initialMembers.begin(),
                                   m_options.m_initialMembers.end(),
                                   m_options.m_name) > 0;
   if (m_hardState.m_stage == Stage::Empty && initial &&
       m_options.m_mayBootstrap &&
       m_emptyMembers.size() == m_options.m_initialMembers.size()) {
-    for (const auto& [name, identity] : m_emptyMembers) {
-      m_hardState.m_initialMembers.push_back({ name, identity, true });
+    for (const auto& [name, replica] : m_emptyMembers) {
+      m_hardState.m_initialMembers.push_back(replica);
     }
     EnterStage(Stage::Prepared);
     SendHellos();
@@ -138,8 +142,10 @@
 void
 RaftCore::OnHelloReply(const std::string& aFrom, const Message& aMessage)
 {
-  const Replica self{ m_options.m_name, m_options.m_identity, true };
-  const Replica sender{ aFrom, aMessage.m_from, true };
+  const Replica self{
+    m_options.m_name, m_options.m_identity, true, m_options.m_domain
+  };
+  const Replica sender{ aFrom, aMessage.m_from, true, aMessage.m_domain };
   const auto& members = aMessage.m_members;
   const bool includesThis =
     std::count(members.begin(), members.end(), self) > 0;
@@ -153,7 +159,7 @@
     // A replica that prepared a membership with this replica in it knew this
     // replica as empty, and was empty itself until then.
     if (aMessage.m_stage == Stage::Empty || includesThis) {
-      m_emptyMembers[aFrom] = aMessage.m_from;
+      m_emptyMembers[aFrom] = sender;
     } else {
       m_emptyMembers.erase(aFrom);
     }
@@ -191,7 +197,7 @@
     Send(aFrom, std::move(reply));
   }
   if (IsLeader()) {
-    RecordAdmissionRequest(aFrom, aMessage.m_from, aNow);
+    RecordAdmissionRequest(aFrom, aMessage, aNow);
   }
 }
 
@@ -201,22 +207,23 @@
 // a stale message can't displace it.
 void
 RaftCore::RecordAdmissionRequest(const std::string& aName,
-                                 uint64_t aIdentity,
+                                 const Message& aMessage,
                                  TimePoint aNow)
 {
-  if (aName == m_options.m_name || m_peers.count(aIdentity) > 0) {
+  const Replica joining{ aName, aMessage.m_from, false, aMessage.m_domain };
+  if (aName == m_options.m_name || m_peers.count(joining.m_identity) > 0) {
     return;
   }
   bool hasMember = false;
   for (const auto& [identity, peer] : m_peers) {
     hasMember = hasMember || peer.m_name == aName;
     if (peer.m_name == aName && !HeardRecently(identity, aNow)) {
-      m_admissionRequests[aName] = aIdentity;
+      m_admissionRequests[aName] = joining;
     }
   }
   if (!hasMember && m_options.m_targetVoters > 0 &&
       Members().size() < kMaxMembers) {
-    m_admissionRequests[aName] = aIdentity;
+    m_admissionRequests[aName] = joining;
   }
 }
 
@@ -278,14 +285,8 @@
   if (m_options.m_targetVoters == 0) {
     return std::nullopt;
   }
-  const auto ready = [&](const Replica& aReplica) {
-    const auto peer = m_peers.find(aReplica.m_identity);
-    return !aReplica.m_voter && peer != m_peers.end() &&
-           IsCaughtUp(peer->second, aNow);
-  };
   const Membership& members = Members();
-  const bool hasReplacement =
-    std::any_of(members.begin(), members.end(), ready);
+  const bool hasReplacement = !ReadyLearners(aNow).empty();
   for (const Replica& replica : members) {
     const base::Millis allowedSilence =
       replica.m_voter ? m_options.m_replaceAfter
@@ -354,47 +355,118 @@
          CountCaughtUp(aNow) == voters;
 }
 
-// The next single-server change that is due, if any. The old voter is removed
-// before the new one is added. Otherwise a second loss of the same host would
-// leave two dead voters out of four, which blocks the group permanently.
-std::optional<Membership>
-RaftCore::NextMembership(TimePoint aNow) const
+// The learners that may get a vote: they hold all committed entries, answer, and
+// no earlier replica of the same process votes.
+std::set<uint64_t>
+RaftCore::ReadyLearners(TimePoint aNow) const
 {
-  Membership next = Members();
-  if (!m_admissionRequests.empty()) {
-    const Replica joining{ m_admissionRequests.begin()->first,
-                           m_admissionRequests.begin()->second,
-                           false };
-    std::erase_if(next, [&](const Replica& aReplica) {
-      return aReplica.m_name == joining.m_name && !aReplica.m_voter;
-    });
-    next.push_back(joining);
-    return next;
+  std::set<std::string> voters;
+  for (const Replica& replica : Members()) {
+    if (replica.m_voter) {
+      voters.insert(replica.m_name);
+    }
   }
-  for (size_t i = 0; i < next.size(); ++i) {
-    const Replica learner = next[i];
-    if (learner.m_voter) {
-      continue;
+  std::set<uint64_t> ready;
+  for (const Replica& replica : Members()) {
+    const auto peer = m_peers.find(replica.m_identity);
+    if (!replica.m_voter && voters.count(replica.m_name) == 0 &&
+        peer != m_peers.end() && IsCaughtUp(peer->second, aNow)) {
+      ready.insert(replica.m_identity);
     }
+  }
+  return ready;
+}
+
+// The change that adds a replica as a learner. It takes the place of an earlier
+// learner of the same process.
+std::optional<Membership>
+RaftCore::AdmitReplica() const
+{
+  if (m_admissionRequests.empty()) {
+    return std::nullopt;
+  }
+  const Replica& joining = m_admissionRequests.begin()->second;
+  Membership next = Members();
+  std::erase_if(next, [&](const Replica& aReplica) {
+    return aReplica.m_name == joining.m_name && !aReplica.m_voter;
+  });
+  next.push_back(joining);
+  return next;
+}
+
+// The change for a learner whose process was a voter under another identity.
+// The old voter is removed before the new one is added. Otherwise a second loss
+// of the same host would leave two dead voters out of four, which blocks the
+// group permanently.
+std::optional<Membership>
+RaftCore::ReplaceLostVoter(TimePoint aNow) const
+{
+  Membership next = Members();
+  for (const Replica& learner : Members()) {
     const auto oldVoter =
       std::find_if(next.begin(), next.end(), [&](const Replica& aReplica) {
-        return aReplica.m_voter && aReplica.m_name == learner.m_name;
+        return !learner.m_voter && aReplica.m_voter &&
+               aReplica.m_name == learner.m_name;
       });
-    if (oldVoter != next.end() && HeardRecently(oldVoter->m_identity, aNow)) {
+    if (oldVoter == next.end()) {
+      continue;
+    }
+    if (HeardRecently(oldVoter->m_identity, aNow)) {
       std::erase(next, learner); // the old voter has returned
       return next;
     }
     const auto peer = m_peers.find(learner.m_identity);
-    if (peer == m_peers.end() || !IsCaughtUp(peer->second, aNow)) {
-      continue;
-    }
-    if (oldVoter != next.end()) {
+    if (peer != m_peers.end() && IsCaughtUp(peer->second, aNow)) {
       next.erase(oldVoter);
-    } else if (CountVoters() < TargetVoters()) {
-      next[i].m_voter = true;
-    } else {
-      continue; // the learner is a standby
+      return next;
     }
+  }
+  return std::nullopt;
+}
+
+// The change that lets a learner vote while there are too few voters, or that
+// takes the vote of a voter in a domain whose loss would leave no majority; the
+// learner follows with the next change.
+std::optional<Membership>
+RaftCore::ImproveVoters(TimePoint aNow) const
+{
+  const std::set<uint64_t> ready = ReadyLearners(aNow);
+  Membership next = Members();
+  if (CountVoters() < TargetVoters()) {
+    const auto chosen = ChooseNextVoter(next, ready);
+    if (!chosen) {
+      return std::nullopt;
+    }
+    next[*chosen].m_voter = true;
+    return next;
+  }
+  const auto moved =
+    ChooseVoterToMove(next, ready, TargetVoters(), m_options.m_identity);
+  if (m_options.m_targetVoters == 0 || !moved) {
+    return std::nullopt;
+  }
+  next[*moved].m_voter = false;
+  return next;
+}
+
+// The next single-server change that is due, if any. A learner that can vote
+// comes before the removal of another lost voter, so that two losses do not
+// reduce the group by two voters at once.
+std::optional<Membership>
+RaftCore::NextMembership(TimePoint aNow) const
+{
+  if (auto next = AdmitReplica()) {
+    return next;
+  }
+  if (CountVoters() < TargetVoters()) {
+    if (auto next = ImproveVoters(aNow)) {
+      return next;
+    }
+  }
+  if (auto next = ReplaceLostVoter(aNow)) {
+    return next;
+  }
+  if (auto next = ImproveVoters(aNow)) {
     return next;
   }
   return RemoveSilentReplica(aNow);
@@ -460,7 +532,7 @@
   }
   m_peers = std::move(peers);
   std::erase_if(m_admissionRequests, [&](const auto& aRequest) {
-    return m_peers.count(aRequest.second) > 0;
+    return m_peers.count(aRequest.second.m_identity) > 0;
   });
 }
 
--- a/chivefront/consensus/raft_generated.hpp
+++ b/chivefront/consensus/raft_generated.hpp
@@ -254,6 +254,7 @@
   std::string name{};
   uint64_t identity = 0;
   bool voter = false;
+  std::string domain{};
 };
 
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -263,7 +264,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NAME = 4,
     VT_IDENTITY = 6,
-    VT_VOTER = 8
+    VT_VOTER = 8,
+    VT_DOMAIN = 10
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -274,12 +276,17 @@
   bool voter() const {
     return GetField<uint8_t>(VT_VOTER, 0) != 0;
   }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
            verifier.VerifyString(name()) &&
            VerifyField<uint64_t>(verifier, VT_IDENTITY, 8) &&
            VerifyField<uint8_t>(verifier, VT_VOTER, 1) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -300,6 +307,9 @@
   void add_voter(bool voter) {
     fbb_.AddElement<uint8_t>(Member::VT_VOTER, static_cast<uint8_t>(voter), 0);
   }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(Member::VT_DOMAIN, domain);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -315,9 +325,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> name = 0,
     uint64_t identity = 0,
-    bool voter = false) {
+    bool voter = false,
+    flatbuffers::Offset<flatbuffers::String> domain = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_identity(identity);
+  builder_.add_domain(domain);
   builder_.add_name(name);
   builder_.add_voter(voter);
   return builder_.Finish();
@@ -332,13 +344,16 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *name = nullptr,
     uint64_t identity = 0,
-    bool voter = false) {
+    bool voter = false,
+    const char *domain = nullptr) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return chivefront::consensus::raft::CreateMember(
       _fbb,
       name__,
       identity,
-      voter);
+      voter,
+      domain__);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -434,6 +449,7 @@
   std::vector<std::unique_ptr<chivefront::consensus::raft::MemberT>> members{};
   std::vector<std::unique_ptr<chivefront::consensus::raft::EntryT>> entries{};
   std::string data{};
+  std::string domain{};
   MessageT() = default;
   MessageT(const MessageT &o);
   MessageT(MessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -460,7 +476,8 @@
     VT_STAGE = 28,
     VT_MEMBERS = 30,
     VT_ENTRIES = 32,
-    VT_DATA = 34
+    VT_DATA = 34,
+    VT_DOMAIN = 36
   };
   chivefront::consensus::raft::MessageKind kind() const {
     return static_cast<chivefront::consensus::raft::MessageKind>(GetField<uint8_t>(VT_KIND, 0));
@@ -510,6 +527,9 @@
   const flatbuffers::String *data() const {
     return GetPointer<const flatbuffers::String *>(VT_DATA);
   }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -533,6 +553,8 @@
            verifier.VerifyVectorOfTables(entries()) &&
            VerifyOffset(verifier, VT_DATA) &&
            verifier.VerifyString(data()) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
            verifier.EndTable();
   }
   MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -592,6 +614,9 @@
   void add_data(flatbuffers::Offset<flatbuffers::String> data) {
     fbb_.AddOffset(Message::VT_DATA, data);
   }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(Message::VT_DOMAIN, domain);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -620,7 +645,8 @@
     chivefront::consensus::raft::Stage stage = chivefront::consensus::raft::Stage::Empty,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::consensus::raft::Member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::consensus::raft::Entry>>> entries = 0,
-    flatbuffers::Offset<flatbuffers::String> data = 0) {
+    flatbuffers::Offset<flatbuffers::String> data = 0,
+    flatbuffers::Offset<flatbuffers::String> domain = 0) {
   MessageBuilder builder_(_fbb);
   builder_.add_hint(hint);
   builder_.add_round(round);
@@ -630,6 +656,7 @@
   builder_.add_term(term);
   builder_.add_to(to);
   builder_.add_from(from);
+  builder_.add_domain(domain);
   builder_.add_data(data);
   builder_.add_entries(entries);
   builder_.add_members(members);
@@ -663,10 +690,12 @@
     chivefront::consensus::raft::Stage stage = chivefront::consensus::raft::Stage::Empty,
     const std::vector<flatbuffers::Offset<chivefront::consensus::raft::Member>> *members = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::consensus::raft::Entry>> *entries = nullptr,
-    const char *data = nullptr) {
+    const char *data = nullptr,
+    const char *domain = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Member>>(*members) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Entry>>(*entries) : 0;
   auto data__ = data ? _fbb.CreateString(data) : 0;
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return chivefront::consensus::raft::CreateMessage(
       _fbb,
       kind,
@@ -684,7 +713,8 @@
       stage,
       members__,
       entries__,
-      data__);
+      data__,
+      domain__);
 }
 
 flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1053,6 +1083,7 @@
   { auto _e = name(); if (_e) _o->name = _e->str(); }
   { auto _e = identity(); _o->identity = _e; }
   { auto _e = voter(); _o->voter = _e; }
+  { auto _e = domain(); if (_e) _o->domain = _e->str(); }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1066,11 +1097,13 @@
   auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
   auto _identity = _o->identity;
   auto _voter = _o->voter;
+  auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
   return chivefront::consensus::raft::CreateMember(
       _fbb,
       _name,
       _identity,
-      _voter);
+      _voter,
+      _domain);
 }
 
 inline MembershipT::MembershipT(const MembershipT &o) {
@@ -1123,7 +1156,8 @@
         forced(o.forced),
         hint(o.hint),
         stage(o.stage),
-        data(o.data) {
+        data(o.data),
+        domain(o.domain) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new chivefront::consensus::raft::MemberT(*members_) : nullptr); }
   entries.reserve(o.entries.size());
@@ -1147,6 +1181,7 @@
   std::swap(members, o.members);
   std::swap(entries, o.entries);
   std::swap(data, o.data);
+  std::swap(domain, o.domain);
   return *this;
 }
 
@@ -1175,6 +1210,7 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<chivefront::consensus::raft::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<chivefront::consensus::raft::EntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = data(); if (_e) _o->data = _e->str(); }
+  { auto _e = domain(); if (_e) _o->domain = _e->str(); }
 }
 
 inline flatbuffers::Offset<Message> Message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1201,6 +1237,7 @@
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Entry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _data = _o->data.empty() ? 0 : _fbb.CreateString(_o->data);
+  auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
   return chivefront::consensus::raft::CreateMessage(
       _fbb,
       _kind,
@@ -1218,7 +1255,8 @@
       _stage,
       _members,
       _entries,
-      _data);
+      _data,
+      _domain);
 }
 
 inline LogRecordT::LogRecordT(const LogRecordT &o)
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -23,6 +23,10 @@
     options.m_targetVoters =
       m_layout.m_targetVoters > 0 ? m_layout.m_targetVoters : initial;
   }
+  if (const auto domain = m_layout.m_domains.find(aName);
+      domain != m_layout.m_domains.end()) {
+    options.m_domain = domain->second;
+  }
   options.m_replaceAfter = base::Millis(1500);
   options.m_fastFirstElection = isDynamic;
   // Small limits, so that short runs start new segments, compact the log and
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -19,6 +19,7 @@
 struct SimulationLayout
 {
   uint32_t m_targetVoters = 0; // 0: as many as there are initial members
+  std::map<std::string, std::string> m_domains; // failure domains by host
 };
 
 class Simulation
--- a/chivefront/consensus/tolerance_test.cc
+++ b/chivefront/consensus/tolerance_test.cc
@@ -121,3 +121,26 @@
   BOOST_TEST(Voters(simulation).size() == 3U);
   BOOST_TEST(AcknowledgeWrite(simulation));
 }
+
+// Guards against a control group that one lost failure domain stops: members
+// were added in the order in which they asked, so one domain could hold a
+// majority of the voters.
+BOOST_AUTO_TEST_CASE(LossOfADomainLeavesAMajority)
+{
+  SimulationLayout layout = FiveVoters();
+  layout.m_domains = { { "a", "one" }, { "b", "one" },   { "c", "one" },
+                       { "d", "one" }, { "e", "two" },   { "f", "two" },
+                       { "g", "two" }, { "h", "three" } };
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, layout);
+    simulation.Run(kStartMillis);
+    for (const auto& [host, domain] : layout.m_domains) {
+      if (domain == "one") {
+        simulation.Crash(host);
+      }
+    }
+    simulation.Run(kStartMillis);
+    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+  }
+}
--- a/chivefront/consensus/types.h
+++ b/chivefront/consensus/types.h
@@ -74,6 +74,7 @@
   Membership m_members;
   std::vector<Entry> m_entries;
   std::string m_data;
+  std::string m_domain; // Hello and Vote: failure domain of the sender
 };
 
 inline bool
--- a/chivefront/site/group_reporter.cc
+++ b/chivefront/site/group_reporter.cc
@@ -15,7 +15,7 @@
                   [](const auto& aReplica) { return aReplica.m_voter; }));
 }
 
-// One word for each member, for example "10.0.0.1:7340/voter/5f3a". The
+// One word for each member: name, failure domain, role and identity. The
 // identity distinguishes a host that lost its disk from the host before.
 std::string
 DescribeMembers(const consensus::GroupStatus& aStatus)
@@ -23,7 +23,8 @@
   std::string text;
   for (const consensus::Replica& replica : aStatus.m_replicas) {
     text += text.empty() ? "" : " ";
-    text += replica.m_name + (replica.m_voter ? "/voter/" : "/learner/") +
+    text += replica.m_name + "/" + replica.m_domain +
+            (replica.m_voter ? "/voter/" : "/learner/") +
             std::to_string(replica.m_identity);
   }
   return text;
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -113,6 +113,7 @@
     consensus::GroupOptions options;
     options.m_group = detail::kGroup;
     options.m_name = Name();
+    options.m_domain = m_options.m_domain;
     options.m_initialMembers = m_options.m_seeds;
     options.m_mayBootstrap = m_options.m_mayBootstrap;
     options.m_targetVoters = m_options.m_voters;
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -31,6 +31,7 @@
 {
   std::string m_folder;             // of the replicated log
   base::Endpoint m_listen;          // for links; as text, the node's name
+  std::string m_domain;             // failure domain of the host
   std::vector<std::string> m_seeds; // names of known control processes
   // The seeds may bootstrap the group. False on a host that joins an existing
   // group.
