Keep control processes without a disk from voting

A host without a disk that ran control was a full voter with its log in a folder that does not outlive the process: restarted, it could vote twice in a term and count as a copy of what it no longer holds. Change: a process without a data folder joins as a learner with a volatile log (new optional field in the Raft schema); it never votes, is not part of the first membership even when it is named as a seed, and takes no seat of a lost voter.

--- a/chivefront/consensus/codec.cc
+++ b/chivefront/consensus/codec.cc
@@ -46,11 +46,13 @@
   std::vector<Offset<raft::Member>> members;
   members.reserve(aMembership.size());
   for (const Replica& replica : aMembership) {
-    members.push_back(raft::CreateMember(aBuilder,
-                                         aBuilder.CreateString(replica.m_name),
-                                         replica.m_identity,
-                                         replica.m_voter,
-                                         aBuilder.CreateString(replica.m_domain)));
+    members.push_back(
+      raft::CreateMember(aBuilder,
+                         aBuilder.CreateString(replica.m_name),
+                         replica.m_identity,
+                         replica.m_voter,
+                         aBuilder.CreateString(replica.m_domain),
+                         replica.m_diskless));
   }
   return aBuilder.CreateVector(members);
 }
@@ -85,7 +87,8 @@
       membership.push_back({ ToString(member->name()),
                              member->identity(),
                              member->voter(),
-                             ToString(member->domain()) });
+                             ToString(member->domain()),
+                             member->diskless() });
     }
   }
   return membership;
@@ -157,7 +160,8 @@
                                     members,
                                     entries,
                                     data,
-                                    domain));
+                                    domain,
+                                    aMessage.m_diskless));
 }
 
 absl::StatusOr<Message>
@@ -185,6 +189,7 @@
   message.m_entries = UnpackEntries(*table, table->index() + 1);
   message.m_data = ToString(table->data());
   message.m_domain = ToString(table->domain());
+  message.m_diskless = table->diskless();
   return message;
 }
 
--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -58,11 +58,13 @@
 
 // A replica that is not in the last membership it knows must still vote,
 // because a newer membership that includes it may not have reached it yet. A
-// replica that was never part of a membership must not vote.
+// replica that was never part of a membership must not vote, nor one that
+// forgets its votes.
 bool
 RaftCore::MayVote() const
 {
-  return m_hardState.m_stage == Stage::Active && !Members().empty();
+  return m_hardState.m_stage == Stage::Active && !Members().empty() &&
+         !m_options.m_diskless;
 }
 
 bool
@@ -175,6 +177,7 @@
     request.m_flag = aPreVote;
     request.m_forced = aForced;
     request.m_domain = m_options.m_domain;
+    request.m_diskless = m_options.m_diskless;
     Send(replica.m_name, std::move(request));
   }
 }
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -35,7 +35,8 @@
 struct CoreOptions
 {
   std::string m_name;
-  std::string m_domain; // failure domain of this replica
+  std::string m_domain;    // failure domain of this replica
+  bool m_diskless = false; // as in GroupOptions
   uint64_t m_identity = 0;
   // Names of the initial members.
   std::vector<std::string> m_initialMembers;
@@ -214,6 +215,7 @@
   void OnHello(const std::string& aFrom,
                const Message& aMessage,
                base::TimePoint aNow);
+  Replica Self() const;
   Message MakeHello(bool aIsReply) const;
   void AdvanceBootstrap();
   void EnterStage(Stage aStage);
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -52,17 +52,24 @@
   uint64_t m_identity = 0;
   bool m_voter = false;
   std::string m_domain; // failure domain; empty when not known
+  // Its folder does not survive the process, so it never votes.
+  bool m_diskless = false;
 };
 
 struct GroupOptions
 {
-  uint32_t m_group = 0;                      // number of the group, for events
-  std::string m_name;                        // of this process
-  std::string m_domain;                      // failure domain of this process
+  uint32_t m_group = 0; // number of the group, for events
+  std::string m_name;   // of this process
+  std::string m_domain; // failure domain of this process
+  // The folder does not survive the process. The replica then never votes: a
+  // restarted replica that has forgotten its vote could vote twice in a term.
+  bool m_diskless = false;
   std::vector<std::string> m_initialMembers; // names of the initial members
   // This replica may bootstrap the group together with the other initial
   // members. False for a replica that joins an existing group: it waits until
   // it is admitted.
+  // With a diskless initial member it must be false after the first start;
+  // otherwise the lost disks of the others alone look like a new group.
   bool m_mayBootstrap = true;
   // 0 for a static membership: the processes named in m_initialMembers are the
   // members, and all of them vote. Otherwise the membership is dynamic: any
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -18,6 +18,9 @@
 // there are fewer voters than the target. A voter that has been silent for
 // m_replaceAfter is removed if a caught-up learner can replace it. A removed
 // replica that returns becomes a learner again.
+//
+// A replica without a durable disk stays a learner. When it is an initial
+// member, the others form the group without it; at least one must have a disk.
 #include <algorithm>
 #include <set>
 
@@ -38,6 +41,9 @@
 // with fewer voters than the target. Joining takes some heartbeats; the group
 // of a deployment with too few hosts serves after this time.
 constexpr base::Millis kGrowthTimeout{ 2000 };
+// Members up to which replicas without a disk are admitted; the other seats are
+// left to replicas that can vote.
+constexpr size_t kMaxDisklessMembers = 8;
 // A silent learner is removed after this many times m_replaceAfter.
 constexpr int64_t kLearnerSilenceFactor = 4;
 
@@ -52,6 +58,7 @@
   hello.m_stage = m_hardState.m_stage;
   hello.m_members = m_hardState.m_initialMembers;
   hello.m_domain = m_options.m_domain;
+  hello.m_diskless = m_options.m_diskless;
   if (aIsReply && m_options.m_targetVoters > 0) {
     hello.m_data = m_leader;
   }
@@ -90,29 +97,40 @@
   AdvanceBootstrap();
 }
 
+// What the other replicas should know of this one.
+Replica
+RaftCore::Self() const
+{
+  return { m_options.m_name,
+           m_options.m_identity,
+           !m_options.m_diskless,
+           m_options.m_domain,
+           m_options.m_diskless };
+}
+
 // Prepares the initial membership once all initial members are known to be
 // empty, and activates it once all of them have prepared it.
 void
 RaftCore::AdvanceBootstrap()
 {
-  m_emptyMembers[m_options.m_name] = {
-    m_options.m_name, m_options.m_identity, true, m_options.m_domain
-  };
+  m_emptyMembers[m_options.m_name] = Self();
   const bool initial = std::count(m_options.m_initialMembers.begin(),
                                   m_options.m_initialMembers.end(),
                                   m_options.m_name) > 0;
   if (m_hardState.m_stage == Stage::Empty && initial &&
-      m_options.m_mayBootstrap &&
+      m_options.m_mayBootstrap && !m_options.m_diskless &&
       m_emptyMembers.size() == m_options.m_initialMembers.size()) {
     for (const auto& [name, replica] : m_emptyMembers) {
-      m_hardState.m_initialMembers.push_back(replica);
+      if (!replica.m_diskless) {
+        m_hardState.m_initialMembers.push_back(replica);
+      }
     }
     EnterStage(Stage::Prepared);
     SendHellos();
   }
   if (m_hardState.m_stage == Stage::Prepared) {
     m_preparedMembers.insert(m_options.m_name);
-    if (m_preparedMembers.size() == m_options.m_initialMembers.size()) {
+    if (m_preparedMembers.size() == m_hardState.m_initialMembers.size()) {
       Activate();
     }
   }
@@ -142,14 +160,20 @@
 void
 RaftCore::OnHelloReply(const std::string& aFrom, const Message& aMessage)
 {
-  const Replica self{
-    m_options.m_name, m_options.m_identity, true, m_options.m_domain
-  };
-  const Replica sender{ aFrom, aMessage.m_from, true, aMessage.m_domain };
+  const Replica self = Self();
+  const Replica sender{ aFrom,
+                        aMessage.m_from,
+                        !aMessage.m_diskless,
+                        aMessage.m_domain,
+                        aMessage.m_diskless };
   const auto& members = aMessage.m_members;
   const bool includesThis =
     std::count(members.begin(), members.end(), self) > 0;
-  if (aMessage.m_stage == Stage::Active) {
+  if (aMessage.m_diskless) {
+    // It prepares nothing. The others form the group without it.
+    m_emptyMembers[aFrom] = sender;
+    AdvanceBootstrap();
+  } else if (aMessage.m_stage == Stage::Active) {
     m_emptyMembers.erase(aFrom);
     if (includesThis) {
       m_hardState.m_initialMembers = members;
@@ -210,7 +234,9 @@
                                  const Message& aMessage,
                                  TimePoint aNow)
 {
-  const Replica joining{ aName, aMessage.m_from, false, aMessage.m_domain };
+  const Replica joining{
+    aName, aMessage.m_from, false, aMessage.m_domain, aMessage.m_diskless
+  };
   if (aName == m_options.m_name || m_peers.count(joining.m_identity) > 0) {
     return;
   }
@@ -221,8 +247,8 @@
       m_admissionRequests[aName] = joining;
     }
   }
-  if (!hasMember && m_options.m_targetVoters > 0 &&
-      Members().size() < kMaxMembers) {
+  const size_t seats = joining.m_diskless ? kMaxDisklessMembers : kMaxMembers;
+  if (!hasMember && m_options.m_targetVoters > 0 && Members().size() < seats) {
     m_admissionRequests[aName] = joining;
   }
 }
@@ -355,8 +381,8 @@
          CountCaughtUp(aNow) == voters;
 }
 
-// The learners that may get a vote: they hold all committed entries, answer, and
-// no earlier replica of the same process votes.
+// The learners that may get a vote: they hold all committed entries, answer,
+// and no earlier replica of the same process votes.
 std::set<uint64_t>
 RaftCore::ReadyLearners(TimePoint aNow) const
 {
@@ -369,8 +395,9 @@
   std::set<uint64_t> ready;
   for (const Replica& replica : Members()) {
     const auto peer = m_peers.find(replica.m_identity);
-    if (!replica.m_voter && voters.count(replica.m_name) == 0 &&
-        peer != m_peers.end() && IsCaughtUp(peer->second, aNow)) {
+    if (!replica.m_voter && !replica.m_diskless &&
+        voters.count(replica.m_name) == 0 && peer != m_peers.end() &&
+        IsCaughtUp(peer->second, aNow)) {
       ready.insert(replica.m_identity);
     }
   }
@@ -416,7 +443,9 @@
       return next;
     }
     const auto peer = m_peers.find(learner.m_identity);
-    if (peer != m_peers.end() && IsCaughtUp(peer->second, aNow)) {
+    // A host that came back without a disk leaves the seat to another one.
+    if (peer != m_peers.end() && !learner.m_diskless &&
+        IsCaughtUp(peer->second, aNow)) {
       next.erase(oldVoter);
       return next;
     }
--- a/chivefront/consensus/raft_driver.cc
+++ b/chivefront/consensus/raft_driver.cc
@@ -57,6 +57,7 @@
   CoreOptions options;
   options.m_name = m_options.m_name;
   options.m_domain = m_options.m_domain;
+  options.m_diskless = m_options.m_diskless;
   options.m_identity = state->m_identity;
   options.m_initialMembers = m_options.m_initialMembers;
   options.m_mayBootstrap = m_options.m_mayBootstrap;
--- a/chivefront/consensus/raft_generated.hpp
+++ b/chivefront/consensus/raft_generated.hpp
@@ -255,6 +255,7 @@
   uint64_t identity = 0;
   bool voter = false;
   std::string domain{};
+  bool diskless = false;
 };
 
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -265,7 +266,8 @@
     VT_NAME = 4,
     VT_IDENTITY = 6,
     VT_VOTER = 8,
-    VT_DOMAIN = 10
+    VT_DOMAIN = 10,
+    VT_DISKLESS = 12
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -279,6 +281,9 @@
   const flatbuffers::String *domain() const {
     return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
   }
+  bool diskless() const {
+    return GetField<uint8_t>(VT_DISKLESS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -287,6 +292,7 @@
            VerifyField<uint8_t>(verifier, VT_VOTER, 1) &&
            VerifyOffset(verifier, VT_DOMAIN) &&
            verifier.VerifyString(domain()) &&
+           VerifyField<uint8_t>(verifier, VT_DISKLESS, 1) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -310,6 +316,9 @@
   void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
     fbb_.AddOffset(Member::VT_DOMAIN, domain);
   }
+  void add_diskless(bool diskless) {
+    fbb_.AddElement<uint8_t>(Member::VT_DISKLESS, static_cast<uint8_t>(diskless), 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -326,11 +335,13 @@
     flatbuffers::Offset<flatbuffers::String> name = 0,
     uint64_t identity = 0,
     bool voter = false,
-    flatbuffers::Offset<flatbuffers::String> domain = 0) {
+    flatbuffers::Offset<flatbuffers::String> domain = 0,
+    bool diskless = false) {
   MemberBuilder builder_(_fbb);
   builder_.add_identity(identity);
   builder_.add_domain(domain);
   builder_.add_name(name);
+  builder_.add_diskless(diskless);
   builder_.add_voter(voter);
   return builder_.Finish();
 }
@@ -345,7 +356,8 @@
     const char *name = nullptr,
     uint64_t identity = 0,
     bool voter = false,
-    const char *domain = nullptr) {
+    const char *domain = nullptr,
+    bool diskless = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return chivefront::consensus::raft::CreateMember(
@@ -353,7 +365,8 @@
       name__,
       identity,
       voter,
-      domain__);
+      domain__,
+      diskless);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -450,6 +463,7 @@
   std::vector<std::unique_ptr<chivefront::consensus::raft::EntryT>> entries{};
   std::string data{};
   std::string domain{};
+  bool diskless = false;
   MessageT() = default;
   MessageT(const MessageT &o);
   MessageT(MessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -477,7 +491,8 @@
     VT_MEMBERS = 30,
     VT_ENTRIES = 32,
     VT_DATA = 34,
-    VT_DOMAIN = 36
+    VT_DOMAIN = 36,
+    VT_DISKLESS = 38
   };
   chivefront::consensus::raft::MessageKind kind() const {
     return static_cast<chivefront::consensus::raft::MessageKind>(GetField<uint8_t>(VT_KIND, 0));
@@ -530,6 +545,9 @@
   const flatbuffers::String *domain() const {
     return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
   }
+  bool diskless() const {
+    return GetField<uint8_t>(VT_DISKLESS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -555,6 +573,7 @@
            verifier.VerifyString(data()) &&
            VerifyOffset(verifier, VT_DOMAIN) &&
            verifier.VerifyString(domain()) &&
+           VerifyField<uint8_t>(verifier, VT_DISKLESS, 1) &&
            verifier.EndTable();
   }
   MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -617,6 +636,9 @@
   void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
     fbb_.AddOffset(Message::VT_DOMAIN, domain);
   }
+  void add_diskless(bool diskless) {
+    fbb_.AddElement<uint8_t>(Message::VT_DISKLESS, static_cast<uint8_t>(diskless), 0);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -646,7 +668,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::consensus::raft::Member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::consensus::raft::Entry>>> entries = 0,
     flatbuffers::Offset<flatbuffers::String> data = 0,
-    flatbuffers::Offset<flatbuffers::String> domain = 0) {
+    flatbuffers::Offset<flatbuffers::String> domain = 0,
+    bool diskless = false) {
   MessageBuilder builder_(_fbb);
   builder_.add_hint(hint);
   builder_.add_round(round);
@@ -660,6 +683,7 @@
   builder_.add_data(data);
   builder_.add_entries(entries);
   builder_.add_members(members);
+  builder_.add_diskless(diskless);
   builder_.add_stage(stage);
   builder_.add_forced(forced);
   builder_.add_rejected(rejected);
@@ -691,7 +715,8 @@
     const std::vector<flatbuffers::Offset<chivefront::consensus::raft::Member>> *members = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::consensus::raft::Entry>> *entries = nullptr,
     const char *data = nullptr,
-    const char *domain = nullptr) {
+    const char *domain = nullptr,
+    bool diskless = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Member>>(*members) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Entry>>(*entries) : 0;
   auto data__ = data ? _fbb.CreateString(data) : 0;
@@ -714,7 +739,8 @@
       members__,
       entries__,
       data__,
-      domain__);
+      domain__,
+      diskless);
 }
 
 flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1084,6 +1110,7 @@
   { auto _e = identity(); _o->identity = _e; }
   { auto _e = voter(); _o->voter = _e; }
   { auto _e = domain(); if (_e) _o->domain = _e->str(); }
+  { auto _e = diskless(); _o->diskless = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1098,12 +1125,14 @@
   auto _identity = _o->identity;
   auto _voter = _o->voter;
   auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
+  auto _diskless = _o->diskless;
   return chivefront::consensus::raft::CreateMember(
       _fbb,
       _name,
       _identity,
       _voter,
-      _domain);
+      _domain,
+      _diskless);
 }
 
 inline MembershipT::MembershipT(const MembershipT &o) {
@@ -1157,7 +1186,8 @@
         hint(o.hint),
         stage(o.stage),
         data(o.data),
-        domain(o.domain) {
+        domain(o.domain),
+        diskless(o.diskless) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new chivefront::consensus::raft::MemberT(*members_) : nullptr); }
   entries.reserve(o.entries.size());
@@ -1182,6 +1212,7 @@
   std::swap(entries, o.entries);
   std::swap(data, o.data);
   std::swap(domain, o.domain);
+  std::swap(diskless, o.diskless);
   return *this;
 }
 
@@ -1211,6 +1242,7 @@
   { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<chivefront::consensus::raft::EntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = data(); if (_e) _o->data = _e->str(); }
   { auto _e = domain(); if (_e) _o->domain = _e->str(); }
+  { auto _e = diskless(); _o->diskless = _e; }
 }
 
 inline flatbuffers::Offset<Message> Message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1238,6 +1270,7 @@
   auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Entry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _data = _o->data.empty() ? 0 : _fbb.CreateString(_o->data);
   auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
+  auto _diskless = _o->diskless;
   return chivefront::consensus::raft::CreateMessage(
       _fbb,
       _kind,
@@ -1256,7 +1289,8 @@
       _members,
       _entries,
       _data,
-      _domain);
+      _domain,
+      _diskless);
 }
 
 inline LogRecordT::LogRecordT(const LogRecordT &o)
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -27,6 +27,9 @@
       domain != m_layout.m_domains.end()) {
     options.m_domain = domain->second;
   }
+  options.m_diskless = m_layout.m_diskless.count(aName) > 0;
+  options.m_mayBootstrap =
+    m_layout.m_diskless.empty() || m_hosts.at(aName).m_starts == 0;
   options.m_replaceAfter = base::Millis(1500);
   options.m_fastFirstElection = isDynamic;
   // Small limits, so that short runs start new segments, compact the log and
@@ -129,6 +132,9 @@
 Simulation::Restart(const std::string& aName)
 {
   Host& host = m_hosts.at(aName);
+  if (m_layout.m_diskless.count(aName) > 0) {
+    host.m_disk = std::make_unique<MemoryDisk>();
+  }
   host.m_machine = std::make_unique<RecordingMachine>();
   host.m_machine->m_owner = this;
   host.m_driver = std::make_unique<RaftDriver>(
@@ -146,6 +152,7 @@
     host.m_driver.reset();
     return;
   }
+  ++host.m_starts;
   host.m_identity = host.m_driver->Raft().Identity();
   host.m_checkedIndex = host.m_driver->Raft().CommitIndex();
 }
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -20,6 +20,9 @@
 {
   uint32_t m_targetVoters = 0; // 0: as many as there are initial members
   std::map<std::string, std::string> m_domains; // failure domains by host
+  // Hosts without a durable disk: each start begins with an empty folder. With
+  // such hosts, only the first start of a host may bootstrap the group.
+  std::set<std::string> m_diskless;
 };
 
 class Simulation
@@ -111,6 +114,7 @@
     std::unique_ptr<RecordingMachine> m_machine;
     std::unique_ptr<RaftDriver> m_driver; // null while down
     uint64_t m_identity = 0;
+    uint64_t m_starts = 0;
     uint64_t m_checkedIndex = 0; // last committed entry that was compared
   };
   struct InFlightMessage
--- a/chivefront/consensus/tolerance_test.cc
+++ b/chivefront/consensus/tolerance_test.cc
@@ -43,6 +43,13 @@
   return names;
 }
 
+bool
+IsVoter(Simulation& aSimulation, const std::string& aName)
+{
+  const std::vector<std::string> voters = Voters(aSimulation);
+  return std::count(voters.begin(), voters.end(), aName) > 0;
+}
+
 // All hosts lose power at once; those of aLost come back with empty disks.
 void
 LosePower(Simulation& aSimulation, const std::vector<std::string>& aLost)
@@ -128,8 +135,8 @@
 BOOST_AUTO_TEST_CASE(LossOfADomainLeavesAMajority)
 {
   SimulationLayout layout = FiveVoters();
-  layout.m_domains = { { "a", "one" }, { "b", "one" },   { "c", "one" },
-                       { "d", "one" }, { "e", "two" },   { "f", "two" },
+  layout.m_domains = { { "a", "one" }, { "b", "one" },  { "c", "one" },
+                       { "d", "one" }, { "e", "two" },  { "f", "two" },
                        { "g", "two" }, { "h", "three" } };
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     Simulation simulation(seed, kSeedHosts, kJoiningHosts, layout);
@@ -144,3 +151,27 @@
     BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
   }
 }
+
+// Guards against a vote of a process without a disk: after a restart it has
+// forgotten the vote and all entries that it acknowledged. Here one initial
+// member and two hosts that join have no disk.
+BOOST_AUTO_TEST_CASE(HostsWithoutDiskNeverVote)
+{
+  SimulationLayout layout = FiveVoters();
+  layout.m_diskless = { "b", "d", "e" };
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, layout);
+    simulation.Run(kStartMillis);
+    BOOST_TEST(Voters(simulation).size() == kTargetVoters, "seed " << seed);
+    for (const std::string& name : layout.m_diskless) {
+      BOOST_TEST(!IsVoter(simulation, name), "seed " << seed);
+    }
+    BOOST_REQUIRE(AcknowledgeWrite(simulation));
+    std::vector<std::string> voters = Voters(simulation);
+    std::shuffle(voters.begin(), voters.end(), simulation.Random());
+    LosePower(simulation, { voters[0], voters[1] });
+    simulation.Run(kRecoveryMillis);
+    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+  }
+}
--- a/chivefront/consensus/types.h
+++ b/chivefront/consensus/types.h
@@ -74,7 +74,10 @@
   Membership m_members;
   std::vector<Entry> m_entries;
   std::string m_data;
-  std::string m_domain; // Hello and Vote: failure domain of the sender
+  // Hello and Vote: failure domain of the sender, and whether it has no durable
+  // disk.
+  std::string m_domain;
+  bool m_diskless = false;
 };
 
 inline bool
--- a/chivefront/consensus/voter_choice_test.cc
+++ b/chivefront/consensus/voter_choice_test.cc
@@ -40,10 +40,9 @@
 // in another one could vote.
 BOOST_AUTO_TEST_CASE(CrowdedDomainGivesUpAVoter)
 {
-  const Membership members{ Voter(1, "a"),
-                            Voter(2, "a"),
-                            Voter(3, "b"),
-                            Learner(4, "c") };
+  const Membership members{
+    Voter(1, "a"), Voter(2, "a"), Voter(3, "b"), Learner(4, "c")
+  };
   BOOST_TEST(ChooseVoterToMove(members, { 4 }, 3, 1).value() == 1U);
   BOOST_TEST(ChooseVoterToMove(members, { 4 }, 3, 2).value() == 0U);
   // Without a learner that can take the vote, nothing changes.
--- a/chivefront/site/group_reporter.cc
+++ b/chivefront/site/group_reporter.cc
@@ -24,7 +24,9 @@
   for (const consensus::Replica& replica : aStatus.m_replicas) {
     text += text.empty() ? "" : " ";
     text += replica.m_name + "/" + replica.m_domain +
-            (replica.m_voter ? "/voter/" : "/learner/") +
+            (replica.m_voter      ? "/voter/"
+             : replica.m_diskless ? "/diskless/"
+                                  : "/learner/") +
             std::to_string(replica.m_identity);
   }
   return text;
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -114,6 +114,7 @@
     options.m_group = detail::kGroup;
     options.m_name = Name();
     options.m_domain = m_options.m_domain;
+    options.m_diskless = m_options.m_diskless;
     options.m_initialMembers = m_options.m_seeds;
     options.m_mayBootstrap = m_options.m_mayBootstrap;
     options.m_targetVoters = m_options.m_voters;
