Log the shared prompt parts of a failed attempt

Cause: attempt_failed named upstream and outcome only, so a part that crashes upstreams could not be told from load or from retries. Change: attempt_failed tells the shared prompt parts and whether the head had been read.

--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -25,6 +25,17 @@
 // If a timer fires later than this, the process itself was stalled.
 constexpr base::Millis kLateTimerThreshold{ 150 };
 
+// The ids of the parts of the prompt that other requests may share.
+std::string
+JoinSharedParts(const RequestMetadata& aMetadata)
+{
+  std::string ids;
+  for (size_t i = 0; i + 1 < aMetadata.m_promptParts.size(); ++i) {
+    ids += (ids.empty() ? "" : ",") + aMetadata.m_promptParts[i].m_id;
+  }
+  return ids;
+}
+
 } // namespace detail
 
 // How long to wait for the head of a response before another upstream is tried.
@@ -204,6 +215,8 @@
       { "model", CurrentModel() },
       { "send", static_cast<uint64_t>(m_sendCount) },
       { "took_ms", (m_shared.m_clock.Now() - m_sentAt).Count() },
+      { "head", m_headReceivedAt != base::TimePoint() ? "read" : "awaited" },
+      { "shared_parts", detail::JoinSharedParts(m_metadata) },
       { "last_event", m_eventSplitter.LastId().value_or(0) } });
 }
 
