--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -40,12 +40,17 @@
               m_upstreams,
               aHeaderCodec,
               m_rolloutEvidence,
+              m_partEvidence,
               aLog,
               m_metrics,
               m_options.m_domain,
               m_options.m_retryBudget }
 {
   aWatch.SetEvidenceSource([this] { return m_rolloutEvidence.Rows(); });
+  aWatch.SetPartReportSource(
+    [this](const std::set<routing::PartKey>& aSuspects) {
+      return m_partEvidence.Report(aSuspects, m_shared.m_clock.Now());
+    });
 }
 
 Entry::~Entry() = default;
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -107,10 +107,44 @@
   m_deadline = m_receivedAt + RequestTimeout(*m_route);
   m_service = m_config->FindService(
     routing::ChooseService(*m_route, m_metadata.m_attemptId));
+  for (size_t i = 0; i + 1 < m_metadata.m_promptParts.size(); ++i) {
+    m_sharedParts.push_back(routing::MakePartKey(
+      m_service->m_name, m_metadata.m_promptParts[i].m_id));
+  }
+  if (co_await RefuseQuarantined()) {
+    co_return false;
+  }
   m_shared.RetryBudgetOf(m_service->m_name).OnFirstAttempt(m_receivedAt);
   co_return true;
 }
 
+bool
+Exchange::HasQuarantinedPart() const
+{
+  const auto& quarantined = m_shared.m_watch.View().m_quarantinedParts;
+  return std::any_of(
+    m_sharedParts.begin(), m_sharedParts.end(), [&](routing::PartKey aPart) {
+      return quarantined.count(aPart) > 0;
+    });
+}
+
+// Ends a request whose prompt has a part that crashes upstreams. Another
+// attempt of the caller would be refused as well, so no retry is suggested.
+net::Task<bool>
+Exchange::RefuseQuarantined()
+{
+  constexpr char kReason[] = "prompt_part_quarantined";
+  if (!HasQuarantinedPart()) {
+    co_return false;
+  }
+  if (m_caller->ResponseStarted() || m_mayHaveRun) {
+    co_await Fail(502, kReason);
+  } else {
+    co_await Refuse(503, kReason, base::Millis(0));
+  }
+  co_return true;
+}
+
 void
 Exchange::StartMonitoring()
 {
@@ -302,6 +336,9 @@
       break;
     }
     retry = co_await HandleResult(std::move(result));
+    if (retry && co_await RefuseQuarantined()) {
+      break;
+    }
   }
 }
 
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -82,6 +82,8 @@
 
   net::Task<void> WaitForConfiguration();
   net::Task<bool> ResolveRoute();
+  net::Task<bool> RefuseQuarantined();
+  bool HasQuarantinedPart() const;
   net::Task<void> RunAttempts();
   net::Task<void> RespondToAbort();
   bool MayWaitForUpstream(NoUpstreamReason aReason,
@@ -131,6 +133,8 @@
     const Upstream& aUpstream);
   UpstreamCriteria Criteria() const;
   void RecordPromptParts(Upstream& aUpstream) const;
+  void RecordAnswerBegun();
+  void RecordConnectionLost(Upstream& aUpstream);
   void RecordBytesReceived(Upstream& aUpstream);
   void EndHeadWait(Upstream& aUpstream);
   void RecordHeadLatency(Upstream& aUpstream);
@@ -166,6 +170,8 @@
   std::vector<std::string> m_triedUpstreams;
   std::string m_lastUpstream;
   size_t m_modelIndex = 0; // index into the route's models
+  // Parts of the prompt that other requests may share.
+  std::vector<routing::PartKey> m_sharedParts;
   EventSplitter m_eventSplitter;
   // Response of the last attempt that ended with UpstreamError.
   std::optional<UpstreamError> m_upstreamError;
@@ -176,9 +182,13 @@
   base::TimePoint m_silentSince;
   bool m_writingToCaller = false; // the upstream is not read meanwhile
   base::Millis m_headTimeout;     // of the running attempt
-  int m_responseStatus = 0;       // of the running attempt
-  uint64_t m_chunkCount = 0;      // of the running attempt's stream
-  base::TimePoint m_firstSentAt;  // first bytes of the response to the caller
+  // The running attempt was left by this process, as its upstream was silent.
+  bool m_leftUpstream = false;
+  // The upstream of the running attempt sent an event or a whole body.
+  bool m_answerBegun = false;
+  int m_responseStatus = 0;      // of the running attempt
+  uint64_t m_chunkCount = 0;     // of the running attempt's stream
+  base::TimePoint m_firstSentAt; // first bytes of the response to the caller
   base::TimePoint m_lastSentAt;
   base::Millis m_longestPause; // between writes to the caller
   // The running attempt took much longer than usual.
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -67,6 +67,8 @@
 Exchange::RunAttempt(UpstreamPointer aUpstream)
 {
   ++m_attemptCount;
+  m_leftUpstream = false;
+  m_answerBegun = false;
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_triedUpstreams.push_back(m_lastUpstream);
   aUpstream->m_estimate.OnSent();
@@ -134,6 +136,7 @@
     if (base::KindOf(status) == base::ErrorKind::NoUpstream) {
       co_return NotRun{ "send: " + std::string(base::MessageOf(status)) };
     }
+    RecordConnectionLost(*aUpstream);
     co_return OutcomeUnknown{ std::string(base::MessageOf(status)) };
   }
   co_return co_await HandleResponse(*aUpstream);
@@ -265,6 +268,7 @@
         m_caller->Close();
         co_return Aborted{};
       }
+      RecordConnectionLost(aUpstream);
       co_return OutcomeUnknown{ std::string(base::MessageOf(chunk.status())) };
     }
     if (chunk->empty()) {
@@ -285,6 +289,7 @@
   const bool succeeded =
     m_responseStatus < static_cast<int>(detail::kFirstServerError);
   RecordOutcome(aUpstream, succeeded);
+  RecordAnswerBegun();
   if (!succeeded && !streaming) {
     co_return UpstreamError{ m_responseStatus,
                              std::move(aHead),
@@ -315,6 +320,7 @@
       aUpstream.m_estimate.OnFailure(m_shared.m_clock.Now());
       m_shared.m_rolloutEvidence.Record(
         m_service->m_name, aUpstream.m_instance.m_version, false);
+      RecordConnectionLost(aUpstream);
       co_return StreamTruncated{ std::string(base::MessageOf(chunk.status())) };
     }
     if (chunk->empty()) {
@@ -326,6 +332,7 @@
     if (events.empty()) {
       continue;
     }
+    RecordAnswerBegun();
     running.Pause();
     const absl::Status written =
       co_await WriteToCaller(aHead, std::move(events));
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -2,6 +2,7 @@
 // connection to an upstream that stalls.
 #include <algorithm>
 
+#include "chivefront/base/ids.h"
 #include "chivefront/proxy/exchange.h"
 #include "chivefront/proxy/retry_after.h"
 #include "chivefront/routing/silence.h"
@@ -104,6 +105,7 @@
       { "waited_ms", (now - m_sentAt).Count() },
       { "silent_ms", (now - m_silentSince).Count() },
       { "heard_ms", (now - estimate.LastReceivedAt()).Count() } });
+  m_leftUpstream = true;
   m_connection->Close();
 }
 
@@ -201,6 +203,33 @@
   }
 }
 
+void
+Exchange::RecordAnswerBegun()
+{
+  if (!m_answerBegun) {
+    m_answerBegun = true;
+    m_shared.m_partEvidence.OnBegun(m_sharedParts, m_shared.m_clock.Now());
+  }
+}
+
+// Records an upstream that closed the connection before it began to answer. A
+// part of the prompt may have crashed it.
+void
+Exchange::RecordConnectionLost(Upstream& aUpstream)
+{
+  if (m_answerBegun || m_leftUpstream) {
+    return;
+  }
+  const routing::Instance& instance = aUpstream.m_instance;
+  m_shared.m_partEvidence.OnLoss(
+    { base::StableHash(instance.m_id, instance.m_born),
+      base::StableHash(m_metadata.m_attemptId),
+      m_headReceivedAt != base::TimePoint(),
+      m_sentAt,
+      m_shared.m_clock.Now() },
+    m_sharedParts);
+}
+
 void
 Exchange::LogFailedAttempt(std::string_view aResult,
                            std::string_view aReason) const
--- a/chivefront/proxy/proxy_test.cc
+++ b/chivefront/proxy/proxy_test.cc
@@ -237,3 +237,41 @@
     BOOST_TEST(m_far.m_requests.empty(), head);
   }
 }
+
+// Guards against upstreams that one prompt part crashes one after the other:
+// entries sent requests with the part on after it was known. The last part
+// belongs to the request itself and is never quarantined.
+BOOST_FIXTURE_TEST_CASE(QuarantinedPromptPartIsRefused, RunningEntry)
+{
+  Quarantine("x");
+  const std::string refused =
+    Call(MakeRequest("stream", "Model: any\r\nParts: axz\r\n"));
+  BOOST_TEST(Contains(refused, "HTTP/1.1 503 "));
+  BOOST_TEST(Contains(refused, "prompt_part_quarantined"));
+  BOOST_TEST(!Contains(refused, "Retry-After"));
+  BOOST_TEST(m_near.m_requests.empty());
+  const std::string event = kStreamHead + Chunk("id: 1\ndata: a\n\n");
+  for (const char* parts : { "ayz", "ayx" }) {
+    m_near.AddScript(event + "0\r\n\r\n");
+    const std::string answer = Call(MakeRequest(
+      "stream", "Model: any\r\nParts: " + std::string(parts) + "\r\n"));
+    BOOST_TEST(Contains(answer, "data: a"), parts);
+  }
+}
+
+// Guards against further upstreams that a request crashes although its part
+// became known while the request was running.
+BOOST_FIXTURE_TEST_CASE(QuarantineEndsRunningRequest, RunningEntry)
+{
+  const std::string pause = kPauseWriting;
+  m_near.AddScript(kStreamHead + pause + kCloseConnection);
+  net::Spawn(
+    m_context.get_executor(), "quarantine", [this]() -> net::Task<void> {
+      co_await net::Sleep(base::Millis(100));
+      Quarantine("x");
+    });
+  const std::string answer =
+    Call(MakeRequest("stream", "Model: any\r\nParts: axz\r\n"));
+  BOOST_TEST(Contains(answer, "HTTP/1.1 502 "));
+  BOOST_TEST(m_far.m_requests.empty());
+}
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -12,6 +12,7 @@
 #include "chivefront/proxy/upstreams.h"
 #include "chivefront/routing/budget.h"
 #include "chivefront/routing/latency_baselines.h"
+#include "chivefront/routing/part_evidence.h"
 #include "chivefront/site/watch.h"
 
 namespace chivefront::proxy {
@@ -100,6 +101,7 @@
   Upstreams& m_upstreams;
   const HeaderCodec& m_headerCodec;
   RolloutEvidence& m_rolloutEvidence;
+  routing::PartEvidence& m_partEvidence;
   base::DecisionLog& m_log;
   RequestMetrics& m_metrics;
   const std::string m_domain; // failure domain of this entry
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -38,6 +38,10 @@
     metadata.m_timeout = base::Millis(ToNumber(Get(aFields, "Patience"), 3000));
     metadata.m_model = Get(aFields, "Model");
     metadata.m_anyModel = metadata.m_model == "any";
+    // "Parts" has one letter for each part of the prompt.
+    for (const char part : Get(aFields, "Parts")) {
+      metadata.m_promptParts.push_back({ std::string(1, part), 1 });
+    }
     return metadata;
   }
   bool IsReserved(std::string_view aName) const override
@@ -269,6 +273,17 @@
     m_watch.Accept(reply);
   }
 
+  // Makes the entry refuse requests whose prompt has the part.
+  void Quarantine(const std::string& aPartId)
+  {
+    wire::WatchReplyT reply;
+    auto row = std::make_unique<wire::QuarantinedPartT>();
+    row->part = routing::MakePartKey("app", aPartId);
+    row->remaining_ms = 60000;
+    reply.quarantined_parts.push_back(std::move(row));
+    m_watch.Accept(reply);
+  }
+
   void RunFor(int64_t aMillis)
   {
     m_context.restart();
--- a/chivefront/site/messages.cc
+++ b/chivefront/site/messages.cc
@@ -171,4 +171,78 @@
   return absl::OkStatus();
 }
 
+namespace {
+
+uint32_t
+AgeMillis(base::TimePoint aTime, base::TimePoint aNow)
+{
+  return static_cast<uint32_t>(std::max<int64_t>(0, (aNow - aTime).Count()));
+}
+
+} // namespace
+
+void
+AddPartReport(const routing::PartReport& aReport,
+              base::TimePoint aNow,
+              wire::WatchRequestT& aRequest)
+{
+  for (const routing::PartLoss& loss : aReport.m_losses) {
+    auto row = std::make_unique<wire::PartLossT>();
+    row->part = loss.m_part;
+    row->upstream = loss.m_attempt.m_upstream;
+    row->request = loss.m_attempt.m_request;
+    row->head_read = loss.m_attempt.m_headRead;
+    row->sent_age_ms = AgeMillis(loss.m_attempt.m_sentAt, aNow);
+    row->lost_age_ms = AgeMillis(loss.m_attempt.m_lostAt, aNow);
+    aRequest.part_losses.push_back(std::move(row));
+  }
+  for (const auto& [part, begunAt] : aReport.m_begun) {
+    auto row = std::make_unique<wire::PartBegunT>();
+    row->part = part;
+    row->age_ms = AgeMillis(begunAt, aNow);
+    aRequest.parts_begun.push_back(std::move(row));
+  }
+}
+
+routing::PartReport
+ReadPartReport(const wire::WatchRequestT& aRequest, base::TimePoint aNow)
+{
+  routing::PartReport report;
+  for (const auto& row : aRequest.part_losses) {
+    const routing::LostAttempt attempt{ row->upstream,
+                                        row->request,
+                                        row->head_read,
+                                        aNow - base::Millis(row->sent_age_ms),
+                                        aNow - base::Millis(row->lost_age_ms) };
+    report.m_losses.push_back({ row->part, attempt });
+  }
+  for (const auto& row : aRequest.parts_begun) {
+    report.m_begun[row->part] = aNow - base::Millis(row->age_ms);
+  }
+  return report;
+}
+
+QuarantinedRows
+ToWire(const routing::QuarantinedParts& aParts, base::TimePoint aNow)
+{
+  QuarantinedRows rows;
+  for (const auto& [part, until] : aParts) {
+    auto row = std::make_unique<wire::QuarantinedPartT>();
+    row->part = part;
+    row->remaining_ms = AgeMillis(aNow, until);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+routing::QuarantinedParts
+FromWire(const QuarantinedRows& aRows, base::TimePoint aNow)
+{
+  routing::QuarantinedParts parts;
+  for (const auto& row : aRows) {
+    parts[row->part] = aNow + base::Millis(row->remaining_ms);
+  }
+  return parts;
+}
+
 } // namespace chivefront::site
--- a/chivefront/site/messages.h
+++ b/chivefront/site/messages.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "chivefront/routing/part_quarantine.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/site/store.h"
 #include "chivefront/wire/protocol_generated.hpp"
@@ -34,4 +35,19 @@
 absl::Status
 FromEntries(const ConfigEntries& aEntries, base::TimePoint aNow, State& aState);
 
+// Adds what an entry has seen of prompt parts to a poll, and reads it.
+void
+AddPartReport(const routing::PartReport& aReport,
+              base::TimePoint aNow,
+              wire::WatchRequestT& aRequest);
+routing::PartReport
+ReadPartReport(const wire::WatchRequestT& aRequest, base::TimePoint aNow);
+
+using QuarantinedRows = std::vector<std::unique_ptr<wire::QuarantinedPartT>>;
+
+QuarantinedRows
+ToWire(const routing::QuarantinedParts& aParts, base::TimePoint aNow);
+routing::QuarantinedParts
+FromWire(const QuarantinedRows& aRows, base::TimePoint aNow);
+
 } // namespace chivefront::site
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -130,6 +130,9 @@
   void OnWatch(const net::Link::Pointer& aLink,
                uint64_t aCorrelation,
                const wire::WatchRequestT& aRequest);
+  void AnswerPartReport(const wire::WatchRequestT& aRequest,
+                        base::TimePoint aNow,
+                        wire::WatchReplyT& aReply);
   void OnAnnounce(const wire::AnnounceRequestT& aRequest);
   void Broadcast(const routing::Instance& aRecord);
   std::set<std::string> OtherControlProcesses() const;
@@ -157,6 +160,7 @@
   const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
   routing::Registry m_registry;
   control::WatcherTable m_watchers;
+  routing::PartQuarantine m_partQuarantine;
   bool m_stopped = false;
 };
 
@@ -219,9 +223,30 @@
     reply.upstreams.push_back(
       std::make_unique<wire::UpstreamInfoT>(ToWire(instance, now)));
   }
+  AnswerPartReport(aRequest, now, reply);
   (void)aLink->Reply(aCorrelation, std::move(reply));
 }
 
+// All entries poll the leader, so it sees all losses. The entries repeat what
+// is quarantined, so that a new leader knows it too.
+void
+Node::Impl::AnswerPartReport(const wire::WatchRequestT& aRequest,
+                             base::TimePoint aNow,
+                             wire::WatchReplyT& aReply)
+{
+  m_partQuarantine.Adopt(FromWire(aRequest.quarantined_parts, aNow));
+  m_partQuarantine.Record(ReadPartReport(aRequest, aNow));
+  for (const routing::PartKey part : m_partQuarantine.Update(aNow)) {
+    m_log.Record("prompt_part_quarantined",
+                 base::LogCategory::State,
+                 { { "part", part }, { "entry", aRequest.holder } });
+  }
+  for (const routing::PartKey part : m_partQuarantine.Suspects()) {
+    aReply.suspect_parts.push_back(part);
+  }
+  aReply.quarantined_parts = ToWire(m_partQuarantine.Quarantined(), aNow);
+}
+
 void
 Node::Impl::OnAnnounce(const wire::AnnounceRequestT& aRequest)
 {
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -49,6 +49,12 @@
   m_evidence = std::move(aSource);
 }
 
+void
+Watch::SetPartReportSource(PartReportSource aSource)
+{
+  m_partReport = std::move(aSource);
+}
+
 // The name of a control process is its address.
 void
 Watch::Connect(const std::string& aName)
@@ -130,6 +136,11 @@
         std::make_unique<wire::VersionEvidenceT>(std::move(row)));
     }
   }
+  const base::TimePoint now = m_clock.Now();
+  if (m_partReport) {
+    AddPartReport(m_partReport(m_suspectParts), now, request);
+  }
+  request.quarantined_parts = ToWire(m_view.m_quarantinedParts, now);
   return request;
 }
 
@@ -177,6 +188,7 @@
     AcceptState(aReply, now);
   }
   AcceptInstances(aReply, now);
+  AcceptParts(aReply, now);
 }
 
 void
@@ -236,6 +248,20 @@
   m_registrySequence = aReply.registry_sequence;
 }
 
+// A process that has just started to lead does not know all quarantined parts,
+// so a part that is missing in an answer stays.
+void
+Watch::AcceptParts(const wire::WatchReplyT& aReply, base::TimePoint aNow)
+{
+  m_suspectParts = { aReply.suspect_parts.begin(), aReply.suspect_parts.end() };
+  for (const auto& [part, until] : FromWire(aReply.quarantined_parts, aNow)) {
+    base::TimePoint& known = m_view.m_quarantinedParts[part];
+    known = std::max(known, until);
+  }
+  std::erase_if(m_view.m_quarantinedParts,
+                [aNow](const auto& aPart) { return aPart.second <= aNow; });
+}
+
 void
 Watch::AcceptMembers(const wire::WatchReplyT& aReply)
 {
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -21,6 +21,7 @@
 #include "chivefront/base/decision_log.h"
 #include "chivefront/net/link.h"
 #include "chivefront/routing/config.h"
+#include "chivefront/routing/part_quarantine.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/site/store.h"
 
@@ -37,6 +38,8 @@
   uint32_t m_liveEntries = 1;         // entries that share global bounds
   base::TimePoint m_leaderAnsweredAt; // last answer from a leader
   base::TimePoint m_configuredAt;     // when the first configuration came
+  // Requests with these prompt parts are refused until the time given.
+  routing::QuarantinedParts m_quarantinedParts;
 };
 
 class Watch
@@ -46,6 +49,11 @@
   // started.
   using EvidenceSource = std::function<std::vector<wire::VersionEvidenceT>()>;
 
+  // Returns what the entry has seen of prompt parts; the argument names parts
+  // that other entries suspect.
+  using PartReportSource =
+    std::function<routing::PartReport(const std::set<routing::PartKey>&)>;
+
   Watch(net::asio::io_context& aContext,
         const net::LinkIdentity& aIdentity,
         const std::vector<std::string>& aSeeds,
@@ -54,6 +62,7 @@
         routing::DocumentDecoder aDecoder);
 
   void SetEvidenceSource(EvidenceSource aSource);
+  void SetPartReportSource(PartReportSource aSource);
   // Adds control processes to poll, after a reload of the settings.
   void AddSeeds(const std::vector<std::string>& aNames);
   void Start();
@@ -71,6 +80,7 @@
   void AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptMembers(const wire::WatchReplyT& aReply);
+  void AcceptParts(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void Connect(const std::string& aName);
 
   net::asio::io_context& m_context;
@@ -80,6 +90,8 @@
   const routing::DocumentDecoder m_decoder;
   const std::string m_holder;
   EvidenceSource m_evidence;
+  PartReportSource m_partReport;
+  std::set<routing::PartKey> m_suspectParts; // from the last answer
   WatchView m_view;
   std::map<std::string, std::shared_ptr<net::LinkConnector>> m_controlLinks;
   std::string m_leader;  // from the last answer; empty: unknown
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -56,6 +56,18 @@
 struct HolderReportBuilder;
 struct HolderReportT;
 
+struct PartLoss;
+struct PartLossBuilder;
+struct PartLossT;
+
+struct PartBegun;
+struct PartBegunBuilder;
+struct PartBegunT;
+
+struct QuarantinedPart;
+struct QuarantinedPartBuilder;
+struct QuarantinedPartT;
+
 struct WatchRequest;
 struct WatchRequestBuilder;
 struct WatchRequestT;
@@ -2377,6 +2389,257 @@
 
 flatbuffers::Offset<HolderReport> CreateHolderReport(flatbuffers::FlatBufferBuilder &_fbb, const HolderReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PartLossT : public flatbuffers::NativeTable {
+  typedef PartLoss TableType;
+  uint64_t part = 0;
+  uint64_t upstream = 0;
+  uint64_t request = 0;
+  bool head_read = false;
+  uint32_t sent_age_ms = 0;
+  uint32_t lost_age_ms = 0;
+};
+
+struct PartLoss FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartLossT NativeTableType;
+  typedef PartLossBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_UPSTREAM = 6,
+    VT_REQUEST = 8,
+    VT_HEAD_READ = 10,
+    VT_SENT_AGE_MS = 12,
+    VT_LOST_AGE_MS = 14
+  };
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
+  }
+  uint64_t request() const {
+    return GetField<uint64_t>(VT_REQUEST, 0);
+  }
+  bool head_read() const {
+    return GetField<uint8_t>(VT_HEAD_READ, 0) != 0;
+  }
+  uint32_t sent_age_ms() const {
+    return GetField<uint32_t>(VT_SENT_AGE_MS, 0);
+  }
+  uint32_t lost_age_ms() const {
+    return GetField<uint32_t>(VT_LOST_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REQUEST, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HEAD_READ, 1) &&
+           VerifyField<uint32_t>(verifier, VT_SENT_AGE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LOST_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  PartLossT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PartLossT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PartLoss> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartLossT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PartLossBuilder {
+  typedef PartLoss Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(PartLoss::VT_PART, part, 0);
+  }
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(PartLoss::VT_UPSTREAM, upstream, 0);
+  }
+  void add_request(uint64_t request) {
+    fbb_.AddElement<uint64_t>(PartLoss::VT_REQUEST, request, 0);
+  }
+  void add_head_read(bool head_read) {
+    fbb_.AddElement<uint8_t>(PartLoss::VT_HEAD_READ, static_cast<uint8_t>(head_read), 0);
+  }
+  void add_sent_age_ms(uint32_t sent_age_ms) {
+    fbb_.AddElement<uint32_t>(PartLoss::VT_SENT_AGE_MS, sent_age_ms, 0);
+  }
+  void add_lost_age_ms(uint32_t lost_age_ms) {
+    fbb_.AddElement<uint32_t>(PartLoss::VT_LOST_AGE_MS, lost_age_ms, 0);
+  }
+  explicit PartLossBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PartLoss> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PartLoss>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PartLoss> CreatePartLoss(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint64_t upstream = 0,
+    uint64_t request = 0,
+    bool head_read = false,
+    uint32_t sent_age_ms = 0,
+    uint32_t lost_age_ms = 0) {
+  PartLossBuilder builder_(_fbb);
+  builder_.add_request(request);
+  builder_.add_upstream(upstream);
+  builder_.add_part(part);
+  builder_.add_lost_age_ms(lost_age_ms);
+  builder_.add_sent_age_ms(sent_age_ms);
+  builder_.add_head_read(head_read);
+  return builder_.Finish();
+}
+
+struct PartLoss::Traits {
+  using type = PartLoss;
+  static auto constexpr Create = CreatePartLoss;
+};
+
+flatbuffers::Offset<PartLoss> CreatePartLoss(flatbuffers::FlatBufferBuilder &_fbb, const PartLossT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PartBegunT : public flatbuffers::NativeTable {
+  typedef PartBegun TableType;
+  uint64_t part = 0;
+  uint32_t age_ms = 0;
+};
+
+struct PartBegun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartBegunT NativeTableType;
+  typedef PartBegunBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_AGE_MS = 6
+  };
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  PartBegunT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PartBegunT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PartBegun> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PartBegunBuilder {
+  typedef PartBegun Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(PartBegun::VT_PART, part, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(PartBegun::VT_AGE_MS, age_ms, 0);
+  }
+  explicit PartBegunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PartBegun> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PartBegun>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PartBegun> CreatePartBegun(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint32_t age_ms = 0) {
+  PartBegunBuilder builder_(_fbb);
+  builder_.add_part(part);
+  builder_.add_age_ms(age_ms);
+  return builder_.Finish();
+}
+
+struct PartBegun::Traits {
+  using type = PartBegun;
+  static auto constexpr Create = CreatePartBegun;
+};
+
+flatbuffers::Offset<PartBegun> CreatePartBegun(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuarantinedPartT : public flatbuffers::NativeTable {
+  typedef QuarantinedPart TableType;
+  uint64_t part = 0;
+  uint32_t remaining_ms = 0;
+};
+
+struct QuarantinedPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuarantinedPartT NativeTableType;
+  typedef QuarantinedPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_PART = 4,
+    VT_REMAINING_MS = 6
+  };
+  uint64_t part() const {
+    return GetField<uint64_t>(VT_PART, 0);
+  }
+  uint32_t remaining_ms() const {
+    return GetField<uint32_t>(VT_REMAINING_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_PART, 8) &&
+           VerifyField<uint32_t>(verifier, VT_REMAINING_MS, 4) &&
+           verifier.EndTable();
+  }
+  QuarantinedPartT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuarantinedPartT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuarantinedPart> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPartT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuarantinedPartBuilder {
+  typedef QuarantinedPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_part(uint64_t part) {
+    fbb_.AddElement<uint64_t>(QuarantinedPart::VT_PART, part, 0);
+  }
+  void add_remaining_ms(uint32_t remaining_ms) {
+    fbb_.AddElement<uint32_t>(QuarantinedPart::VT_REMAINING_MS, remaining_ms, 0);
+  }
+  explicit QuarantinedPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuarantinedPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuarantinedPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuarantinedPart> CreateQuarantinedPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t part = 0,
+    uint32_t remaining_ms = 0) {
+  QuarantinedPartBuilder builder_(_fbb);
+  builder_.add_part(part);
+  builder_.add_remaining_ms(remaining_ms);
+  return builder_.Finish();
+}
+
+struct QuarantinedPart::Traits {
+  using type = QuarantinedPart;
+  static auto constexpr Create = CreateQuarantinedPart;
+};
+
+flatbuffers::Offset<QuarantinedPart> CreateQuarantinedPart(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WatchRequestT : public flatbuffers::NativeTable {
   typedef WatchRequest TableType;
   std::string holder{};
@@ -2388,6 +2651,9 @@
   std::vector<std::unique_ptr<chivefront::wire::VersionEvidenceT>> evidence{};
   std::vector<std::unique_ptr<chivefront::wire::HolderReportT>> reports{};
   uint64_t have_number = 0;
+  std::vector<std::unique_ptr<chivefront::wire::PartLossT>> part_losses{};
+  std::vector<std::unique_ptr<chivefront::wire::PartBegunT>> parts_begun{};
+  std::vector<std::unique_ptr<chivefront::wire::QuarantinedPartT>> quarantined_parts{};
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2407,7 +2673,10 @@
     VT_REPORT_SEQUENCE = 14,
     VT_EVIDENCE = 16,
     VT_REPORTS = 18,
-    VT_HAVE_NUMBER = 20
+    VT_HAVE_NUMBER = 20,
+    VT_PART_LOSSES = 22,
+    VT_PARTS_BEGUN = 24,
+    VT_QUARANTINED_PARTS = 26
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -2436,6 +2705,15 @@
   uint64_t have_number() const {
     return GetField<uint64_t>(VT_HAVE_NUMBER, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>> *part_losses() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>> *>(VT_PART_LOSSES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *parts_begun() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *>(VT_PARTS_BEGUN);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *>(VT_QUARANTINED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -2452,6 +2730,15 @@
            verifier.VerifyVector(reports()) &&
            verifier.VerifyVectorOfTables(reports()) &&
            VerifyField<uint64_t>(verifier, VT_HAVE_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_PART_LOSSES) &&
+           verifier.VerifyVector(part_losses()) &&
+           verifier.VerifyVectorOfTables(part_losses()) &&
+           VerifyOffset(verifier, VT_PARTS_BEGUN) &&
+           verifier.VerifyVector(parts_begun()) &&
+           verifier.VerifyVectorOfTables(parts_begun()) &&
+           VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
+           verifier.VerifyVector(quarantined_parts()) &&
+           verifier.VerifyVectorOfTables(quarantined_parts()) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2490,6 +2777,15 @@
   void add_have_number(uint64_t have_number) {
     fbb_.AddElement<uint64_t>(WatchRequest::VT_HAVE_NUMBER, have_number, 0);
   }
+  void add_part_losses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>>> part_losses) {
+    fbb_.AddOffset(WatchRequest::VT_PART_LOSSES, part_losses);
+  }
+  void add_parts_begun(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>>> parts_begun) {
+    fbb_.AddOffset(WatchRequest::VT_PARTS_BEGUN, parts_begun);
+  }
+  void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts) {
+    fbb_.AddOffset(WatchRequest::VT_QUARANTINED_PARTS, quarantined_parts);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2511,13 +2807,19 @@
     uint64_t report_sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>> evidence = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>>> reports = 0,
-    uint64_t have_number = 0) {
+    uint64_t have_number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>>> part_losses = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>>> parts_begun = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_have_revision(have_revision);
+  builder_.add_quarantined_parts(quarantined_parts);
+  builder_.add_parts_begun(parts_begun);
+  builder_.add_part_losses(part_losses);
   builder_.add_reports(reports);
   builder_.add_evidence(evidence);
   builder_.add_holder(holder);
@@ -2540,10 +2842,16 @@
     uint64_t report_sequence = 0,
     const std::vector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> *evidence = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *reports = nullptr,
-    uint64_t have_number = 0) {
+    uint64_t have_number = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::PartLoss>> *part_losses = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *parts_begun = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
+  auto part_losses__ = part_losses ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartLoss>>(*part_losses) : 0;
+  auto parts_begun__ = parts_begun ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartBegun>>(*parts_begun) : 0;
+  auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>(*quarantined_parts) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       holder__,
@@ -2554,7 +2862,10 @@
       report_sequence,
       evidence__,
       reports__,
-      have_number);
+      have_number,
+      part_losses__,
+      parts_begun__,
+      quarantined_parts__);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2575,6 +2886,8 @@
   std::vector<uint64_t> suspects{};
   std::string leader{};
   std::vector<std::string> members{};
+  std::vector<uint64_t> suspect_parts{};
+  std::vector<std::unique_ptr<chivefront::wire::QuarantinedPartT>> quarantined_parts{};
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2599,7 +2912,9 @@
     VT_REPORT_SEQUENCE = 24,
     VT_SUSPECTS = 26,
     VT_LEADER = 28,
-    VT_MEMBERS = 30
+    VT_MEMBERS = 30,
+    VT_SUSPECT_PARTS = 32,
+    VT_QUARANTINED_PARTS = 34
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -2643,6 +2958,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MEMBERS);
   }
+  const flatbuffers::Vector<uint64_t> *suspect_parts() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_SUSPECT_PARTS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *>(VT_QUARANTINED_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -2667,6 +2988,11 @@
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfStrings(members()) &&
+           VerifyOffset(verifier, VT_SUSPECT_PARTS) &&
+           verifier.VerifyVector(suspect_parts()) &&
+           VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
+           verifier.VerifyVector(quarantined_parts()) &&
+           verifier.VerifyVectorOfTables(quarantined_parts()) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2720,6 +3046,12 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members) {
     fbb_.AddOffset(WatchReply::VT_MEMBERS, members);
   }
+  void add_suspect_parts(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspect_parts) {
+    fbb_.AddOffset(WatchReply::VT_SUSPECT_PARTS, suspect_parts);
+  }
+  void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts) {
+    fbb_.AddOffset(WatchReply::VT_QUARANTINED_PARTS, quarantined_parts);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2746,12 +3078,16 @@
     uint64_t report_sequence = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspects = 0,
     flatbuffers::Offset<flatbuffers::String> leader = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspect_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0) {
   WatchReplyBuilder builder_(_fbb);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_revision(revision);
+  builder_.add_quarantined_parts(quarantined_parts);
+  builder_.add_suspect_parts(suspect_parts);
   builder_.add_members(members);
   builder_.add_leader(leader);
   builder_.add_suspects(suspects);
@@ -2785,12 +3121,16 @@
     uint64_t report_sequence = 0,
     const std::vector<uint64_t> *suspects = nullptr,
     const char *leader = nullptr,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
+    const std::vector<uint64_t> *suspect_parts = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
   auto leader__ = leader ? _fbb.CreateString(leader) : 0;
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
+  auto suspect_parts__ = suspect_parts ? _fbb.CreateVector<uint64_t>(*suspect_parts) : 0;
+  auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>(*quarantined_parts) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       age_ms,
@@ -2806,7 +3146,9 @@
       report_sequence,
       suspects__,
       leader__,
-      members__);
+      members__,
+      suspect_parts__,
+      quarantined_parts__);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6622,6 +6964,105 @@
       _evidence);
 }
 
+inline PartLossT *PartLoss::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PartLossT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PartLoss::UnPackTo(PartLossT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); _o->part = _e; }
+  { auto _e = upstream(); _o->upstream = _e; }
+  { auto _e = request(); _o->request = _e; }
+  { auto _e = head_read(); _o->head_read = _e; }
+  { auto _e = sent_age_ms(); _o->sent_age_ms = _e; }
+  { auto _e = lost_age_ms(); _o->lost_age_ms = _e; }
+}
+
+inline flatbuffers::Offset<PartLoss> PartLoss::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartLossT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePartLoss(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PartLoss> CreatePartLoss(flatbuffers::FlatBufferBuilder &_fbb, const PartLossT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartLossT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _o->part;
+  auto _upstream = _o->upstream;
+  auto _request = _o->request;
+  auto _head_read = _o->head_read;
+  auto _sent_age_ms = _o->sent_age_ms;
+  auto _lost_age_ms = _o->lost_age_ms;
+  return chivefront::wire::CreatePartLoss(
+      _fbb,
+      _part,
+      _upstream,
+      _request,
+      _head_read,
+      _sent_age_ms,
+      _lost_age_ms);
+}
+
+inline PartBegunT *PartBegun::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PartBegunT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PartBegun::UnPackTo(PartBegunT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); _o->part = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<PartBegun> PartBegun::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePartBegun(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PartBegun> CreatePartBegun(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartBegunT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _o->part;
+  auto _age_ms = _o->age_ms;
+  return chivefront::wire::CreatePartBegun(
+      _fbb,
+      _part,
+      _age_ms);
+}
+
+inline QuarantinedPartT *QuarantinedPart::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuarantinedPartT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuarantinedPart::UnPackTo(QuarantinedPartT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = part(); _o->part = _e; }
+  { auto _e = remaining_ms(); _o->remaining_ms = _e; }
+}
+
+inline flatbuffers::Offset<QuarantinedPart> QuarantinedPart::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPartT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuarantinedPart(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuarantinedPart> CreateQuarantinedPart(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPartT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuarantinedPartT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _part = _o->part;
+  auto _remaining_ms = _o->remaining_ms;
+  return chivefront::wire::CreateQuarantinedPart(
+      _fbb,
+      _part,
+      _remaining_ms);
+}
+
 inline WatchRequestT::WatchRequestT(const WatchRequestT &o)
       : holder(o.holder),
         role(o.role),
@@ -6634,6 +7075,12 @@
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
   for (const auto &reports_ : o.reports) { reports.emplace_back((reports_) ? new chivefront::wire::HolderReportT(*reports_) : nullptr); }
+  part_losses.reserve(o.part_losses.size());
+  for (const auto &part_losses_ : o.part_losses) { part_losses.emplace_back((part_losses_) ? new chivefront::wire::PartLossT(*part_losses_) : nullptr); }
+  parts_begun.reserve(o.parts_begun.size());
+  for (const auto &parts_begun_ : o.parts_begun) { parts_begun.emplace_back((parts_begun_) ? new chivefront::wire::PartBegunT(*parts_begun_) : nullptr); }
+  quarantined_parts.reserve(o.quarantined_parts.size());
+  for (const auto &quarantined_parts_ : o.quarantined_parts) { quarantined_parts.emplace_back((quarantined_parts_) ? new chivefront::wire::QuarantinedPartT(*quarantined_parts_) : nullptr); }
 }
 
 inline WatchRequestT &WatchRequestT::operator=(WatchRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -6646,6 +7093,9 @@
   std::swap(evidence, o.evidence);
   std::swap(reports, o.reports);
   std::swap(have_number, o.have_number);
+  std::swap(part_losses, o.part_losses);
+  std::swap(parts_begun, o.parts_begun);
+  std::swap(quarantined_parts, o.quarantined_parts);
   return *this;
 }
 
@@ -6667,6 +7117,9 @@
   { auto _e = evidence(); if (_e) { _o->evidence.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->evidence[_i] = std::unique_ptr<chivefront::wire::VersionEvidenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = reports(); if (_e) { _o->reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->reports[_i] = std::unique_ptr<chivefront::wire::HolderReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = have_number(); _o->have_number = _e; }
+  { auto _e = part_losses(); if (_e) { _o->part_losses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->part_losses[_i] = std::unique_ptr<chivefront::wire::PartLossT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = parts_begun(); if (_e) { _o->parts_begun.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_begun[_i] = std::unique_ptr<chivefront::wire::PartBegunT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = quarantined_parts(); if (_e) { _o->quarantined_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined_parts[_i] = std::unique_ptr<chivefront::wire::QuarantinedPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6686,6 +7139,9 @@
   auto _evidence = _o->evidence.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>> (_o->evidence.size(), [](size_t i, _VectorArgs *__va) { return CreateVersionEvidence(*__va->__fbb, __va->__o->evidence[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _reports = _o->reports.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>> (_o->reports.size(), [](size_t i, _VectorArgs *__va) { return CreateHolderReport(*__va->__fbb, __va->__o->reports[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _have_number = _o->have_number;
+  auto _part_losses = _o->part_losses.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartLoss>> (_o->part_losses.size(), [](size_t i, _VectorArgs *__va) { return CreatePartLoss(*__va->__fbb, __va->__o->part_losses[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _parts_begun = _o->parts_begun.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartBegun>> (_o->parts_begun.size(), [](size_t i, _VectorArgs *__va) { return CreatePartBegun(*__va->__fbb, __va->__o->parts_begun[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _quarantined_parts = _o->quarantined_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> (_o->quarantined_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPart(*__va->__fbb, __va->__o->quarantined_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -6696,7 +7152,10 @@
       _report_sequence,
       _evidence,
       _reports,
-      _have_number);
+      _have_number,
+      _part_losses,
+      _parts_begun,
+      _quarantined_parts);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -6711,11 +7170,14 @@
         report_sequence(o.report_sequence),
         suspects(o.suspects),
         leader(o.leader),
-        members(o.members) {
+        members(o.members),
+        suspect_parts(o.suspect_parts) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
   for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new chivefront::wire::UpstreamInfoT(*upstreams_) : nullptr); }
+  quarantined_parts.reserve(o.quarantined_parts.size());
+  for (const auto &quarantined_parts_ : o.quarantined_parts) { quarantined_parts.emplace_back((quarantined_parts_) ? new chivefront::wire::QuarantinedPartT(*quarantined_parts_) : nullptr); }
 }
 
 inline WatchReplyT &WatchReplyT::operator=(WatchReplyT o) FLATBUFFERS_NOEXCEPT {
@@ -6733,6 +7195,8 @@
   std::swap(suspects, o.suspects);
   std::swap(leader, o.leader);
   std::swap(members, o.members);
+  std::swap(suspect_parts, o.suspect_parts);
+  std::swap(quarantined_parts, o.quarantined_parts);
   return *this;
 }
 
@@ -6759,6 +7223,8 @@
   { auto _e = suspects(); if (_e) { _o->suspects.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspects[_i] = _e->Get(_i); } } }
   { auto _e = leader(); if (_e) _o->leader = _e->str(); }
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = suspect_parts(); if (_e) { _o->suspect_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspect_parts[_i] = _e->Get(_i); } } }
+  { auto _e = quarantined_parts(); if (_e) { _o->quarantined_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined_parts[_i] = std::unique_ptr<chivefront::wire::QuarantinedPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6783,6 +7249,8 @@
   auto _suspects = _o->suspects.size() ? _fbb.CreateVector(_o->suspects) : 0;
   auto _leader = _o->leader.empty() ? 0 : _fbb.CreateString(_o->leader);
   auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
+  auto _suspect_parts = _o->suspect_parts.size() ? _fbb.CreateVector(_o->suspect_parts) : 0;
+  auto _quarantined_parts = _o->quarantined_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> (_o->quarantined_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPart(*__va->__fbb, __va->__o->quarantined_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -6798,7 +7266,9 @@
       _report_sequence,
       _suspects,
       _leader,
-      _members);
+      _members,
+      _suspect_parts,
+      _quarantined_parts);
 }
 
 inline AnnounceRequestT::AnnounceRequestT(const AnnounceRequestT &o)
