Count lost and abandoned attempts against the version in a roll-out

Operators saw a slow version completed. Change: each such attempt counts as a failure of its version.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -134,6 +134,7 @@
   UpstreamCriteria Criteria() const;
   void RecordPromptParts(Upstream& aUpstream) const;
   void RecordAnswerBegun();
+  void RecordVersionFailure(const Upstream& aUpstream);
   void RecordConnectionLost(Upstream& aUpstream);
   void RecordBytesReceived(Upstream& aUpstream);
   void EndHeadWait(Upstream& aUpstream);
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -76,6 +76,9 @@
   AttemptResult result = co_await SendAndReceive(aUpstream);
   m_stallTimer.cancel();
   EndHeadWait(*aUpstream);
+  if (m_abortReason == AbortReason::DeadlineExceeded) {
+    RecordVersionFailure(*aUpstream);
+  }
   aUpstream->m_estimate.OnEnded();
   m_eventSplitter.Restart();
   if (m_connection) {
@@ -318,8 +321,6 @@
     if (!chunk.ok()) {
       m_connection->Close();
       aUpstream.m_estimate.OnFailure(m_shared.m_clock.Now());
-      m_shared.m_rolloutEvidence.Record(
-        m_service->m_name, aUpstream.m_instance.m_version, false);
       RecordConnectionLost(aUpstream);
       co_return StreamTruncated{ std::string(base::MessageOf(chunk.status())) };
     }
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -212,11 +212,21 @@
   }
 }
 
-// Records an upstream that closed the connection before it began to answer. A
-// part of the prompt may have crashed it.
+void
+Exchange::RecordVersionFailure(const Upstream& aUpstream)
+{
+  m_shared.m_rolloutEvidence.Record(
+    m_service->m_name, aUpstream.m_instance.m_version, false);
+}
+
+// Records an attempt whose connection ended before the response, by the
+// upstream or because it was left as silent. It counts against the upstream's
+// version. If the upstream closed it before it began to answer, a part of the
+// prompt may have crashed it.
 void
 Exchange::RecordConnectionLost(Upstream& aUpstream)
 {
+  RecordVersionFailure(aUpstream);
   if (m_answerBegun || m_leftUpstream) {
     return;
   }
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -15,6 +15,7 @@
 
 #include "chivefront/base/errors.h"
 #include "chivefront/proxy/entry.h"
+#include "chivefront/site/messages.h"
 
 namespace chivefront::proxy::testing {
 
@@ -256,6 +257,9 @@
     entry->key = "document/" + std::to_string(aNumber);
     entry->value = "text";
     reply.entries.push_back(std::move(entry));
+    if (!m_nearVersion.empty()) {
+      AddRollout(reply);
+    }
     for (const ScriptedUpstream* upstream : { &m_near, &m_far }) {
       if (m_onlyNear && upstream == &m_far) {
         continue;
@@ -267,12 +271,41 @@
       info->failure_domain = upstream == &m_near ? "near" : "far";
       info->address = "127.0.0.1:" + std::to_string(upstream->Port());
       info->slots = 4;
+      info->version = upstream == &m_near ? m_nearVersion : m_farVersion;
       info->sequence = 1;
       reply.upstreams.push_back(std::move(info));
     }
     m_watch.Accept(reply);
   }
 
+  // Adds a roll-out of m_nearVersion in its last phase, so that it gets all
+  // requests.
+  void AddRollout(wire::WatchReplyT& aReply) const
+  {
+    constexpr base::Millis kSpan{ 100000 };
+    const base::TimePoint now = base::SteadyClock::Instance().Now();
+    site::State state;
+    site::Rollout& rollout = state.m_rollouts["app"];
+    rollout.m_version = m_nearVersion;
+    rollout.m_span = kSpan;
+    rollout.m_orderedAt = 1;
+    rollout.m_started = now - kSpan * 9 / 10;
+    for (auto& entry : site::ToEntries(state, 0, now)) {
+      aReply.entries.push_back(std::move(entry));
+    }
+  }
+
+  // What the entry reports of the version that is rolled out.
+  wire::VersionEvidenceT NewVersionEvidence()
+  {
+    for (const auto& row : m_watch.MakeRequest().evidence) {
+      if (row->version == "app/" + m_nearVersion) {
+        return *row;
+      }
+    }
+    return {};
+  }
+
   // Makes the entry refuse requests whose prompt has the part.
   void Quarantine(const std::string& aPartId)
   {
@@ -349,6 +382,8 @@
   ScriptedUpstream m_near;
   ScriptedUpstream m_far;
   uint16_t m_port = 0;
+  std::string m_nearVersion; // being rolled out; empty: no roll-out
+  std::string m_farVersion;
   bool m_onlyNear = false; // m_far is not registered
   base::Millis m_callerReadDelay{
     0
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -72,10 +72,11 @@
 
   // Applies an answer to the view. Public for tests.
   void Accept(const wire::WatchReplyT& aReply);
+  // Returns the next poll. Public for tests.
+  wire::WatchRequestT MakeRequest();
 
 private:
   net::Task<bool> Poll();
-  wire::WatchRequestT MakeRequest();
   net::Link::Pointer ChooseLink();
   void AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
