Count a stream for its version once its pace is known

Operators saw a slow version completed. Change: a stream counts with its eighth chunk; it counts again only if it becomes a failure later.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -134,12 +134,13 @@
   UpstreamCriteria Criteria() const;
   void RecordPromptParts(Upstream& aUpstream) const;
   void RecordAnswerBegun();
-  void RecordVersionFailure(const Upstream& aUpstream);
+  void CountForVersion(const Upstream& aUpstream, bool aSucceeded);
   void RecordConnectionLost(Upstream& aUpstream);
   void RecordBytesReceived(Upstream& aUpstream);
   void EndHeadWait(Upstream& aUpstream);
   void RecordHeadLatency(Upstream& aUpstream);
   void RecordEventInterval(Upstream& aUpstream);
+  void RecordStartOfStream(const Upstream& aUpstream);
   void RecordOutcome(Upstream& aUpstream, bool aSucceeded);
   void RecordBytesSent();
   std::string CurrentModel() const;
@@ -194,6 +195,8 @@
   base::Millis m_longestPause; // between writes to the caller
   // The running attempt took much longer than usual.
   bool m_slowResponse = false;
+  // What the running attempt has counted for its upstream's version so far.
+  std::optional<bool> m_countedSuccess;
 };
 
 } // namespace chivefront::proxy
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -69,6 +69,7 @@
   ++m_attemptCount;
   m_leftUpstream = false;
   m_answerBegun = false;
+  m_countedSuccess.reset();
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_triedUpstreams.push_back(m_lastUpstream);
   aUpstream->m_estimate.OnSent();
@@ -77,7 +78,7 @@
   m_stallTimer.cancel();
   EndHeadWait(*aUpstream);
   if (m_abortReason == AbortReason::DeadlineExceeded) {
-    RecordVersionFailure(*aUpstream);
+    CountForVersion(*aUpstream, false);
   }
   aUpstream->m_estimate.OnEnded();
   m_eventSplitter.Restart();
@@ -329,6 +330,7 @@
     }
     ++m_chunkCount;
     RecordBytesReceived(aUpstream);
+    RecordStartOfStream(aUpstream);
     std::string events = m_eventSplitter.Add(*chunk);
     if (events.empty()) {
       continue;
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -170,14 +170,42 @@
   aUpstream.m_estimate.OnLatencyRatio(ratio, now);
 }
 
+// Counts a stream for its version as soon as its pace is known. A slow version
+// would otherwise be judged by its short answers alone, because its streams end
+// after the judgement.
+void
+Exchange::RecordStartOfStream(const Upstream& aUpstream)
+{
+  if (m_chunkCount != detail::kMinChunks) {
+    return;
+  }
+  const base::TimePoint now = m_shared.m_clock.Now();
+  const auto took = static_cast<double>((now - m_headReceivedAt).Count());
+  const double ratio =
+    m_shared.m_baselines.Ratio("start/" + CurrentModel(), took + 1);
+  m_slowResponse = m_slowResponse || ratio > detail::kSlowResponseRatio;
+  CountForVersion(aUpstream, !m_slowResponse);
+}
+
+// Counts the running attempt for its upstream's version. An attempt that was
+// counted before counts again only if it has become a failure since.
+void
+Exchange::CountForVersion(const Upstream& aUpstream, bool aSucceeded)
+{
+  if (m_countedSuccess && (!*m_countedSuccess || aSucceeded)) {
+    return;
+  }
+  m_countedSuccess = aSucceeded;
+  m_shared.m_rolloutEvidence.Record(
+    m_service->m_name, aUpstream.m_instance.m_version, aSucceeded);
+}
+
 // Records a complete response for its upstream and its version. A slow response
 // counts as a failure of the version, though not of the upstream.
 void
 Exchange::RecordOutcome(Upstream& aUpstream, bool aSucceeded)
 {
-  m_shared.m_rolloutEvidence.Record(m_service->m_name,
-                                    aUpstream.m_instance.m_version,
-                                    aSucceeded && !m_slowResponse);
+  CountForVersion(aUpstream, aSucceeded && !m_slowResponse);
   aUpstream.m_estimate.OnOutcome(aSucceeded);
 }
 
@@ -212,13 +240,6 @@
   }
 }
 
-void
-Exchange::RecordVersionFailure(const Upstream& aUpstream)
-{
-  m_shared.m_rolloutEvidence.Record(
-    m_service->m_name, aUpstream.m_instance.m_version, false);
-}
-
 // Records an attempt whose connection ended before the response, by the
 // upstream or because it was left as silent. It counts against the upstream's
 // version. If the upstream closed it before it began to answer, a part of the
@@ -226,7 +247,7 @@
 void
 Exchange::RecordConnectionLost(Upstream& aUpstream)
 {
-  RecordVersionFailure(aUpstream);
+  CountForVersion(aUpstream, false);
   if (m_answerBegun || m_leftUpstream) {
     return;
   }
--- a/chivefront/proxy/rollout_evidence_test.cc
+++ b/chivefront/proxy/rollout_evidence_test.cc
@@ -12,7 +12,9 @@
 // Both upstreams run the new version, or only the near one.
 struct RolloutFixture : EntryFixture
 {
-  explicit RolloutFixture(const std::string& aFarVersion = "v1")
+  explicit RolloutFixture(const std::string& aFarVersion = "v1",
+                          base::Millis aTimeout = base::Millis(2000))
+    : EntryFixture(aTimeout)
   {
     m_nearVersion = "v2";
     m_farVersion = aFarVersion;
@@ -63,3 +65,20 @@
   BOOST_TEST(NewVersionEvidence().good == 1U);
   BOOST_TEST(NewVersionEvidence().bad == 0U);
 }
+
+// Guards against a slow version that is completed because its streams are still
+// running when it is judged: only answers that had ended were counted.
+BOOST_AUTO_TEST_CASE(StreamCountsBeforeItsEnd)
+{
+  RolloutFixture entry("v1", base::Millis(6000));
+  const std::string pause = kPauseWriting;
+  std::string events = kStreamHead;
+  for (int i = 1; i <= 9; ++i) {
+    const std::string event =
+      Chunk("id: " + std::to_string(i) + "\ndata: a\n\n");
+    events += event + pause;
+  }
+  entry.m_near.AddScript(events + kHoldConnection);
+  (void)entry.Call(MakeRequest("stream", "Model: any\r\n"), 2400);
+  BOOST_TEST(entry.NewVersionEvidence().good == 1U);
+}
