Judge slow answers by the upper quantile of their route

Operators saw a slow version completed. Cause: an answer was slow from 3.5 times the mean on, but latencies of one route vary by more than that, and the answers of a canary are mostly short; slow ones stayed below the limit.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -141,6 +141,7 @@
   void RecordHeadLatency(Upstream& aUpstream);
   void RecordEventInterval(Upstream& aUpstream);
   void RecordStartOfStream(const Upstream& aUpstream);
+  bool IsSlow(const Upstream& aUpstream, std::string_view aMark);
   void RecordOutcome(Upstream& aUpstream, bool aSucceeded);
   void RecordBytesSent();
   std::string CurrentModel() const;
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -170,6 +170,22 @@
   aUpstream.m_estimate.OnLatencyRatio(ratio, now);
 }
 
+// Whether the running attempt took long to reach aMark of its response,
+// compared with other requests of the route to the same model. An upstream that
+// has just started is slow whatever its version, so it is not compared.
+bool
+Exchange::IsSlow(const Upstream& aUpstream, std::string_view aMark)
+{
+  const base::TimePoint now = m_shared.m_clock.Now();
+  if (aUpstream.m_instance.m_coldUntil > m_sentAt) {
+    return false;
+  }
+  const std::string key =
+    std::string(aMark) + "/" + m_route->m_name + "/" + CurrentModel();
+  const auto took = static_cast<double>((now - m_sentAt).Count());
+  return m_shared.m_slowThreshold.Exceeds(key, took);
+}
+
 // Counts a stream for its version as soon as its pace is known. A slow version
 // would otherwise be judged by its short answers alone, because its streams end
 // after the judgement.
@@ -179,11 +195,7 @@
   if (m_chunkCount != detail::kMinChunks) {
     return;
   }
-  const base::TimePoint now = m_shared.m_clock.Now();
-  const auto took = static_cast<double>((now - m_headReceivedAt).Count());
-  const double ratio =
-    m_shared.m_baselines.Ratio("start/" + CurrentModel(), took + 1);
-  m_slowResponse = m_slowResponse || ratio > detail::kSlowResponseRatio;
+  m_slowResponse = IsSlow(aUpstream, "start") || m_slowResponse;
   CountForVersion(aUpstream, !m_slowResponse);
 }
 
@@ -205,6 +217,9 @@
 void
 Exchange::RecordOutcome(Upstream& aUpstream, bool aSucceeded)
 {
+  if (aSucceeded && !m_countedSuccess) {
+    m_slowResponse = IsSlow(aUpstream, "end") || m_slowResponse;
+  }
   CountForVersion(aUpstream, aSucceeded && !m_slowResponse);
   aUpstream.m_estimate.OnOutcome(aSucceeded);
 }
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -13,6 +13,7 @@
 #include "chivefront/routing/budget.h"
 #include "chivefront/routing/latency_baselines.h"
 #include "chivefront/routing/part_evidence.h"
+#include "chivefront/routing/slow_threshold.h"
 #include "chivefront/site/watch.h"
 
 namespace chivefront::proxy {
@@ -108,6 +109,7 @@
   const RetryBudgetLimits m_retryLimits;
   bool m_draining = false;
   routing::LatencyBaselines m_baselines{};
+  routing::SlowThreshold m_slowThreshold{}; // of answers, by route and model
   // By service.
   std::map<std::string, routing::WindowedRetryBudget> m_retryBudgets;
 
