Leave an upstream whose event never ends

An entry that forwards a stream could run out of memory. Cause: bytes of an event were collected until its blank line came, without a bound, and an upstream in trouble may send bytes without end. Change: an event longer than 256 KiB breaks the attempt off; the stream goes on at another upstream as after any loss.

--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -17,6 +17,9 @@
 // A response that is not a stream is forwarded only when it is complete, so
 // that a broken one can be retried. Larger bodies are forwarded as they arrive.
 constexpr size_t kMaxBufferedBytes = 1024 * 1024;
+// An upstream in trouble may send an event without end. An event holds a few
+// tokens.
+constexpr size_t kMaxEventBytes = 256 * 1024;
 // Responses to earlier requests that are skipped on one connection.
 constexpr int kMaxStrayResponses = 2;
 
@@ -332,6 +335,12 @@
     RecordBytesReceived(aUpstream);
     RecordStartOfStream(aUpstream);
     std::string events = m_eventSplitter.Add(*chunk);
+    if (m_eventSplitter.PartialEvent().size() > detail::kMaxEventBytes) {
+      m_connection->Close();
+      aUpstream.m_estimate.OnFailure(m_shared.m_clock.Now());
+      RecordConnectionLost(aUpstream);
+      co_return StreamTruncated{ "event too long" };
+    }
     if (events.empty()) {
       continue;
     }
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -23,10 +23,12 @@
 using Tcp = net::asio::ip::tcp;
 
 // Commands in the script of an upstream: close the connection, send nothing
-// more and keep it open, or pause for 250 ms.
+// more and keep it open, pause for 250 ms, or send bytes until the entry closes
+// the connection.
 inline constexpr char kCloseConnection[] = "<break>";
 inline constexpr char kHoldConnection[] = "<hold>";
 inline constexpr char kPauseWriting[] = "<pause>";
+inline constexpr char kFloodConnection[] = "<flood>";
 
 // Maps the header names of these tests.
 class TestHeaderCodec final : public HeaderCodec
@@ -105,7 +107,9 @@
   uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
 
   std::vector<std::string> m_requests; // heads of the requests received
-  int m_closedByPeer = 0; // connections that the entry closed at <hold>
+  // Connections that the entry closed at <hold> or <flood>.
+  int m_closedByPeer = 0;
+  size_t m_floodedBytes = 0; // sent at <flood>
 
 private:
   net::Task<void> Accept()
@@ -143,8 +147,11 @@
       }
       const bool breaks = script.find(kCloseConnection) != std::string::npos;
       const bool holds = script.find(kHoldConnection) != std::string::npos;
-      script = script.substr(
-        0, script.find(breaks ? kCloseConnection : kHoldConnection));
+      const bool floods = script.find(kFloodConnection) != std::string::npos;
+      script = script.substr(0,
+                             script.find(breaks   ? kCloseConnection
+                                         : floods ? kFloodConnection
+                                                  : kHoldConnection));
       const size_t from = head.find("\r\nId: ") + 6;
       const std::string id = head.substr(from, head.find('\r', from) - from);
       for (size_t at = script.find("$ID"); at != std::string::npos;
@@ -152,6 +159,11 @@
         script.replace(at, 3, id);
       }
       co_await Write(*aSocket, std::move(script));
+      if (floods) {
+        co_await Flood(*aSocket);
+        ++m_closedByPeer;
+        co_return;
+      }
       if (breaks) {
         aSocket->close(error);
         co_return;
@@ -166,6 +178,18 @@
     }
   }
 
+  net::Task<void> Flood(Tcp::socket& aSocket)
+  {
+    const std::string bytes(64 * 1024, 'x');
+    error_code error;
+    while (!error) {
+      m_floodedBytes += co_await net::asio::async_write(
+        aSocket,
+        net::asio::buffer(bytes),
+        net::asio::redirect_error(net::asio::use_awaitable, error));
+    }
+  }
+
   static net::Task<void> Write(Tcp::socket& aSocket, std::string aScript)
   {
     while (!aScript.empty()) {
