Take an unframed stream without an event as broken off

A caller got an empty success when an upstream crashed after the head of a stream without length and chunks, because the end of the connection is the end of such a stream. A stream that ended inside an event was resumed, but counted neither against its upstream's version nor as a loss for its parts. Change: an unframed stream that ends before its first event is a lost attempt, as is one that ends inside an event. Result: unframed_answer_test UnframedStreamWithoutEventIsBroken fails on the code before (empty success, no second attempt) and passes.

--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -354,8 +354,13 @@
     }
     running.Resume(m_silentSince);
   }
-  if (!m_eventSplitter.PartialEvent().empty()) {
-    co_return StreamTruncated{ "ended in an event" };
+  // A crash after the head looks like the end of an unframed stream.
+  const bool crashed = !m_answerBegun && m_connection->EndsWithConnection();
+  if (crashed || !m_eventSplitter.PartialEvent().empty()) {
+    m_connection->Close();
+    RecordConnectionLost(aUpstream);
+    co_return StreamTruncated{ crashed ? "ended before its first event"
+                                       : "ended in an event" };
   }
   RecordEventInterval(aUpstream);
   RecordOutcome(aUpstream, true);
--- a/chivefront/proxy/unframed_answer_test.cc
+++ b/chivefront/proxy/unframed_answer_test.cc
@@ -94,3 +94,14 @@
   BOOST_REQUIRE(m_far.m_requests.size() == 1U);
   BOOST_TEST(Contains(m_far.m_requests[0], "After: 1"));
 }
+
+// Guards against an upstream that crashes after the head: without a length its
+// empty stream looked complete, and the caller got an empty success.
+BOOST_FIXTURE_TEST_CASE(UnframedStreamWithoutEventIsBroken, RunningEntry)
+{
+  m_near.AddScript(kUnframedHead + kCloseConnection);
+  m_far.AddScript(kStreamHead + Chunk("id: 1\ndata: b\n\n") + "0\r\n\r\n");
+  const std::string answer = Call(MakeRequest("stream", "Model: any\r\n"));
+  BOOST_TEST(Contains(answer, "data: b"));
+  BOOST_TEST(m_far.m_requests.size() == 1U);
+}
--- a/chivefront/proxy/upstream_connection.cc
+++ b/chivefront/proxy/upstream_connection.cc
@@ -196,6 +196,12 @@
   co_return chunk;
 }
 
+bool
+UpstreamConnection::EndsWithConnection() const
+{
+  return !m_parser->chunked() && !m_parser->content_length();
+}
+
 bool
 UpstreamConnection::Reusable() const
 {
--- a/chivefront/proxy/upstream_connection.h
+++ b/chivefront/proxy/upstream_connection.h
@@ -48,6 +48,9 @@
   // Whether the response was read to its end and the connection can carry
   // another request.
   bool Reusable() const;
+  // Whether the response has neither a length nor chunks, so that its body ends
+  // with the connection.
+  bool EndsWithConnection() const;
   // Whether the connection is open and no byte has arrived since the last
   // response. Bytes that have arrived would be mistaken for the next response.
   bool IsIdle();
