Split bootstrap and roll-out judging into files of their own

Change: bootstrap and hellos are in bootstrap.cc; RolloutSupervisor collects the evidence and records the verdicts. No change of behaviour intended.

--- /dev/null
+++ b/chivefront/consensus/bootstrap.cc
@@ -0,0 +1,200 @@
+// Agreement on the first membership of a group, and the hellos that replicas
+// outside a group exchange.
+//
+// Bootstrap: a replica in the stage Empty collects the identities of all
+// initial members while each of them reports that it is Empty too. It then
+// makes that membership durable (stage Prepared). It votes only after every
+// initial member has reported that it prepared the same membership (stage
+// Active, which is final). Only replies to hellos of the current stage count,
+// so messages of a lost replica can't lead to two initial memberships. When a
+// prepared member turns out to be lost, the others return to Empty. If one of
+// them is Active already, the others adopt its membership.
+//
+// An initial member without a durable disk prepares nothing; the others form
+// the group without it, and at least one must have a disk.
+#include <algorithm>
+#include <set>
+
+#include "chivefront/consensus/core.h"
+
+namespace chivefront::consensus {
+
+using base::TimePoint;
+
+Message
+RaftCore::MakeHello(bool aIsReply) const
+{
+  Message hello;
+  hello.m_kind = MessageKind::Hello;
+  hello.m_flag = aIsReply;
+  hello.m_stage = m_hardState.m_stage;
+  hello.m_members = m_hardState.m_initialMembers;
+  hello.m_domain = m_options.m_domain;
+  hello.m_diskless = m_options.m_diskless;
+  if (aIsReply && m_options.m_targetVoters > 0) {
+    hello.m_data = m_leader;
+  }
+  return hello;
+}
+
+// Whether this replica should send hellos. A replica that is not a voter and
+// does not hear a leader may have been admitted by an entry that was lost with
+// its leader, so it continues to ask for admission.
+bool
+RaftCore::SeeksAdmission(TimePoint aNow) const
+{
+  // A voter that was removed while it was away doesn't know about its removal.
+  if (m_options.m_targetVoters > 0 && !HearsLeader(aNow)) {
+    return true;
+  }
+  return m_hardState.m_stage != Stage::Active ||
+         (!IsVoter(m_options.m_identity) && !HearsLeader(aNow));
+}
+
+void
+RaftCore::SendHellos()
+{
+  std::set<std::string> names(m_options.m_initialMembers.begin(),
+                              m_options.m_initialMembers.end());
+  if (!m_leaderHint.empty()) {
+    names.insert(m_leaderHint);
+  }
+  for (const std::string& name : names) {
+    if (name != m_options.m_name) {
+      Message hello = MakeHello(false);
+      hello.m_round = m_helloNonce;
+      Send(name, std::move(hello));
+    }
+  }
+  AdvanceBootstrap();
+}
+
+// What the other replicas should know of this one.
+Replica
+RaftCore::Self() const
+{
+  return { m_options.m_name,
+           m_options.m_identity,
+           !m_options.m_diskless,
+           m_options.m_domain,
+           m_options.m_diskless };
+}
+
+// Prepares the initial membership once all initial members are known to be
+// empty, and activates it once all of them have prepared it.
+void
+RaftCore::AdvanceBootstrap()
+{
+  m_emptyMembers[m_options.m_name] = Self();
+  const bool initial = std::count(m_options.m_initialMembers.begin(),
+                                  m_options.m_initialMembers.end(),
+                                  m_options.m_name) > 0;
+  if (m_hardState.m_stage == Stage::Empty && initial &&
+      m_options.m_mayBootstrap && !m_options.m_diskless &&
+      m_emptyMembers.size() == m_options.m_initialMembers.size()) {
+    for (const auto& [name, replica] : m_emptyMembers) {
+      if (!replica.m_diskless) {
+        m_hardState.m_initialMembers.push_back(replica);
+      }
+    }
+    EnterStage(Stage::Prepared);
+    SendHellos();
+  }
+  if (m_hardState.m_stage == Stage::Prepared) {
+    m_preparedMembers.insert(m_options.m_name);
+    if (m_preparedMembers.size() == m_hardState.m_initialMembers.size()) {
+      Activate();
+    }
+  }
+}
+
+// The new nonce invalidates replies to hellos of the previous stage.
+void
+RaftCore::EnterStage(Stage aStage)
+{
+  m_hardState.m_stage = aStage;
+  m_actions.m_saveHardState = true;
+  m_helloNonce = m_random();
+  m_emptyMembers.clear();
+  m_preparedMembers.clear();
+}
+
+void
+RaftCore::Activate()
+{
+  EnterStage(Stage::Active);
+  if (m_memberships.size() == 1 && Members().empty()) {
+    m_memberships.back().second = m_hardState.m_initialMembers;
+  }
+}
+
+// Handles the reply of another initial member to a hello of the current stage.
+void
+RaftCore::OnHelloReply(const std::string& aFrom, const Message& aMessage)
+{
+  const Replica self = Self();
+  const Replica sender{ aFrom,
+                        aMessage.m_from,
+                        !aMessage.m_diskless,
+                        aMessage.m_domain,
+                        aMessage.m_diskless };
+  const auto& members = aMessage.m_members;
+  const bool includesThis =
+    std::count(members.begin(), members.end(), self) > 0;
+  if (aMessage.m_diskless) {
+    // It prepares nothing. The others form the group without it.
+    m_emptyMembers[aFrom] = sender;
+    AdvanceBootstrap();
+  } else if (aMessage.m_stage == Stage::Active) {
+    m_emptyMembers.erase(aFrom);
+    if (includesThis) {
+      m_hardState.m_initialMembers = members;
+      Activate();
+    }
+  } else if (m_hardState.m_stage == Stage::Empty) {
+    // A replica that prepared a membership with this replica in it knew this
+    // replica as empty, and was empty itself until then.
+    if (aMessage.m_stage == Stage::Empty || includesThis) {
+      m_emptyMembers[aFrom] = sender;
+    } else {
+      m_emptyMembers.erase(aFrom);
+    }
+    AdvanceBootstrap();
+  } else if (std::count(m_hardState.m_initialMembers.begin(),
+                        m_hardState.m_initialMembers.end(),
+                        sender) == 0) {
+    m_hardState.m_initialMembers.clear();
+    EnterStage(Stage::Empty);
+  } else if (aMessage.m_stage == Stage::Prepared &&
+             members == m_hardState.m_initialMembers) {
+    m_preparedMembers.insert(aFrom);
+    AdvanceBootstrap();
+  }
+}
+
+void
+RaftCore::OnHello(const std::string& aFrom,
+                  const Message& aMessage,
+                  TimePoint aNow)
+{
+  const bool isInitial = std::count(m_options.m_initialMembers.begin(),
+                                    m_options.m_initialMembers.end(),
+                                    aFrom) > 0;
+  if (isInitial && m_hardState.m_stage != Stage::Active && aMessage.m_flag &&
+      aMessage.m_round == m_helloNonce) {
+    OnHelloReply(aFrom, aMessage);
+  }
+  if (aMessage.m_flag && !aMessage.m_data.empty()) {
+    m_leaderHint = aMessage.m_data;
+  }
+  if (!aMessage.m_flag) {
+    Message reply = MakeHello(true);
+    reply.m_round = aMessage.m_round;
+    Send(aFrom, std::move(reply));
+  }
+  if (IsLeader()) {
+    RecordAdmissionRequest(aFrom, aMessage, aNow);
+  }
+}
+
+} // namespace chivefront::consensus
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -209,7 +209,7 @@
   void CompleteConfirmations();
   void SendTakeOverIfCaughtUp();
 
-  // membership.cc: bootstrap, admission and replacement of replicas.
+  // bootstrap.cc: agreement on the first membership, and hellos.
   bool SeeksAdmission(base::TimePoint aNow) const;
   void SendHellos();
   void OnHello(const std::string& aFrom,
@@ -221,6 +221,8 @@
   void EnterStage(Stage aStage);
   void Activate();
   void OnHelloReply(const std::string& aFrom, const Message& aMessage);
+
+  // membership.cc: admission, replacement and choice of voters.
   void RecordAdmissionRequest(const std::string& aName,
                               const Message& aMessage,
                               base::TimePoint aNow);
--- a/chivefront/consensus/types.h
+++ b/chivefront/consensus/types.h
@@ -30,7 +30,7 @@
 {
   uint64_t m_term = 0;
   uint64_t m_vote = 0; // identity voted for in m_term; 0 for none
-  // Progress of the bootstrap; see membership.cc.
+  // Progress of the bootstrap; see bootstrap.cc.
   Stage m_stage = Stage::Empty;
   // The initial membership; empty on a replica that was admitted later.
   Membership m_initialMembers;
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -12,7 +12,7 @@
 #include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
 #include "chivefront/site/registry_file.h"
-#include "chivefront/site/rollout_verdict.h"
+#include "chivefront/site/rollout_supervisor.h"
 
 namespace chivefront::site {
 namespace detail {
@@ -28,21 +28,6 @@
 constexpr uint64_t kSnapshotEvery = 64;
 constexpr uint64_t kTrailingEntries = 16;
 constexpr uint64_t kSegmentBytes = 1024 * 1024;
-// Key of the evidence about all versions of a service except the one that is
-// rolled out.
-constexpr char kOtherVersions[] = "*";
-
-std::string
-EvidenceKey(const std::string& aService, const std::string& aVersion)
-{
-  return aService + "/" + aVersion;
-}
-
-AnswerCounts
-ToAnswerCounts(const wire::VersionEvidenceT& aRow)
-{
-  return { aRow.good, aRow.bad };
-}
 
 } // namespace detail
 
@@ -160,6 +145,14 @@
   const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
   routing::Registry m_registry;
   control::WatcherTable m_watchers;
+  RolloutSupervisor m_rolloutSupervisor{
+    m_watchers,
+    [this](const Command& aCommand) {
+      m_replica.Propose(Encode(aCommand),
+                        [](const absl::StatusOr<std::string>&) {});
+    },
+    m_log
+  };
   routing::PartQuarantine m_partQuarantine;
   bool m_stopped = false;
 };
@@ -322,36 +315,7 @@
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
   }
-  const auto state = m_store.Current();
-  for (const auto& [service, rollout] : state->m_rollouts) {
-    if (rollout.m_stage != RolloutStage::InProgress) {
-      continue;
-    }
-    const auto since = static_cast<uint64_t>(rollout.m_orderedAt);
-    const AnswerCounts newVersion =
-      detail::ToAnswerCounts(m_watchers.PooledEvidence(
-        detail::EvidenceKey(service, rollout.m_version), since));
-    const AnswerCounts oldVersions =
-      detail::ToAnswerCounts(m_watchers.PooledEvidence(
-        detail::EvidenceKey(service, detail::kOtherVersions), since));
-    const auto stage = JudgeRollout(rollout, newVersion, oldVersions, now);
-    if (!stage) {
-      continue;
-    }
-    m_log.Record("rollout_judged",
-                 base::LogCategory::State,
-                 { { "service", service },
-                   { "version", rollout.m_version },
-                   { "stage", kRolloutStageNames.Name(*stage) },
-                   { "good", newVersion.m_good },
-                   { "bad", newVersion.m_bad },
-                   { "others_good", oldVersions.m_good },
-                   { "others_bad", oldVersions.m_bad },
-                   { "elapsed_ms", (now - rollout.m_started).Count() } });
-    // A lost proposal is repeated at the next tick.
-    m_replica.Propose(Encode(EndRollout{ service, rollout.m_version, *stage }),
-                      [](const absl::StatusOr<std::string>&) {});
-  }
+  m_rolloutSupervisor.Judge(*m_store.Current(), now);
   co_return !m_stopped;
 }
 
