Do not blame the common part while all upstreams are down

Callers saw: all requests of a route refused, because the common beginning of their prompts was quarantined too. Cause: a part is cleared by answers to requests with it; when a tainted part had crashed every upstream there were none, while losses went on. Change: an upstream that a quarantined part has crashed is not held against other parts, and a part that no answer was ever seen for comes before the others.

--- a/chivefront/routing/part_quarantine.cc
+++ b/chivefront/routing/part_quarantine.cc
@@ -57,12 +57,15 @@
 }
 
 bool
-PartQuarantine::IsGuilty(const Suspect& aSuspect, base::TimePoint aNow)
+PartQuarantine::IsGuilty(const Suspect& aSuspect,
+                         const std::set<uint64_t>& aExplained,
+                         base::TimePoint aNow)
 {
   std::vector<LostAttempt> losses;
   for (const auto& [key, attempt] : aSuspect.m_losses) {
     if (attempt.m_lostAt > aSuspect.m_begunAt &&
-        aNow - attempt.m_lostAt >= kReportDelay) {
+        aNow - attempt.m_lostAt >= kReportDelay &&
+        aExplained.count(attempt.m_upstream) == 0) {
       losses.push_back(attempt);
     }
   }
@@ -99,17 +102,52 @@
                 [&](const auto& aPart) { return aPart.second <= aNow; });
 }
 
+std::set<uint64_t>
+PartQuarantine::UpstreamsCrashedByQuarantined() const
+{
+  std::set<uint64_t> upstreams;
+  for (const auto& [part, suspect] : m_suspects) {
+    if (m_quarantined.count(part) == 0) {
+      continue;
+    }
+    for (const auto& [key, attempt] : suspect.m_losses) {
+      if (attempt.m_headRead) {
+        upstreams.insert(attempt.m_upstream);
+      }
+    }
+  }
+  return upstreams;
+}
+
+// The parts that are guilty and not quarantined yet. If an answer was seen for
+// some of them and for others never, only the latter: the losses of the former
+// are then explained by them.
 std::vector<PartKey>
-PartQuarantine::Update(base::TimePoint aNow)
+PartQuarantine::FindGuilty(base::TimePoint aNow) const
 {
-  Forget(aNow);
-  std::vector<PartKey> added;
+  const std::set<uint64_t> explained = UpstreamsCrashedByQuarantined();
+  std::vector<PartKey> begun;
+  std::vector<PartKey> neverBegun;
   for (const auto& [part, suspect] : m_suspects) {
-    if (m_quarantined.size() < kMaxQuarantined &&
-        m_quarantined.count(part) == 0 && IsGuilty(suspect, aNow)) {
-      m_quarantined[part] = aNow + kQuarantineTime;
-      added.push_back(part);
+    if (m_quarantined.count(part) > 0 || !IsGuilty(suspect, explained, aNow)) {
+      continue;
     }
+    const bool isNeverBegun = suspect.m_begunAt == base::TimePoint();
+    (isNeverBegun ? neverBegun : begun).push_back(part);
+  }
+  return neverBegun.empty() ? begun : neverBegun;
+}
+
+std::vector<PartKey>
+PartQuarantine::Update(base::TimePoint aNow)
+{
+  Forget(aNow);
+  std::vector<PartKey> added = FindGuilty(aNow);
+  if (m_quarantined.size() + added.size() > kMaxQuarantined) {
+    added.clear();
+  }
+  for (const PartKey part : added) {
+    m_quarantined[part] = aNow + kQuarantineTime;
   }
   return added;
 }
--- a/chivefront/routing/part_quarantine.h
+++ b/chivefront/routing/part_quarantine.h
@@ -9,8 +9,10 @@
 // time and no answer to a request with it has begun meanwhile. Each counted
 // loss was sent after the loss counted before, so that upstreams that fail at
 // the same moment count once, and at least two requests are involved. A part
-// that sound requests share is cleared by their answers. Does no I/O; not
-// thread-safe.
+// that sound requests share is cleared by their answers. When all upstreams are
+// down nothing clears it, so an upstream that a quarantined part has crashed is
+// not held against other parts, and a part that no answer was ever seen for is
+// blamed before the others. Does no I/O; not thread-safe.
 #pragma once
 
 #include <map>
@@ -50,7 +52,11 @@
     base::TimePoint m_begunAt; // latest; unset when no answer began
   };
 
-  static bool IsGuilty(const Suspect& aSuspect, base::TimePoint aNow);
+  static bool IsGuilty(const Suspect& aSuspect,
+                       const std::set<uint64_t>& aExplained,
+                       base::TimePoint aNow);
+  std::set<uint64_t> UpstreamsCrashedByQuarantined() const;
+  std::vector<PartKey> FindGuilty(base::TimePoint aNow) const;
   void Forget(base::TimePoint aNow);
 
   std::map<PartKey, Suspect> m_suspects; // at most kMaxSuspects
--- a/chivefront/routing/part_quarantine_test.cc
+++ b/chivefront/routing/part_quarantine_test.cc
@@ -76,6 +76,27 @@
   BOOST_TEST(parts.count(kShared) == 0U);
 }
 
+// Guards against the refusal of all requests of a route: when a tainted part
+// had crashed every upstream, no answer cleared the common beginning of the
+// prompts any more (LOST on salins-booking with a share of 0.2, seed 7).
+BOOST_FIXTURE_TEST_CASE(CommonPartIsNotBlamedWhileAllUpstreamsAreDown, Fixture)
+{
+  m_evidence.OnBegun({ kShared }, At(0));
+  for (int i = 0; i < 6; ++i) {
+    Lose(static_cast<uint64_t>(i), 100 + i * 200, { kShared, kTainted });
+    // A sound request waits at the same upstream.
+    m_evidence.OnLoss({ m_upstream,
+                        static_cast<uint64_t>(100 + i),
+                        false,
+                        At(100 + i * 200),
+                        At(200 + i * 200) },
+                      { kShared });
+  }
+  const std::set<PartKey> parts = Decide(2000);
+  BOOST_TEST(parts.count(kTainted) == 1U);
+  BOOST_TEST(parts.count(kShared) == 0U);
+}
+
 // Guards against blaming a popular part for upstreams that fail at the same
 // moment, as when a domain loses power.
 BOOST_FIXTURE_TEST_CASE(SimultaneousLossesCountOnce, Fixture)
