Bound the work for suspect prompt parts

Cause: each poll judged all suspect parts anew; after an outage, hundreds of suspects times the polls of all entries would take several percent of a small core (by reckoning, not seen in a run). Change: the leader judges them every 100 ms.

--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -23,6 +23,8 @@
 // How long a graceful stop waits for another replica to become the leader.
 constexpr base::Millis kTransferTimeout{ 1500 };
 constexpr base::Millis kTransferPollPeriod{ 30 };
+// Bounds the work for suspect prompt parts when many entries poll.
+constexpr base::Millis kPartJudgePeriod{ 100 };
 // Log entries between snapshots. Small because a document may have hundreds of
 // kilobytes and the disk is small.
 constexpr uint64_t kSnapshotEvery = 64;
@@ -154,6 +156,7 @@
     m_log
   };
   routing::PartQuarantine m_partQuarantine;
+  base::TimePoint m_partsJudgedAt; // last update of m_partQuarantine
   bool m_stopped = false;
 };
 
@@ -229,10 +232,13 @@
 {
   m_partQuarantine.Adopt(FromWire(aRequest.quarantined_parts, aNow));
   m_partQuarantine.Record(ReadPartReport(aRequest, aNow));
-  for (const routing::PartKey part : m_partQuarantine.Update(aNow)) {
-    m_log.Record("prompt_part_quarantined",
-                 base::LogCategory::State,
-                 { { "part", part }, { "entry", aRequest.holder } });
+  if (aNow - m_partsJudgedAt >= detail::kPartJudgePeriod) {
+    m_partsJudgedAt = aNow;
+    for (const routing::PartKey part : m_partQuarantine.Update(aNow)) {
+      m_log.Record("prompt_part_quarantined",
+                   base::LogCategory::State,
+                   { { "part", part }, { "entry", aRequest.holder } });
+    }
   }
   for (const routing::PartKey part : m_partQuarantine.Suspects()) {
     aReply.suspect_parts.push_back(part);
