--- a/chivefront/consensus/tolerance_test.cc
+++ b/chivefront/consensus/tolerance_test.cc
@@ -81,6 +81,19 @@
   return false;
 }
 
+// All hosts lose power, and two random voters their disks. The group must keep
+// what was acknowledged and accept writes again.
+void
+LoseTwoVoterDisks(Simulation& aSimulation, uint64_t aSeed)
+{
+  std::vector<std::string> voters = Voters(aSimulation);
+  std::shuffle(voters.begin(), voters.end(), aSimulation.Random());
+  LosePower(aSimulation, { voters[0], voters[1] });
+  aSimulation.Run(kRecoveryMillis);
+  BOOST_TEST(AcknowledgeWrite(aSimulation), "seed " << aSeed);
+  BOOST_TEST(aSimulation.Violations().empty(), "seed " << aSeed);
+}
+
 } // namespace
 
 // Guards against a control group that two lost disks end for good, with every
@@ -90,14 +103,10 @@
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     Simulation simulation(seed, kSeedHosts, kJoiningHosts, FiveVoters());
     simulation.Run(kStartMillis);
-    std::vector<std::string> voters = Voters(simulation);
-    BOOST_REQUIRE_MESSAGE(voters.size() == kTargetVoters, "seed " << seed);
+    BOOST_REQUIRE_MESSAGE(Voters(simulation).size() == kTargetVoters,
+                          "seed " << seed);
     BOOST_REQUIRE(AcknowledgeWrite(simulation));
-    std::shuffle(voters.begin(), voters.end(), simulation.Random());
-    LosePower(simulation, { voters[0], voters[1] });
-    simulation.Run(kRecoveryMillis);
-    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
-    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+    LoseTwoVoterDisks(simulation, seed);
   }
 }
 
@@ -109,12 +118,7 @@
   for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
     Simulation simulation(seed, kSeedHosts, kJoiningHosts, FiveVoters());
     BOOST_REQUIRE(AcknowledgeWrite(simulation));
-    std::vector<std::string> voters = Voters(simulation);
-    std::shuffle(voters.begin(), voters.end(), simulation.Random());
-    LosePower(simulation, { voters[0], voters[1] });
-    simulation.Run(kRecoveryMillis);
-    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
-    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+    LoseTwoVoterDisks(simulation, seed);
   }
 }
 
@@ -167,11 +171,63 @@
       BOOST_TEST(!IsVoter(simulation, name), "seed " << seed);
     }
     BOOST_REQUIRE(AcknowledgeWrite(simulation));
-    std::vector<std::string> voters = Voters(simulation);
-    std::shuffle(voters.begin(), voters.end(), simulation.Random());
-    LosePower(simulation, { voters[0], voters[1] });
+    LoseTwoVoterDisks(simulation, seed);
+  }
+}
+
+// Guards against a group that stops, or loses a write, when a host is replaced
+// for good while another one is down, and the host that took the vote loses its
+// disk at once.
+BOOST_AUTO_TEST_CASE(ReplacementLosesItsDiskWhileAnotherHostIsDown)
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, FiveVoters());
+    simulation.Run(kStartMillis);
+    BOOST_REQUIRE(AcknowledgeWrite(simulation));
+    std::vector<std::string> before = Voters(simulation);
+    std::shuffle(before.begin(), before.end(), simulation.Random());
+    simulation.Crash(before[0]);
+    simulation.Crash(before[1]);
+    std::string replacement;
+    for (int64_t i = 0; i < kRecoveryMillis && replacement.empty(); ++i) {
+      simulation.Step();
+      for (const std::string& name : Voters(simulation)) {
+        if (std::count(before.begin(), before.end(), name) == 0) {
+          replacement = name;
+        }
+      }
+    }
+    BOOST_REQUIRE_MESSAGE(!replacement.empty(), "seed " << seed);
+    simulation.LoseDisk(replacement);
+    simulation.Restart(replacement);
+    simulation.Run(kRecoveryMillis);
+    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
+    BOOST_TEST(Voters(simulation).size() == kTargetVoters, "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+  }
+}
+
+// Guards against a group that does not return when all hosts are killed in the
+// middle of a replacement.
+BOOST_AUTO_TEST_CASE(AllKilledDuringAReplacement)
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, FiveVoters());
+    simulation.Run(kStartMillis);
+    BOOST_REQUIRE(AcknowledgeWrite(simulation));
+    simulation.Crash(Voters(simulation).back());
+    const auto isReplacing = [&] {
+      const size_t voters = Voters(simulation).size();
+      return voters > 0 && voters != kTargetVoters;
+    };
+    for (int64_t i = 0; i < kRecoveryMillis && !isReplacing(); ++i) {
+      simulation.Step();
+    }
+    BOOST_REQUIRE_MESSAGE(isReplacing(), "seed " << seed);
+    LosePower(simulation, {});
     simulation.Run(kRecoveryMillis);
     BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
+    BOOST_TEST(Voters(simulation).size() == kTargetVoters, "seed " << seed);
     BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
   }
 }
