Log the request limits that upstreams state

Cause: the logs could not tell whether limits are ignored, whether attempts after the first one exceed them, or whether entries learn of them late.

Change: the header codec reads the limit of an answer, RequestLimits keeps the newest one of each incarnation, and an entry logs each change with the requests and retries it sent since the last one. No choice depends on it yet. A limit is withdrawn only by the answer to a request that was sent after the last statement.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -136,6 +136,9 @@
   void RecordAnswerBegun();
   void CountForVersion(const Upstream& aUpstream, bool aSucceeded);
   void RecordConnectionLost(Upstream& aUpstream);
+  void RecordRequestLimit(Upstream& aUpstream,
+                          const std::optional<double>& aPerSecond);
+  void CountSentToLimited(Upstream& aUpstream) const;
   void RecordBytesReceived(Upstream& aUpstream);
   void EndHeadWait(Upstream& aUpstream);
   void RecordHeadLatency(Upstream& aUpstream);
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -128,6 +128,7 @@
   m_sentAt = m_shared.m_clock.Now();
   ++m_sendCount;
   RecordPromptParts(*aUpstream);
+  CountSentToLimited(*aUpstream);
   m_headReceivedAt = base::TimePoint();
   m_silentSince = m_sentAt;
   m_writingToCaller = false;
@@ -190,6 +191,9 @@
     aUpstream.m_estimate.OnLoad(
       metadata.m_load->m_running, metadata.m_load->m_waiting, now);
   }
+  if (!metadata.m_wrongUpstream) {
+    RecordRequestLimit(aUpstream, metadata.m_requestLimit);
+  }
   if (metadata.m_wrongUpstream) {
     m_connection->Close();
     m_shared.m_upstreams.Forget(aUpstream.m_instance.m_id);
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -276,6 +276,44 @@
     m_sharedParts);
 }
 
+// Records the request limit that an answer states, or that it states none. Only
+// a request that was sent after the last statement can withdraw it, because
+// answers on different connections may overtake each other.
+void
+Exchange::RecordRequestLimit(Upstream& aUpstream,
+                             const std::optional<double>& aPerSecond)
+{
+  const base::TimePoint heardAt =
+    aPerSecond ? m_shared.m_clock.Now() : m_sentAt;
+  const routing::LimitChange change =
+    m_shared.m_upstreams.RequestLimits().Record(
+      { routing::MakeUpstreamKey(aUpstream.m_instance), aPerSecond, heardAt });
+  if (change == routing::LimitChange::None) {
+    return;
+  }
+  m_shared.m_log.Record(
+    "request_limit_changed",
+    base::LogCategory::State,
+    { { "upstream", aUpstream.m_instance.m_id },
+      { "per_second", aPerSecond ? std::to_string(*aPerSecond) : "none" },
+      { "status", static_cast<int64_t>(m_responseStatus) },
+      { "sent_before", aUpstream.m_sentWhileLimited },
+      { "retries_before", aUpstream.m_retriesWhileLimited } });
+  aUpstream.m_sentWhileLimited = 0;
+  aUpstream.m_retriesWhileLimited = 0;
+}
+
+void
+Exchange::CountSentToLimited(Upstream& aUpstream) const
+{
+  const routing::UpstreamKey key =
+    routing::MakeUpstreamKey(aUpstream.m_instance);
+  if (m_shared.m_upstreams.RequestLimits().Find(key)) {
+    ++aUpstream.m_sentWhileLimited;
+    aUpstream.m_retriesWhileLimited += m_sendCount > 1 ? 1 : 0;
+  }
+}
+
 void
 Exchange::LogFailedAttempt(std::string_view aResult,
                            std::string_view aReason) const
--- a/chivefront/proxy/header_codec.h
+++ b/chivefront/proxy/header_codec.h
@@ -67,6 +67,8 @@
   bool m_wrongUpstream = false;    // another upstream uses this address now
   std::optional<int> m_confidence; // 0 to 100, reported by the model
   std::optional<UpstreamLoad> m_load;
+  // Requests per second that the upstream accepts from all entries together.
+  std::optional<double> m_requestLimit;
 };
 
 class HeaderCodec
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -2,6 +2,7 @@
 #include "chivefront/proxy/upstreams.h"
 
 #include <algorithm>
+#include <unordered_set>
 
 namespace chivefront::proxy {
 namespace detail {
@@ -12,6 +13,8 @@
 // With larger bursts the requests of many entries could reach one cold upstream
 // at once.
 constexpr double kColdBurstRequests = 1;
+// Late observations of other processes arrive within this time.
+constexpr base::Millis kLimitRetention{ 10000 };
 
 } // namespace detail
 
@@ -206,6 +209,14 @@
       return now - aConnection->IdleSince() >= detail::kMaxIdleTime;
     });
   }
+  std::unordered_set<routing::UpstreamKey> registered;
+  registry.ForEach([&](const routing::Instance& aInstance) {
+    registered.insert(routing::MakeUpstreamKey(aInstance));
+  });
+  m_requestLimits.Expire(now - detail::kLimitRetention,
+                         [&](routing::UpstreamKey aUpstream) {
+                           return registered.count(aUpstream) > 0;
+                         });
   std::erase_if(m_forgotten, [&](const auto& aItem) {
     return registry.Find(aItem.first) == nullptr;
   });
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -11,6 +11,7 @@
 
 #include "chivefront/proxy/upstream_connection.h"
 #include "chivefront/routing/choice.h"
+#include "chivefront/routing/request_limits.h"
 #include "chivefront/routing/rollout_share.h"
 #include "chivefront/routing/upstream_estimate.h"
 #include "chivefront/site/watch.h"
@@ -23,6 +24,9 @@
 {
   routing::Instance m_instance; // its latest registration
   routing::UpstreamEstimate m_estimate;
+  // Requests sent by this entry while the upstream states a request limit.
+  uint64_t m_sentWhileLimited = 0;
+  uint64_t m_retriesWhileLimited = 0; // those that were not first attempts
   std::vector<std::unique_ptr<UpstreamConnection>> m_idleConnections;
 };
 
@@ -71,6 +75,8 @@
   void ReturnConnection(Upstream& aUpstream,
                         std::unique_ptr<UpstreamConnection> aConnection);
 
+  routing::RequestLimits& RequestLimits() { return m_requestLimits; }
+
   // Drops an upstream whose address now belongs to another one. It becomes
   // eligible again after it has started anew.
   void Forget(const std::string& aId);
@@ -93,6 +99,7 @@
   const base::Clock& m_clock;
   // By upstream id.
   std::unordered_map<std::string, UpstreamPointer> m_upstreams;
+  routing::RequestLimits m_requestLimits;
   // Start time (m_born), by upstream id.
   std::unordered_map<std::string, uint64_t> m_forgotten;
 };
