--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
 #include "chivefront/proxy/caller_connection.h"
 #include "chivefront/proxy/exchange.h"
 
@@ -32,7 +33,7 @@
   , m_options(std::move(aOptions))
   , m_watch(aWatch)
   , m_acceptor(aContext)
-  , m_upstreams(aWatch, base::SteadyClock::Instance())
+  , m_upstreams(aWatch, base::SteadyClock::Instance(), base::RandomBits())
   , m_rolloutEvidence(aWatch)
   , m_metrics(aMetrics)
   , m_shared{ base::SteadyClock::Instance(),
@@ -51,6 +52,10 @@
     [this](const std::set<routing::PartKey>& aSuspects) {
       return m_partEvidence.Report(aSuspects, m_shared.m_clock.Now());
     });
+  aWatch.SetRateExchange([this] { return m_upstreams.MakeRateReport(); },
+                         [this](const site::RateAnswer& aAnswer) {
+                           m_upstreams.AcceptRates(aAnswer);
+                         });
 }
 
 Entry::~Entry() = default;
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -5,6 +5,7 @@
 
 #include "chivefront/proxy/retry_after.h"
 #include "chivefront/proxy/text_view.h"
+#include "chivefront/proxy/waiting_request.h"
 #include "chivefront/routing/model_choice.h"
 #include "chivefront/routing/silence.h"
 
@@ -20,6 +21,10 @@
 // Upstreams register about once a second, so a new entry knows all of them
 // after this time.
 constexpr base::Millis kRegistrationDelay{ 3000 };
+// A request that waits asks for permits in each poll of control.
+constexpr base::Millis kDemandPeriod{ 200 };
+// Before all new requests, because the caller sees the pause.
+constexpr int kResumedStreamPriority = -1;
 
 } // namespace detail
 
@@ -277,13 +282,38 @@
   return criteria;
 }
 
+// The priority of the team, or else of the route; 0 is the most urgent.
+int
+Exchange::Priority() const
+{
+  if (m_team != nullptr && m_team->m_priority) {
+    return *m_team->m_priority;
+  }
+  return m_route->m_priority;
+}
+
+// Whether an answer may be dropped to ask a larger model: nothing of it has
+// reached the caller, and an upstream is available for the larger model.
+bool
+Exchange::CanEscalate() const
+{
+  if (!HasLargerModel() || m_caller->ResponseStarted()) {
+    return false;
+  }
+  UpstreamCriteria criteria = Criteria();
+  criteria.m_triedUpstreams.clear(); // every upstream may run the larger model
+  return m_shared.m_upstreams.HasAvailable(criteria);
+}
+
 // A new entry may not know all upstreams yet, because they register about once
 // a second; the request may then use half of its time. Later a request waits
 // only if upstreams are unavailable for a short time: until a quarter of the
 // latency goal has passed, or, in the middle of a stream, for as long as a
-// pause is tolerated.
+// pause is tolerated. It does not wait for request limits if others that wait
+// before it use them up until then.
 bool
-Exchange::MayWaitForUpstream(NoUpstreamReason aReason,
+Exchange::MayWaitForUpstream(const AvailableUpstreams& aAvailable,
+                             base::Millis aExpectedWait,
                              base::TimePoint aSince) const
 {
   const base::TimePoint now = m_shared.m_clock.Now();
@@ -291,13 +321,13 @@
       detail::kRegistrationDelay) {
     return TimeLeft() > (m_deadline - m_receivedAt) / 2;
   }
-  if (aReason == NoUpstreamReason::None) {
+  if (aAvailable.m_reason == NoUpstreamReason::None) {
     return false;
   }
   if (m_caller->ResponseStarted()) {
     return now - aSince < routing::StallTimeout(m_route->m_pauseGoal);
   }
-  return (now - m_receivedAt) * 4 < m_route->m_goal;
+  return (now + aExpectedWait - m_receivedAt) * 4 < m_route->m_goal;
 }
 
 // Chooses an upstream; waits for one if MayWaitForUpstream allows it. Responds
@@ -306,16 +336,33 @@
 Exchange::FindUpstream()
 {
   const base::TimePoint startedAt = m_shared.m_clock.Now();
-  NoUpstreamReason reason = NoUpstreamReason::None;
+  const int priority =
+    m_caller->ResponseStarted() ? detail::kResumedStreamPriority : Priority();
+  WaitingRequest waiting(m_shared.m_upstreams.WaitQueueOf(m_service->m_name),
+                         priority);
+  UpstreamCriteria criteria = Criteria();
+  base::TimePoint demandAddedAt;
   while (m_abortReason == AbortReason::None) {
-    UpstreamPointer upstream = m_shared.m_upstreams.Choose(Criteria(), reason);
+    const base::TimePoint now = m_shared.m_clock.Now();
+    criteria.m_ticket = waiting.Ticket();
+    criteria.m_addsDemand = now - demandAddedAt >= detail::kDemandPeriod;
+    if (criteria.m_addsDemand) {
+      demandAddedAt = now;
+    }
+    AvailableUpstreams available;
+    UpstreamPointer upstream = m_shared.m_upstreams.Choose(criteria, available);
     if (upstream) {
       co_return upstream;
     }
-    if (!MayWaitForUpstream(reason, startedAt)) {
-      co_await RespondNoUpstream(reason);
+    const base::Millis expectedWait =
+      waiting.ExpectedWait(available.m_limitedRate);
+    if (!MayWaitForUpstream(available, expectedWait, startedAt)) {
+      co_await RespondNoUpstream(available.m_reason, expectedWait);
       break;
     }
+    if (available.m_reason == NoUpstreamReason::Limited) {
+      waiting.Enter();
+    }
     co_await net::Sleep(detail::kPollPeriod);
   }
   co_return nullptr;
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -86,7 +86,8 @@
   bool HasQuarantinedPart() const;
   net::Task<void> RunAttempts();
   net::Task<void> RespondToAbort();
-  bool MayWaitForUpstream(NoUpstreamReason aReason,
+  bool MayWaitForUpstream(const AvailableUpstreams& aAvailable,
+                          base::Millis aExpectedWait,
                           base::TimePoint aSince) const;
   net::Task<AttemptResult> RunAttempt(UpstreamPointer aUpstream);
   net::Task<AttemptResult> SendAndReceive(const UpstreamPointer& aUpstream);
@@ -98,7 +99,8 @@
   net::Task<absl::Status> WriteToCaller(const std::string& aHead,
                                         std::string aChunk);
   net::Task<UpstreamPointer> FindUpstream();
-  net::Task<void> RespondNoUpstream(NoUpstreamReason aReason);
+  net::Task<void> RespondNoUpstream(NoUpstreamReason aReason,
+                                    base::Millis aExpectedWait);
   static AttemptResult ResultOfLastWrite(const absl::Status& aWritten);
   // Handles the result of an attempt. Returns true if another attempt may be
   // made.
@@ -132,6 +134,8 @@
   std::shared_ptr<const std::string> BuildUpstreamRequest(
     const Upstream& aUpstream);
   UpstreamCriteria Criteria() const;
+  int Priority() const;
+  bool CanEscalate() const;
   void RecordPromptParts(Upstream& aUpstream) const;
   void RecordAnswerBegun();
   void CountForVersion(const Upstream& aUpstream, bool aSucceeded);
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -221,8 +221,7 @@
     m_connection->Close();
     co_return OutcomeUnknown{ "unsealed" };
   }
-  if (metadata.m_confidence && HasLargerModel() &&
-      !m_caller->ResponseStarted() &&
+  if (metadata.m_confidence && CanEscalate() &&
       !routing::KeepsAnswer(m_modelIndex, *metadata.m_confidence) &&
       TryTakeRetry()) {
     m_connection->Close();
@@ -399,9 +398,7 @@
   metadata.m_model = CurrentModel();
   metadata.m_lastEventId = m_eventSplitter.LastId() ? m_eventSplitter.LastId()
                                                     : m_metadata.m_lastEventId;
-  metadata.m_priority = m_team != nullptr && m_team->m_priority
-                          ? *m_team->m_priority
-                          : m_route->m_priority;
+  metadata.m_priority = Priority();
   return std::make_shared<const std::string>(MakeForwardedRequest(
     m_caller->Request(), m_shared.m_headerCodec, metadata));
 }
--- a/chivefront/proxy/exchange_response.cc
+++ b/chivefront/proxy/exchange_response.cc
@@ -1,5 +1,7 @@
 // Responses that the entry itself creates, and the log record of the end of a
 // request.
+#include <algorithm>
+
 #include "chivefront/base/errors.h"
 #include "chivefront/proxy/exchange.h"
 #include "chivefront/proxy/retry_after.h"
@@ -60,9 +62,11 @@
   co_await WriteOwnResponse(std::move(aError.m_head), std::move(aError.m_body));
 }
 
-// Ends a request for which no upstream is available.
+// Ends a request for which no upstream is available. A caller may return when
+// those that wait have been served.
 net::Task<void>
-Exchange::RespondNoUpstream(NoUpstreamReason aReason)
+Exchange::RespondNoUpstream(NoUpstreamReason aReason,
+                            base::Millis aExpectedWait)
 {
   std::string reason(kNoUpstreamReasonNames.Name(aReason));
   if (m_caller->ResponseStarted()) {
@@ -72,7 +76,9 @@
   } else if (m_mayHaveRun) {
     co_await Fail(502, std::move(reason));
   } else {
-    co_await Refuse(503, std::move(reason), detail::kRetrySoon);
+    const base::Millis retryAfter =
+      std::clamp(aExpectedWait, detail::kRetrySoon, detail::kRetryLimited);
+    co_await Refuse(503, std::move(reason), retryAfter);
   }
 }
 
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -67,6 +67,10 @@
     metadata.m_attemptId = Get(aFields, "Id");
     metadata.m_sealed = aFields.count("Seal") > 0;
     metadata.m_notRun = aStatus == 503;
+    if (aFields.count("Limit") > 0) {
+      metadata.m_requestLimit =
+        static_cast<double>(ToNumber(Get(aFields, "Limit"), 0));
+    }
     if (aFields.count("Sure") > 0) {
       metadata.m_confidence =
         static_cast<int>(ToNumber(Get(aFields, "Sure"), 0));
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -2,7 +2,6 @@
 #include "chivefront/proxy/upstreams.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace chivefront::proxy {
 namespace detail {
@@ -13,14 +12,15 @@
 // With larger bursts the requests of many entries could reach one cold upstream
 // at once.
 constexpr double kColdBurstRequests = 1;
-// Late observations of other processes arrive within this time.
-constexpr base::Millis kLimitRetention{ 10000 };
 
 } // namespace detail
 
-Upstreams::Upstreams(const site::Watch& aWatch, const base::Clock& aClock)
+Upstreams::Upstreams(const site::Watch& aWatch,
+                     const base::Clock& aClock,
+                     uint64_t aSeed)
   : m_watch(aWatch)
   , m_clock(aClock)
+  , m_permits(aSeed)
 {
 }
 
@@ -89,51 +89,111 @@
   return aService.m_warmupPerSecond / m_watch.View().m_liveEntries;
 }
 
-// Upstreams that may be sent the request now.
-std::vector<UpstreamPointer>
-Upstreams::AvailableFor(const UpstreamCriteria& aCriteria,
-                        NoUpstreamReason& aReason)
+bool
+Upstreams::IsColdRateUsed(const routing::Instance& aInstance,
+                          routing::UpstreamEstimate& aEstimate,
+                          const routing::Service& aService) const
+{
+  const base::TimePoint now = m_clock.Now();
+  const double share = ColdRateShare(aService);
+  return aInstance.m_coldUntil > now && share > 0 &&
+         !aEstimate.ColdBucket().Ready(share, detail::kColdBurstRequests, now);
+}
+
+// Adds the upstreams with a request limit for which this entry holds a permit,
+// unless as many other requests as there are permits wait before this one.
+void
+Upstreams::AddLimited(const std::vector<LimitedUpstream>& aLimited,
+                      const UpstreamCriteria& aCriteria,
+                      AvailableUpstreams& aAvailable)
 {
   const base::TimePoint now = m_clock.Now();
-  const double coldRateShare = ColdRateShare(*aCriteria.m_service);
-  std::vector<UpstreamPointer> available;
-  aReason = NoUpstreamReason::None;
+  const size_t usable = aLimited.size() + aAvailable.m_upstreams.size();
+  size_t permits = 0;
+  std::vector<UpstreamPointer> permitted;
+  for (const LimitedUpstream& limited : aLimited) {
+    if (aCriteria.m_addsDemand) {
+      m_permits.AddDemand(limited.m_bound, 1 / static_cast<double>(usable));
+    }
+    aAvailable.m_limitedRate +=
+      limited.m_bound.m_perSecond / m_watch.View().m_liveEntries;
+    const uint32_t count = m_permits.Available(limited.m_bound, now);
+    permits += count;
+    if (count > 0) {
+      permitted.push_back(limited.m_upstream);
+    }
+  }
+  const routing::WaitQueue& queue = m_waitQueues[aCriteria.m_service->m_name];
+  if (queue.IsAmongFirst(aCriteria.m_ticket, permits)) {
+    aAvailable.m_upstreams.insert(
+      aAvailable.m_upstreams.end(), permitted.begin(), permitted.end());
+  } else if (!aLimited.empty()) {
+    aAvailable.m_reason = NoUpstreamReason::Limited;
+  }
+}
+
+AvailableUpstreams
+Upstreams::AvailableFor(const UpstreamCriteria& aCriteria)
+{
+  const base::TimePoint now = m_clock.Now();
+  AvailableUpstreams available;
+  std::vector<LimitedUpstream> limited;
+  const auto setReason = [&](NoUpstreamReason aReason) {
+    available.m_reason = std::max(available.m_reason, aReason);
+  };
   const auto consider = [&](const routing::Instance& aInstance) {
     if (!IsEligible(aInstance, aCriteria) ||
         !MatchesRollout(aInstance, aCriteria)) {
       return;
     }
     const UpstreamPointer upstream = FindOrCreate(aInstance);
-    routing::UpstreamEstimate& estimate = upstream->m_estimate;
-    if (estimate.BackoffUntil() > now) {
-      aReason = std::max(aReason, NoUpstreamReason::InBackoff);
-      return;
-    }
-    if (aInstance.m_coldUntil > now && coldRateShare > 0 &&
-        !estimate.ColdBucket().Ready(
-          coldRateShare, detail::kColdBurstRequests, now)) {
-      aReason = NoUpstreamReason::Cold;
-      return;
+    if (upstream->m_estimate.BackoffUntil() > now) {
+      setReason(NoUpstreamReason::InBackoff);
+    } else if (IsColdRateUsed(
+                 aInstance, upstream->m_estimate, *aCriteria.m_service)) {
+      setReason(NoUpstreamReason::Cold);
+    } else if (const auto bound = m_requestLimits.FindBound(
+                 routing::MakeUpstreamKey(aInstance))) {
+      limited.push_back({ upstream, *bound });
+    } else {
+      available.m_upstreams.push_back(upstream);
     }
-    available.push_back(upstream);
   };
   m_watch.View().m_registry.ForEach(consider);
+  m_permits.SetGroup(
+    { m_watch.View().m_liveEntries, m_watch.View().m_leaderAnsweredAt });
+  AddLimited(limited, aCriteria, available);
   return available;
 }
 
 bool
 Upstreams::HasAvailable(const UpstreamCriteria& aCriteria)
 {
-  NoUpstreamReason reason = NoUpstreamReason::None;
-  return !AvailableFor(aCriteria, reason).empty();
+  return !AvailableFor(aCriteria).m_upstreams.empty();
 }
 
-UpstreamPointer
-Upstreams::Choose(const UpstreamCriteria& aCriteria, NoUpstreamReason& aReason)
+// Takes what a request to aUpstream uses up.
+void
+Upstreams::TakeRate(Upstream& aUpstream, const routing::Service& aService)
 {
   const base::TimePoint now = m_clock.Now();
-  const std::vector<UpstreamPointer> available =
-    AvailableFor(aCriteria, aReason);
+  const double coldRateShare = ColdRateShare(aService);
+  if (aUpstream.m_instance.m_coldUntil > now && coldRateShare > 0) {
+    (void)aUpstream.m_estimate.ColdBucket().Take(
+      coldRateShare, detail::kColdBurstRequests, now);
+  }
+  if (const auto bound = m_requestLimits.FindBound(
+        routing::MakeUpstreamKey(aUpstream.m_instance))) {
+    (void)m_permits.Take(*bound, now);
+  }
+}
+
+UpstreamPointer
+Upstreams::Choose(const UpstreamCriteria& aCriteria,
+                  AvailableUpstreams& aAvailable)
+{
+  aAvailable = AvailableFor(aCriteria);
+  const std::vector<UpstreamPointer>& available = aAvailable.m_upstreams;
   if (available.empty()) {
     return nullptr;
   }
@@ -143,16 +203,27 @@
                            &upstream->m_estimate,
                            upstream->m_instance.m_slots });
   }
-  const UpstreamPointer chosen =
-    available[routing::ChooseUpstream(candidates, aCriteria.m_choice, now)];
-  const double coldRateShare = ColdRateShare(*aCriteria.m_service);
-  if (chosen->m_instance.m_coldUntil > now && coldRateShare > 0) {
-    (void)chosen->m_estimate.ColdBucket().Take(
-      coldRateShare, detail::kColdBurstRequests, now);
-  }
+  UpstreamPointer chosen = available[routing::ChooseUpstream(
+    candidates, aCriteria.m_choice, m_clock.Now())];
+  TakeRate(*chosen, *aCriteria.m_service);
   return chosen;
 }
 
+site::RateReport
+Upstreams::MakeRateReport()
+{
+  return { m_requestLimits.All(), m_permits.MakeRequests(m_clock.Now()) };
+}
+
+void
+Upstreams::AcceptRates(const site::RateAnswer& aAnswer)
+{
+  for (const routing::LimitObservation& limit : aAnswer.m_limits) {
+    (void)m_requestLimits.Record(limit);
+  }
+  m_permits.Accept(aAnswer.m_permits, aAnswer.m_askedAt);
+}
+
 std::unique_ptr<UpstreamConnection>
 Upstreams::TakeIdleConnection(Upstream& aUpstream)
 {
@@ -209,14 +280,8 @@
       return now - aConnection->IdleSince() >= detail::kMaxIdleTime;
     });
   }
-  std::unordered_set<routing::UpstreamKey> registered;
-  registry.ForEach([&](const routing::Instance& aInstance) {
-    registered.insert(routing::MakeUpstreamKey(aInstance));
-  });
-  m_requestLimits.Expire(now - detail::kLimitRetention,
-                         [&](routing::UpstreamKey aUpstream) {
-                           return registered.count(aUpstream) > 0;
-                         });
+  m_requestLimits.ExpireUnregistered(registry, now);
+  m_permits.Expire(now);
   std::erase_if(m_forgotten, [&](const auto& aItem) {
     return registry.Find(aItem.first) == nullptr;
   });
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -11,9 +11,11 @@
 
 #include "chivefront/proxy/upstream_connection.h"
 #include "chivefront/routing/choice.h"
+#include "chivefront/routing/permit_client.h"
 #include "chivefront/routing/request_limits.h"
 #include "chivefront/routing/rollout_share.h"
 #include "chivefront/routing/upstream_estimate.h"
+#include "chivefront/routing/wait_queue.h"
 #include "chivefront/site/watch.h"
 
 namespace chivefront::proxy {
@@ -39,6 +41,10 @@
   routing::RolloutKey m_rolloutKey; // decides between old and new version
   // Ids that must not be chosen again.
   std::vector<std::string> m_triedUpstreams;
+  // Place among the requests that wait for an upstream with a request limit.
+  routing::WaitTicket m_ticket;
+  // The request counts in what this entry asks of such upstreams.
+  bool m_addsDemand = false;
 };
 
 // Why no upstream is available. A later value takes precedence.
@@ -47,23 +53,38 @@
   None,      // no eligible upstream of the service is known
   InBackoff, // at least one is in backoff after failures or overload
   Cold,      // at least one is cold and has used up its rate
+  Limited,   // at least one states a request limit that is used up
 };
 
-inline constexpr base::NameTable<NoUpstreamReason, 3> kNoUpstreamReasonNames{ {
+inline constexpr base::NameTable<NoUpstreamReason, 4> kNoUpstreamReasonNames{ {
   { { NoUpstreamReason::None, "no_upstream" },
     { NoUpstreamReason::InBackoff, "upstreams_closed" },
-    { NoUpstreamReason::Cold, "upstreams_cold" } },
+    { NoUpstreamReason::Cold, "upstreams_cold" },
+    { NoUpstreamReason::Limited, "upstreams_limited" } },
 } };
 
+// The upstreams that are available for a request.
+struct AvailableUpstreams
+{
+  std::vector<UpstreamPointer> m_upstreams;
+  NoUpstreamReason m_reason = NoUpstreamReason::None; // if there are none
+  // Requests per second that this entry can expect to send to the upstreams
+  // with a request limit; 0 if there are none.
+  double m_limitedRate = 0;
+};
+
 class Upstreams
 {
 public:
-  Upstreams(const site::Watch& aWatch, const base::Clock& aClock);
+  // aSeed: differs between the entries and between their incarnations.
+  Upstreams(const site::Watch& aWatch,
+            const base::Clock& aClock,
+            uint64_t aSeed);
 
-  // Chooses an upstream for a request and takes a token if it is cold. Returns
-  // null and sets aReason if none is available now.
+  // Chooses an upstream for a request, and takes a token if it is cold and a
+  // permit if it states a request limit. Returns null if none is available now.
   UpstreamPointer Choose(const UpstreamCriteria& aCriteria,
-                         NoUpstreamReason& aReason);
+                         AvailableUpstreams& aAvailable);
 
   // Whether Choose would return an upstream now. Takes no token.
   bool HasAvailable(const UpstreamCriteria& aCriteria);
@@ -76,6 +97,14 @@
                         std::unique_ptr<UpstreamConnection> aConnection);
 
   routing::RequestLimits& RequestLimits() { return m_requestLimits; }
+  routing::WaitQueue& WaitQueueOf(const std::string& aService)
+  {
+    return m_waitQueues[aService];
+  }
+
+  // What this entry tells control about request limits, and control's answer.
+  site::RateReport MakeRateReport();
+  void AcceptRates(const site::RateAnswer& aAnswer);
 
   // Drops an upstream whose address now belongs to another one. It becomes
   // eligible again after it has started anew.
@@ -86,13 +115,25 @@
   void Sweep();
 
 private:
+  struct LimitedUpstream
+  {
+    UpstreamPointer m_upstream;
+    routing::RateBound m_bound;
+  };
+
   bool IsEligible(const routing::Instance& aInstance,
                   const UpstreamCriteria& aCriteria) const;
   bool MatchesRollout(const routing::Instance& aInstance,
                       const UpstreamCriteria& aCriteria) const;
   UpstreamPointer FindOrCreate(const routing::Instance& aInstance);
-  std::vector<UpstreamPointer> AvailableFor(const UpstreamCriteria& aCriteria,
-                                            NoUpstreamReason& aReason);
+  AvailableUpstreams AvailableFor(const UpstreamCriteria& aCriteria);
+  void AddLimited(const std::vector<LimitedUpstream>& aLimited,
+                  const UpstreamCriteria& aCriteria,
+                  AvailableUpstreams& aAvailable);
+  bool IsColdRateUsed(const routing::Instance& aInstance,
+                      routing::UpstreamEstimate& aEstimate,
+                      const routing::Service& aService) const;
+  void TakeRate(Upstream& aUpstream, const routing::Service& aService);
   double ColdRateShare(const routing::Service& aService) const;
 
   const site::Watch& m_watch;
@@ -100,6 +141,9 @@
   // By upstream id.
   std::unordered_map<std::string, UpstreamPointer> m_upstreams;
   routing::RequestLimits m_requestLimits;
+  routing::PermitClient m_permits;
+  // Requests that wait for an upstream with a request limit, by service.
+  std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
   // Start time (m_born), by upstream id.
   std::unordered_map<std::string, uint64_t> m_forgotten;
 };
--- a/chivefront/routing/request_limits.cc
+++ b/chivefront/routing/request_limits.cc
@@ -1,6 +1,9 @@
 // Merging of observations from several processes.
 #include "chivefront/routing/request_limits.h"
 
+#include <algorithm>
+#include <unordered_set>
+
 #include "chivefront/base/ids.h"
 
 namespace chivefront::routing {
@@ -9,6 +12,13 @@
 // Times of other processes are ages in messages, so a message that returns to
 // its sender makes the same observation look newer by its travel time.
 constexpr base::Millis kClockTolerance{ 50 };
+// Late observations of other processes arrive within this time.
+constexpr base::Millis kRetention{ 10000 };
+// Permits that the entries may hold unused: a fixed number, so that several
+// entries can use a small limit, and those of some time. Together with the
+// requests of any 4 s they stay within 1.5 times the limit and 5 requests.
+constexpr double kMaxHeld = 3;
+constexpr double kMaxHeldSeconds = 1;
 
 } // namespace detail
 
@@ -50,6 +60,32 @@
   return found == m_latest.end() ? std::nullopt : found->second.m_perSecond;
 }
 
+std::optional<RateBound>
+RequestLimits::FindBound(UpstreamKey aUpstream) const
+{
+  const auto limit = Find(aUpstream);
+  if (!limit) {
+    return std::nullopt;
+  }
+  const double perSecond = std::max(*limit, kMinRequestRate);
+  const auto maxHeld = static_cast<uint32_t>(
+    detail::kMaxHeld + perSecond * detail::kMaxHeldSeconds);
+  return RateBound{ aUpstream, perSecond, maxHeld };
+}
+
+void
+RequestLimits::ExpireUnregistered(const Registry& aRegistry,
+                                  base::TimePoint aNow)
+{
+  std::unordered_set<UpstreamKey> registered;
+  aRegistry.ForEach([&](const Instance& aInstance) {
+    registered.insert(MakeUpstreamKey(aInstance));
+  });
+  Expire(aNow - detail::kRetention, [&](UpstreamKey aUpstream) {
+    return registered.count(aUpstream) > 0;
+  });
+}
+
 std::vector<LimitObservation>
 RequestLimits::All() const
 {
--- a/chivefront/routing/request_limits.h
+++ b/chivefront/routing/request_limits.h
@@ -16,16 +16,21 @@
 
 #include "chivefront/base/clock.h"
 #include "chivefront/routing/registry.h"
+#include "chivefront/routing/send_permits.h"
 
 namespace chivefront::routing {
 
 // Identifies one incarnation of an upstream. A restarted upstream has forgotten
 // its limit and may state another one.
-using UpstreamKey = uint64_t;
+using UpstreamKey = PermitKey;
 
 UpstreamKey
 MakeUpstreamKey(const Instance& aInstance);
 
+// Requests per second that are sent to an upstream with a smaller limit.
+// Without any request it could not withdraw its limit.
+inline constexpr double kMinRequestRate = 0.25;
+
 // What an answer said about the limit of its upstream.
 struct LimitObservation
 {
@@ -52,6 +57,9 @@
 
   // The current limit of an upstream in requests per second, if it has one.
   std::optional<double> Find(UpstreamKey aUpstream) const;
+  // The bound on the requests to an upstream with a limit: the limit, or
+  // kMinRequestRate if that is more.
+  std::optional<RateBound> FindBound(UpstreamKey aUpstream) const;
 
   // All current limits, and the limits withdrawn recently, so that an older
   // observation of another process does not restore them.
@@ -69,6 +77,10 @@
     });
   }
 
+  // Expire for the upstreams that aRegistry does not name, with a retention
+  // that covers late observations of other processes.
+  void ExpireUnregistered(const Registry& aRegistry, base::TimePoint aNow);
+
 private:
   // Newest observation by upstream. Upstreams that never stated a limit have
   // none.
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -11,6 +11,7 @@
 #include "chivefront/control/watcher_table.h"
 #include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
+#include "chivefront/site/rate_coordinator.h"
 #include "chivefront/site/registry_file.h"
 #include "chivefront/site/rollout_supervisor.h"
 
@@ -155,6 +156,7 @@
     },
     m_log
   };
+  RateCoordinator m_rateCoordinator;
   routing::PartQuarantine m_partQuarantine;
   base::TimePoint m_partsJudgedAt; // last update of m_partQuarantine
   bool m_stopped = false;
@@ -220,6 +222,7 @@
       std::make_unique<wire::UpstreamInfoT>(ToWire(instance, now)));
   }
   AnswerPartReport(aRequest, now, reply);
+  m_rateCoordinator.Answer(aRequest, reply.fresh, now, reply);
   (void)aLink->Reply(aCorrelation, std::move(reply));
 }
 
@@ -316,6 +319,7 @@
 {
   const base::TimePoint now = m_clock.Now();
   m_registry.Expire(now);
+  m_rateCoordinator.Expire(m_registry, now);
   SaveRegistry(now);
   m_groupReporter.Report(m_group.Status());
   if (!m_group.IsLeader()) {
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -55,6 +55,13 @@
   m_partReport = std::move(aSource);
 }
 
+void
+Watch::SetRateExchange(RateReportSource aSource, RateAnswerSink aSink)
+{
+  m_rateReport = std::move(aSource);
+  m_rateAnswer = std::move(aSink);
+}
+
 // The name of a control process is its address.
 void
 Watch::Connect(const std::string& aName)
@@ -141,6 +148,12 @@
     AddPartReport(m_partReport(m_suspectParts), now, request);
   }
   request.quarantined_parts = ToWire(m_view.m_quarantinedParts, now);
+  if (m_rateReport) {
+    const RateReport report = m_rateReport();
+    request.request_limits = ToWire(report.m_limits, now);
+    request.permits = ToWire(report.m_permits);
+  }
+  m_polledAt = now;
   return request;
 }
 
@@ -189,6 +202,7 @@
   }
   AcceptInstances(aReply, now);
   AcceptParts(aReply, now);
+  AcceptRates(aReply, now);
 }
 
 void
@@ -262,6 +276,16 @@
                 [aNow](const auto& aPart) { return aPart.second <= aNow; });
 }
 
+void
+Watch::AcceptRates(const wire::WatchReplyT& aReply, base::TimePoint aNow)
+{
+  if (m_rateAnswer) {
+    m_rateAnswer({ FromWire(aReply.request_limits, aNow),
+                   FromWire(aReply.permits),
+                   m_polledAt });
+  }
+}
+
 void
 Watch::AcceptMembers(const wire::WatchReplyT& aReply)
 {
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -23,6 +23,7 @@
 #include "chivefront/routing/config.h"
 #include "chivefront/routing/part_quarantine.h"
 #include "chivefront/routing/registry.h"
+#include "chivefront/site/rate_messages.h"
 #include "chivefront/site/store.h"
 
 namespace chivefront::site {
@@ -54,6 +55,11 @@
   using PartReportSource =
     std::function<routing::PartReport(const std::set<routing::PartKey>&)>;
 
+  // Returns the request limits that the entry knows and the permits that it
+  // wants. Called once for each poll.
+  using RateReportSource = std::function<RateReport()>;
+  using RateAnswerSink = std::function<void(const RateAnswer&)>;
+
   Watch(net::asio::io_context& aContext,
         const net::LinkIdentity& aIdentity,
         const std::vector<std::string>& aSeeds,
@@ -63,6 +69,7 @@
 
   void SetEvidenceSource(EvidenceSource aSource);
   void SetPartReportSource(PartReportSource aSource);
+  void SetRateExchange(RateReportSource aSource, RateAnswerSink aSink);
   // Adds control processes to poll, after a reload of the settings.
   void AddSeeds(const std::vector<std::string>& aNames);
   void Start();
@@ -82,6 +89,7 @@
   void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptMembers(const wire::WatchReplyT& aReply);
   void AcceptParts(const wire::WatchReplyT& aReply, base::TimePoint aNow);
+  void AcceptRates(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void Connect(const std::string& aName);
 
   net::asio::io_context& m_context;
@@ -92,6 +100,9 @@
   const std::string m_holder;
   EvidenceSource m_evidence;
   PartReportSource m_partReport;
+  RateReportSource m_rateReport;
+  RateAnswerSink m_rateAnswer;
+  base::TimePoint m_polledAt;                // when the last poll was sent
   std::set<routing::PartKey> m_suspectParts; // from the last answer
   WatchView m_view;
   std::map<std::string, std::shared_ptr<net::LinkConnector>> m_controlLinks;
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -68,6 +68,18 @@
 struct QuarantinedPartBuilder;
 struct QuarantinedPartT;
 
+struct RequestLimit;
+struct RequestLimitBuilder;
+struct RequestLimitT;
+
+struct PermitRequest;
+struct PermitRequestBuilder;
+struct PermitRequestT;
+
+struct PermitGrant;
+struct PermitGrantBuilder;
+struct PermitGrantT;
+
 struct WatchRequest;
 struct WatchRequestBuilder;
 struct WatchRequestT;
@@ -2640,6 +2652,268 @@
 
 flatbuffers::Offset<QuarantinedPart> CreateQuarantinedPart(flatbuffers::FlatBufferBuilder &_fbb, const QuarantinedPartT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RequestLimitT : public flatbuffers::NativeTable {
+  typedef RequestLimit TableType;
+  uint64_t upstream = 0;
+  bool stated = false;
+  double per_second = 0.0;
+  uint32_t age_ms = 0;
+};
+
+struct RequestLimit FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RequestLimitT NativeTableType;
+  typedef RequestLimitBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_UPSTREAM = 4,
+    VT_STATED = 6,
+    VT_PER_SECOND = 8,
+    VT_AGE_MS = 10
+  };
+  uint64_t upstream() const {
+    return GetField<uint64_t>(VT_UPSTREAM, 0);
+  }
+  bool stated() const {
+    return GetField<uint8_t>(VT_STATED, 0) != 0;
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_UPSTREAM, 8) &&
+           VerifyField<uint8_t>(verifier, VT_STATED, 1) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  RequestLimitT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RequestLimitT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RequestLimit> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RequestLimitBuilder {
+  typedef RequestLimit Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_upstream(uint64_t upstream) {
+    fbb_.AddElement<uint64_t>(RequestLimit::VT_UPSTREAM, upstream, 0);
+  }
+  void add_stated(bool stated) {
+    fbb_.AddElement<uint8_t>(RequestLimit::VT_STATED, static_cast<uint8_t>(stated), 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(RequestLimit::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(RequestLimit::VT_AGE_MS, age_ms, 0);
+  }
+  explicit RequestLimitBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RequestLimit> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RequestLimit>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RequestLimit> CreateRequestLimit(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t upstream = 0,
+    bool stated = false,
+    double per_second = 0.0,
+    uint32_t age_ms = 0) {
+  RequestLimitBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_upstream(upstream);
+  builder_.add_age_ms(age_ms);
+  builder_.add_stated(stated);
+  return builder_.Finish();
+}
+
+struct RequestLimit::Traits {
+  using type = RequestLimit;
+  static auto constexpr Create = CreateRequestLimit;
+};
+
+flatbuffers::Offset<RequestLimit> CreateRequestLimit(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitRequestT : public flatbuffers::NativeTable {
+  typedef PermitRequest TableType;
+  uint64_t key = 0;
+  double per_second = 0.0;
+  uint32_t max_held = 0;
+  uint32_t held = 0;
+  uint32_t wanted = 0;
+};
+
+struct PermitRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitRequestT NativeTableType;
+  typedef PermitRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_PER_SECOND = 6,
+    VT_MAX_HELD = 8,
+    VT_HELD = 10,
+    VT_WANTED = 12
+  };
+  uint64_t key() const {
+    return GetField<uint64_t>(VT_KEY, 0);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, 0.0);
+  }
+  uint32_t max_held() const {
+    return GetField<uint32_t>(VT_MAX_HELD, 0);
+  }
+  uint32_t held() const {
+    return GetField<uint32_t>(VT_HELD, 0);
+  }
+  uint32_t wanted() const {
+    return GetField<uint32_t>(VT_WANTED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_KEY, 8) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint32_t>(verifier, VT_MAX_HELD, 4) &&
+           VerifyField<uint32_t>(verifier, VT_HELD, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WANTED, 4) &&
+           verifier.EndTable();
+  }
+  PermitRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitRequestBuilder {
+  typedef PermitRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(uint64_t key) {
+    fbb_.AddElement<uint64_t>(PermitRequest::VT_KEY, key, 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(PermitRequest::VT_PER_SECOND, per_second, 0.0);
+  }
+  void add_max_held(uint32_t max_held) {
+    fbb_.AddElement<uint32_t>(PermitRequest::VT_MAX_HELD, max_held, 0);
+  }
+  void add_held(uint32_t held) {
+    fbb_.AddElement<uint32_t>(PermitRequest::VT_HELD, held, 0);
+  }
+  void add_wanted(uint32_t wanted) {
+    fbb_.AddElement<uint32_t>(PermitRequest::VT_WANTED, wanted, 0);
+  }
+  explicit PermitRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t key = 0,
+    double per_second = 0.0,
+    uint32_t max_held = 0,
+    uint32_t held = 0,
+    uint32_t wanted = 0) {
+  PermitRequestBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_key(key);
+  builder_.add_wanted(wanted);
+  builder_.add_held(held);
+  builder_.add_max_held(max_held);
+  return builder_.Finish();
+}
+
+struct PermitRequest::Traits {
+  using type = PermitRequest;
+  static auto constexpr Create = CreatePermitRequest;
+};
+
+flatbuffers::Offset<PermitRequest> CreatePermitRequest(flatbuffers::FlatBufferBuilder &_fbb, const PermitRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PermitGrantT : public flatbuffers::NativeTable {
+  typedef PermitGrant TableType;
+  uint64_t key = 0;
+  uint32_t count = 0;
+};
+
+struct PermitGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PermitGrantT NativeTableType;
+  typedef PermitGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEY = 4,
+    VT_COUNT = 6
+  };
+  uint64_t key() const {
+    return GetField<uint64_t>(VT_KEY, 0);
+  }
+  uint32_t count() const {
+    return GetField<uint32_t>(VT_COUNT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_KEY, 8) &&
+           VerifyField<uint32_t>(verifier, VT_COUNT, 4) &&
+           verifier.EndTable();
+  }
+  PermitGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PermitGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PermitGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PermitGrantBuilder {
+  typedef PermitGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_key(uint64_t key) {
+    fbb_.AddElement<uint64_t>(PermitGrant::VT_KEY, key, 0);
+  }
+  void add_count(uint32_t count) {
+    fbb_.AddElement<uint32_t>(PermitGrant::VT_COUNT, count, 0);
+  }
+  explicit PermitGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PermitGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PermitGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PermitGrant> CreatePermitGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t key = 0,
+    uint32_t count = 0) {
+  PermitGrantBuilder builder_(_fbb);
+  builder_.add_key(key);
+  builder_.add_count(count);
+  return builder_.Finish();
+}
+
+struct PermitGrant::Traits {
+  using type = PermitGrant;
+  static auto constexpr Create = CreatePermitGrant;
+};
+
+flatbuffers::Offset<PermitGrant> CreatePermitGrant(flatbuffers::FlatBufferBuilder &_fbb, const PermitGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WatchRequestT : public flatbuffers::NativeTable {
   typedef WatchRequest TableType;
   std::string holder{};
@@ -2654,6 +2928,8 @@
   std::vector<std::unique_ptr<chivefront::wire::PartLossT>> part_losses{};
   std::vector<std::unique_ptr<chivefront::wire::PartBegunT>> parts_begun{};
   std::vector<std::unique_ptr<chivefront::wire::QuarantinedPartT>> quarantined_parts{};
+  std::vector<std::unique_ptr<chivefront::wire::RequestLimitT>> request_limits{};
+  std::vector<std::unique_ptr<chivefront::wire::PermitRequestT>> permits{};
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2676,7 +2952,9 @@
     VT_HAVE_NUMBER = 20,
     VT_PART_LOSSES = 22,
     VT_PARTS_BEGUN = 24,
-    VT_QUARANTINED_PARTS = 26
+    VT_QUARANTINED_PARTS = 26,
+    VT_REQUEST_LIMITS = 28,
+    VT_PERMITS = 30
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -2714,6 +2992,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *>(VT_QUARANTINED_PARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *>(VT_REQUEST_LIMITS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *>(VT_PERMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -2739,6 +3023,12 @@
            VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
            verifier.VerifyVector(quarantined_parts()) &&
            verifier.VerifyVectorOfTables(quarantined_parts()) &&
+           VerifyOffset(verifier, VT_REQUEST_LIMITS) &&
+           verifier.VerifyVector(request_limits()) &&
+           verifier.VerifyVectorOfTables(request_limits()) &&
+           VerifyOffset(verifier, VT_PERMITS) &&
+           verifier.VerifyVector(permits()) &&
+           verifier.VerifyVectorOfTables(permits()) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2786,6 +3076,12 @@
   void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts) {
     fbb_.AddOffset(WatchRequest::VT_QUARANTINED_PARTS, quarantined_parts);
   }
+  void add_request_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits) {
+    fbb_.AddOffset(WatchRequest::VT_REQUEST_LIMITS, request_limits);
+  }
+  void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits) {
+    fbb_.AddOffset(WatchRequest::VT_PERMITS, permits);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2810,13 +3106,17 @@
     uint64_t have_number = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>>> part_losses = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>>> parts_begun = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits = 0) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_have_revision(have_revision);
+  builder_.add_permits(permits);
+  builder_.add_request_limits(request_limits);
   builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_parts_begun(parts_begun);
   builder_.add_part_losses(part_losses);
@@ -2845,13 +3145,17 @@
     uint64_t have_number = 0,
     const std::vector<flatbuffers::Offset<chivefront::wire::PartLoss>> *part_losses = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *parts_begun = nullptr,
-    const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits = nullptr) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
   auto part_losses__ = part_losses ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartLoss>>(*part_losses) : 0;
   auto parts_begun__ = parts_begun ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartBegun>>(*parts_begun) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>(*quarantined_parts) : 0;
+  auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>>(*request_limits) : 0;
+  auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>>(*permits) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       holder__,
@@ -2865,7 +3169,9 @@
       have_number,
       part_losses__,
       parts_begun__,
-      quarantined_parts__);
+      quarantined_parts__,
+      request_limits__,
+      permits__);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2888,6 +3194,8 @@
   std::vector<std::string> members{};
   std::vector<uint64_t> suspect_parts{};
   std::vector<std::unique_ptr<chivefront::wire::QuarantinedPartT>> quarantined_parts{};
+  std::vector<std::unique_ptr<chivefront::wire::RequestLimitT>> request_limits{};
+  std::vector<std::unique_ptr<chivefront::wire::PermitGrantT>> permits{};
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2914,7 +3222,9 @@
     VT_LEADER = 28,
     VT_MEMBERS = 30,
     VT_SUSPECT_PARTS = 32,
-    VT_QUARANTINED_PARTS = 34
+    VT_QUARANTINED_PARTS = 34,
+    VT_REQUEST_LIMITS = 36,
+    VT_PERMITS = 38
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -2964,6 +3274,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *>(VT_QUARANTINED_PARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *>(VT_REQUEST_LIMITS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *>(VT_PERMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -2993,6 +3309,12 @@
            VerifyOffset(verifier, VT_QUARANTINED_PARTS) &&
            verifier.VerifyVector(quarantined_parts()) &&
            verifier.VerifyVectorOfTables(quarantined_parts()) &&
+           VerifyOffset(verifier, VT_REQUEST_LIMITS) &&
+           verifier.VerifyVector(request_limits()) &&
+           verifier.VerifyVectorOfTables(request_limits()) &&
+           VerifyOffset(verifier, VT_PERMITS) &&
+           verifier.VerifyVector(permits()) &&
+           verifier.VerifyVectorOfTables(permits()) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3052,6 +3374,12 @@
   void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts) {
     fbb_.AddOffset(WatchReply::VT_QUARANTINED_PARTS, quarantined_parts);
   }
+  void add_request_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits) {
+    fbb_.AddOffset(WatchReply::VT_REQUEST_LIMITS, request_limits);
+  }
+  void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits) {
+    fbb_.AddOffset(WatchReply::VT_PERMITS, permits);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3080,12 +3408,16 @@
     flatbuffers::Offset<flatbuffers::String> leader = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspect_parts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits = 0) {
   WatchReplyBuilder builder_(_fbb);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_revision(revision);
+  builder_.add_permits(permits);
+  builder_.add_request_limits(request_limits);
   builder_.add_quarantined_parts(quarantined_parts);
   builder_.add_suspect_parts(suspect_parts);
   builder_.add_members(members);
@@ -3123,7 +3455,9 @@
     const char *leader = nullptr,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *members = nullptr,
     const std::vector<uint64_t> *suspect_parts = nullptr,
-    const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
@@ -3131,6 +3465,8 @@
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*members) : 0;
   auto suspect_parts__ = suspect_parts ? _fbb.CreateVector<uint64_t>(*suspect_parts) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>(*quarantined_parts) : 0;
+  auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>>(*request_limits) : 0;
+  auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>>(*permits) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       age_ms,
@@ -3148,7 +3484,9 @@
       leader__,
       members__,
       suspect_parts__,
-      quarantined_parts__);
+      quarantined_parts__,
+      request_limits__,
+      permits__);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7063,6 +7401,108 @@
       _remaining_ms);
 }
 
+inline RequestLimitT *RequestLimit::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RequestLimitT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RequestLimit::UnPackTo(RequestLimitT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = upstream(); _o->upstream = _e; }
+  { auto _e = stated(); _o->stated = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<RequestLimit> RequestLimit::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRequestLimit(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RequestLimit> CreateRequestLimit(flatbuffers::FlatBufferBuilder &_fbb, const RequestLimitT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RequestLimitT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _upstream = _o->upstream;
+  auto _stated = _o->stated;
+  auto _per_second = _o->per_second;
+  auto _age_ms = _o->age_ms;
+  return chivefront::wire::CreateRequestLimit(
+      _fbb,
+      _upstream,
+      _stated,
+      _per_second,
+      _age_ms);
+}
+
+inline PermitRequestT *PermitRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitRequest::UnPackTo(PermitRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); _o->key = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = max_held(); _o->max_held = _e; }
+  { auto _e = held(); _o->held = _e; }
+  { auto _e = wanted(); _o->wanted = _e; }
+}
+
+inline flatbuffers::Offset<PermitRequest> PermitRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitRequest> CreatePermitRequest(flatbuffers::FlatBufferBuilder &_fbb, const PermitRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key;
+  auto _per_second = _o->per_second;
+  auto _max_held = _o->max_held;
+  auto _held = _o->held;
+  auto _wanted = _o->wanted;
+  return chivefront::wire::CreatePermitRequest(
+      _fbb,
+      _key,
+      _per_second,
+      _max_held,
+      _held,
+      _wanted);
+}
+
+inline PermitGrantT *PermitGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PermitGrantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PermitGrant::UnPackTo(PermitGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = key(); _o->key = _e; }
+  { auto _e = count(); _o->count = _e; }
+}
+
+inline flatbuffers::Offset<PermitGrant> PermitGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PermitGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePermitGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PermitGrant> CreatePermitGrant(flatbuffers::FlatBufferBuilder &_fbb, const PermitGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PermitGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _key = _o->key;
+  auto _count = _o->count;
+  return chivefront::wire::CreatePermitGrant(
+      _fbb,
+      _key,
+      _count);
+}
+
 inline WatchRequestT::WatchRequestT(const WatchRequestT &o)
       : holder(o.holder),
         role(o.role),
@@ -7081,6 +7521,10 @@
   for (const auto &parts_begun_ : o.parts_begun) { parts_begun.emplace_back((parts_begun_) ? new chivefront::wire::PartBegunT(*parts_begun_) : nullptr); }
   quarantined_parts.reserve(o.quarantined_parts.size());
   for (const auto &quarantined_parts_ : o.quarantined_parts) { quarantined_parts.emplace_back((quarantined_parts_) ? new chivefront::wire::QuarantinedPartT(*quarantined_parts_) : nullptr); }
+  request_limits.reserve(o.request_limits.size());
+  for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new chivefront::wire::RequestLimitT(*request_limits_) : nullptr); }
+  permits.reserve(o.permits.size());
+  for (const auto &permits_ : o.permits) { permits.emplace_back((permits_) ? new chivefront::wire::PermitRequestT(*permits_) : nullptr); }
 }
 
 inline WatchRequestT &WatchRequestT::operator=(WatchRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -7096,6 +7540,8 @@
   std::swap(part_losses, o.part_losses);
   std::swap(parts_begun, o.parts_begun);
   std::swap(quarantined_parts, o.quarantined_parts);
+  std::swap(request_limits, o.request_limits);
+  std::swap(permits, o.permits);
   return *this;
 }
 
@@ -7120,6 +7566,8 @@
   { auto _e = part_losses(); if (_e) { _o->part_losses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->part_losses[_i] = std::unique_ptr<chivefront::wire::PartLossT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = parts_begun(); if (_e) { _o->parts_begun.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_begun[_i] = std::unique_ptr<chivefront::wire::PartBegunT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = quarantined_parts(); if (_e) { _o->quarantined_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined_parts[_i] = std::unique_ptr<chivefront::wire::QuarantinedPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<chivefront::wire::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7142,6 +7590,8 @@
   auto _part_losses = _o->part_losses.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartLoss>> (_o->part_losses.size(), [](size_t i, _VectorArgs *__va) { return CreatePartLoss(*__va->__fbb, __va->__o->part_losses[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _parts_begun = _o->parts_begun.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartBegun>> (_o->parts_begun.size(), [](size_t i, _VectorArgs *__va) { return CreatePartBegun(*__va->__fbb, __va->__o->parts_begun[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _quarantined_parts = _o->quarantined_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> (_o->quarantined_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPart(*__va->__fbb, __va->__o->quarantined_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitRequest(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -7155,7 +7605,9 @@
       _have_number,
       _part_losses,
       _parts_begun,
-      _quarantined_parts);
+      _quarantined_parts,
+      _request_limits,
+      _permits);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -7178,6 +7630,10 @@
   for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new chivefront::wire::UpstreamInfoT(*upstreams_) : nullptr); }
   quarantined_parts.reserve(o.quarantined_parts.size());
   for (const auto &quarantined_parts_ : o.quarantined_parts) { quarantined_parts.emplace_back((quarantined_parts_) ? new chivefront::wire::QuarantinedPartT(*quarantined_parts_) : nullptr); }
+  request_limits.reserve(o.request_limits.size());
+  for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new chivefront::wire::RequestLimitT(*request_limits_) : nullptr); }
+  permits.reserve(o.permits.size());
+  for (const auto &permits_ : o.permits) { permits.emplace_back((permits_) ? new chivefront::wire::PermitGrantT(*permits_) : nullptr); }
 }
 
 inline WatchReplyT &WatchReplyT::operator=(WatchReplyT o) FLATBUFFERS_NOEXCEPT {
@@ -7197,6 +7653,8 @@
   std::swap(members, o.members);
   std::swap(suspect_parts, o.suspect_parts);
   std::swap(quarantined_parts, o.quarantined_parts);
+  std::swap(request_limits, o.request_limits);
+  std::swap(permits, o.permits);
   return *this;
 }
 
@@ -7225,6 +7683,8 @@
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = _e->Get(_i)->str(); } } }
   { auto _e = suspect_parts(); if (_e) { _o->suspect_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->suspect_parts[_i] = _e->Get(_i); } } }
   { auto _e = quarantined_parts(); if (_e) { _o->quarantined_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined_parts[_i] = std::unique_ptr<chivefront::wire::QuarantinedPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<chivefront::wire::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7251,6 +7711,8 @@
   auto _members = _o->members.size() ? _fbb.CreateVectorOfStrings(_o->members) : 0;
   auto _suspect_parts = _o->suspect_parts.size() ? _fbb.CreateVector(_o->suspect_parts) : 0;
   auto _quarantined_parts = _o->quarantined_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> (_o->quarantined_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPart(*__va->__fbb, __va->__o->quarantined_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitGrant(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -7268,7 +7730,9 @@
       _leader,
       _members,
       _suspect_parts,
-      _quarantined_parts);
+      _quarantined_parts,
+      _request_limits,
+      _permits);
 }
 
 inline AnnounceRequestT::AnnounceRequestT(const AnnounceRequestT &o)
