Log the rests that upstreams ask for

Cause: the logs could not tell whether the time in a rejection is ignored, whether an answer to another request ends the avoidance, or whether requests were already on their way.

No choice depends on it yet.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -142,7 +142,8 @@
   void RecordConnectionLost(Upstream& aUpstream);
   void RecordRequestLimit(Upstream& aUpstream,
                           const std::optional<double>& aPerSecond);
-  void CountSentToLimited(Upstream& aUpstream) const;
+  void RecordRest(Upstream& aUpstream, base::Millis aRest);
+  void CountSent(Upstream& aUpstream) const;
   void RecordBytesReceived(Upstream& aUpstream);
   void EndHeadWait(Upstream& aUpstream);
   void RecordHeadLatency(Upstream& aUpstream);
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -128,7 +128,7 @@
   m_sentAt = m_shared.m_clock.Now();
   ++m_sendCount;
   RecordPromptParts(*aUpstream);
-  CountSentToLimited(*aUpstream);
+  CountSent(*aUpstream);
   m_headReceivedAt = base::TimePoint();
   m_silentSince = m_sentAt;
   m_writingToCaller = false;
@@ -201,10 +201,16 @@
   }
   if (metadata.m_notRun) {
     aUpstream.m_estimate.OnOverloaded(now);
+    if (metadata.m_retryAfter) {
+      RecordRest(aUpstream, *metadata.m_retryAfter);
+    }
     m_connection->Close();
     co_return NotRun{ "rejected_" + std::to_string(status) };
   }
   aUpstream.m_estimate.OnAnswer();
+  if (aUpstream.m_estimate.RestUntil() > now) {
+    ++aUpstream.m_answersWhileResting;
+  }
   RecordHeadLatency(aUpstream);
   std::string head = MakeForwardedHead(m_connection->Head());
   if (!detail::IsSuccess(status)) {
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -303,9 +303,31 @@
   aUpstream.m_retriesWhileLimited = 0;
 }
 
+// Records that the upstream rejected the request and asked for a rest.
 void
-Exchange::CountSentToLimited(Upstream& aUpstream) const
+Exchange::RecordRest(Upstream& aUpstream, base::Millis aRest)
 {
+  const base::TimePoint now = m_shared.m_clock.Now();
+  m_shared.m_log.Record(
+    "upstream_rests",
+    base::LogCategory::State,
+    { { "request", m_metadata.m_attemptId },
+      { "upstream", aUpstream.m_instance.m_id },
+      { "for_ms", aRest.Count() },
+      { "in_rest", aUpstream.m_estimate.RestUntil() > now ? "yes" : "no" },
+      { "sent_in_rest", aUpstream.m_sentWhileResting },
+      { "answers_in_rest", aUpstream.m_answersWhileResting } });
+  aUpstream.m_estimate.OnRest(now + aRest);
+  aUpstream.m_sentWhileResting = 0;
+  aUpstream.m_answersWhileResting = 0;
+}
+
+void
+Exchange::CountSent(Upstream& aUpstream) const
+{
+  if (aUpstream.m_estimate.RestUntil() > m_shared.m_clock.Now()) {
+    ++aUpstream.m_sentWhileResting;
+  }
   const routing::UpstreamKey key =
     routing::MakeUpstreamKey(aUpstream.m_instance);
   if (m_shared.m_upstreams.RequestLimits().Find(key)) {
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -29,6 +29,10 @@
   // Requests sent by this entry while the upstream states a request limit.
   uint64_t m_sentWhileLimited = 0;
   uint64_t m_retriesWhileLimited = 0; // those that were not first attempts
+  // Requests sent by this entry in the rest that the upstream asked for last,
+  // and how many of its answers arrived in that time.
+  uint64_t m_sentWhileResting = 0;
+  uint64_t m_answersWhileResting = 0;
   std::vector<std::unique_ptr<UpstreamConnection>> m_idleConnections;
 };
 
--- a/chivefront/routing/upstream_estimate.h
+++ b/chivefront/routing/upstream_estimate.h
@@ -4,6 +4,7 @@
 // thread-safe.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <unordered_map>
@@ -56,6 +57,13 @@
   void OnFailure(base::TimePoint aNow);
   // The upstream rejected a request for lack of capacity.
   void OnOverloaded(base::TimePoint aNow);
+  // The upstream rejected a request and wants none from this entry before
+  // aUntil.
+  void OnRest(base::TimePoint aUntil)
+  {
+    m_restUntil = std::max(m_restUntil, aUntil);
+  }
+  base::TimePoint RestUntil() const { return m_restUntil; }
   // The upstream answered successfully, or with a failure of its own.
   void OnOutcome(bool aSucceeded);
 
@@ -95,6 +103,7 @@
   ReportedLoad m_reported;
   uint32_t m_consecutiveFailures = 0;
   base::TimePoint m_backoffUntil;
+  base::TimePoint m_restUntil; // answers to other requests do not end it
   double m_failureShare = 0;
   double m_slowdown = 1;
   base::TimePoint m_slowdownAt; // time of the last sample
