Send an upstream nothing in the rest that it asked for

Cause: the time in a rejection was not read. An entry avoided the upstream for 50 ms, and an answer to another request ended even that.

If all eligible upstreams rest, a request is refused at once, unless the first rest ends within the time that it may wait; Retry-After is the rest that is left.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -309,8 +309,8 @@
 // a second; the request may then use half of its time. Later a request waits
 // only if upstreams are unavailable for a short time: until a quarter of the
 // latency goal has passed, or, in the middle of a stream, for as long as a
-// pause is tolerated. It does not wait for request limits if others that wait
-// before it use them up until then.
+// pause is tolerated. It does not wait if it would wait for longer than that:
+// for rests that end later, or for request limits that others use up.
 bool
 Exchange::MayWaitForUpstream(const AvailableUpstreams& aAvailable,
                              base::Millis aExpectedWait,
@@ -325,7 +325,8 @@
     return false;
   }
   if (m_caller->ResponseStarted()) {
-    return now - aSince < routing::StallTimeout(m_route->m_pauseGoal);
+    return now + aExpectedWait - aSince <
+           routing::StallTimeout(m_route->m_pauseGoal);
   }
   return (now + aExpectedWait - m_receivedAt) * 4 < m_route->m_goal;
 }
@@ -355,7 +356,9 @@
       co_return upstream;
     }
     const base::Millis expectedWait =
-      waiting.ExpectedWait(available.m_limitedRate);
+      available.m_reason == NoUpstreamReason::Resting
+        ? available.m_restUntil - now
+        : waiting.ExpectedWait(available.m_limitedRate);
     if (!MayWaitForUpstream(available, expectedWait, startedAt)) {
       co_await RespondNoUpstream(available.m_reason, expectedWait);
       break;
--- a/chivefront/proxy/exchange_response.cc
+++ b/chivefront/proxy/exchange_response.cc
@@ -63,7 +63,7 @@
 }
 
 // Ends a request for which no upstream is available. A caller may return when
-// those that wait have been served.
+// those that wait have been served, or when the first upstream has rested.
 net::Task<void>
 Exchange::RespondNoUpstream(NoUpstreamReason aReason,
                             base::Millis aExpectedWait)
@@ -77,7 +77,7 @@
     co_await Fail(502, std::move(reason));
   } else {
     const base::Millis retryAfter =
-      std::clamp(aExpectedWait, detail::kRetrySoon, detail::kRetryLimited);
+      std::clamp(aExpectedWait, detail::kRetrySoon, detail::kMaxRetryAfter);
     co_await Refuse(503, std::move(reason), retryAfter);
   }
 }
--- a/chivefront/proxy/retry_after.h
+++ b/chivefront/proxy/retry_after.h
@@ -10,7 +10,7 @@
 // A caller that is refused has about a third of its time left for a retry.
 inline constexpr base::Millis kRetrySoon{ 250 };
 inline constexpr base::Millis kRetryLater{ 1000 };
-// The longest time suggested while upstreams are limited.
-inline constexpr base::Millis kRetryLimited{ 2000 };
+// The longest time suggested while upstreams are limited or rest.
+inline constexpr base::Millis kMaxRetryAfter{ 5000 };
 
 } // namespace chivefront::proxy::detail
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -71,6 +71,9 @@
       metadata.m_requestLimit =
         static_cast<double>(ToNumber(Get(aFields, "Limit"), 0));
     }
+    if (aFields.count("Rest") > 0) {
+      metadata.m_retryAfter = base::Millis(ToNumber(Get(aFields, "Rest"), 0));
+    }
     if (aFields.count("Sure") > 0) {
       metadata.m_confidence =
         static_cast<int>(ToNumber(Get(aFields, "Sure"), 0));
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -132,6 +132,16 @@
   }
 }
 
+void
+Upstreams::AddResting(base::TimePoint aUntil, AvailableUpstreams& aAvailable)
+{
+  const bool isFirst = aAvailable.m_restUntil == base::TimePoint();
+  aAvailable.m_restUntil =
+    isFirst ? aUntil : std::min(aAvailable.m_restUntil, aUntil);
+  aAvailable.m_reason =
+    std::max(aAvailable.m_reason, NoUpstreamReason::Resting);
+}
+
 AvailableUpstreams
 Upstreams::AvailableFor(const UpstreamCriteria& aCriteria)
 {
@@ -147,7 +157,9 @@
       return;
     }
     const UpstreamPointer upstream = FindOrCreate(aInstance);
-    if (upstream->m_estimate.BackoffUntil() > now) {
+    if (upstream->m_estimate.RestUntil() > now) {
+      AddResting(upstream->m_estimate.RestUntil(), available);
+    } else if (upstream->m_estimate.BackoffUntil() > now) {
       setReason(NoUpstreamReason::InBackoff);
     } else if (IsColdRateUsed(
                  aInstance, upstream->m_estimate, *aCriteria.m_service)) {
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -55,13 +55,15 @@
 enum class NoUpstreamReason
 {
   None,      // no eligible upstream of the service is known
+  Resting,   // at least one has asked this entry for a rest
   InBackoff, // at least one is in backoff after failures or overload
   Cold,      // at least one is cold and has used up its rate
   Limited,   // at least one states a request limit that is used up
 };
 
-inline constexpr base::NameTable<NoUpstreamReason, 4> kNoUpstreamReasonNames{ {
+inline constexpr base::NameTable<NoUpstreamReason, 5> kNoUpstreamReasonNames{ {
   { { NoUpstreamReason::None, "no_upstream" },
+    { NoUpstreamReason::Resting, "upstreams_resting" },
     { NoUpstreamReason::InBackoff, "upstreams_closed" },
     { NoUpstreamReason::Cold, "upstreams_cold" },
     { NoUpstreamReason::Limited, "upstreams_limited" } },
@@ -75,6 +77,8 @@
   // Requests per second that this entry can expect to send to the upstreams
   // with a request limit; 0 if there are none.
   double m_limitedRate = 0;
+  // When the first rest ends, if m_reason is Resting.
+  base::TimePoint m_restUntil;
 };
 
 class Upstreams
@@ -131,6 +135,8 @@
                       const UpstreamCriteria& aCriteria) const;
   UpstreamPointer FindOrCreate(const routing::Instance& aInstance);
   AvailableUpstreams AvailableFor(const UpstreamCriteria& aCriteria);
+  static void AddResting(base::TimePoint aUntil,
+                         AvailableUpstreams& aAvailable);
   void AddLimited(const std::vector<LimitedUpstream>& aLimited,
                   const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable);
