Stop sending to an upstream whose answer says that it leaves

By reading, an entry went on until the registration said the same, which some upstreams never do, and which does not reach an entry without control.

Cause: the announcement in answers was not read.

Change: an entry drops the incarnation of an upstream at its first such answer, as it does when another upstream has taken over the address.

Evidence: LeavingUpstreamGetsNoMoreRequests failed with the call taken out (4 requests where 1 is allowed).

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -142,6 +142,7 @@
   void RecordConnectionLost(Upstream& aUpstream);
   void RecordRequestLimit(Upstream& aUpstream,
                           const std::optional<double>& aPerSecond);
+  void RecordLeaving(const Upstream& aUpstream);
   void RecordRest(Upstream& aUpstream, base::Millis aRest);
   void CountSent(Upstream& aUpstream) const;
   void RecordBytesReceived(Upstream& aUpstream);
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -193,10 +193,13 @@
   }
   if (!metadata.m_wrongUpstream) {
     RecordRequestLimit(aUpstream, metadata.m_requestLimit);
+    if (metadata.m_leaving) {
+      RecordLeaving(aUpstream);
+    }
   }
   if (metadata.m_wrongUpstream) {
     m_connection->Close();
-    m_shared.m_upstreams.Forget(aUpstream.m_instance.m_id);
+    (void)m_shared.m_upstreams.Forget(aUpstream.m_instance);
     co_return NotRun{ "wrong_upstream" };
   }
   if (metadata.m_notRun) {
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -303,6 +303,19 @@
   aUpstream.m_retriesWhileLimited = 0;
 }
 
+// Stops sending to an upstream that says that it leaves. Its registration may
+// say so only later, or never.
+void
+Exchange::RecordLeaving(const Upstream& aUpstream)
+{
+  if (m_shared.m_upstreams.Forget(aUpstream.m_instance)) {
+    m_shared.m_log.Record("upstream_leaves",
+                          base::LogCategory::State,
+                          { { "upstream", aUpstream.m_instance.m_id },
+                            { "request", m_metadata.m_attemptId } });
+  }
+}
+
 // Records that the upstream rejected the request and asked for a rest.
 void
 Exchange::RecordRest(Upstream& aUpstream, base::Millis aRest)
--- a/chivefront/proxy/header_codec.h
+++ b/chivefront/proxy/header_codec.h
@@ -69,6 +69,7 @@
   std::optional<UpstreamLoad> m_load;
   // Requests per second that the upstream accepts from all entries together.
   std::optional<double> m_requestLimit;
+  bool m_leaving = false; // the upstream shuts down and wants no more requests
   // An upstream that rejects a request wants none from this entry for so long.
   std::optional<base::Millis> m_retryAfter;
 };
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -74,6 +74,7 @@
     if (aFields.count("Rest") > 0) {
       metadata.m_retryAfter = base::Millis(ToNumber(Get(aFields, "Rest"), 0));
     }
+    metadata.m_leaving = aFields.count("Leaving") > 0;
     if (aFields.count("Sure") > 0) {
       metadata.m_confidence =
         static_cast<int>(ToNumber(Get(aFields, "Sure"), 0));
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -268,14 +268,20 @@
   aUpstream.m_idleConnections.push_back(std::move(aConnection));
 }
 
-void
-Upstreams::Forget(const std::string& aId)
+bool
+Upstreams::Forget(const routing::Instance& aInstance)
 {
-  const auto found = m_upstreams.find(aId);
-  if (found != m_upstreams.end()) {
-    m_forgotten[aId] = found->second->m_instance.m_born;
+  const auto forgotten = m_forgotten.find(aInstance.m_id);
+  if (forgotten != m_forgotten.end() && forgotten->second >= aInstance.m_born) {
+    return false;
+  }
+  m_forgotten[aInstance.m_id] = aInstance.m_born;
+  const auto found = m_upstreams.find(aInstance.m_id);
+  if (found != m_upstreams.end() &&
+      found->second->m_instance.m_born <= aInstance.m_born) {
     m_upstreams.erase(found);
   }
+  return true;
 }
 
 void
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -114,9 +114,10 @@
   site::RateReport MakeRateReport();
   void AcceptRates(const site::RateAnswer& aAnswer);
 
-  // Drops an upstream whose address now belongs to another one. It becomes
-  // eligible again after it has started anew.
-  void Forget(const std::string& aId);
+  // Drops an upstream that is leaving, or whose address now belongs to another
+  // one. It becomes eligible again after it has started anew. Returns false if
+  // this incarnation was dropped before.
+  bool Forget(const routing::Instance& aInstance);
 
   // Closes connections that have been idle for too long and drops upstreams
   // that have left the registry.
