Issue permits for requests to cold upstreams

Cause: the class of fault of the request limits. Each entry kept a share of the rate, but one request of each of 30 entries at once is already over the bound.

Change: a cold upstream is a rate bound like a request limit, with its own number of permits that may be held, as its window is one second. The bucket of each entry is gone.

--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -2,6 +2,9 @@
 #include "chivefront/proxy/upstreams.h"
 
 #include <algorithm>
+#include <limits>
+
+#include "chivefront/routing/cold_bound.h"
 
 namespace chivefront::proxy {
 namespace detail {
@@ -9,9 +12,6 @@
 // Shorter than the time after which upstreams close idle connections.
 constexpr base::Millis kMaxIdleTime{ 4000 };
 constexpr size_t kMaxIdleConnections = 16;
-// With larger bursts the requests of many entries could reach one cold upstream
-// at once.
-constexpr double kColdBurstRequests = 1;
 
 } // namespace detail
 
@@ -81,53 +81,75 @@
   return upstream;
 }
 
-// Requests per second that this entry may send to a cold upstream. All live
-// entries share the rate evenly.
-double
-Upstreams::ColdRateShare(const routing::Service& aService) const
+// The bounds on the requests of all entries to aInstance.
+Upstreams::Bounds
+Upstreams::BoundsOf(const routing::Instance& aInstance,
+                    const routing::Service& aService) const
 {
-  return aService.m_warmupPerSecond / m_watch.View().m_liveEntries;
+  Bounds bounds;
+  if (aInstance.m_coldUntil > m_clock.Now() && aService.m_warmupPerSecond > 0) {
+    bounds.m_cold =
+      routing::MakeColdBound(aInstance, aService.m_warmupPerSecond);
+  }
+  bounds.m_limit =
+    m_requestLimits.FindBound(routing::MakeUpstreamKey(aInstance));
+  return bounds;
 }
 
-bool
-Upstreams::IsColdRateUsed(const routing::Instance& aInstance,
-                          routing::UpstreamEstimate& aEstimate,
-                          const routing::Service& aService) const
+// How many requests this entry may send within aBounds. Counts the demand for
+// them.
+uint32_t
+Upstreams::PermitsFor(const Bounds& aBounds, double aDemand)
 {
-  const base::TimePoint now = m_clock.Now();
-  const double share = ColdRateShare(aService);
-  return aInstance.m_coldUntil > now && share > 0 &&
-         !aEstimate.ColdBucket().Ready(share, detail::kColdBurstRequests, now);
+  uint32_t permits = std::numeric_limits<uint32_t>::max();
+  for (const auto& bound : { aBounds.m_cold, aBounds.m_limit }) {
+    if (!bound) {
+      continue;
+    }
+    if (aDemand > 0) {
+      m_permits.AddDemand(*bound, aDemand);
+    }
+    permits = std::min(permits, m_permits.Available(*bound, m_clock.Now()));
+  }
+  return permits;
 }
 
-// Adds the upstreams with a request limit for which this entry holds a permit,
-// unless as many other requests as there are permits wait before this one.
+// Adds the bounded upstreams for which this entry holds permits. One with a
+// request limit is left out if as many other requests as there are permits wait
+// before this one.
 void
-Upstreams::AddLimited(const std::vector<LimitedUpstream>& aLimited,
+Upstreams::AddBounded(const std::vector<BoundedUpstream>& aBounded,
                       const UpstreamCriteria& aCriteria,
                       AvailableUpstreams& aAvailable)
 {
-  const base::TimePoint now = m_clock.Now();
-  const size_t usable = aLimited.size() + aAvailable.m_upstreams.size();
+  const size_t usable = aBounded.size() + aAvailable.m_upstreams.size();
+  const double demand =
+    aCriteria.m_addsDemand ? 1 / static_cast<double>(usable) : 0;
   size_t permits = 0;
+  bool isLimited = false;
   std::vector<UpstreamPointer> permitted;
-  for (const LimitedUpstream& limited : aLimited) {
-    if (aCriteria.m_addsDemand) {
-      m_permits.AddDemand(limited.m_bound, 1 / static_cast<double>(usable));
-    }
-    aAvailable.m_limitedRate +=
-      limited.m_bound.m_perSecond / m_watch.View().m_liveEntries;
-    const uint32_t count = m_permits.Available(limited.m_bound, now);
-    permits += count;
-    if (count > 0) {
-      permitted.push_back(limited.m_upstream);
+  for (const BoundedUpstream& bounded : aBounded) {
+    const uint32_t count = PermitsFor(bounded.m_bounds, demand);
+    if (const auto& limit = bounded.m_bounds.m_limit) {
+      isLimited = true;
+      aAvailable.m_limitedRate +=
+        limit->m_perSecond / m_watch.View().m_liveEntries;
+      permits += count;
+      if (count > 0) {
+        permitted.push_back(bounded.m_upstream);
+      }
+    } else if (count > 0) {
+      aAvailable.m_upstreams.push_back(bounded.m_upstream);
+    } else {
+      aAvailable.m_reason =
+        std::max(aAvailable.m_reason, NoUpstreamReason::Cold);
     }
   }
   const routing::WaitQueue& queue = m_waitQueues[aCriteria.m_service->m_name];
   if (queue.IsAmongFirst(aCriteria.m_ticket, permits)) {
     aAvailable.m_upstreams.insert(
       aAvailable.m_upstreams.end(), permitted.begin(), permitted.end());
-  } else if (!aLimited.empty()) {
+  } else if (isLimited) {
     aAvailable.m_reason = NoUpstreamReason::Limited;
   }
 }
@@ -147,10 +169,7 @@
 {
   const base::TimePoint now = m_clock.Now();
   AvailableUpstreams available;
-  std::vector<LimitedUpstream> limited;
-  const auto setReason = [&](NoUpstreamReason aReason) {
-    available.m_reason = std::max(available.m_reason, aReason);
-  };
+  std::vector<BoundedUpstream> bounded;
   const auto consider = [&](const routing::Instance& aInstance) {
     if (!IsEligible(aInstance, aCriteria) ||
         !MatchesRollout(aInstance, aCriteria)) {
@@ -160,13 +179,11 @@
     if (upstream->m_estimate.RestUntil() > now) {
       AddResting(upstream->m_estimate.RestUntil(), available);
     } else if (upstream->m_estimate.BackoffUntil() > now) {
-      setReason(NoUpstreamReason::InBackoff);
-    } else if (IsColdRateUsed(
-                 aInstance, upstream->m_estimate, *aCriteria.m_service)) {
-      setReason(NoUpstreamReason::Cold);
-    } else if (const auto bound = m_requestLimits.FindBound(
-                 routing::MakeUpstreamKey(aInstance))) {
-      limited.push_back({ upstream, *bound });
+      available.m_reason =
+        std::max(available.m_reason, NoUpstreamReason::InBackoff);
+    } else if (const Bounds bounds = BoundsOf(aInstance, *aCriteria.m_service);
+               bounds.m_cold || bounds.m_limit) {
+      bounded.push_back({ upstream, bounds });
     } else {
       available.m_upstreams.push_back(upstream);
     }
@@ -174,7 +191,7 @@
   m_watch.View().m_registry.ForEach(consider);
   m_permits.SetGroup(
     { m_watch.View().m_liveEntries, m_watch.View().m_leaderAnsweredAt });
-  AddLimited(limited, aCriteria, available);
+  AddBounded(bounded, aCriteria, available);
   return available;
 }
 
@@ -184,19 +201,16 @@
   return !AvailableFor(aCriteria).m_upstreams.empty();
 }
 
-// Takes what a request to aUpstream uses up.
+// Takes the permits that a request to aUpstream uses up.
 void
-Upstreams::TakeRate(Upstream& aUpstream, const routing::Service& aService)
+Upstreams::TakePermits(const Upstream& aUpstream,
+                       const routing::Service& aService)
 {
-  const base::TimePoint now = m_clock.Now();
-  const double coldRateShare = ColdRateShare(aService);
-  if (aUpstream.m_instance.m_coldUntil > now && coldRateShare > 0) {
-    (void)aUpstream.m_estimate.ColdBucket().Take(
-      coldRateShare, detail::kColdBurstRequests, now);
-  }
-  if (const auto bound = m_requestLimits.FindBound(
-        routing::MakeUpstreamKey(aUpstream.m_instance))) {
-    (void)m_permits.Take(*bound, now);
+  const Bounds bounds = BoundsOf(aUpstream.m_instance, aService);
+  for (const auto& bound : { bounds.m_cold, bounds.m_limit }) {
+    if (bound) {
+      (void)m_permits.Take(*bound, m_clock.Now());
+    }
   }
 }
 
@@ -217,7 +231,7 @@
   }
   UpstreamPointer chosen = available[routing::ChooseUpstream(
     candidates, aCriteria.m_choice, m_clock.Now())];
-  TakeRate(*chosen, *aCriteria.m_service);
+  TakePermits(*chosen, *aCriteria.m_service);
   return chosen;
 }
 
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -89,12 +89,12 @@
             const base::Clock& aClock,
             uint64_t aSeed);
 
-  // Chooses an upstream for a request, and takes a token if it is cold and a
-  // permit if it states a request limit. Returns null if none is available now.
+  // Chooses an upstream for a request, and takes a permit if it is cold or
+  // states a request limit. Returns null if none is available now.
   UpstreamPointer Choose(const UpstreamCriteria& aCriteria,
                          AvailableUpstreams& aAvailable);
 
-  // Whether Choose would return an upstream now. Takes no token.
+  // Whether Choose would return an upstream now. Takes no permit.
   bool HasAvailable(const UpstreamCriteria& aCriteria);
 
   // Returns an idle connection that is still usable, or null.
@@ -124,10 +124,15 @@
   void Sweep();
 
 private:
-  struct LimitedUpstream
+  struct Bounds
+  {
+    std::optional<routing::RateBound> m_cold;  // while the upstream is cold
+    std::optional<routing::RateBound> m_limit; // its own request limit
+  };
+  struct BoundedUpstream
   {
     UpstreamPointer m_upstream;
-    routing::RateBound m_bound;
+    Bounds m_bounds;
   };
 
   bool IsEligible(const routing::Instance& aInstance,
@@ -138,14 +143,13 @@
   AvailableUpstreams AvailableFor(const UpstreamCriteria& aCriteria);
   static void AddResting(base::TimePoint aUntil,
                          AvailableUpstreams& aAvailable);
-  void AddLimited(const std::vector<LimitedUpstream>& aLimited,
+  Bounds BoundsOf(const routing::Instance& aInstance,
+                  const routing::Service& aService) const;
+  uint32_t PermitsFor(const Bounds& aBounds, double aDemand);
+  void AddBounded(const std::vector<BoundedUpstream>& aBounded,
                   const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable);
-  bool IsColdRateUsed(const routing::Instance& aInstance,
-                      routing::UpstreamEstimate& aEstimate,
-                      const routing::Service& aService) const;
-  void TakeRate(Upstream& aUpstream, const routing::Service& aService);
-  double ColdRateShare(const routing::Service& aService) const;
+  void TakePermits(const Upstream& aUpstream, const routing::Service& aService);
 
   const site::Watch& m_watch;
   const base::Clock& m_clock;
--- a/chivefront/routing/permit_bound_test.cc
+++ b/chivefront/routing/permit_bound_test.cc
@@ -7,6 +7,7 @@
 #include <memory>
 #include <random>
 
+#include "chivefront/routing/cold_bound.h"
 #include "chivefront/routing/permit_client.h"
 #include "chivefront/routing/request_limits.h"
 
@@ -24,7 +25,7 @@
 constexpr PermitKey kKey = 7;
 
 RateBound
-BoundOf(double aPerSecond)
+LimitBound(double aPerSecond)
 {
   RequestLimits limits;
   (void)limits.Record({ kKey, aPerSecond, base::TimePoint() });
@@ -44,7 +45,7 @@
 struct Setting
 {
   uint32_t m_entries = 30;
-  double m_perSecond = 3;
+  RateBound m_bound;
   double m_demand = 4; // requests per second of each entry
   Faults m_faults;
   uint64_t m_seed = 1;
@@ -183,7 +184,7 @@
   // limited.
   void SendWaiting(SimulatedEntry& aEntry)
   {
-    const RateBound bound = BoundOf(m_setting.m_perSecond);
+    const RateBound& bound = m_setting.m_bound;
     std::deque<int64_t>& waiting = aEntry.m_waiting;
     while (!waiting.empty() && m_now - waiting.front() > kMaxWaitMillis) {
       waiting.pop_front();
@@ -261,7 +262,7 @@
     for (const double perSecond : { 0.25, 1.0, 3.5, 20.0 }) {
       Setting setting;
       setting.m_entries = entries;
-      setting.m_perSecond = perSecond;
+      setting.m_bound = LimitBound(perSecond);
       ForAllFaults(setting, [&](const Setting& aSetting) {
         Simulation simulation(aSetting);
         (void)simulation.Run();
@@ -275,6 +276,26 @@
   }
 }
 
+// Guards against entries that together send a cold upstream more than it
+// tolerates in one second, because each of them may send one at once: 1.5 times
+// its rate and 5 requests.
+BOOST_AUTO_TEST_CASE(ColdRateHoldsOverAllEntries)
+{
+  constexpr double kColdRate = 16;
+  for (const uint32_t entries : { 1U, 8U, 30U, 60U }) {
+    Setting setting;
+    setting.m_entries = entries;
+    setting.m_bound = MakeColdBound({}, kColdRate);
+    ForAllFaults(setting, [&](const Setting& aSetting) {
+      Simulation simulation(aSetting);
+      (void)simulation.Run();
+      BOOST_TEST(simulation.MostIn(999) <= 1.5 * kColdRate + 5,
+                 "entries " << entries << ", seed " << aSetting.m_seed
+                            << ", sent " << simulation.MostIn(999));
+    });
+  }
+}
+
 // Guards against a limit that is kept by leaving its upstream idle: entries
 // with enough requests use most of what it takes, however unevenly the requests
 // are spread.
@@ -283,12 +304,12 @@
   for (const uint32_t entries : { 1U, 8U, 30U }) {
     Setting setting;
     setting.m_entries = entries;
-    setting.m_perSecond = 3.5;
+    setting.m_bound = LimitBound(3.5);
     setting.m_demand = 12.0 / entries;
     Simulation simulation(setting);
     const double perSecond =
       static_cast<double>(simulation.Run().size()) * 1000 / kSpanMillis;
-    BOOST_TEST(perSecond >= 0.8 * setting.m_perSecond,
+    BOOST_TEST(perSecond >= 0.8 * setting.m_bound.m_perSecond,
                "entries " << entries << ", sent " << perSecond << " a second");
   }
 }
@@ -298,12 +319,13 @@
 {
   Setting setting;
   setting.m_entries = 8;
-  setting.m_perSecond = 3.5;
+  setting.m_bound = LimitBound(3.5);
   setting.m_faults.m_noControl = true;
   Simulation simulation(setting);
   const std::vector<int64_t>& sent = simulation.Run();
   const auto within = std::count_if(sent.begin(), sent.end(), [](int64_t aAt) {
     return aAt >= 22000 && aAt < 30000; // no control from 20 s to 30 s
   });
-  BOOST_TEST(static_cast<double>(within) >= 0.25 * setting.m_perSecond * 8);
+  BOOST_TEST(static_cast<double>(within) >=
+             0.25 * setting.m_bound.m_perSecond * 8);
 }
--- a/chivefront/routing/upstream_estimate.h
+++ b/chivefront/routing/upstream_estimate.h
@@ -10,7 +10,6 @@
 #include <unordered_map>
 
 #include "chivefront/base/clock.h"
-#include "chivefront/routing/budget.h"
 
 namespace chivefront::routing {
 
@@ -88,9 +87,6 @@
   bool IsSilent(base::TimePoint aNow) const;
   base::TimePoint LastReceivedAt() const { return m_lastReceivedAt; }
 
-  // Limits this entry's requests to the upstream while it is cold.
-  TokenBucket& ColdBucket() { return m_coldBucket; }
-
   // Prompt parts that this entry sent to the upstream recently and that the
   // upstream is likely to have in its cache.
   void OnPromptPartSent(const std::string& aModelAndPart, base::TimePoint aNow);
@@ -109,7 +105,6 @@
   base::TimePoint m_slowdownAt; // time of the last sample
   uint32_t m_streams = 0;       // running streams of this entry
   base::TimePoint m_lastReceivedAt;
-  TokenBucket m_coldBucket;
   std::unordered_map<std::string, base::TimePoint>
     m_promptParts; // last use, by model and part
 };
