Keep the number of live entries while a new leader learns them

Cause: a control process that has just started to lead names only the entries that have polled it since, at first one. An entry took that number at once, and its share of the retry budget and of bounds without control grew up to the whole bound. Found by reading, of the class of the request limits: a bound summed over entries that depends on when each of them hears something.

Change: a lower number counts once it has lasted as long as a watcher is live without a poll (2 s); a higher one at once.

Evidence: FewerEntriesCountOnlyWhenTheyLast failed before (1 of 30 entries).

--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/control/watcher_table.h"
 #include "chivefront/site/messages.h"
 
 namespace chivefront::site {
@@ -195,7 +196,7 @@
   m_leader = aReply.leader;
   if (aReply.fresh) {
     m_view.m_leaderAnsweredAt = now;
-    m_view.m_liveEntries = std::max<uint32_t>(1, aReply.live_entries);
+    AcceptLiveEntries(std::max<uint32_t>(1, aReply.live_entries), now);
   }
   if (aReply.snapshot && aReply.revision > m_view.m_revision) {
     AcceptState(aReply, now);
@@ -205,6 +206,23 @@
   AcceptRates(aReply, now);
 }
 
+// A process that has just started to lead knows only the entries that have
+// polled it since, so a lower number counts when it has lasted. Each entry's
+// share of a bound would be too large otherwise.
+void
+Watch::AcceptLiveEntries(uint32_t aCount, base::TimePoint aNow)
+{
+  if (aCount >= m_view.m_liveEntries) {
+    m_view.m_liveEntries = aCount;
+    m_fewerEntriesSince = base::TimePoint();
+  } else if (m_fewerEntriesSince == base::TimePoint()) {
+    m_fewerEntriesSince = aNow;
+  } else if (aNow - m_fewerEntriesSince >= control::kWatcherTimeout) {
+    m_view.m_liveEntries = aCount;
+    m_fewerEntriesSince = base::TimePoint();
+  }
+}
+
 void
 Watch::AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow)
 {
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -85,6 +85,7 @@
 private:
   net::Task<bool> Poll();
   net::Link::Pointer ChooseLink();
+  void AcceptLiveEntries(uint32_t aCount, base::TimePoint aNow);
   void AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptMembers(const wire::WatchReplyT& aReply);
@@ -102,7 +103,10 @@
   PartReportSource m_partReport;
   RateReportSource m_rateReport;
   RateAnswerSink m_rateAnswer;
-  base::TimePoint m_polledAt;                // when the last poll was sent
+  base::TimePoint m_polledAt; // when the last poll was sent
+  // Since when answers name fewer live entries than the view; unset: they do
+  // not.
+  base::TimePoint m_fewerEntriesSince;
   std::set<routing::PartKey> m_suspectParts; // from the last answer
   WatchView m_view;
   std::map<std::string, std::shared_ptr<net::LinkConnector>> m_controlLinks;
--- /dev/null
+++ b/chivefront/site/watch_test.cc
@@ -0,0 +1,53 @@
+// Tests of an entry's view of the deployment.
+#define BOOST_TEST_MODULE site_watch
+#include <boost/test/unit_test.hpp>
+
+#include "chivefront/site/watch.h"
+
+using namespace chivefront;
+using namespace chivefront::site;
+
+namespace {
+
+struct WatchFixture
+{
+  WatchFixture()
+    : m_watch(m_context, m_identity, {}, m_clock, m_log, [](std::string_view) {
+      return absl::StatusOr<routing::ConfigPointer>(nullptr);
+    })
+  {
+    m_clock.Advance(base::Millis(1000));
+  }
+
+  // A leading control process names aCount live entries.
+  uint32_t EntriesAfterAnswer(uint32_t aCount)
+  {
+    wire::WatchReplyT reply;
+    reply.fresh = true;
+    reply.live_entries = aCount;
+    m_watch.Accept(reply);
+    return m_watch.View().m_liveEntries;
+  }
+
+  net::asio::io_context m_context{ 1 };
+  net::LinkIdentity m_identity;
+  base::ManualClock m_clock;
+  base::DecisionLog m_log{ "test", m_clock };
+  Watch m_watch;
+};
+
+} // namespace
+
+// Guards against shares of a common bound that add up to several times the
+// bound after an election: the new leader knows few entries at first.
+BOOST_FIXTURE_TEST_CASE(FewerEntriesCountOnlyWhenTheyLast, WatchFixture)
+{
+  BOOST_TEST(EntriesAfterAnswer(30) == 30U);
+  BOOST_TEST(EntriesAfterAnswer(1) == 30U);
+  m_clock.Advance(base::Millis(200));
+  BOOST_TEST(EntriesAfterAnswer(29) == 30U);
+  BOOST_TEST(EntriesAfterAnswer(31) == 31U);
+  BOOST_TEST(EntriesAfterAnswer(20) == 31U);
+  m_clock.Advance(base::Millis(2000));
+  BOOST_TEST(EntriesAfterAnswer(20) == 20U);
+}
