Tell placement about an upstream before the link to its agent opens

What callers saw: nothing known; a request that came in the moment at which an entry's first agent had connected could get 503 no_upstream.

Cause: on a change of the view the entry opened links to agents before it told placement, and the link opens on another thread. Tests that wait for the link (EntryFixture::WaitReady) then send a request that placement refuses.

Change: placement is updated first.

The race has no deterministic test.

--- a/chivefront/entry/core.cc
+++ b/chivefront/entry/core.cc
@@ -93,8 +93,10 @@
     return status;
   }
   m_watcher.OnChange([this](const client::ViewPointer& aView) {
-    m_agents.Update(*aView);
+    // Placement comes first, so that it knows an upstream before the link to
+    // its agent opens on another thread.
     m_placementQueue.Update(*aView);
+    m_agents.Update(*aView);
     m_flows.OnView(*aView);
     m_flows.m_evidence.SetRollouts(*aView->m_catalog);
   });
