--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -212,15 +212,15 @@
 void
 Watch::AcceptLiveEntries(uint32_t aCount, base::TimePoint aNow)
 {
-  if (aCount >= m_view.m_liveEntries) {
-    m_view.m_liveEntries = aCount;
-    m_fewerEntriesSince = base::TimePoint();
-  } else if (m_fewerEntriesSince == base::TimePoint()) {
+  const bool isFewer = aCount < m_view.m_liveEntries;
+  if (isFewer && m_fewerEntriesSince == base::TimePoint()) {
     m_fewerEntriesSince = aNow;
-  } else if (aNow - m_fewerEntriesSince >= control::kWatcherTimeout) {
-    m_view.m_liveEntries = aCount;
-    m_fewerEntriesSince = base::TimePoint();
   }
+  if (isFewer && aNow - m_fewerEntriesSince < control::kWatcherTimeout) {
+    return;
+  }
+  m_view.m_liveEntries = aCount;
+  m_fewerEntriesSince = base::TimePoint();
 }
 
 void
