Wait for settled runs in the tests that count them

Cause: EscalationIsOneAnswerAndOneBill counted the Settled messages that the fake agent had read right after an answer. The entry sends Settled before it answers and waits for no acknowledgement, so the last one may still be on its way. It is late, not lost: no product fault.

Change: the test waits for all of them within the time after which an agent would post the bill itself (5 s), and checks in the end that none came twice and none beyond the runs. The search for counts of messages right after an answer found one more that could hide a late Settled, EndIsWithheldWithoutABill: it now sends a billed answer over the same link and expects exactly one. Counts of Dispatch are read after the answer that only a counted Dispatch can cause.

--- a/chivefront/entry/chat_cascade_test.cc
+++ b/chivefront/entry/chat_cascade_test.cc
@@ -83,7 +83,7 @@
   for (int i = 0; i < 600; ++i) {
     const auto answer = fixture.Call(request);
     BOOST_REQUIRE(answer.ok());
-    BOOST_REQUIRE(answer->m_status == 200);
+    BOOST_TEST_REQUIRE(answer->m_status == 200, answer->m_body);
     const std::string count(
       net::FindHeader(answer->m_headers, "X-Chivefront-Runs"));
     const std::string version(
@@ -102,7 +102,12 @@
   BOOST_TEST(escalated > 0U);
   BOOST_TEST(fixture.m_control.BillLines() == runs);
   BOOST_TEST(agent.Count(wire::Body::Dispatch) == runs);
-  BOOST_TEST(agent.Count(wire::Body::Settled) == runs);
+  // The entry settles a run before it answers, but does not wait for the agent.
+  BOOST_TEST_MESSAGE("settled late: " << runs -
+                                           agent.Count(wire::Body::Settled));
+  BOOST_TEST(agent.WaitForCount(wire::Body::Settled, runs, kSettlementBound) ==
+             runs);
+  BOOST_TEST(agent.SettledRuns() == runs);
   // While the rating service is down, a plan has one version, so that no answer
   // waits for a verdict.
   ratings.m_down = true;
@@ -110,8 +115,15 @@
     const auto answer = fixture.Call(request);
     BOOST_REQUIRE(answer.ok());
     BOOST_TEST(answer->m_status == 200);
+    runs += std::stoul(
+      std::string(net::FindHeader(answer->m_headers, "X-Chivefront-Runs")));
   }
+  // A run that is settled twice or was not counted shows in the end.
+  BOOST_TEST(agent.WaitForCount(wire::Body::Settled, runs, kSettlementBound) ==
+             runs);
   fixture.m_loop.Stop();
+  BOOST_TEST(agent.Count(wire::Body::Settled) == runs);
+  BOOST_TEST(agent.SettledRuns() == runs);
 }
 
 // Guards against a roll-out that stays on hold because too few of the answers
--- a/chivefront/entry/flow_test.cc
+++ b/chivefront/entry/flow_test.cc
@@ -105,9 +105,17 @@
   const auto whole = fixture.m_entry.Call(EntryFixture::Chat(false));
   BOOST_REQUIRE(whole.ok());
   BOOST_TEST(whole->m_status == 503);
-  BOOST_TEST(Contains(whole->m_body, "billing_unavailable"));
+  BOOST_TEST(Contains(whole->m_body, "billing_unavailable"), whole->m_body);
   BOOST_TEST(!Contains(whole->m_body, "part"));
-  BOOST_TEST(fixture.m_agent.Count(wire::Body::Settled) == 0U);
+  // Messages of a link arrive in order, so after the one of a billed answer no
+  // earlier one is on its way.
+  fixture.m_entry.m_control.Change(
+    [](FakeControl& aControl) { aControl.m_acceptsBills = true; });
+  const auto billed = fixture.m_entry.Call(EntryFixture::Chat(false));
+  BOOST_REQUIRE(billed.ok());
+  BOOST_TEST(billed->m_status == 200, billed->m_body);
+  BOOST_TEST(fixture.m_agent.WaitForCount(
+               wire::Body::Settled, 1, kSettlementBound) == 1U);
 }
 
 // Guards against the outcome "not_run" for a request that may have run, and
--- a/chivefront/entry/test_fixture.h
+++ b/chivefront/entry/test_fixture.h
@@ -5,7 +5,9 @@
 #include <functional>
 #include <future>
 #include <map>
+#include <set>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "chivefront/base/ids.h"
@@ -15,6 +17,9 @@
 namespace chivefront::entry::testing {
 
 inline const base::Endpoint kAnyPort{ "127.0.0.1", 0 };
+// An agent keeps a finished run until its entry settles it, and posts the bill
+// itself when the entry has been gone for this long.
+inline constexpr base::Millis kSettlementBound{ 5000 };
 
 inline net::LinkIdentity
 Identity(wire::Role aRole, const std::string& aName, uint64_t aIncarnation)
@@ -269,7 +274,36 @@
     return found == m_counts.end() ? 0 : found->second;
   }
 
+  // Waits until aCount messages of this type have arrived, for at most
+  // aTimeout, and returns the number that has arrived by then.
+  size_t WaitForCount(wire::Body aType,
+                      size_t aCount,
+                      base::Millis aTimeout) const
+  {
+    const auto until = std::chrono::steady_clock::now() + aTimeout.ToChrono();
+    while (Count(aType) < aCount && std::chrono::steady_clock::now() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    return Count(aType);
+  }
+
+  // The number of runs for which Settled has arrived, once or more often.
+  size_t SettledRuns() const
+  {
+    const std::lock_guard lock(m_lock);
+    return m_settled.size();
+  }
+
 private:
+  void Record(const wire::MessageT& aMessage)
+  {
+    const std::lock_guard lock(m_lock);
+    ++m_counts[aMessage.body.type];
+    if (const auto* settled = aMessage.body.AsSettled()) {
+      m_settled.insert({ settled->request_id, settled->run });
+    }
+  }
+
   net::Link::Handlers Handlers()
   {
     net::Link::Handlers handlers;
@@ -277,10 +311,7 @@
     handlers.m_onClose = [](const net::Link::Pointer&, const absl::Status&) {};
     handlers.m_onMessage = [this](const net::Link::Pointer& aLink,
                                   wire::MessageT aMessage) {
-      {
-        const std::lock_guard lock(m_lock);
-        ++m_counts[aMessage.body.type];
-      }
+      Record(aMessage);
       m_handler(*aLink, aMessage);
     };
     return handlers;
@@ -290,6 +321,8 @@
   const MessageHandler m_handler;
   mutable std::mutex m_lock;
   std::map<wire::Body, size_t> m_counts;
+  // Request and run of each Settled message.
+  std::set<std::pair<std::string, uint32_t>> m_settled;
   bool m_listening = false;
   net::LinkServer m_server;
 };
