--- a/chivefront/ctl/explain.cc
+++ b/chivefront/ctl/explain.cc
@@ -38,11 +38,14 @@
   std::string_view m_text;
 };
 
-constexpr std::array<ReasonDescription, 10> kReasonDescriptions{ {
+constexpr std::array<ReasonDescription, 12> kReasonDescriptions{ {
   { "no_configuration", "the entry knew no configuration yet" },
   { "no_upstream", "no upstream of the service was registered and in use" },
   { "upstreams_closed", "every upstream had failed lately or was full" },
   { "upstreams_cold", "the upstreams left were cold and had their share" },
+  { "upstreams_limited",
+    "the upstreams left state request limits that were used up" },
+  { "upstreams_resting", "every upstream had asked for a rest" },
   { "draining", "the entry was stopping" },
   { "no_route", "the configuration has no such route" },
   { "unknown_key", "no team of the configuration has this key" },
