Leave the fallback share of a bound to entries without control

Cause: an entry without control uses a fallback share of each bound, and the leading control process issued permits for the whole bound beside it. Class of fault: a bound on all entries together that no process enforces for all of them.

Change: the leader counts the entries that have polled within the last minute, and those that other entries name, and does not issue the shares of the absent ones. An entry names the live entries that it knows with each poll, so that a new leader counts them too. The fallback share is 0.3 of an even share, it was 0.5.

Evidence: permit_bound_test now also simulates entries that hear the bound in turn, most entries without control while the others keep it, leaders that hand over at once and in series, and requests that leave up to 100 ms after their permit.

--- a/chivefront/routing/permit_bound_test.cc
+++ b/chivefront/routing/permit_bound_test.cc
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE routing_permit_bound
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <deque>
 #include <memory>
 #include <random>
@@ -22,6 +23,11 @@
 // The delays of answers on slow links.
 constexpr int64_t kMaxLatencyMillis = 60;
 constexpr int64_t kMaxWaitMillis = 500;
+// A request is sent at most this long after its permit was taken.
+constexpr int64_t kMaxSendMillis = 100;
+// What an entry sends counts from this time after it has heard the bound.
+constexpr int64_t kHearingGraceMillis = 500;
+constexpr int64_t kMostLoseControlAt = 40000;
 constexpr PermitKey kKey = 7;
 
 RateBound
@@ -40,6 +46,8 @@
   bool m_lostLinks = false; // single entries lose control for some seconds
   bool m_elections = false; // another control process leads
   bool m_noControl = false; // no control process leads for ten seconds
+  // Most entries lose control for ten seconds, and the others keep it.
+  bool m_mostLoseControl = false;
 };
 
 struct Setting
@@ -47,6 +55,9 @@
   uint32_t m_entries = 30;
   RateBound m_bound;
   double m_demand = 4; // requests per second of each entry
+  // Each entry first hears the bound at a random moment of this time. Until
+  // then it sends every request at once.
+  int64_t m_hearingMillis = 0;
   Faults m_faults;
   uint64_t m_seed = 1;
 };
@@ -54,12 +65,14 @@
 struct SimulatedEntry
 {
   std::unique_ptr<PermitClient> m_client;
-  std::string m_name;
+  std::string m_name; // of the incarnation
+  std::string m_process;
   EntryGroup m_group;
   int64_t m_nextPoll = 0;
   int64_t m_frozenUntil = 0;
   int64_t m_cutUntil = 0; // no contact with control
   int64_t m_joinsAt = 0;
+  int64_t m_hearsAt = 0;
   std::deque<int64_t> m_waiting;     // arrival of each request
   std::vector<PermitGrant> m_answer; // on its way
   int64_t m_askedAt = 0;
@@ -79,10 +92,14 @@
       if (m_setting.m_faults.m_restarts && Chance(0.2)) {
         m_entries.back().m_joinsAt = Uniform(kSpanMillis / 2);
       }
+      if (m_setting.m_hearingMillis > 0) {
+        m_entries.back().m_hearsAt = Uniform(m_setting.m_hearingMillis);
+      }
     }
   }
 
-  // Runs the whole span and returns the times of all requests sent.
+  // Runs the whole span and returns the times of all requests sent, without
+  // those of entries that had not heard the bound kHearingGraceMillis before.
   const std::vector<int64_t>& Run()
   {
     // The limit is stated long after the hosts have booted.
@@ -94,6 +111,7 @@
         }
       }
     }
+    std::sort(m_sent.begin(), m_sent.end());
     return m_sent;
   }
 
@@ -130,7 +148,10 @@
 
   void Restart(SimulatedEntry& aEntry)
   {
+    const std::string process =
+      std::to_string(std::distance(m_entries.data(), &aEntry));
     aEntry = SimulatedEntry();
+    aEntry.m_process = process;
     aEntry.m_client = std::make_unique<PermitClient>(m_random());
     aEntry.m_name = std::to_string(m_random());
     aEntry.m_nextPoll = m_now + Uniform(kPollMillis);
@@ -144,9 +165,10 @@
     m_leads = m_now >= m_electionUntil &&
               !(faults.m_noControl && m_now >= kNoControlFrom &&
                 m_now < kNoControlUntil);
-    if (faults.m_elections && Chance(0.0005)) {
+    // Some leaders hand over at once, and changes come in series.
+    if (faults.m_elections && Chance(0.002)) {
       m_issuer = PermitIssuer();
-      m_electionUntil = m_now + 400 + Uniform(1500);
+      m_electionUntil = m_now + Uniform(1900);
     }
     SimulatedEntry& victim =
       m_entries[static_cast<size_t>(Uniform(m_setting.m_entries))];
@@ -160,6 +182,20 @@
     if (faults.m_lostLinks && Chance(kRate)) {
       victim.m_cutUntil = m_now + Uniform(8000);
     }
+    if (faults.m_mostLoseControl && m_now == kMostLoseControlAt) {
+      CutMost();
+    }
+  }
+
+  void CutMost()
+  {
+    constexpr double kShare = 0.9;
+    constexpr int64_t kCutMillis = 10000;
+    for (SimulatedEntry& entry : m_entries) {
+      if (Chance(kShare)) {
+        entry.m_cutUntil = m_now + kCutMillis;
+      }
+    }
   }
 
   void Step(SimulatedEntry& aEntry)
@@ -186,6 +222,10 @@
   {
     const RateBound& bound = m_setting.m_bound;
     std::deque<int64_t>& waiting = aEntry.m_waiting;
+    if (m_now < aEntry.m_hearsAt) {
+      waiting.clear();
+      return;
+    }
     while (!waiting.empty() && m_now - waiting.front() > kMaxWaitMillis) {
       waiting.pop_front();
     }
@@ -196,7 +236,9 @@
     }
     while (!waiting.empty() && aEntry.m_client->Take(bound, At(m_now))) {
       waiting.pop_front();
-      m_sent.push_back(m_now);
+      if (m_now >= aEntry.m_hearsAt + kHearingGraceMillis) {
+        m_sent.push_back(m_now + Uniform(kMaxSendMillis));
+      }
     }
   }
 
@@ -209,6 +251,8 @@
       return;
     }
     aEntry.m_answer.clear();
+    m_issuer.RecordPoll(
+      aEntry.m_process, aEntry.m_group.m_liveEntries, At(m_now));
     for (const PermitRequest& request : requests) {
       const uint32_t count = m_issuer.Issue(aEntry.m_name, request, At(m_now));
       aEntry.m_answer.push_back({ request.m_bound.m_key, count });
@@ -229,12 +273,13 @@
 
 const std::vector<Faults> kAllFaults{
   {},
-  { true, false, false, false, false },
-  { false, true, false, false, false },
-  { false, false, true, false, false },
-  { false, false, false, true, false },
-  { false, false, false, false, true },
-  { true, true, true, true, true },
+  { .m_restarts = true },
+  { .m_freezes = true },
+  { .m_lostLinks = true },
+  { .m_elections = true },
+  { .m_noControl = true },
+  { .m_mostLoseControl = true },
+  { true, true, true, true, true, true },
 };
 constexpr uint64_t kSeeds = 6;
 
@@ -276,6 +321,29 @@
   }
 }
 
+// Guards against a bound that holds only if all entries learn of it at once:
+// each of 30 entries hears it at another moment, and the sum holds over those
+// that have heard it.
+BOOST_AUTO_TEST_CASE(RequestLimitHoldsWhileEntriesHearItInTurn)
+{
+  for (const int64_t spread : { 1000, 5000, 50000 }) {
+    for (const double perSecond : { 0.25, 3.5, 20.0 }) {
+      Setting setting;
+      setting.m_bound = LimitBound(perSecond);
+      setting.m_hearingMillis = spread;
+      ForAllFaults(setting, [&](const Setting& aSetting) {
+        Simulation simulation(aSetting);
+        (void)simulation.Run();
+        BOOST_TEST(static_cast<double>(simulation.MostIn(4000)) <=
+                     1.5 * perSecond * 4 + 5,
+                   "spread " << spread << " ms, limit " << perSecond
+                             << ", seed " << aSetting.m_seed << ", sent "
+                             << simulation.MostIn(4000));
+      });
+    }
+  }
+}
+
 // Guards against entries that together send a cold upstream more than it
 // tolerates in one second, because each of them may send one at once: 1.5 times
 // its rate and 5 requests.
--- a/chivefront/routing/permit_client.cc
+++ b/chivefront/routing/permit_client.cc
@@ -7,9 +7,6 @@
 namespace chivefront::routing {
 namespace detail {
 
-// An election takes less, so entries fall back only when control is gone for
-// longer.
-constexpr base::Millis kFallbackDelay{ 1000 };
 constexpr double kMaxWanted = 256;
 // Assumed before control has told the number of entries.
 constexpr uint32_t kUnknownEntries = 64;
@@ -20,7 +17,7 @@
 PermitClient::HasControl(base::TimePoint aNow) const
 {
   return m_group.m_leaderAnsweredAt != base::TimePoint() &&
-         aNow - m_group.m_leaderAnsweredAt < detail::kFallbackDelay;
+         aNow - m_group.m_leaderAnsweredAt < kFallbackDelay;
 }
 
 uint32_t
--- a/chivefront/routing/send_permits.cc
+++ b/chivefront/routing/send_permits.cc
@@ -10,8 +10,8 @@
 // in which they accrue: one period between the polls of an entry.
 constexpr double kPermitBurstSeconds = 0.2;
 // An entry without control uses this part of its even share. The rest covers
-// the entries that still hold permits.
-constexpr double kFallbackShare = 0.5;
+// requests of several entries that fall together by chance.
+constexpr double kFallbackShare = 0.3;
 // How long a slot stays open. Requests arrive at any time, and a slot without
 // one is lost.
 constexpr base::Millis kSlotDuration{ 1000 };
@@ -63,11 +63,14 @@
   const RateBound& bound = aRequest.m_bound;
   Issued& issued = m_issued[bound.m_key];
   issued.m_askedAt = aNow;
-  const double burst = 1 + bound.m_perSecond * detail::kPermitBurstSeconds;
+  const double perSecond =
+    bound.m_perSecond *
+    (1 - detail::kFallbackShare * m_census.AbsentShare(aNow));
+  const double burst = 1 + perSecond * detail::kPermitBurstSeconds;
   const uint32_t others = HeldByOthers(issued, aHolder, aNow);
   uint32_t held = aRequest.m_held;
   while (held < aRequest.m_wanted && others + held < bound.m_maxHeld &&
-         issued.m_bucket.Take(bound.m_perSecond, burst, aNow)) {
+         issued.m_bucket.Take(perSecond, burst, aNow)) {
     ++held;
   }
   issued.m_holdings[aHolder] = { held, aNow + kPermitLifetime };
--- a/chivefront/routing/send_permits.h
+++ b/chivefront/routing/send_permits.h
@@ -4,6 +4,7 @@
 //
 //   // control process
 //   PermitIssuer issuer;
+//   issuer.RecordPoll(process, liveEntriesThatItKnows, now);
 //   grant.m_count = issuer.Issue(entryName, request, now);
 //
 //   // entry
@@ -24,6 +25,7 @@
 
 #include "chivefront/base/clock.h"
 #include "chivefront/routing/budget.h"
+#include "chivefront/routing/entry_census.h"
 
 namespace chivefront::routing {
 
@@ -58,13 +60,22 @@
   uint32_t m_count = 0; // new permits
 };
 
-// Issues permits at the rate of each bound. In any time T the entries together
-// send at most
+// Issues permits at the rate of each bound, less the fallback shares of the
+// entries that have lost control. In any time T the entries with permits
+// together send at most
 //   m_maxHeld + 1 + m_perSecond * (T + 0.2 s)
 // requests, however many entries ask.
 class PermitIssuer
 {
 public:
+  // Records a poll of an entry; see EntryCensus.
+  void RecordPoll(const std::string& aProcess,
+                  uint32_t aLiveEntries,
+                  base::TimePoint aNow)
+  {
+    m_census.RecordPoll(aProcess, aLiveEntries, aNow);
+  }
+
   // Returns the number of new permits. aHolder: name of the entry's process.
   uint32_t Issue(const std::string& aHolder,
                  const PermitRequest& aRequest,
@@ -91,6 +102,7 @@
                                const std::string& aHolder,
                                base::TimePoint aNow);
 
+  EntryCensus m_census;
   std::unordered_map<PermitKey, Issued> m_issued;
 };
 
@@ -115,9 +127,9 @@
   std::unordered_map<PermitKey, Held> m_held;
 };
 
-// The share of a bound that an entry uses while it has no contact with a
-// leading control process: half of an even share, as single requests at times
-// that differ between the entries.
+// The fallback share of a bound, which an entry uses while it has no contact
+// with a leading control process: a part of an even share, as single requests
+// at times that differ between the entries.
 class FallbackSlots
 {
 public:
--- a/chivefront/site/rate_coordinator.cc
+++ b/chivefront/site/rate_coordinator.cc
@@ -8,6 +8,13 @@
 // requests of a slow one.
 constexpr base::Millis kDemandRetention{ 10000 };
 
+// The name of a poller without the number of its incarnation.
+std::string
+ProcessOf(const std::string& aHolder)
+{
+  return aHolder.substr(0, aHolder.find('#'));
+}
+
 } // namespace detail
 
 void
@@ -20,6 +27,8 @@
     (void)m_limits.Record(limit);
   }
   aReply.request_limits = ToWire(m_limits.All(), aNow);
+  m_issuer.RecordPoll(
+    detail::ProcessOf(aRequest.holder), aRequest.live_entries, aNow);
   if (!aIsLeader) {
     return;
   }
--- a/chivefront/site/rate_coordinator_test.cc
+++ b/chivefront/site/rate_coordinator_test.cc
@@ -66,6 +66,42 @@
   BOOST_TEST(GrantedCount(reply) <= 3U);
 }
 
+// Guards against a leader that issues permits for a whole bound while entries
+// without control use their fallback share of it.
+BOOST_AUTO_TEST_CASE(ShareOfAbsentEntriesIsNotIssued)
+{
+  constexpr int kSeconds = 20;
+  constexpr double kPerSecond = 10;
+  const auto countGranted = [](uint32_t aLiveEntries) {
+    RateCoordinator coordinator;
+    uint32_t granted = 0;
+    for (int64_t at = 0; at < kSeconds * 1000; at += 100) {
+      wire::WatchRequestT request = MakeRequest("a#1", kPerSecond, 10);
+      request.live_entries = aLiveEntries;
+      wire::WatchReplyT reply;
+      coordinator.Answer(request, true, At(at), reply);
+      granted += GrantedCount(reply);
+    }
+    return granted;
+  };
+  BOOST_TEST(countGranted(1) > 0.95 * kPerSecond * kSeconds);
+  BOOST_TEST(countGranted(30) < 0.8 * kPerSecond * kSeconds);
+}
+
+// Guards against a restarted entry that counts twice, once as absent.
+BOOST_AUTO_TEST_CASE(RestartedEntryIsNotAbsent)
+{
+  RateCoordinator coordinator;
+  uint32_t granted = 0;
+  for (int64_t at = 0; at < 20000; at += 100) {
+    wire::WatchReplyT reply;
+    const std::string holder = "a#" + std::to_string(at / 2000);
+    coordinator.Answer(MakeRequest(holder, 10, 10), true, At(at), reply);
+    granted += GrantedCount(reply);
+  }
+  BOOST_TEST(granted > 190U);
+}
+
 // Guards against bounds and limits from another release that are no numbers.
 BOOST_AUTO_TEST_CASE(UnusableRowsAreLeftOut)
 {
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -154,6 +154,9 @@
     request.request_limits = ToWire(report.m_limits, now);
     request.permits = ToWire(report.m_permits);
   }
+  if (m_view.m_leaderAnsweredAt != base::TimePoint()) {
+    request.live_entries = m_view.m_liveEntries;
+  }
   m_polledAt = now;
   return request;
 }
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -2930,6 +2930,7 @@
   std::vector<std::unique_ptr<chivefront::wire::QuarantinedPartT>> quarantined_parts{};
   std::vector<std::unique_ptr<chivefront::wire::RequestLimitT>> request_limits{};
   std::vector<std::unique_ptr<chivefront::wire::PermitRequestT>> permits{};
+  uint32_t live_entries = 0;
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2954,7 +2955,8 @@
     VT_PARTS_BEGUN = 24,
     VT_QUARANTINED_PARTS = 26,
     VT_REQUEST_LIMITS = 28,
-    VT_PERMITS = 30
+    VT_PERMITS = 30,
+    VT_LIVE_ENTRIES = 32
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -2998,6 +3000,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *>(VT_PERMITS);
   }
+  uint32_t live_entries() const {
+    return GetField<uint32_t>(VT_LIVE_ENTRIES, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3029,6 +3034,7 @@
            VerifyOffset(verifier, VT_PERMITS) &&
            verifier.VerifyVector(permits()) &&
            verifier.VerifyVectorOfTables(permits()) &&
+           VerifyField<uint32_t>(verifier, VT_LIVE_ENTRIES, 4) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3082,6 +3088,9 @@
   void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits) {
     fbb_.AddOffset(WatchRequest::VT_PERMITS, permits);
   }
+  void add_live_entries(uint32_t live_entries) {
+    fbb_.AddElement<uint32_t>(WatchRequest::VT_LIVE_ENTRIES, live_entries, 0);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3108,13 +3117,15 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>>> parts_begun = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits = 0,
+    uint32_t live_entries = 0) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_have_revision(have_revision);
+  builder_.add_live_entries(live_entries);
   builder_.add_permits(permits);
   builder_.add_request_limits(request_limits);
   builder_.add_quarantined_parts(quarantined_parts);
@@ -3147,7 +3158,8 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *parts_begun = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
-    const std::vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits = nullptr,
+    uint32_t live_entries = 0) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -3171,7 +3183,8 @@
       parts_begun__,
       quarantined_parts__,
       request_limits__,
-      permits__);
+      permits__,
+      live_entries);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7510,7 +7523,8 @@
         registry_epoch(o.registry_epoch),
         registry_sequence(o.registry_sequence),
         report_sequence(o.report_sequence),
-        have_number(o.have_number) {
+        have_number(o.have_number),
+        live_entries(o.live_entries) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
@@ -7542,6 +7556,7 @@
   std::swap(quarantined_parts, o.quarantined_parts);
   std::swap(request_limits, o.request_limits);
   std::swap(permits, o.permits);
+  std::swap(live_entries, o.live_entries);
   return *this;
 }
 
@@ -7568,6 +7583,7 @@
   { auto _e = quarantined_parts(); if (_e) { _o->quarantined_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined_parts[_i] = std::unique_ptr<chivefront::wire::QuarantinedPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<chivefront::wire::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = live_entries(); _o->live_entries = _e; }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7592,6 +7608,7 @@
   auto _quarantined_parts = _o->quarantined_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> (_o->quarantined_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPart(*__va->__fbb, __va->__o->quarantined_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitRequest(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _live_entries = _o->live_entries;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -7607,7 +7624,8 @@
       _parts_begun,
       _quarantined_parts,
       _request_limits,
-      _permits);
+      _permits,
+      _live_entries);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
