Keep a rest that a failure asks for as well

Cause: the rest was read only where the answer also says that the request did not run.

Change: any 503 with such a time starts the rest.

Evidence: UpstreamRestsAfterAFailureThatAsksForIt failed before (6 requests at the upstream where 1 is allowed) and passes.

--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -24,6 +24,7 @@
 constexpr int kMaxStrayResponses = 2;
 
 constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
 
@@ -202,11 +203,12 @@
     (void)m_shared.m_upstreams.Forget(aUpstream.m_instance);
     co_return NotRun{ "wrong_upstream" };
   }
+  if (metadata.m_retryAfter &&
+      (metadata.m_notRun || status == detail::kServiceUnavailable)) {
+    RecordRest(aUpstream, *metadata.m_retryAfter);
+  }
   if (metadata.m_notRun) {
     aUpstream.m_estimate.OnOverloaded(now);
-    if (metadata.m_retryAfter) {
-      RecordRest(aUpstream, *metadata.m_retryAfter);
-    }
     m_connection->Close();
     co_return NotRun{ "rejected_" + std::to_string(status) };
   }
--- a/chivefront/proxy/header_codec.h
+++ b/chivefront/proxy/header_codec.h
@@ -70,7 +70,8 @@
   // Requests per second that the upstream accepts from all entries together.
   std::optional<double> m_requestLimit;
   bool m_leaving = false; // the upstream shuts down and wants no more requests
-  // An upstream that rejects a request wants none from this entry for so long.
+  // An upstream that rejects a request, or is unavailable, wants none from this
+  // entry for so long.
   std::optional<base::Millis> m_retryAfter;
 };
 
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -66,7 +66,7 @@
     ResponseMetadata metadata;
     metadata.m_attemptId = Get(aFields, "Id");
     metadata.m_sealed = aFields.count("Seal") > 0;
-    metadata.m_notRun = aStatus == 503;
+    metadata.m_notRun = aStatus == 503 && aFields.count("Ran") == 0;
     if (aFields.count("Limit") > 0) {
       metadata.m_requestLimit =
         static_cast<double>(ToNumber(Get(aFields, "Limit"), 0));
--- a/chivefront/proxy/upstream_rest_test.cc
+++ b/chivefront/proxy/upstream_rest_test.cc
@@ -37,6 +37,23 @@
   BOOST_TEST(m_near.m_requests.size() == 2U);
 }
 
+// Guards against requests to an upstream that asked for a rest in an answer
+// that does not say whether the request ran.
+BOOST_FIXTURE_TEST_CASE(UpstreamRestsAfterAFailureThatAsksForIt, RunningEntry)
+{
+  m_near.AddScript("HTTP/1.1 503 Service Unavailable\r\nId: $ID\r\nRan: 1\r\n"
+                   "Rest: 700\r\nContent-Length: 0\r\n\r\n");
+  for (int i = 0; i < 10; ++i) {
+    m_near.AddScript(kGoodResponse);
+    m_far.AddScript(kGoodResponse);
+  }
+  (void)Call(MakeRequest("plain"));
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(Contains(Call(MakeRequest("plain")), "good"));
+  }
+  BOOST_TEST(m_near.m_requests.size() == 1U);
+}
+
 // Guards against a rest that ends early because the upstream answers a request
 // that it got before.
 BOOST_FIXTURE_TEST_CASE(AnswerToAnotherRequestDoesNotEndTheRest, RunningEntry)
