Remember a leaving upstream without its registration

Cause: the note that an upstream leaves was dropped with its registration.

Change: the note is kept for ten minutes, and longer while the upstream is registered.

--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -12,6 +12,9 @@
 // Shorter than the time after which upstreams close idle connections.
 constexpr base::Millis kMaxIdleTime{ 4000 };
 constexpr size_t kMaxIdleConnections = 16;
+// A leaving upstream may register again after this entry has lost control and
+// the registration has expired. It has ended long before this time.
+constexpr base::Millis kForgottenRetention{ 600000 };
 
 } // namespace detail
 
@@ -59,8 +62,7 @@
       m_clock.Now() - aInstance.m_reportedAt > routing::kInstanceTimeout) {
     return false;
   }
-  const auto forgotten = m_forgotten.find(aInstance.m_id);
-  if (forgotten != m_forgotten.end() && forgotten->second >= aInstance.m_born) {
+  if (IsForgotten(aInstance)) {
     return false;
   }
   return m_watch.View().m_domainsOut.count(aInstance.m_domain) == 0 &&
@@ -282,14 +284,20 @@
   aUpstream.m_idleConnections.push_back(std::move(aConnection));
 }
 
+bool
+Upstreams::IsForgotten(const routing::Instance& aInstance) const
+{
+  const auto found = m_forgotten.find(aInstance.m_id);
+  return found != m_forgotten.end() && found->second.m_born >= aInstance.m_born;
+}
+
 bool
 Upstreams::Forget(const routing::Instance& aInstance)
 {
-  const auto forgotten = m_forgotten.find(aInstance.m_id);
-  if (forgotten != m_forgotten.end() && forgotten->second >= aInstance.m_born) {
+  if (IsForgotten(aInstance)) {
     return false;
   }
-  m_forgotten[aInstance.m_id] = aInstance.m_born;
+  m_forgotten[aInstance.m_id] = { aInstance.m_born, m_clock.Now() };
   const auto found = m_upstreams.find(aInstance.m_id);
   if (found != m_upstreams.end() &&
       found->second->m_instance.m_born <= aInstance.m_born) {
@@ -315,7 +323,8 @@
   m_requestLimits.ExpireUnregistered(registry, now);
   m_permits.Expire(now);
   std::erase_if(m_forgotten, [&](const auto& aItem) {
-    return registry.Find(aItem.first) == nullptr;
+    return registry.Find(aItem.first) == nullptr &&
+           now - aItem.second.m_at > detail::kForgottenRetention;
   });
 }
 
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -115,8 +115,8 @@
   void AcceptRates(const site::RateAnswer& aAnswer);
 
   // Drops an upstream that is leaving, or whose address now belongs to another
-  // one. It becomes eligible again after it has started anew. Returns false if
-  // this incarnation was dropped before.
+  // one. It becomes eligible again after it has started anew, whatever becomes
+  // of its registration. Returns false if this incarnation was dropped before.
   bool Forget(const routing::Instance& aInstance);
 
   // Closes connections that have been idle for too long and drops upstreams
@@ -150,6 +150,7 @@
                   const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable);
   void TakePermits(const Upstream& aUpstream, const routing::Service& aService);
+  bool IsForgotten(const routing::Instance& aInstance) const;
 
   const site::Watch& m_watch;
   const base::Clock& m_clock;
@@ -159,8 +160,12 @@
   routing::PermitClient m_permits;
   // Requests that wait for an upstream with a request limit, by service.
   std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
-  // Start time (m_born), by upstream id.
-  std::unordered_map<std::string, uint64_t> m_forgotten;
+  struct Forgotten
+  {
+    uint64_t m_born = 0; // of the youngest incarnation that was dropped
+    base::TimePoint m_at;
+  };
+  std::unordered_map<std::string, Forgotten> m_forgotten; // by upstream id
 };
 
 } // namespace chivefront::proxy
