Keep the rest of an upstream whose registration expires

Cause: the end of the rest was dropped with the registration, as the note that an upstream leaves.

Change: what an entry knows of an upstream is kept until its rest has ended.

Evidence: RestIsRememberedWithoutRegistration failed before and passes.

--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -313,7 +313,9 @@
   const routing::Registry& registry = m_watch.View().m_registry;
   std::erase_if(m_upstreams, [&](const auto& aItem) {
     const routing::Instance* known = registry.Find(aItem.first);
-    return known == nullptr || known->m_state == routing::InstanceState::Gone;
+    const bool isResting = aItem.second->m_estimate.RestUntil() > now;
+    return known == nullptr ? !isResting
+                            : known->m_state == routing::InstanceState::Gone;
   });
   for (const auto& [id, upstream] : m_upstreams) {
     std::erase_if(upstream->m_idleConnections, [&](const auto& aConnection) {
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -120,7 +120,7 @@
   bool Forget(const routing::Instance& aInstance);
 
   // Closes connections that have been idle for too long and drops upstreams
-  // that have left the registry.
+  // that have left the registry and do not rest.
   void Sweep();
 
 private:
--- a/chivefront/proxy/upstreams_test.cc
+++ b/chivefront/proxy/upstreams_test.cc
@@ -95,3 +95,20 @@
   Register(kBorn + 1);
   BOOST_TEST(Choose());
 }
+
+// Guards against requests to an upstream in the rest that it asked for, after
+// its registration expired and came back.
+BOOST_FIXTURE_TEST_CASE(RestIsRememberedWithoutRegistration, UpstreamsFixture)
+{
+  Register(1);
+  const UpstreamPointer upstream = Choose();
+  BOOST_REQUIRE(upstream);
+  upstream->m_estimate.OnRest(m_clock.Now() + base::Millis(30000));
+  BOOST_TEST(!Choose());
+  Pass(20000);
+  Register(1);
+  BOOST_TEST(!Choose());
+  m_clock.Advance(base::Millis(10001));
+  Register(1);
+  BOOST_TEST(Choose());
+}
