Keep a request limit longer than its upstream's registration

An upstream with a request limit that cannot reach control for 16 s gets no requests. When it registers again, every entry sent to it without a bound until the next answer named the limit (LIMIT).

Cause: limits were dropped with the registration, after 10 s.

Change: the limit of an incarnation is kept for 60 s after its last statement, and as before while the upstream is registered.

Evidence: LimitOutlivesItsRegistration failed before and passes. The test of the expiry passes the time twice, since there are two retentions now.

--- a/chivefront/routing/request_limits.cc
+++ b/chivefront/routing/request_limits.cc
@@ -13,7 +13,10 @@
 // its sender makes the same observation look newer by its travel time.
 constexpr base::Millis kClockTolerance{ 50 };
 // Late observations of other processes arrive within this time.
-constexpr base::Millis kRetention{ 10000 };
+constexpr base::Millis kWithdrawnRetention{ 10000 };
+// An upstream that cannot reach control may come back within this time and
+// still has its limit.
+constexpr base::Millis kUnregisteredRetention{ 60000 };
 // Permits that the entries may hold unused: a fixed number, so that several
 // entries can use a small limit, and those of some time. Together with the
 // requests of any 4 s they stay within 1.5 times the limit and 5 requests.
@@ -81,9 +84,10 @@
   aRegistry.ForEach([&](const Instance& aInstance) {
     registered.insert(MakeUpstreamKey(aInstance));
   });
-  Expire(aNow - detail::kRetention, [&](UpstreamKey aUpstream) {
-    return registered.count(aUpstream) > 0;
-  });
+  Expire(
+    aNow - detail::kWithdrawnRetention,
+    aNow - detail::kUnregisteredRetention,
+    [&](UpstreamKey aUpstream) { return registered.count(aUpstream) > 0; });
 }
 
 std::vector<LimitObservation>
--- a/chivefront/routing/request_limits.h
+++ b/chivefront/routing/request_limits.h
@@ -65,20 +65,26 @@
   // observation of another process does not restore them.
   std::vector<LimitObservation> All() const;
 
-  // Removes what was last heard before aBefore and, of the limits that are
-  // still stated, those for which aIsKnown(key) is false.
+  // Removes limits that were withdrawn before aWithdrawnBefore and, of those
+  // for which aIsRegistered(key) is false, limits last stated before
+  // aStatedBefore.
   template<typename Predicate>
-  void Expire(base::TimePoint aBefore, Predicate aIsKnown)
+  void Expire(base::TimePoint aWithdrawnBefore,
+              base::TimePoint aStatedBefore,
+              Predicate aIsRegistered)
   {
     std::erase_if(m_latest, [&](const auto& aItem) {
       const LimitObservation& latest = aItem.second;
-      const bool inForce = latest.m_perSecond && aIsKnown(aItem.first);
-      return latest.m_heardAt < aBefore && !inForce;
+      if (!latest.m_perSecond) {
+        return latest.m_heardAt < aWithdrawnBefore;
+      }
+      return latest.m_heardAt < aStatedBefore && !aIsRegistered(aItem.first);
     });
   }
 
-  // Expire for the upstreams that aRegistry does not name, with a retention
-  // that covers late observations of other processes.
+  // Expire for the upstreams that aRegistry does not name, with retentions that
+  // cover late observations of other processes, and upstreams that come back
+  // after their registration has expired.
   void ExpireUnregistered(const Registry& aRegistry, base::TimePoint aNow);
 
 private:
--- a/chivefront/routing/request_limits_test.cc
+++ b/chivefront/routing/request_limits_test.cc
@@ -46,7 +46,19 @@
   (void)limits.Record({ 2, 2.5, At(1000) });
   (void)limits.Record({ 3, 2.5, At(1000) });
   (void)limits.Record({ 3, std::nullopt, At(1100) });
-  limits.Expire(At(2000), [](UpstreamKey aKey) { return aKey == 1; });
+  limits.Expire(At(2000), At(2000), [](UpstreamKey aKey) { return aKey == 1; });
   BOOST_REQUIRE(limits.All().size() == 1U);
   BOOST_TEST(limits.All().front().m_upstream == 1U);
 }
+
+// Guards against a burst at an upstream that comes back after its registration
+// expired: its limit holds for the whole incarnation.
+BOOST_AUTO_TEST_CASE(LimitOutlivesItsRegistration)
+{
+  RequestLimits limits;
+  (void)limits.Record({ kUpstream, 2.5, At(1000) });
+  limits.ExpireUnregistered(Registry(), At(31000));
+  BOOST_TEST(limits.Find(kUpstream).value_or(0) == 2.5);
+  limits.ExpireUnregistered(Registry(), At(601000));
+  BOOST_TEST(!limits.Find(kUpstream));
+}
