Simulate an upstream that lowers its request limit

Change: permit_bound_test checks that permits issued at a limit of 20 a second do not break a later limit of 3.5 or 0.25, for 8 and 30 entries with all faults.

Evidence: it passes on the present code; no fault was found.

--- a/chivefront/routing/permit_bound_test.cc
+++ b/chivefront/routing/permit_bound_test.cc
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 
 #include "chivefront/routing/cold_bound.h"
@@ -28,6 +29,7 @@
 // What an entry sends counts from this time after it has heard the bound.
 constexpr int64_t kHearingGraceMillis = 500;
 constexpr int64_t kMostLoseControlAt = 40000;
+constexpr int64_t kLoweredAt = 30000;
 constexpr PermitKey kKey = 7;
 
 RateBound
@@ -58,6 +60,8 @@
   // Each entry first hears the bound at a random moment of this time. Until
   // then it sends every request at once.
   int64_t m_hearingMillis = 0;
+  // From kLoweredAt on the upstream states this limit in place of m_bound.
+  std::optional<RateBound> m_lowered;
   Faults m_faults;
   uint64_t m_seed = 1;
 };
@@ -73,6 +77,7 @@
   int64_t m_cutUntil = 0; // no contact with control
   int64_t m_joinsAt = 0;
   int64_t m_hearsAt = 0;
+  int64_t m_lowerHeardAt = 0;        // when it hears the lower limit
   std::deque<int64_t> m_waiting;     // arrival of each request
   std::vector<PermitGrant> m_answer; // on its way
   int64_t m_askedAt = 0;
@@ -115,12 +120,13 @@
     return m_sent;
   }
 
-  // The most requests in any window of aMillis.
-  int64_t MostIn(int64_t aMillis) const
+  // The most requests in any window of aMillis that begins at aFrom or later.
+  int64_t MostIn(int64_t aMillis, int64_t aFrom = 0) const
   {
     int64_t most = 0;
-    size_t first = 0;
-    for (size_t last = 0; last < m_sent.size(); ++last) {
+    size_t first = static_cast<size_t>(std::distance(
+      m_sent.begin(), std::lower_bound(m_sent.begin(), m_sent.end(), aFrom)));
+    for (size_t last = first; last < m_sent.size(); ++last) {
       while (m_sent[last] - m_sent[first] > aMillis) {
         ++first;
       }
@@ -155,6 +161,7 @@
     aEntry.m_client = std::make_unique<PermitClient>(m_random());
     aEntry.m_name = std::to_string(m_random());
     aEntry.m_nextPoll = m_now + Uniform(kPollMillis);
+    aEntry.m_lowerHeardAt = kLoweredAt + Uniform(kPollMillis);
   }
 
   void InjectFaults()
@@ -216,11 +223,18 @@
     SendWaiting(aEntry);
   }
 
+  // The bound that an entry knows that heard of a lower limit at aHeardAt.
+  const RateBound& BoundSince(int64_t aHeardAt) const
+  {
+    const bool isLowered = m_setting.m_lowered && m_now >= aHeardAt;
+    return isLowered ? *m_setting.m_lowered : m_setting.m_bound;
+  }
+
   // Requests wait for a permit as they do at an entry whose upstreams are all
   // limited.
   void SendWaiting(SimulatedEntry& aEntry)
   {
-    const RateBound& bound = m_setting.m_bound;
+    const RateBound& bound = BoundSince(aEntry.m_lowerHeardAt);
     std::deque<int64_t>& waiting = aEntry.m_waiting;
     if (m_now < aEntry.m_hearsAt) {
       waiting.clear();
@@ -253,7 +267,8 @@
     aEntry.m_answer.clear();
     m_issuer.RecordPoll(
       aEntry.m_process, aEntry.m_group.m_liveEntries, At(m_now));
-    for (const PermitRequest& request : requests) {
+    for (PermitRequest request : requests) {
+      request.m_bound = BoundSince(kLoweredAt);
       const uint32_t count = m_issuer.Issue(aEntry.m_name, request, At(m_now));
       aEntry.m_answer.push_back({ request.m_bound.m_key, count });
     }
@@ -344,6 +359,34 @@
   }
 }
 
+// Guards against permits that were issued at a higher limit and are used after
+// the upstream has lowered it.
+BOOST_AUTO_TEST_CASE(LoweredRequestLimitHoldsOverAllEntries)
+{
+  constexpr double kBefore = 20;
+  for (const uint32_t entries : { 8U, 30U }) {
+    for (const double perSecond : { 0.25, 3.5 }) {
+      for (const double demand : { 0.5, 2.0 }) {
+        Setting setting;
+        setting.m_entries = entries;
+        setting.m_bound = LimitBound(kBefore);
+        setting.m_lowered = LimitBound(perSecond);
+        setting.m_demand = demand * kBefore / entries;
+        ForAllFaults(setting, [&](const Setting& aSetting) {
+          Simulation simulation(aSetting);
+          (void)simulation.Run();
+          const int64_t most =
+            simulation.MostIn(4000, kLoweredAt + kHearingGraceMillis);
+          BOOST_TEST(static_cast<double>(most) <= 1.5 * perSecond * 4 + 5,
+                     "entries " << entries << ", limit " << perSecond
+                                << ", demand " << demand << ", seed "
+                                << aSetting.m_seed << ", sent " << most);
+        });
+      }
+    }
+  }
+}
+
 // Guards against entries that together send a cold upstream more than it
 // tolerates in one second, because each of them may send one at once: 1.5 times
 // its rate and 5 requests.
