Pace requests to upstreams that state no limit beside limited ones

Many of the requests sent to it ended at their deadline.

Cause: what is beyond the limits goes to the upstreams that state none, from all entries at once, and the last one that has not stated its limit yet gets it all. With each send logged, one such upstream got 280 requests in 2.5 s before its first answer, while it takes 4 a second. Class of fault: a bound on all entries together, of which each entry hears at another moment.

Change: while an upstream of the service is limited, an entry sends the others no faster than they answer: one request, and two for each recent answer, may await an answer. Requests beyond that wait by priority and age, or are refused.

Evidence: SilentUpstreamGetsOneRequestBesideLimitedOnes failed before (each of 20 further requests went to the silent upstream) and passes.

--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -212,7 +212,7 @@
     m_connection->Close();
     co_return NotRun{ "rejected_" + std::to_string(status) };
   }
-  aUpstream.m_estimate.OnAnswer();
+  aUpstream.m_estimate.OnAnswer(now);
   if (aUpstream.m_estimate.RestUntil() > now) {
     ++aUpstream.m_answersWhileResting;
   }
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -116,46 +116,62 @@
   return permits;
 }
 
-// Adds the bounded upstreams for which this entry holds permits. One with a
-// request limit is left out if as many other requests as there are permits wait
-// before this one.
+// Adds the bounded upstreams for which this entry holds permits. If one of them
+// states a request limit, there is none available as long as as many other
+// requests wait before this one as may be sent now.
 void
 Upstreams::AddBounded(const std::vector<BoundedUpstream>& aBounded,
                       const UpstreamCriteria& aCriteria,
                       AvailableUpstreams& aAvailable)
 {
+  const bool isLimited = std::any_of(
+    aBounded.begin(), aBounded.end(), [](const BoundedUpstream& aUpstream) {
+      return aUpstream.m_bounds.m_limit.has_value();
+    });
   const size_t usable = aBounded.size() + aAvailable.m_upstreams.size();
   const double demand =
     aCriteria.m_addsDemand ? 1 / static_cast<double>(usable) : 0;
-  size_t permits = 0;
-  bool isLimited = false;
-  std::vector<UpstreamPointer> permitted;
+  size_t allowed = isLimited ? PaceUnlimited(aAvailable) : 0;
   for (const BoundedUpstream& bounded : aBounded) {
-    const uint32_t count = PermitsFor(bounded.m_bounds, demand);
+    const uint32_t permits = PermitsFor(bounded.m_bounds, demand);
+    allowed += permits;
+    if (permits > 0) {
+      aAvailable.m_upstreams.push_back(bounded.m_upstream);
+    }
     if (const auto& limit = bounded.m_bounds.m_limit) {
-      isLimited = true;
       aAvailable.m_limitedRate +=
         limit->m_perSecond / m_watch.View().m_liveEntries;
-      permits += count;
-      if (count > 0) {
-        permitted.push_back(bounded.m_upstream);
-      }
-    } else if (count > 0) {
-      aAvailable.m_upstreams.push_back(bounded.m_upstream);
-    } else {
+    } else if (permits == 0) {
       aAvailable.m_reason =
         std::max(aAvailable.m_reason, NoUpstreamReason::Cold);
     }
   }
   const routing::WaitQueue& queue = m_waitQueues[aCriteria.m_service->m_name];
-  if (queue.IsAmongFirst(aCriteria.m_ticket, permits)) {
-    aAvailable.m_upstreams.insert(
-      aAvailable.m_upstreams.end(), permitted.begin(), permitted.end());
-  } else if (isLimited) {
+  if (isLimited && !queue.IsAmongFirst(aCriteria.m_ticket, allowed)) {
+    aAvailable.m_upstreams.clear();
     aAvailable.m_reason = NoUpstreamReason::Limited;
   }
 }
 
+// Beside upstreams with a request limit the others get what is beyond it, from
+// all entries at once, also one that has not stated its own limit yet. Removes
+// those that answer more slowly than this entry would send, and returns how
+// many requests the rest may get now.
+size_t
+Upstreams::PaceUnlimited(AvailableUpstreams& aAvailable) const
+{
+  const base::TimePoint now = m_clock.Now();
+  size_t allowed = 0;
+  std::erase_if(aAvailable.m_upstreams, [&](const UpstreamPointer& aUpstream) {
+    const routing::UpstreamEstimate& estimate = aUpstream->m_estimate;
+    aAvailable.m_limitedRate += estimate.RecentAnswers(now);
+    const uint32_t allowance = estimate.PacedAllowance(now);
+    allowed += allowance;
+    return allowance == 0;
+  });
+  return allowed;
+}
+
 void
 Upstreams::AddResting(base::TimePoint aUntil, AvailableUpstreams& aAvailable)
 {
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -74,8 +74,8 @@
 {
   std::vector<UpstreamPointer> m_upstreams;
   NoUpstreamReason m_reason = NoUpstreamReason::None; // if there are none
-  // Requests per second that this entry can expect to send to the upstreams
-  // with a request limit; 0 if there are none.
+  // Requests per second that this entry can expect to send, if at least one
+  // upstream states a request limit; else 0.
   double m_limitedRate = 0;
   // When the first rest ends, if m_reason is Resting.
   base::TimePoint m_restUntil;
@@ -149,6 +149,7 @@
   void AddBounded(const std::vector<BoundedUpstream>& aBounded,
                   const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable);
+  size_t PaceUnlimited(AvailableUpstreams& aAvailable) const;
   void TakePermits(const Upstream& aUpstream, const routing::Service& aService);
   bool IsForgotten(const routing::Instance& aInstance) const;
 
--- a/chivefront/proxy/upstreams_test.cc
+++ b/chivefront/proxy/upstreams_test.cc
@@ -29,14 +29,16 @@
     m_clock.Advance(base::Millis(1000000));
   }
 
-  // A leading control process names upstream "one", started at aBorn.
-  void Register(uint64_t aBorn)
+  // A leading control process names an upstream that started at aBorn.
+  void Register(uint64_t aBorn,
+                const std::string& aId = "one",
+                uint16_t aPort = 1)
   {
     routing::Instance instance;
-    instance.m_id = "one";
+    instance.m_id = aId;
     instance.m_service = m_service.m_name;
-    instance.m_address = { "127.0.0.1", 1 };
-    instance.m_slots = 1;
+    instance.m_address = { "127.0.0.1", aPort };
+    instance.m_slots = 64;
     instance.m_born = aBorn;
     instance.m_sequence = ++m_sequence;
     instance.m_reportedAt = m_clock.Now();
@@ -112,3 +114,45 @@
   Register(1);
   BOOST_TEST(Choose());
 }
+
+// Guards against a flood of an upstream that has not stated its limit yet: all
+// others have, so that all entries send it what is beyond their limits.
+BOOST_FIXTURE_TEST_CASE(SilentUpstreamGetsOneRequestBesideLimitedOnes,
+                        UpstreamsFixture)
+{
+  Register(1, "limited");
+  Register(1, "silent", 2);
+  (void)m_upstreams.RequestLimits().Record(
+    { routing::MakeUpstreamKey(*m_watch.View().m_registry.Find("limited")),
+      1.0,
+      m_clock.Now() });
+  const UpstreamPointer silent = Choose();
+  BOOST_REQUIRE(silent);
+  BOOST_TEST(silent->m_instance.m_id == "silent");
+  silent->m_estimate.OnSent();
+  for (int i = 0; i < 20; ++i) {
+    m_clock.Advance(base::Millis(50));
+    BOOST_TEST(!Choose());
+  }
+  // It gets more as soon as it answers, and the more the more it answers.
+  silent->m_estimate.OnHead();
+  silent->m_estimate.OnAnswer(m_clock.Now());
+  int sent = 0;
+  for (; Choose() && sent < 10; ++sent) {
+    silent->m_estimate.OnSent();
+  }
+  BOOST_TEST(sent == 3);
+}
+
+// Guards against requests that an upstream without limit could take and that
+// are refused, while no upstream states a limit.
+BOOST_FIXTURE_TEST_CASE(SlowUpstreamGetsRequestsIfNoneIsLimited,
+                        UpstreamsFixture)
+{
+  Register(1);
+  for (int i = 0; i < 20; ++i) {
+    const UpstreamPointer upstream = Choose();
+    BOOST_REQUIRE(upstream);
+    upstream->m_estimate.OnSent();
+  }
+}
--- a/chivefront/routing/choice_test.cc
+++ b/chivefront/routing/choice_test.cc
@@ -194,7 +194,7 @@
   estimate.OnFailure(kNow);
   BOOST_TEST((estimate.BackoffUntil() > first));
   BOOST_TEST((estimate.BackoffUntil() - kNow <= base::Millis(2000)));
-  estimate.OnAnswer();
+  estimate.OnAnswer(kNow);
   BOOST_TEST((estimate.BackoffUntil() <= kNow));
 }
 
--- a/chivefront/routing/upstream_estimate.cc
+++ b/chivefront/routing/upstream_estimate.cc
@@ -2,10 +2,18 @@
 #include "chivefront/routing/upstream_estimate.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace chivefront::routing {
 namespace detail {
 
+// Time constant of the count of recent answers, about the longest time to the
+// head of an answer of an upstream that is not overloaded.
+constexpr double kAnswerDecayMs = 1000;
+// Requests that may await their answers for each recent answer, so that the
+// rate can double within the time of an answer.
+constexpr double kRequestsPerAnswer = 2;
+
 // A load report older than this says nothing about other entries' requests.
 constexpr base::Millis kLoadReportTtl{ 1500 };
 constexpr base::Millis kFirstBackoff{ 200 };
@@ -63,10 +71,26 @@
 }
 
 void
-UpstreamEstimate::OnAnswer()
+UpstreamEstimate::OnAnswer(base::TimePoint aNow)
 {
   m_consecutiveFailures = 0;
   m_backoffUntil = base::TimePoint();
+  m_recentAnswers = RecentAnswers(aNow) + 1;
+  m_answeredAt = aNow;
+}
+
+double
+UpstreamEstimate::RecentAnswers(base::TimePoint aNow) const
+{
+  const auto age = static_cast<double>((aNow - m_answeredAt).Count());
+  return m_recentAnswers * std::exp(-age / detail::kAnswerDecayMs);
+}
+
+uint32_t
+UpstreamEstimate::PacedAllowance(base::TimePoint aNow) const
+{
+  const double allowed = 1 + detail::kRequestsPerAnswer * RecentAnswers(aNow);
+  return static_cast<uint32_t>(std::max(0.0, allowed - m_awaitingHead));
 }
 
 void
--- a/chivefront/routing/upstream_estimate.h
+++ b/chivefront/routing/upstream_estimate.h
@@ -50,7 +50,13 @@
   double Waiting(base::TimePoint aNow) const;
 
   // An answer arrived, whatever its status: ends the backoff.
-  void OnAnswer();
+  void OnAnswer(base::TimePoint aNow);
+  // Answers in about the last second.
+  double RecentAnswers(base::TimePoint aNow) const;
+  // How many more requests this entry may send if it sends no faster than the
+  // upstream answers: one, and two for each recent answer, less those that
+  // still await theirs.
+  uint32_t PacedAllowance(base::TimePoint aNow) const;
   // A connection failed, or an answer was cut off: starts or extends the
   // backoff.
   void OnFailure(base::TimePoint aNow);
@@ -97,6 +103,8 @@
   uint32_t m_inFlight = 0;     // requests of this entry
   uint32_t m_awaitingHead = 0; // those of m_inFlight without an answer head
   ReportedLoad m_reported;
+  double m_recentAnswers = 0; // as of m_answeredAt; decays
+  base::TimePoint m_answeredAt;
   uint32_t m_consecutiveFailures = 0;
   base::TimePoint m_backoffUntil;
   base::TimePoint m_restUntil; // answers to other requests do not end it
