Name the rate that an entry can expect for what it holds

Two comments say more plainly what AddBounded and PaceUnlimited do. No change of behaviour; upstreams_test and request_limit_test pass.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -358,7 +358,7 @@
     const base::Millis expectedWait =
       available.m_reason == NoUpstreamReason::Resting
         ? available.m_restUntil - now
-        : waiting.ExpectedWait(available.m_limitedRate);
+        : waiting.ExpectedWait(available.m_expectedRate);
     if (!MayWaitForUpstream(available, expectedWait, startedAt)) {
       co_await RespondNoUpstream(available.m_reason, expectedWait);
       break;
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -116,9 +116,10 @@
   return permits;
 }
 
-// Adds the bounded upstreams for which this entry holds permits. If one of them
-// states a request limit, there is none available as long as as many other
-// requests wait before this one as may be sent now.
+// Adds the bounded upstreams for which this entry holds permits. If at least
+// one states a request limit, requests are sent by priority and age: no
+// upstream is available if the requests that wait before this one use up what
+// may be sent.
 void
 Upstreams::AddBounded(const std::vector<BoundedUpstream>& aBounded,
                       const UpstreamCriteria& aCriteria,
@@ -139,7 +140,7 @@
       aAvailable.m_upstreams.push_back(bounded.m_upstream);
     }
     if (const auto& limit = bounded.m_bounds.m_limit) {
-      aAvailable.m_limitedRate +=
+      aAvailable.m_expectedRate +=
         limit->m_perSecond / m_watch.View().m_liveEntries;
     } else if (permits == 0) {
       aAvailable.m_reason =
@@ -153,10 +154,10 @@
   }
 }
 
-// Beside upstreams with a request limit the others get what is beyond it, from
-// all entries at once, also one that has not stated its own limit yet. Removes
-// those that answer more slowly than this entry would send, and returns how
-// many requests the rest may get now.
+// While some upstreams state a request limit, the others get what is beyond it
+// from all entries at once, and one of them may be about to state its own.
+// Removes those that answer more slowly than this entry would send. Returns how
+// many requests may be sent to the others now.
 size_t
 Upstreams::PaceUnlimited(AvailableUpstreams& aAvailable) const
 {
@@ -164,7 +165,7 @@
   size_t allowed = 0;
   std::erase_if(aAvailable.m_upstreams, [&](const UpstreamPointer& aUpstream) {
     const routing::UpstreamEstimate& estimate = aUpstream->m_estimate;
-    aAvailable.m_limitedRate += estimate.RecentAnswers(now);
+    aAvailable.m_expectedRate += estimate.RecentAnswers(now);
     const uint32_t allowance = estimate.PacedAllowance(now);
     allowed += allowance;
     return allowance == 0;
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -76,7 +76,7 @@
   NoUpstreamReason m_reason = NoUpstreamReason::None; // if there are none
   // Requests per second that this entry can expect to send, if at least one
   // upstream states a request limit; else 0.
-  double m_limitedRate = 0;
+  double m_expectedRate = 0;
   // When the first rest ends, if m_reason is Resting.
   base::TimePoint m_restUntil;
 };
