Resume a stream on the version that began it

What callers saw: during a roll-out, a stream that was cut on the old version went on at a bad new one, which answered 500 twice, and ended unfinished.

Cause: each attempt was assigned to a version anew, and by the time of the cut the roll-out had reached the stream's share.

Change: an attempt that resumes a stream stays on the version that began it. It takes the other one only if it would find no upstream in the time that it may wait.

Evidence: ResumedStreamStaysOnItsVersion failed before (the stream ended, two requests at the new version) and passes; so does ResumedStreamChangesItsVersionIfItMust, which guards the exception.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -273,6 +273,9 @@
                                  : m_metadata.m_sessionId;
   criteria.m_rolloutKey = { routing::StableHash(session),
                             !m_metadata.m_sessionId.empty() };
+  if (m_caller->ResponseStarted()) {
+    criteria.m_streamVersion = m_streamVersion;
+  }
   const std::string model = CurrentModel();
   for (size_t i = 0; i + 1 < m_metadata.m_promptParts.size(); ++i) {
     const PromptPart& part = m_metadata.m_promptParts[i];
@@ -359,7 +362,13 @@
       available.m_reason == NoUpstreamReason::Resting
         ? available.m_restUntil - now
         : waiting.ExpectedWait(available.m_expectedRate);
-    if (!MayWaitForUpstream(available, expectedWait, startedAt)) {
+    const bool mayWait = MayWaitForUpstream(available, expectedWait, startedAt);
+    if (criteria.m_streamVersion &&
+        (!mayWait || available.m_reason == NoUpstreamReason::None)) {
+      criteria.m_streamVersion.reset(); // another version is better than none
+      continue;
+    }
+    if (!mayWait) {
       co_await RespondNoUpstream(available.m_reason, expectedWait);
       break;
     }
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -180,6 +180,7 @@
   bool m_retryReserved = false;
   bool m_mayHaveRun = false;
   std::vector<std::string> m_triedUpstreams;
+  std::string m_streamVersion; // of the upstream that began the response
   std::string m_lastUpstream;
   size_t m_modelIndex = 0; // index into the route's models
   // Parts of the prompt that other requests may share.
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -239,6 +239,7 @@
     co_return LowConfidence{ *metadata.m_confidence };
   }
   if (!m_caller->ResponseStarted()) { // not for a resumed stream
+    m_streamVersion = aUpstream.m_instance.m_version;
     m_shared.m_metrics.LatencyOf(*m_route).m_toHead.Observe(
       static_cast<double>((now - m_receivedAt).Count()));
   }
--- a/chivefront/proxy/proxy_stream_test.cc
+++ b/chivefront/proxy/proxy_stream_test.cc
@@ -198,3 +198,52 @@
   BOOST_TEST(m_near.m_requests.empty());
   BOOST_TEST(Contains(Call(MakeRequest("plain"), 300), "good"));
 }
+
+// Guards against a stream that is cut on the old version, goes on at a bad new
+// one that a roll-out has just brought in, and ends there.
+BOOST_FIXTURE_TEST_CASE(ResumedStreamStaysOnItsVersion, EntryFixture)
+{
+  m_farVersion = "v1";
+  m_secondFar = std::make_unique<ScriptedUpstream>(m_context);
+  m_withoutNear = true;
+  Start();
+  Configure();
+  const std::string pause = kPauseWriting;
+  m_secondFar->AddScript(kStreamHead + Chunk("id: 1\ndata: a\n\n") + pause +
+                         kCloseConnection);
+  m_far.AddScript(kStreamHead + Chunk("id: 2\ndata: b\n\n") + Chunk(""));
+  for (int i = 0; i < 2; ++i) {
+    m_near.AddScript(
+      "HTTP/1.1 500 Error\r\nId: $ID\r\nContent-Length: 0\r\n\r\n");
+  }
+  const auto received = StartCall(MakeRequest("stream"));
+  RunFor(100);
+  BOOST_REQUIRE(Contains(*received, "data: a"));
+  m_withoutNear = false;
+  m_nearVersion = "v2";
+  Configure(2); // the roll-out begins
+  RunFor(500);
+  BOOST_TEST(Contains(*received, "data: b"));
+  BOOST_TEST(m_near.m_requests.empty());
+}
+
+// Guards against a resumed stream that ends because no upstream of its version
+// is left.
+BOOST_FIXTURE_TEST_CASE(ResumedStreamChangesItsVersionIfItMust, EntryFixture)
+{
+  m_farVersion = "v1";
+  m_withoutNear = true;
+  Start();
+  Configure();
+  const std::string pause = kPauseWriting;
+  m_far.AddScript(kStreamHead + Chunk("id: 1\ndata: a\n\n") + pause +
+                  kCloseConnection);
+  m_near.AddScript(kStreamHead + Chunk("id: 2\ndata: b\n\n") + Chunk(""));
+  const auto received = StartCall(MakeRequest("stream"));
+  RunFor(100);
+  m_withoutNear = false;
+  m_nearVersion = "v2";
+  Configure(2);
+  RunFor(500);
+  BOOST_TEST(Contains(*received, "data: b"));
+}
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -292,24 +292,36 @@
     if (!m_nearVersion.empty()) {
       AddRollout(reply);
     }
-    for (const ScriptedUpstream* upstream : { &m_near, &m_far }) {
-      if (m_onlyNear && upstream == &m_far) {
-        continue;
-      }
-      auto info = std::make_unique<wire::UpstreamInfoT>();
-      info->name = upstream == &m_near ? "one" : "two";
-      info->service = "app";
-      // The entry prefers upstreams of its own failure domain.
-      info->failure_domain = upstream == &m_near ? "near" : "far";
-      info->address = "127.0.0.1:" + std::to_string(upstream->Port());
-      info->slots = 4;
-      info->version = upstream == &m_near ? m_nearVersion : m_farVersion;
-      info->sequence = 1;
-      reply.upstreams.push_back(std::move(info));
+    // The entry prefers upstreams of its own failure domain.
+    if (!m_withoutNear) {
+      AddUpstream("one", "near", m_near, m_nearVersion, reply);
+    }
+    if (!m_onlyNear) {
+      AddUpstream("two", "far", m_far, m_farVersion, reply);
+    }
+    if (m_secondFar) {
+      AddUpstream("three", "far", *m_secondFar, m_farVersion, reply);
     }
     m_watch.Accept(reply);
   }
 
+  static void AddUpstream(const std::string& aName,
+                          const std::string& aDomain,
+                          const ScriptedUpstream& aUpstream,
+                          const std::string& aVersion,
+                          wire::WatchReplyT& aReply)
+  {
+    auto info = std::make_unique<wire::UpstreamInfoT>();
+    info->name = aName;
+    info->service = "app";
+    info->failure_domain = aDomain;
+    info->address = "127.0.0.1:" + std::to_string(aUpstream.Port());
+    info->slots = 4;
+    info->version = aVersion;
+    info->sequence = 1;
+    aReply.upstreams.push_back(std::move(info));
+  }
+
   // Adds a roll-out of m_nearVersion in its last phase, so that it gets all
   // requests.
   void AddRollout(wire::WatchReplyT& aReply) const
@@ -379,6 +391,20 @@
     return *received;
   }
 
+  // Sends aRequest on a new connection and returns where the bytes received are
+  // collected. The connection stays open until the entry closes it.
+  std::shared_ptr<std::string> StartCall(const std::string& aRequest)
+  {
+    auto socket = std::make_shared<Tcp::socket>(m_context);
+    auto received = std::make_shared<std::string>();
+    net::Spawn(m_context.get_executor(),
+               "caller",
+               [this, socket, received, aRequest]() -> net::Task<void> {
+                 return ExchangeBytes(socket, received, aRequest);
+               });
+    return received;
+  }
+
   net::Task<void> ExchangeBytes(std::shared_ptr<Tcp::socket> aSocket,
                                 std::shared_ptr<std::string> aReceived,
                                 std::string aRequest) const
@@ -416,7 +442,9 @@
   uint16_t m_port = 0;
   std::string m_nearVersion; // being rolled out; empty: no roll-out
   std::string m_farVersion;
-  bool m_onlyNear = false; // m_far is not registered
+  bool m_onlyNear = false;                       // m_far is not registered
+  bool m_withoutNear = false;                    // m_near is not registered
+  std::unique_ptr<ScriptedUpstream> m_secondFar; // registered if it is there
   base::Millis m_callerReadDelay{
     0
   }; // from sending to the first read of a caller
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -46,6 +46,9 @@
     case site::RolloutStage::InProgress:
       break;
   }
+  if (aCriteria.m_streamVersion) {
+    return isNew == (*aCriteria.m_streamVersion == rollout.m_version);
+  }
   const base::Millis elapsed = m_clock.Now() - rollout.m_started;
   return isNew == routing::IsOnNewVersion(
                     aCriteria.m_rolloutKey, elapsed, rollout.m_span);
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -43,6 +43,9 @@
   const routing::Service* m_service = nullptr;
   routing::ChoiceCriteria m_choice;
   routing::RolloutKey m_rolloutKey; // decides between old and new version
+  // The version that began the stream to resume: during a roll-out it decides
+  // in place of m_rolloutKey.
+  std::optional<std::string> m_streamVersion;
   // Ids that must not be chosen again.
   std::vector<std::string> m_triedUpstreams;
   // Place among the requests that wait for an upstream with a request limit.
