--- a/chivefront/routing/permit_bound_test.cc
+++ b/chivefront/routing/permit_bound_test.cc
@@ -57,8 +57,8 @@
   uint32_t m_entries = 30;
   RateBound m_bound;
   double m_demand = 4; // requests per second of each entry
-  // Each entry first hears the bound at a random moment of this time. Until
-  // then it sends every request at once.
+  // Each entry first hears the bound at a random moment of this time. What it
+  // sends until then does not count and is left out.
   int64_t m_hearingMillis = 0;
   // From kLoweredAt on the upstream states this limit in place of m_bound.
   std::optional<RateBound> m_lowered;
