Log when an entry has not heard a leader

Cause: control_lost is written only when no control process answers a poll.

Change: leader_unheard and leader_heard, with the process that answered, the leader it named, the silence and the entry's configuration number.

--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -16,6 +16,8 @@
 constexpr base::Millis kPollTimeout{ 500 };
 // Used until the first configuration arrives.
 constexpr base::Millis kInitialPollPeriod{ 40 };
+// Five polls without a leader; an election takes less than this.
+constexpr base::Millis kLeaderSilence{ 1000 };
 
 } // namespace detail
 
@@ -166,6 +168,7 @@
 {
   const net::Link::Pointer link = ChooseLink();
   bool answered = false;
+  std::string answeredBy;
   if (link) {
     wire::MessageT message = wire::MakeMessage(MakeRequest());
     const auto reply =
@@ -174,6 +177,7 @@
       reply.ok() ? reply->body.AsWatchReply() : nullptr;
     answered = answer != nullptr;
     if (answered) {
+      answeredBy = link->Peer().m_process;
       Accept(*answer);
     }
   }
@@ -187,6 +191,7 @@
       base::LogCategory::State,
       { { "revision", m_view.m_revision }, { "number", m_view.m_number } });
   }
+  ReportLeaderContact(answeredBy);
   m_view.m_registry.Expire(m_clock.Now());
   co_return !m_stopped;
 }
@@ -209,6 +214,29 @@
   AcceptRates(aReply, now);
 }
 
+// control_lost covers the case that no control process answers. An answer of a
+// process that hears no leader itself carries state of unknown age.
+void
+Watch::ReportLeaderContact(const std::string& aAnsweredBy)
+{
+  if (m_view.m_leaderAnsweredAt == base::TimePoint()) {
+    return; // there is no state yet
+  }
+  const base::Millis silence = m_clock.Now() - m_view.m_leaderAnsweredAt;
+  const bool hearsLeader = silence < detail::kLeaderSilence;
+  if (hearsLeader == m_hearsLeader) {
+    return;
+  }
+  m_hearsLeader = hearsLeader;
+  m_log.Record(hearsLeader ? "leader_heard" : "leader_unheard",
+               base::LogCategory::State,
+               { { "answered_by", aAnsweredBy },
+                 { "leader", m_leader },
+                 { "silent_ms", silence.Count() },
+                 { "revision", m_view.m_revision },
+                 { "number", m_view.m_number } });
+}
+
 // A process that has just started to lead knows only the entries that have
 // polled it since, so a lower number counts when it has lasted. Each entry's
 // share of a bound would be too large otherwise.
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -79,6 +79,12 @@
 
   // Applies an answer to the view. Public for tests.
   void Accept(const wire::WatchReplyT& aReply);
+  // Logs when a leader has not answered for a while, and when one answers
+  // again. aAnsweredBy is the process that answered the last poll; empty: none
+  // did. Public for tests.
+  void ReportLeaderContact(const std::string& aAnsweredBy);
+  // Whether a leader has answered lately, as last reported.
+  bool HearsLeader() const { return m_hearsLeader; }
   // Returns the next poll. Public for tests.
   wire::WatchRequestT MakeRequest();
 
@@ -114,7 +120,8 @@
   size_t m_nextLink = 0; // round robin while the leader is unknown
   uint64_t m_registryEpoch = 0;
   uint64_t m_registrySequence = 0;
-  bool m_connected = false; // last logged state
+  bool m_connected = false;   // last logged state
+  bool m_hearsLeader = false; // last logged state
   bool m_stopped = false;
 };
 
--- a/chivefront/site/watch_test.cc
+++ b/chivefront/site/watch_test.cc
@@ -51,3 +51,28 @@
   m_clock.Advance(base::Millis(2000));
   BOOST_TEST(EntriesAfterAnswer(20) == 20U);
 }
+
+// Guards against an entry that serves old state without a line in its log:
+// control_lost was written only when no control process answered, so hosts cut
+// off from the leader were not told apart from the others.
+BOOST_FIXTURE_TEST_CASE(AnswersWithoutALeaderAreReported, WatchFixture)
+{
+  wire::WatchReplyT reply;
+  reply.fresh = true;
+  m_watch.Accept(reply);
+  m_watch.ReportLeaderContact("control-1");
+  BOOST_TEST(m_watch.HearsLeader());
+  reply.fresh = false;
+  m_clock.Advance(base::Millis(600));
+  m_watch.Accept(reply);
+  m_watch.ReportLeaderContact("control-2");
+  BOOST_TEST(m_watch.HearsLeader());
+  m_clock.Advance(base::Millis(600));
+  m_watch.Accept(reply);
+  m_watch.ReportLeaderContact("control-2");
+  BOOST_TEST(!m_watch.HearsLeader());
+  reply.fresh = true;
+  m_watch.Accept(reply);
+  m_watch.ReportLeaderContact("control-1");
+  BOOST_TEST(m_watch.HearsLeader());
+}
