Let any majority of the control hosts hold a majority of the voters

What callers saw: after three of eight control hosts were cut from the five others, the three acknowledged configurations, and entries on the five refused their keys and routes (401, 404) for as long as the cut lasted.

Cause: 2 x tolerance + 1 = 5 of 8 hosts voted, the others only stood by. Three hosts could hold three of the five votes. The five others reached most hosts and no voter that could acknowledge.

Change: all hosts with a durable disk vote, or one fewer when their number is even; 2 x tolerance + 1 is the least. The gauge of wanted voters follows.

--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -451,6 +451,7 @@
   status.m_lastIndex = m_log.LastIndex();
   status.m_commitIndex = m_commitIndex;
   status.m_replicas = Members();
+  status.m_wantedVoters = static_cast<uint32_t>(TargetVoters());
   status.m_caughtUpVoters = CountCaughtUp(aNow);
   status.m_repaired = IsRepaired(aNow);
   return status;
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -73,7 +73,8 @@
   bool m_mayBootstrap = true;
   // 0 for a static membership: the processes named in m_initialMembers are the
   // members, and all of them vote. Otherwise the membership is dynamic: any
-  // process may join, as a learner at first, and this many members vote. A
+  // process may join, as a learner at first, and at least this many members
+  // vote: all with a durable disk, or one fewer when their number is even. A
   // voter that is silent for m_replaceAfter is replaced by a caught-up learner.
   // The voters are spread over the failure domains, as far as members allow it.
   // While voters are expected to join, commands get NotLeader.
@@ -117,6 +118,7 @@
   uint64_t m_commitIndex = 0;
   uint64_t m_appliedIndex = 0;
   std::vector<Replica> m_replicas;
+  uint32_t m_wantedVoters = 0; // for the members that this replica knows
   // Number of voters that hold all committed entries, as far as the leader
   // knows; 0 when not the leader.
   uint32_t m_caughtUpVoters = 0;
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -6,7 +6,9 @@
 //
 // Dynamic membership (GroupOptions::m_targetVoters > 0): a process with a new
 // name becomes a learner as well. A caught-up learner becomes a voter when
-// there are fewer voters than the target. A voter that has been silent for
+// there are fewer voters than the target, which grows with the number of hosts
+// that can vote: a cut then never leaves the majority of the voters on the side
+// with fewer hosts. A voter that has been silent for
 // m_replaceAfter is removed if a caught-up learner can replace it. A removed
 // replica that returns becomes a learner again.
 //
@@ -34,8 +36,9 @@
 // Members up to which replicas without a disk are admitted; the other seats are
 // left to replicas that can vote.
 constexpr size_t kMaxDisklessMembers = 8;
-// A silent learner is removed after this many times m_replaceAfter.
-constexpr int64_t kLearnerSilenceFactor = 4;
+// A silent member that nobody replaces is removed after this many times
+// m_replaceAfter.
+constexpr int64_t kRemovalSilenceFactor = 4;
 
 } // namespace
 
@@ -88,11 +91,16 @@
     }));
 }
 
+// Dynamic membership: at least m_targetVoters, and so many that most of the
+// hosts that can vote always hold a majority of the voters.
 size_t
 RaftCore::TargetVoters() const
 {
-  return m_options.m_targetVoters > 0 ? m_options.m_targetVoters
-                                      : m_options.m_initialMembers.size();
+  if (m_options.m_targetVoters == 0) {
+    return m_options.m_initialMembers.size();
+  }
+  return std::max<size_t>(m_options.m_targetVoters,
+                          VotersForMajorityOfHosts(Members()));
 }
 
 // With fewer voters than the target, the tolerated number of lost disks could
@@ -117,8 +125,10 @@
 }
 
 // Dynamic membership: the change that removes a voter that has been silent for
-// m_replaceAfter, if a caught-up learner can replace it, or a learner that has
-// been silent for kLearnerSilenceFactor times as long.
+// m_replaceAfter, if a caught-up learner can replace it. A learner, or a voter
+// beyond m_targetVoters that nobody can replace, is removed after
+// kRemovalSilenceFactor times as long: its host counts until then, because it
+// may only be cut off.
 std::optional<Membership>
 RaftCore::RemoveSilentReplica(TimePoint aNow) const
 {
@@ -127,12 +137,16 @@
   }
   const Membership& members = Members();
   const bool hasReplacement = !ReadyLearners(aNow).empty();
+  const bool hasExtraVoters = CountVoters() > m_options.m_targetVoters;
   for (const Replica& replica : members) {
+    if (replica.m_voter && !hasReplacement && !hasExtraVoters) {
+      continue;
+    }
     const base::Millis allowedSilence =
-      replica.m_voter ? m_options.m_replaceAfter
-                      : m_options.m_replaceAfter * kLearnerSilenceFactor;
-    if (!IsSilentFor(replica.m_identity, allowedSilence, aNow) ||
-        (replica.m_voter && !hasReplacement)) {
+      replica.m_voter && hasReplacement
+        ? m_options.m_replaceAfter
+        : m_options.m_replaceAfter * kRemovalSilenceFactor;
+    if (!IsSilentFor(replica.m_identity, allowedSilence, aNow)) {
       continue;
     }
     Membership next = members;
@@ -191,7 +205,7 @@
   const bool replacing =
     m_options.m_targetVoters == 0 && voters != Members().size();
   return IsLeader() && m_memberships.back().first <= m_commitIndex &&
-         !replacing && voters == TargetVoters() && names.size() == voters &&
+         !replacing && voters >= TargetVoters() && names.size() == voters &&
          CountCaughtUp(aNow) == voters;
 }
 
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -239,7 +239,8 @@
     m_network.erase(m_network.begin());
     Host& host = m_hosts.at(message.m_to);
     if (host.m_driver && m_isolated.count(message.m_from) == 0 &&
-        m_isolated.count(message.m_to) == 0) {
+        m_isolated.count(message.m_to) == 0 &&
+        m_side.count(message.m_from) == m_side.count(message.m_to)) {
       host.m_driver->Receive(message.m_from, message.m_payload, m_now);
       receivers.insert(message.m_to);
     }
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -61,7 +61,14 @@
   // old disk back. Returns false when none was lost.
   bool ReturnOldDisk(const std::string& aName);
   void Isolate(const std::string& aName) { m_isolated.insert(aName); }
-  void Heal() { m_isolated.clear(); }
+  // Cuts the hosts of aSide from all others. The hosts of each side reach each
+  // other.
+  void Split(const std::set<std::string>& aSide) { m_side = aSide; }
+  void Heal()
+  {
+    m_isolated.clear();
+    m_side.clear();
+  }
   void SetNetworkFaults(NetworkFaults aFaults) { m_networkFaults = aFaults; }
 
   // Requests of clients, to a random replica.
@@ -141,6 +148,7 @@
   std::map<std::string, Host> m_hosts;
   std::multimap<base::TimePoint, InFlightMessage> m_network;
   std::set<std::string> m_isolated;
+  std::set<std::string> m_side; // hosts that are cut from all others
   NetworkFaults m_networkFaults;
 
   std::map<uint64_t, uint64_t> m_leaderByTerm; // identity by term
--- a/chivefront/consensus/voter_choice.cc
+++ b/chivefront/consensus/voter_choice.cc
@@ -70,4 +70,16 @@
   return std::nullopt;
 }
 
+size_t
+VotersForMajorityOfHosts(const Membership& aMembers)
+{
+  std::set<std::string> hosts;
+  for (const Replica& replica : aMembers) {
+    if (!replica.m_diskless) {
+      hosts.insert(replica.m_name);
+    }
+  }
+  return hosts.empty() ? 0 : (hosts.size() - 1) / 2 * 2 + 1;
+}
+
 } // namespace chivefront::consensus
--- a/chivefront/consensus/voter_choice.h
+++ b/chivefront/consensus/voter_choice.h
@@ -1,5 +1,5 @@
-// Which member should vote, so that the loss of one failure domain leaves a
-// majority. Pure functions of the membership.
+// How many members should vote, and which, so that the loss of one failure
+// domain leaves a majority. Pure functions of the membership.
 //
 //   auto next = ChooseNextVoter(members, ready);
 //   auto crowded = ChooseVoterToMove(members, ready, target, leader);
@@ -28,4 +28,11 @@
                   size_t aTarget,
                   uint64_t aLeader);
 
+// The smallest number of voters with which any majority of the processes that
+// can vote contains a majority of the voters: all of them, or one fewer when
+// their number is even. Counts processes by name; those without a durable disk
+// do not count.
+size_t
+VotersForMajorityOfHosts(const Membership& aMembers);
+
 } // namespace chivefront::consensus
--- a/chivefront/consensus/voter_choice_test.cc
+++ b/chivefront/consensus/voter_choice_test.cc
@@ -65,3 +65,22 @@
   };
   BOOST_TEST(!ChooseVoterToMove(members, { 4 }, 3, 1).has_value());
 }
+
+// Guards against a majority of the voters on a minority of the hosts: any most
+// hosts must hold most of the voters.
+BOOST_AUTO_TEST_CASE(MajorityOfHostsHoldsMajorityOfVoters)
+{
+  Membership members;
+  for (uint64_t hosts = 1; hosts <= 16; ++hosts) {
+    members.push_back(Learner(hosts, "a"));
+    const size_t voters = VotersForMajorityOfHosts(members);
+    const size_t majority = hosts / 2 + 1;
+    const size_t fewestAmongMajority = majority - (hosts - voters);
+    BOOST_TEST(fewestAmongMajority * 2 > voters, "hosts " << hosts);
+  }
+  // Processes without a disk and former replicas of a host do not count.
+  members.resize(3);
+  members.push_back({ "host-1", 17, true, "a" });
+  members.push_back({ "host-18", 18, false, "a", true });
+  BOOST_TEST(VotersForMajorityOfHosts(members) == 3U);
+}
--- a/chivefront/site/group_reporter.cc
+++ b/chivefront/site/group_reporter.cc
@@ -34,19 +34,20 @@
 
 } // namespace
 
-GroupReporter::GroupReporter(uint32_t aWantedVoters,
+GroupReporter::GroupReporter(uint32_t aMinVoters,
                              base::Metrics& aMetrics,
                              base::DecisionLog& aLog)
-  : m_wantedVoters(aWantedVoters)
+  : m_minVoters(aMinVoters)
   , m_log(aLog)
   , m_votersGauge(
       aMetrics.AddGauge("chivefront_site_voters",
                         "Voters of the group as known to this process."))
   , m_wantedVotersGauge(
       aMetrics.AddGauge("chivefront_site_voters_wanted",
-                        "Voters that the stated tolerance needs."))
+                        "Voters that the stated tolerance and the "
+                        "number of hosts need."))
 {
-  m_wantedVotersGauge.Set(aWantedVoters);
+  m_wantedVotersGauge.Set(aMinVoters);
 }
 
 void
@@ -80,11 +81,14 @@
   m_membersReported = true;
   m_members = std::move(members);
   const uint64_t voters = CountVoters(aStatus);
+  const uint64_t wanted =
+    std::max<uint64_t>(m_minVoters, aStatus.m_wantedVoters);
   m_votersGauge.Set(static_cast<int64_t>(voters));
+  m_wantedVotersGauge.Set(static_cast<int64_t>(wanted));
   m_log.Record("members_changed",
                base::LogCategory::State,
                { { "voters", voters },
-                 { "wanted", static_cast<uint64_t>(m_wantedVoters) },
+                 { "wanted", wanted },
                  { "members", m_members },
                  { "last_index", aStatus.m_lastIndex },
                  { "committed", aStatus.m_commitIndex } });
--- a/chivefront/site/group_reporter.h
+++ b/chivefront/site/group_reporter.h
@@ -16,8 +16,9 @@
 class GroupReporter
 {
 public:
-  // aWantedVoters is the number of voters that the stated tolerance needs.
-  GroupReporter(uint32_t aWantedVoters,
+  // aMinVoters is the number of voters that the stated tolerance needs; the
+  // group may want more, see GroupStatus::m_wantedVoters.
+  GroupReporter(uint32_t aMinVoters,
                 base::Metrics& aMetrics,
                 base::DecisionLog& aLog);
 
@@ -27,7 +28,7 @@
   void ReportLeader(const consensus::GroupStatus& aStatus);
   void ReportMembers(const consensus::GroupStatus& aStatus);
 
-  const uint32_t m_wantedVoters;
+  const uint32_t m_minVoters;
   base::DecisionLog& m_log;
   base::Gauge& m_votersGauge;
   base::Gauge& m_wantedVotersGauge;
--- a/chivefront/site/group_reporter_test.cc
+++ b/chivefront/site/group_reporter_test.cc
@@ -19,4 +19,10 @@
   const std::string text = metrics.Render();
   BOOST_TEST(text.find("chivefront_site_voters 2") != std::string::npos);
   BOOST_TEST(text.find("chivefront_site_voters_wanted 5") != std::string::npos);
+  // More hosts want more voters.
+  status.m_wantedVoters = 7;
+  status.m_replicas.push_back({ "d", 4, true });
+  reporter.Report(status);
+  BOOST_TEST(metrics.Render().find("chivefront_site_voters_wanted 7") !=
+             std::string::npos);
 }
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -38,7 +38,9 @@
   // The seeds may bootstrap the group. False on a host that joins an existing
   // group.
   bool m_mayBootstrap = false;
-  // Number of control processes that vote; the others are standbys.
+  // Smallest number of control processes that vote. More hosts with a disk want
+  // more voters (consensus::GroupOptions::m_targetVoters); the others are
+  // standbys.
   uint32_t m_voters = 3;
   // Called on another thread when the replicated log can't be written.
   consensus::Group::FatalFunction m_onFatal;
