Take back what was sent of a request that is given up

What callers and operators saw: a request that an entry had given up reached its upstream seconds later, after the upstream had said that it leaves.

Cause: its bytes waited in the connection behind a cut. The kernel ended the connection 3 s after the last sign of the peer, so the entry could not reset it; where the entry gave up first, it closed in an orderly way, which delivers what waits as well.

Change: a connection with unacknowledged bytes is reset when it is closed. The entry gives a request up by itself when nothing of it is acknowledged for 2 s, and closes the idle connections to that upstream. The kernel's timeout is the last resort.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -126,6 +126,8 @@
   base::Millis HeadTimeout(const Upstream& aUpstream) const;
   void StartStallTimer(const UpstreamPointer& aUpstream, base::Millis aWait);
   void OnStallTimer(const UpstreamPointer& aUpstream);
+  void LeaveUpstream(Upstream& aUpstream);
+  bool IsUnacknowledged(base::TimePoint aNow);
   bool TryReserveRetry();
   bool TryTakeRetry();
   bool IsRetryable() const;
@@ -193,6 +195,11 @@
   base::TimePoint m_headReceivedAt; // of the running attempt; unset before it
   // Last bytes from the upstream, or the end of a write to the caller if later.
   base::TimePoint m_silentSince;
+  // Of the running attempt: bytes of the request that the upstream had not
+  // acknowledged at the last check (0: all or no check yet), and when it last
+  // acknowledged some, or the request was sent.
+  size_t m_unacknowledgedBytes = 0;
+  base::TimePoint m_unacknowledgedSince;
   bool m_writingToCaller = false; // the upstream is not read meanwhile
   base::Millis m_headTimeout;     // of the running attempt
   // The running attempt was left by this process, as its upstream was silent.
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -132,6 +132,8 @@
   CountSent(*aUpstream);
   m_headReceivedAt = base::TimePoint();
   m_silentSince = m_sentAt;
+  m_unacknowledgedBytes = 0;
+  m_unacknowledgedSince = m_sentAt;
   m_writingToCaller = false;
   m_headTimeout = HeadTimeout(*aUpstream);
   StartStallTimer(aUpstream, std::min(m_headTimeout, routing::kSilenceTimeout));
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -23,6 +23,11 @@
 // A stream with fewer chunks gives no usable interval between events.
 constexpr uint64_t kMinChunks = 8;
 
+// A request of which the upstream acknowledges no byte for this long is given
+// up, also when no other upstream can take it. Allows several retransmissions
+// within a region.
+constexpr base::Millis kUnacknowledgedTimeout{ 2000 };
+
 // If a timer fires later than this, the process itself was stalled.
 constexpr base::Millis kLateTimerThreshold{ 150 };
 
@@ -80,13 +85,41 @@
     });
 }
 
-// Closes the connection to a stalled upstream if another one can continue.
+// Whether the upstream has acknowledged no byte of the request for too long. A
+// request that is still being written is left to the kernel's timeout.
+bool
+Exchange::IsUnacknowledged(base::TimePoint aNow)
+{
+  const size_t bytes =
+    m_connection->IsRequestWritten() ? m_connection->UnacknowledgedBytes() : 0;
+  if (bytes == 0 ||
+      (m_unacknowledgedBytes > 0 && bytes < m_unacknowledgedBytes)) {
+    m_unacknowledgedSince = aNow;
+  }
+  m_unacknowledgedBytes = bytes;
+  return bytes > 0 &&
+         aNow - m_unacknowledgedSince >= detail::kUnacknowledgedTimeout;
+}
+
+// Closes the connection to a stalled upstream if another one can continue, or
+// to one that does not receive the request.
 void
 Exchange::OnStallTimer(const UpstreamPointer& aUpstream)
 {
   const base::TimePoint now = m_shared.m_clock.Now();
   const routing::UpstreamEstimate& estimate = aUpstream->m_estimate;
   const bool headReceived = m_headReceivedAt != base::TimePoint();
+  if (!headReceived && IsUnacknowledged(now)) {
+    m_shared.m_log.Record(
+      "request_unacknowledged",
+      base::LogCategory::Failure,
+      { { "request", m_metadata.m_attemptId },
+        { "upstream", m_lastUpstream },
+        { "bytes", static_cast<uint64_t>(m_unacknowledgedBytes) },
+        { "waited_ms", (now - m_sentAt).Count() } });
+    LeaveUpstream(*aUpstream);
+    return;
+  }
   const bool stalled =
     headReceived
       ? routing::IsStreamStalled(
@@ -106,6 +139,17 @@
       { "silent_ms", (now - m_silentSince).Count() },
       { "heard_ms", (now - estimate.LastReceivedAt()).Count() } });
   m_leftUpstream = true;
+  LeaveUpstream(*aUpstream);
+}
+
+// Closes the connection of the attempt. If the upstream does not acknowledge
+// what was sent on it, the idle connections to it are in doubt as well.
+void
+Exchange::LeaveUpstream(Upstream& aUpstream)
+{
+  if (m_connection->UnacknowledgedBytes() > 0) {
+    aUpstream.m_idleConnections.clear();
+  }
   m_connection->Close();
 }
 
--- a/chivefront/proxy/upstream_connection.cc
+++ b/chivefront/proxy/upstream_connection.cc
@@ -3,7 +3,9 @@
 
 #include <charconv>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -20,11 +22,13 @@
 
 namespace detail {
 
-// A peer that acknowledges no data for this long is considered unreachable. 2 s
-// allow several retransmissions within a region.
-constexpr int kUserTimeoutMs = 2000;
+// The kernel ends a connection whose peer acknowledges neither data nor probes
+// for this long. Several times Exchange's kUnacknowledgedTimeout, counted from
+// the last sign of the peer before the request: a connection that the kernel
+// has ended can't be reset any more, and its request could still arrive.
+constexpr int kUserTimeoutMs = 8000;
 constexpr int kProbeIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
+constexpr int kKeepAliveProbes = 7;
 constexpr uint32_t kMaxHeadBytes = 16 * 1024;
 constexpr int kMaxInterimResponses = 3;
 
@@ -224,10 +228,24 @@
   return error == net::asio::error::would_block;
 }
 
+size_t
+UpstreamConnection::UnacknowledgedBytes()
+{
+  int bytes = 0;
+  if (!m_socket.is_open() ||
+      ioctl(m_socket.native_handle(), SIOCOUTQ, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<size_t>(bytes);
+}
+
 void
 UpstreamConnection::Close()
 {
   error_code ignored; // the connection is unused in any case
+  if (UnacknowledgedBytes() > 0) {
+    m_socket.set_option(net::asio::socket_base::linger(true, 0), ignored);
+  }
   m_socket.close(ignored);
 }
 
--- a/chivefront/proxy/upstream_connection.h
+++ b/chivefront/proxy/upstream_connection.h
@@ -55,9 +55,15 @@
   // response. Bytes that have arrived would be mistaken for the next response.
   bool IsIdle();
 
-  // Closes the connection; pending operations fail.
+  // Closes the connection; pending operations fail. If the upstream has not
+  // acknowledged all bytes, the connection is reset: a request that is given up
+  // must not reach the upstream later, when the network lets its bytes through.
   void Close();
+  // Bytes that the upstream has not acknowledged, including those not sent yet.
+  size_t UnacknowledgedBytes();
 
+  // Whether the last request was written in full.
+  bool IsRequestWritten() const { return m_requestWritten; }
   // Whether a request has been sent on this connection.
   bool Used() const { return m_used; }
   void SetIdleSince(base::TimePoint aNow) { m_idleSince = aNow; }
