Test repeated refusals and errors while a stream is resumed

A refusal on a kept connection is skipped unless it carries the id of the request that waits; one for a request of this process closes its connection, and the agent opens a connection for each attempt. An error instead of a resumed stream is never written to a caller who has part of the stream.

Change: tests only. RepeatedRefusalIsSkipped (with and without an id, for requests that may be repeated and for others), ErrorOfAnyFramingIsNotAppendedToStream (five statuses, four framings).

Result: both pass on this code without a change, so the faults were not found here.

--- a/chivefront/proxy/proxy_stream_test.cc
+++ b/chivefront/proxy/proxy_stream_test.cc
@@ -44,6 +44,34 @@
   }
 }
 
+// Guards against the text or the head of an error in the middle of a stream,
+// however the error is framed and whether or not it says that nothing ran.
+BOOST_AUTO_TEST_CASE(ErrorOfAnyFramingIsNotAppendedToStream)
+{
+  const std::string end = kCloseConnection;
+  for (const std::string status :
+       { "302 Found", "400 Bad", "429 Many", "500 Oops", "503 Full" }) {
+    for (const std::string& rest :
+         { std::string("Content-Length: 3\r\n\r\nbad"),
+           "Transfer-Encoding: chunked\r\n\r\n" + Chunk("bad") + "0\r\n\r\n",
+           "\r\nbad" + end,
+           "\r\nid: 2\ndata: bad\n\n" + end }) {
+      RunningEntry entry;
+      entry.m_near.AddScript(kStreamHead + Chunk("id: 1\ndata: a\n\n") +
+                             Chunk("id: 2\nda") + kCloseConnection);
+      entry.m_far.AddScript("HTTP/1.1 " + status +
+                            "\r\nId: $ID\r\nSeal: s\r\n" + rest);
+      const std::string answer =
+        entry.Call(MakeRequest("stream", "Model: any\r\n"));
+      BOOST_TEST(entry.m_far.m_requests.size() == 1U, status);
+      BOOST_TEST(Contains(answer, "id: 1"), status);
+      BOOST_TEST(!Contains(answer, "bad"), status << rest);
+      BOOST_TEST(answer.find("HTTP/1.1", 1) == std::string::npos, status);
+      BOOST_TEST(!Contains(answer, "0\r\n\r\n"), status << rest);
+    }
+  }
+}
+
 // Guards against giving up a stream that breaks while the only other upstream
 // is in backoff after failures. The stream waits for it, however long it has
 // run.
--- a/chivefront/proxy/proxy_test.cc
+++ b/chivefront/proxy/proxy_test.cc
@@ -43,6 +43,31 @@
   BOOST_TEST(!Contains(answer, "wrong"));
 }
 
+// Guards against a refusal that an upstream repeats on a kept connection and
+// that is taken for the answer to the next request: its caller would be told
+// that it has not run, or it would run at a second upstream.
+BOOST_AUTO_TEST_CASE(RepeatedRefusalIsSkipped)
+{
+  const std::string repeated =
+    "HTTP/1.1 503 Full\r\nId: other\r\nRetry-After: 1\r\n"
+    "Content-Length: 4\r\n\r\nfull";
+  const std::string withoutId =
+    "HTTP/1.1 429 Many\r\nContent-Length: 0\r\n\r\n";
+  for (const std::string& refusal : { repeated, withoutId }) {
+    for (const char* kind : { "plain", "once" }) {
+      RunningEntry entry;
+      entry.m_near.AddScript(kGoodResponse);
+      entry.m_near.AddScript(refusal + kGoodResponse);
+      BOOST_TEST(Contains(entry.Call(MakeRequest(kind)), "good"), kind);
+      const std::string answer = entry.Call(MakeRequest(kind));
+      BOOST_TEST(Contains(answer, "HTTP/1.1 200"), kind << answer);
+      BOOST_TEST(Contains(answer, "good"), kind);
+      BOOST_TEST(entry.m_near.m_requests.size() == 2U, kind);
+      BOOST_TEST(entry.m_far.m_requests.empty(), kind);
+    }
+  }
+}
+
 // Guards against a success status for a response without a seal, with an
 // unexpected encoding, cut short, or not HTTP. An idempotent request is
 // retried, any other gets a 502.
