Forget a silent leader on learners

What operators saw: in a cut, control processes that do not vote sent orders on (307) to a leader that had been deposed seconds before.

Cause: only a process that can stand for election noticed the silence of its leader.

Change: a process that can't stand forgets its leader with its election timer.

Result: core_test LearnerForgetsASilentLeader failed before and passes; history_test passes.

--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -386,6 +386,8 @@
     ResetElectionTimer(aNow);
     if (MayVote() && IsVoter(m_options.m_identity)) {
       StartPreVote(aNow);
+    } else if (!HearsLeader(aNow)) {
+      m_leader.clear();
     }
   }
 }
--- a/chivefront/consensus/core_test.cc
+++ b/chivefront/consensus/core_test.cc
@@ -487,3 +487,20 @@
   BOOST_TEST_REQUIRE(!sent.empty());
   BOOST_TEST((sent[0].m_kind == MessageKind::Hello));
 }
+
+// Guards against a learner that names a leader which it no longer hears: it
+// never stands for election, so it sent operators and entries to the deposed
+// leader for as long as a cut lasted.
+BOOST_AUTO_TEST_CASE(LearnerForgetsASilentLeader)
+{
+  StoredState state = Stored({});
+  state.m_hardState.m_initialMembers[0].m_voter = false;
+  RaftCore core(Options(), state, kStart);
+  core.Receive("b", MakeMessage(MessageKind::Append, kB, 5), kStart);
+  BOOST_TEST(core.Status(kStart).m_leader == "b");
+  for (int64_t i = 0; i <= 3 * kTimeout.Count(); ++i) {
+    core.Tick(After(i));
+    (void)Drain(core, After(i));
+  }
+  BOOST_TEST(core.Status(After(3 * kTimeout.Count())).m_leader.empty());
+}
