--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -8,9 +8,9 @@
 // name becomes a learner as well. A caught-up learner becomes a voter when
 // there are fewer voters than the target, which grows with the number of hosts
 // that can vote: a cut then never leaves the majority of the voters on the side
-// with fewer hosts. A voter that has been silent for
-// m_replaceAfter is removed if a caught-up learner can replace it. A removed
-// replica that returns becomes a learner again.
+// with fewer hosts. A voter that has been silent for m_replaceAfter is removed
+// if a caught-up learner can replace it. A removed replica that returns becomes
+// a learner again.
 //
 // A replica without a durable disk stays a learner.
 #include <algorithm>
