Take a first configuration only from a process that heard a leader

Change: a replica knows whether it has applied, since its start, an index that a leader committed in its own term. An entry with a configuration takes any newer state as before, and a process that lost its leader later still answers. The log names the leader with each adopted state (state_adopted) and writes state_unconfirmed once.

--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -137,7 +137,12 @@
   const Membership& Members() const { return m_memberships.back().second; }
   // The membership in force at aIndex.
   const Membership& MembersAt(uint64_t aIndex) const;
-  // All fields except m_appliedIndex, which the core doesn't know.
+  // A commit index that a leader reached in its own term and told since the
+  // start of this process; 0 for none. State up to it holds all that was
+  // committed before the start.
+  uint64_t ConfirmedCommitIndex() const { return m_confirmedCommitIndex; }
+  // All fields except m_appliedIndex and m_appliedSinceStart, which the core
+  // doesn't know.
   GroupStatus Status(base::TimePoint aNow) const;
 
 private:
@@ -195,6 +200,7 @@
   void InstallIncomingSnapshot();
   void RejectAppend(const std::string& aFrom, const Message& aMessage);
   bool MergeEntries(const Message& aMessage);
+  void ConfirmCommitIndex();
   void AppendToLog(Entry aEntry);
   void TruncateLog(uint64_t aFrom);
 
@@ -262,6 +268,7 @@
   // force, committed or not. Never empty.
   std::vector<std::pair<uint64_t, Membership>> m_memberships;
   uint64_t m_commitIndex = 0;
+  uint64_t m_confirmedCommitIndex = 0; // see ConfirmedCommitIndex
   uint64_t m_syncedIndex = 0; // last entry that is durable on this replica
 
   RaftRole m_role = RaftRole::Follower;
--- a/chivefront/consensus/follower.cc
+++ b/chivefront/consensus/follower.cc
@@ -92,6 +92,18 @@
   return true;
 }
 
+// Called when this replica holds all that the leader of the term has committed.
+// A leader that has committed nothing in its term may not know yet which older
+// entries are committed.
+void
+RaftCore::ConfirmCommitIndex()
+{
+  if (m_confirmedCommitIndex == 0 &&
+      m_log.TermAt(m_commitIndex) == m_hardState.m_term) {
+    m_confirmedCommitIndex = m_commitIndex;
+  }
+}
+
 void
 RaftCore::OnAppend(const std::string& aFrom,
                    const Message& aMessage,
@@ -113,6 +125,9 @@
   const uint64_t last = aMessage.m_index + aMessage.m_entries.size();
   m_commitIndex =
     std::max(m_commitIndex, std::min(aMessage.m_commitIndex, last));
+  if (aMessage.m_commitIndex <= m_commitIndex) {
+    ConfirmCommitIndex();
+  }
   Message reply;
   reply.m_kind = MessageKind::AppendReply;
   reply.m_index = last;
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -117,6 +117,10 @@
   uint64_t m_lastIndex = 0;
   uint64_t m_commitIndex = 0;
   uint64_t m_appliedIndex = 0;
+  // Since its start, this replica has applied all that a leader had committed
+  // at some time after that. While false, the state is what the disk held, of
+  // any age.
+  bool m_appliedSinceStart = false;
   std::vector<Replica> m_replicas;
   uint32_t m_wantedVoters = 0; // for the members that this replica knows
   // Number of voters that hold all committed entries, as far as the leader
--- a/chivefront/consensus/history_test.cc
+++ b/chivefront/consensus/history_test.cc
@@ -248,3 +248,48 @@
   simulation.Run(4000);
   BOOST_TEST(simulation.Violations().empty());
 }
+
+// Guards against a replica that passes off the state on its disk as current
+// after a start: entries took a configuration from it that was older than the
+// acknowledged one, and refused what the newer one allows.
+BOOST_AUTO_TEST_CASE(RestartedReplicaKnowsThatItsStateMayBeOld)
+{
+  constexpr uint64_t kSeeds = 40;
+  constexpr int64_t kStartMillis = 3000;
+  constexpr int kWrites = 30;
+  const std::vector<std::string> names{ "a", "b", "c" };
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, names);
+    simulation.Run(kStartMillis);
+    for (int i = 0; i < kWrites; ++i) {
+      simulation.Write();
+      simulation.Run(10);
+    }
+    simulation.Run(kStartMillis);
+    const size_t acknowledged = simulation.Acknowledged();
+    BOOST_REQUIRE_MESSAGE(acknowledged > 0, "seed " << seed);
+    for (const std::string& name : names) {
+      simulation.Crash(name);
+    }
+    // Alone, no replica can know what was committed.
+    simulation.Restart("a");
+    simulation.Run(kStartMillis);
+    BOOST_TEST(!simulation.StatusOf("a").m_appliedSinceStart, "seed " << seed);
+    simulation.Restart("b");
+    simulation.Restart("c");
+    for (int64_t i = 0; i < kStartMillis; ++i) {
+      simulation.Step();
+      for (const std::string& name : names) {
+        if (simulation.StatusOf(name).m_appliedSinceStart) {
+          BOOST_REQUIRE_MESSAGE(simulation.AppliedCommands(name) >=
+                                  acknowledged,
+                                "seed " << seed << ", " << name);
+        }
+      }
+    }
+    for (const std::string& name : names) {
+      BOOST_TEST(simulation.StatusOf(name).m_appliedSinceStart,
+                 "seed " << seed << ", " << name);
+    }
+  }
+}
--- a/chivefront/consensus/leader.cc
+++ b/chivefront/consensus/leader.cc
@@ -226,6 +226,7 @@
   if (index > m_commitIndex && m_log.TermAt(index) == m_hardState.m_term) {
     m_commitIndex = index;
     m_heartbeatPending = true;
+    ConfirmCommitIndex();
   }
 }
 
--- a/chivefront/consensus/raft_driver.cc
+++ b/chivefront/consensus/raft_driver.cc
@@ -118,6 +118,8 @@
 {
   GroupStatus status = m_raft->Status(aNow);
   status.m_appliedIndex = m_appliedIndex;
+  const uint64_t confirmed = m_raft->ConfirmedCommitIndex();
+  status.m_appliedSinceStart = confirmed != 0 && m_appliedIndex >= confirmed;
   return status;
 }
 
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -107,6 +107,11 @@
   const std::vector<std::string>& Violations() const { return m_violations; }
   size_t Acknowledged() const { return m_acknowledged; }
   size_t Reads() const { return m_reads; }
+  // Number of commands that a host that is up has applied.
+  size_t AppliedCommands(const std::string& aName) const
+  {
+    return m_hosts.at(aName).m_machine->m_applied.size();
+  }
 
 private:
   // Records the commands applied so far, in order.
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -198,9 +198,11 @@
   const base::TimePoint now = m_clock.Now();
   m_watchCounter.Increment();
   m_watchers.RecordPoll(aRequest, now);
-  const auto state = m_store.Current();
+  // The status first: the state is then at least as new as the status says.
   const consensus::GroupStatus status = m_group.Status();
+  const auto state = m_store.Current();
   wire::WatchReplyT reply;
+  reply.unconfirmed = !status.m_appliedSinceStart;
   reply.fresh = status.m_role == consensus::RaftRole::Leader;
   reply.leader = status.m_leader;
   for (const consensus::Replica& replica : status.m_replicas) {
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -206,7 +206,8 @@
     m_view.m_leaderAnsweredAt = now;
     AcceptLiveEntries(std::max<uint32_t>(1, aReply.live_entries), now);
   }
-  if (aReply.snapshot && aReply.revision > m_view.m_revision) {
+  if (aReply.snapshot && aReply.revision > m_view.m_revision &&
+      MayAdoptState(aReply)) {
     AcceptState(aReply, now);
   }
   AcceptInstances(aReply, now);
@@ -214,6 +215,22 @@
   AcceptRates(aReply, now);
 }
 
+// An entry without a configuration does not take one from a process that has
+// only read its disk: entries of this host may have served a newer one. An
+// entry that has a configuration takes any newer state.
+bool
+Watch::MayAdoptState(const wire::WatchReplyT& aReply)
+{
+  const bool mayAdopt = m_view.m_config || !aReply.unconfirmed;
+  if (!mayAdopt && !m_refusesUnconfirmed) {
+    m_log.Record("state_unconfirmed",
+                 base::LogCategory::State,
+                 { { "revision", aReply.revision } });
+  }
+  m_refusesUnconfirmed = !mayAdopt;
+  return mayAdopt;
+}
+
 // control_lost covers the case that no control process answers. An answer of a
 // process that hears no leader itself carries state of unknown age.
 void
@@ -290,6 +307,7 @@
     base::LogCategory::State,
     { { "number", m_view.m_number },
       { "revision", m_view.m_revision },
+      { "leader", aReply.leader },
       { "domains_out", static_cast<uint64_t>(m_view.m_domainsOut.size()) },
       { "rollouts", static_cast<uint64_t>(m_view.m_rollouts.size()) } });
 }
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -92,6 +92,7 @@
   net::Task<bool> Poll();
   net::Link::Pointer ChooseLink();
   void AcceptLiveEntries(uint32_t aCount, base::TimePoint aNow);
+  bool MayAdoptState(const wire::WatchReplyT& aReply);
   void AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptMembers(const wire::WatchReplyT& aReply);
@@ -120,8 +121,9 @@
   size_t m_nextLink = 0; // round robin while the leader is unknown
   uint64_t m_registryEpoch = 0;
   uint64_t m_registrySequence = 0;
-  bool m_connected = false;   // last logged state
-  bool m_hearsLeader = false; // last logged state
+  bool m_connected = false;          // last logged state
+  bool m_hearsLeader = false;        // last logged state
+  bool m_refusesUnconfirmed = false; // last logged state
   bool m_stopped = false;
 };
 
--- a/chivefront/site/watch_test.cc
+++ b/chivefront/site/watch_test.cc
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE site_watch
 #include <boost/test/unit_test.hpp>
 
+#include "chivefront/site/messages.h"
 #include "chivefront/site/watch.h"
 
 using namespace chivefront;
@@ -13,7 +14,7 @@
 {
   WatchFixture()
     : m_watch(m_context, m_identity, {}, m_clock, m_log, [](std::string_view) {
-      return absl::StatusOr<routing::ConfigPointer>(nullptr);
+      return routing::Config::Build({});
     })
   {
     m_clock.Advance(base::Millis(1000));
@@ -29,6 +30,23 @@
     return m_watch.View().m_liveEntries;
   }
 
+  // A control process answers with the document aNumber, which is also the
+  // revision. Returns the number in the view.
+  uint64_t NumberAfterState(uint64_t aNumber, bool aUnconfirmed)
+  {
+    State state;
+    state.m_revision = aNumber;
+    state.m_number = aNumber;
+    state.m_document = std::make_shared<const std::string>("{}");
+    wire::WatchReplyT reply;
+    reply.unconfirmed = aUnconfirmed;
+    reply.snapshot = true;
+    reply.revision = aNumber;
+    reply.entries = ToEntries(state, 0, m_clock.Now());
+    m_watch.Accept(reply);
+    return m_watch.View().m_number;
+  }
+
   net::asio::io_context m_context{ 1 };
   net::LinkIdentity m_identity;
   base::ManualClock m_clock;
@@ -76,3 +94,16 @@
   m_watch.ReportLeaderContact("control-1");
   BOOST_TEST(m_watch.HearsLeader());
 }
+
+// Guards against an entry that starts on old state: after all hosts had lost
+// power, it took version 3 from a control process that had heard no leader yet
+// and refused what the acknowledged version 10 allows.
+BOOST_FIXTURE_TEST_CASE(FirstStateNeedsALeaderSinceTheStart, WatchFixture)
+{
+  BOOST_TEST(NumberAfterState(3, true) == 0U);
+  BOOST_TEST(!m_watch.View().m_config);
+  BOOST_TEST(NumberAfterState(10, false) == 10U);
+  BOOST_TEST(NumberAfterState(3, true) == 10U);
+  // State that is newer than its own is taken from any process.
+  BOOST_TEST(NumberAfterState(11, true) == 11U);
+}
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -3209,6 +3209,7 @@
   std::vector<std::unique_ptr<chivefront::wire::QuarantinedPartT>> quarantined_parts{};
   std::vector<std::unique_ptr<chivefront::wire::RequestLimitT>> request_limits{};
   std::vector<std::unique_ptr<chivefront::wire::PermitGrantT>> permits{};
+  bool unconfirmed = false;
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3237,7 +3238,8 @@
     VT_SUSPECT_PARTS = 32,
     VT_QUARANTINED_PARTS = 34,
     VT_REQUEST_LIMITS = 36,
-    VT_PERMITS = 38
+    VT_PERMITS = 38,
+    VT_UNCONFIRMED = 40
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -3293,6 +3295,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *>(VT_PERMITS);
   }
+  bool unconfirmed() const {
+    return GetField<uint8_t>(VT_UNCONFIRMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -3328,6 +3333,7 @@
            VerifyOffset(verifier, VT_PERMITS) &&
            verifier.VerifyVector(permits()) &&
            verifier.VerifyVectorOfTables(permits()) &&
+           VerifyField<uint8_t>(verifier, VT_UNCONFIRMED, 1) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3393,6 +3399,9 @@
   void add_permits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits) {
     fbb_.AddOffset(WatchReply::VT_PERMITS, permits);
   }
+  void add_unconfirmed(bool unconfirmed) {
+    fbb_.AddElement<uint8_t>(WatchReply::VT_UNCONFIRMED, static_cast<uint8_t>(unconfirmed), 0);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3423,7 +3432,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> suspect_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits = 0,
+    bool unconfirmed = false) {
   WatchReplyBuilder builder_(_fbb);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
@@ -3440,6 +3450,7 @@
   builder_.add_upstreams(upstreams);
   builder_.add_entries(entries);
   builder_.add_age_ms(age_ms);
+  builder_.add_unconfirmed(unconfirmed);
   builder_.add_registry_snapshot(registry_snapshot);
   builder_.add_snapshot(snapshot);
   builder_.add_fresh(fresh);
@@ -3470,7 +3481,8 @@
     const std::vector<uint64_t> *suspect_parts = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
-    const std::vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits = nullptr,
+    bool unconfirmed = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
@@ -3499,7 +3511,8 @@
       suspect_parts__,
       quarantined_parts__,
       request_limits__,
-      permits__);
+      permits__,
+      unconfirmed);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7641,7 +7654,8 @@
         suspects(o.suspects),
         leader(o.leader),
         members(o.members),
-        suspect_parts(o.suspect_parts) {
+        suspect_parts(o.suspect_parts),
+        unconfirmed(o.unconfirmed) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -7673,6 +7687,7 @@
   std::swap(quarantined_parts, o.quarantined_parts);
   std::swap(request_limits, o.request_limits);
   std::swap(permits, o.permits);
+  std::swap(unconfirmed, o.unconfirmed);
   return *this;
 }
 
@@ -7703,6 +7718,7 @@
   { auto _e = quarantined_parts(); if (_e) { _o->quarantined_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined_parts[_i] = std::unique_ptr<chivefront::wire::QuarantinedPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<chivefront::wire::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = unconfirmed(); _o->unconfirmed = _e; }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7731,6 +7747,7 @@
   auto _quarantined_parts = _o->quarantined_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> (_o->quarantined_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPart(*__va->__fbb, __va->__o->quarantined_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitGrant(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _unconfirmed = _o->unconfirmed;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -7750,7 +7767,8 @@
       _suspect_parts,
       _quarantined_parts,
       _request_limits,
-      _permits);
+      _permits,
+      _unconfirmed);
 }
 
 inline AnnounceRequestT::AnnounceRequestT(const AnnounceRequestT &o)
