Refuse a repeated request that crashes upstreams

Cause: a lost attempt was reported for the shared parts of its prompt only. A request without such parts left no evidence, so each repeat of its caller was sent on, at any entry.

Change: lost attempts are reported for the whole request as well, by a fingerprint of caller, method, host, target and body. The leading control process counts by the rule of policy::SuspectCounts, and all entries refuse the request. Losses of upstreams that are heard again as the same incarnation, and losses that a quarantined cause explains, do not count. LatestTimes is split out of PartEvidence for the two kinds. attempt_failed names the fingerprint.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -116,6 +116,7 @@
     m_sharedParts.push_back(routing::MakePartKey(
       m_service->m_name, m_metadata.m_promptParts[i].m_id));
   }
+  m_requestKey = MakeRequestKey();
   if (co_await RefuseQuarantined()) {
     co_return false;
   }
@@ -133,19 +134,36 @@
     });
 }
 
-// Ends a request whose prompt has a part that crashes upstreams. Another
-// attempt of the caller would be refused as well, so no retry is suggested.
+routing::PartKey
+Exchange::MakeRequestKey() const
+{
+  const CallerRequest& request = m_caller->Request();
+  return routing::MakeRequestKey({ m_metadata.m_teamKey,
+                                   detail::ToView(request.method_string()),
+                                   detail::ToView(request[http::field::host]),
+                                   detail::ToView(request.target()),
+                                   request.body() });
+}
+
+// Ends a request that crashes upstreams, or whose prompt has a part that does.
+// Another attempt of the caller would be refused as well, so no retry is
+// suggested.
 net::Task<bool>
 Exchange::RefuseQuarantined()
 {
-  constexpr char kReason[] = "prompt_part_quarantined";
-  if (!HasQuarantinedPart()) {
+  const auto& quarantined = m_shared.m_watch.View().m_quarantinedParts;
+  std::string reason;
+  if (HasQuarantinedPart()) {
+    reason = "prompt_part_quarantined";
+  } else if (quarantined.count(m_requestKey) > 0) {
+    reason = "request_quarantined";
+  } else {
     co_return false;
   }
   if (m_caller->ResponseStarted() || m_mayHaveRun) {
-    co_await Fail(502, kReason);
+    co_await Fail(502, std::move(reason));
   } else {
-    co_await Refuse(503, kReason, base::Millis(0));
+    co_await Refuse(503, std::move(reason), base::Millis(0));
   }
   co_return true;
 }
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -84,6 +84,7 @@
   net::Task<bool> ResolveRoute();
   net::Task<bool> RefuseQuarantined();
   bool HasQuarantinedPart() const;
+  routing::PartKey MakeRequestKey() const;
   net::Task<void> RunAttempts();
   net::Task<void> RespondToAbort();
   bool MayWaitForUpstream(const AvailableUpstreams& aAvailable,
@@ -187,6 +188,7 @@
   size_t m_modelIndex = 0; // index into the route's models
   // Parts of the prompt that other requests may share.
   std::vector<routing::PartKey> m_sharedParts;
+  routing::PartKey m_requestKey = 0; // the same for each repeat of the caller
   EventSplitter m_eventSplitter;
   // Response of the last attempt that ended with UpstreamError.
   std::optional<UpstreamError> m_upstreamError;
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -295,14 +295,15 @@
 {
   if (!m_answerBegun) {
     m_answerBegun = true;
-    m_shared.m_partEvidence.OnBegun(m_sharedParts, m_shared.m_clock.Now());
+    m_shared.m_partEvidence.OnBegun(
+      m_sharedParts, m_requestKey, m_shared.m_clock.Now());
   }
 }
 
 // Records an attempt whose connection ended before the response, by the
 // upstream or because it was left as silent. It counts against the upstream's
-// version. If the upstream closed it before it began to answer, a part of the
-// prompt may have crashed it.
+// version. If the upstream closed it before it began to answer, the request or
+// a part of its prompt may have crashed it.
 void
 Exchange::RecordConnectionLost(Upstream& aUpstream)
 {
@@ -310,14 +311,14 @@
   if (m_answerBegun || m_leftUpstream) {
     return;
   }
-  const routing::Instance& instance = aUpstream.m_instance;
   m_shared.m_partEvidence.OnLoss(
-    { base::StableHash(instance.m_id, instance.m_born),
+    { routing::MakeUpstreamKey(aUpstream.m_instance),
       base::StableHash(m_metadata.m_attemptId),
       m_headReceivedAt != base::TimePoint(),
       m_sentAt,
       m_shared.m_clock.Now() },
-    m_sharedParts);
+    m_sharedParts,
+    m_requestKey);
 }
 
 // Records the request limit that an answer states, or that it states none. Only
@@ -409,6 +410,7 @@
       { "took_ms", (m_shared.m_clock.Now() - m_sentAt).Count() },
       { "head", m_headReceivedAt != base::TimePoint() ? "read" : "awaited" },
       { "shared_parts", detail::JoinSharedParts(m_metadata) },
+      { "fingerprint", m_requestKey },
       { "last_event", m_eventSplitter.LastId().value_or(0) } });
 }
 
--- a/chivefront/routing/part_evidence.cc
+++ b/chivefront/routing/part_evidence.cc
@@ -7,8 +7,21 @@
 namespace {
 
 constexpr size_t kMaxLosses = 256;
+// Requests that were answered since are removed, so few are left.
+constexpr size_t kMaxRequestLosses = 128;
 // Parts per generation; about 1 MiB for both generations.
 constexpr size_t kMaxParts = 8192;
+// Answered requests per generation. A repeat that is answered before its entry
+// hears that it is suspect must be remembered for some polls.
+constexpr size_t kMaxRequests = 512;
+
+void
+ForgetBefore(base::TimePoint aTime, std::deque<PartLoss>& aLosses)
+{
+  while (!aLosses.empty() && aLosses.front().m_attempt.m_lostAt < aTime) {
+    aLosses.pop_front();
+  }
+}
 
 } // namespace
 
@@ -18,35 +31,39 @@
   return base::StableHash(aPartId, base::StableHash(aService));
 }
 
-void
-PartEvidence::OnBegun(const std::vector<PartKey>& aParts, base::TimePoint aNow)
+// Each field is hashed with the hash of those before it as the seed, so that
+// bytes can't move from one field to the next.
+PartKey
+MakeRequestKey(const RequestIdentity& aIdentity)
 {
-  for (const PartKey part : aParts) {
-    m_recent[part] = aNow;
-  }
-  if (m_recent.size() >= kMaxParts) {
-    m_older = std::move(m_recent);
-    m_recent.clear();
+  PartKey key = 0;
+  for (const std::string_view field : { aIdentity.m_caller,
+                                        aIdentity.m_method,
+                                        aIdentity.m_host,
+                                        aIdentity.m_target,
+                                        aIdentity.m_body }) {
+    key = base::StableHash(field, key);
   }
+  return key;
 }
 
+namespace detail {
+
 void
-PartEvidence::OnLoss(const LostAttempt& aAttempt,
-                     const std::vector<PartKey>& aParts)
+LatestTimes::Record(PartKey aKey, base::TimePoint aTime)
 {
-  for (const PartKey part : aParts) {
-    m_losses.push_back({ part, aAttempt });
-    if (m_losses.size() > kMaxLosses) {
-      m_losses.pop_front();
-    }
+  m_recent[aKey] = aTime;
+  if (m_recent.size() >= m_capacity) {
+    m_older = std::move(m_recent);
+    m_recent.clear();
   }
 }
 
 const base::TimePoint*
-PartEvidence::FindBegun(PartKey aPart) const
+LatestTimes::Find(PartKey aKey) const
 {
   for (const Times* times : { &m_recent, &m_older }) {
-    const auto found = times->find(aPart);
+    const auto found = times->find(aKey);
     if (found != times->end()) {
       return &found->second;
     }
@@ -54,22 +71,60 @@
   return nullptr;
 }
 
+} // namespace detail
+
+PartEvidence::PartEvidence()
+  : m_partsBegun(kMaxParts)
+  , m_requestsBegun(kMaxRequests)
+{
+}
+
+void
+PartEvidence::OnBegun(const std::vector<PartKey>& aParts,
+                      PartKey aRequest,
+                      base::TimePoint aNow)
+{
+  for (const PartKey part : aParts) {
+    m_partsBegun.Record(part, aNow);
+  }
+  m_requestsBegun.Record(aRequest, aNow);
+}
+
+void
+PartEvidence::OnLoss(const LostAttempt& aAttempt,
+                     const std::vector<PartKey>& aParts,
+                     PartKey aRequest)
+{
+  for (const PartKey part : aParts) {
+    m_partLosses.push_back({ part, aAttempt });
+    if (m_partLosses.size() > kMaxLosses) {
+      m_partLosses.pop_front();
+    }
+  }
+  m_requestLosses.push_back({ aRequest, aAttempt, true });
+  if (m_requestLosses.size() > kMaxRequestLosses) {
+    m_requestLosses.pop_front();
+  }
+}
+
 PartReport
 PartEvidence::Report(const std::set<PartKey>& aSuspects, base::TimePoint aNow)
 {
-  while (!m_losses.empty() &&
-         aNow - m_losses.front().m_attempt.m_lostAt > kLossMemory) {
-    m_losses.pop_front();
-  }
+  ForgetBefore(aNow - kLossMemory, m_partLosses);
+  ForgetBefore(aNow - kRequestLossMemory, m_requestLosses);
   PartReport report;
-  report.m_losses.assign(m_losses.begin(), m_losses.end());
-  std::set<PartKey> parts = aSuspects;
-  for (const PartLoss& loss : m_losses) {
-    parts.insert(loss.m_part);
+  std::set<PartKey> keys = aSuspects;
+  for (const auto* losses : { &m_partLosses, &m_requestLosses }) {
+    for (const PartLoss& loss : *losses) {
+      report.m_losses.push_back(loss);
+      keys.insert(loss.m_part);
+    }
   }
-  for (const PartKey part : parts) {
-    if (const base::TimePoint* begun = FindBegun(part)) {
-      report.m_begun[part] = *begun;
+  for (const PartKey key : keys) {
+    for (const auto* begun : { &m_partsBegun, &m_requestsBegun }) {
+      if (const base::TimePoint* time = begun->Find(key)) {
+        report.m_begun[key] = *time;
+      }
     }
   }
   return report;
--- a/chivefront/routing/part_evidence.h
+++ b/chivefront/routing/part_evidence.h
@@ -1,13 +1,13 @@
-// What one entry has seen of prompt parts that may crash upstreams: attempts
-// that lost their upstream before it began to answer, and parts of requests
-// whose answer did begin.
+// What one entry has seen of prompt parts and of whole requests that may crash
+// upstreams: attempts that lost their upstream before it began to answer, and
+// parts and requests whose answer did begin.
 //
-//   evidence.OnLoss({ upstream, request, headRead, sentAt, now }, parts);
-//   evidence.OnBegun(parts, now);
+//   evidence.OnLoss({ upstream, request, headRead, sentAt, now }, parts, key);
+//   evidence.OnBegun(parts, key, now);
 //   PartReport report = evidence.Report(suspects, now);
 //
-// Pattern: one tainted prompt part in many otherwise different requests. Does
-// no I/O; not thread-safe.
+// Patterns: one tainted prompt part in many otherwise different requests, and
+// one request that its caller repeats. Does no I/O; not thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -15,6 +15,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -22,12 +23,26 @@
 
 namespace chivefront::routing {
 
-// Identifies a prompt part of the requests of one service.
+// Identifies a prompt part of the requests of one service, or a whole request.
 using PartKey = uint64_t;
 
 PartKey
 MakePartKey(const std::string& aService, const std::string& aPartId);
 
+// What makes two requests of a caller the same request; the attempt id does
+// not.
+struct RequestIdentity
+{
+  std::string_view m_caller; // key of the team; empty on public routes
+  std::string_view m_method;
+  std::string_view m_host;
+  std::string_view m_target; // path and query
+  std::string_view m_body;
+};
+
+PartKey
+MakeRequestKey(const RequestIdentity& aIdentity);
+
 // An attempt whose upstream closed the connection before it began to answer.
 struct LostAttempt
 {
@@ -44,6 +59,7 @@
 {
   PartKey m_part = 0;
   LostAttempt m_attempt;
+  bool m_wholeRequest = false; // m_part identifies a request, not a part
 };
 
 struct PartReport
@@ -53,29 +69,60 @@
   std::map<PartKey, base::TimePoint> m_begun;
 };
 
-class PartEvidence
+namespace detail {
+
+// The latest time of each key. Two generations bound the memory: m_recent
+// becomes m_older when it holds aCapacity keys.
+class LatestTimes
 {
 public:
-  // An upstream began to answer a request with these parts.
-  void OnBegun(const std::vector<PartKey>& aParts, base::TimePoint aNow);
-  void OnLoss(const LostAttempt& aAttempt, const std::vector<PartKey>& aParts);
+  explicit LatestTimes(size_t aCapacity)
+    : m_capacity(aCapacity)
+  {
+  }
 
-  // The losses of the last kLossMemory, and what is known of the parts in
-  // aSuspects and in these losses.
-  PartReport Report(const std::set<PartKey>& aSuspects, base::TimePoint aNow);
+  void Record(PartKey aKey, base::TimePoint aTime);
+  // Null when the key is not known.
+  const base::TimePoint* Find(PartKey aKey) const;
 
 private:
   using Times = std::unordered_map<PartKey, base::TimePoint>;
 
-  const base::TimePoint* FindBegun(PartKey aPart) const;
-
-  std::deque<PartLoss> m_losses; // oldest first, at most kMaxLosses
-  // Two generations bound the memory: m_recent becomes m_older when it is full.
+  const size_t m_capacity;
   Times m_recent;
   Times m_older;
 };
 
-// Losses that are older are not reported any more.
+} // namespace detail
+
+class PartEvidence
+{
+public:
+  PartEvidence();
+
+  // An upstream began to answer the request aRequest with these parts.
+  void OnBegun(const std::vector<PartKey>& aParts,
+               PartKey aRequest,
+               base::TimePoint aNow);
+  void OnLoss(const LostAttempt& aAttempt,
+              const std::vector<PartKey>& aParts,
+              PartKey aRequest);
+
+  // The losses of the last kLossMemory, or kRequestLossMemory, and what is
+  // known of the keys in aSuspects and in these losses.
+  PartReport Report(const std::set<PartKey>& aSuspects, base::TimePoint aNow);
+
+private:
+  std::deque<PartLoss> m_partLosses; // oldest first, at most kMaxLosses
+  // Of whole requests, oldest first, at most kMaxRequestLosses.
+  std::deque<PartLoss> m_requestLosses;
+  detail::LatestTimes m_partsBegun;
+  detail::LatestTimes m_requestsBegun;
+};
+
+// Losses of prompt parts that are older are not reported any more.
 inline constexpr base::Millis kLossMemory{ 30000 };
+// The same for whole requests. A caller may repeat a request after long pauses.
+inline constexpr base::Millis kRequestLossMemory{ 120000 };
 
 } // namespace chivefront::routing
--- a/chivefront/routing/part_quarantine.cc
+++ b/chivefront/routing/part_quarantine.cc
@@ -1,8 +1,10 @@
-// Counting of losses that follow each other.
+// Counting of losses that follow each other, and of losses of one request.
 #include "chivefront/routing/part_quarantine.h"
 
 #include <algorithm>
 
+#include "chivefront/policy/suspects.h"
+
 namespace chivefront::routing {
 namespace {
 
@@ -20,6 +22,9 @@
 // Times of different entries are compared by their age in a message, which is
 // wrong by the time that the message takes.
 constexpr base::Millis kClockTolerance{ 50 };
+// A registration that was sent just before the crash does not show that the
+// upstream lives.
+constexpr base::Millis kHeardMargin{ 300 };
 constexpr size_t kMaxSuspects = 4096;
 constexpr size_t kMaxQuarantined = 1024;
 
@@ -34,7 +39,9 @@
       continue;
     }
     const std::pair key(loss.m_attempt.m_upstream, loss.m_attempt.m_request);
-    m_suspects[loss.m_part].m_losses.try_emplace(key, loss.m_attempt);
+    Suspect& suspect = m_suspects[loss.m_part];
+    suspect.m_wholeRequest = loss.m_wholeRequest;
+    suspect.m_losses.try_emplace(key, loss.m_attempt);
   }
   for (const auto& [part, begunAt] : aReport.m_begun) {
     const auto found = m_suspects.find(part);
@@ -91,8 +98,12 @@
 PartQuarantine::Forget(base::TimePoint aNow)
 {
   for (auto& [part, suspect] : m_suspects) {
+    const bool isRequest = suspect.m_wholeRequest;
+    const base::Millis memory = isRequest ? kRequestLossMemory : kLossMemory;
+    const base::TimePoint begunAt = suspect.m_begunAt;
     std::erase_if(suspect.m_losses, [&](const auto& aLoss) {
-      return aNow - aLoss.second.m_lostAt > kLossMemory;
+      const base::TimePoint lostAt = aLoss.second.m_lostAt;
+      return aNow - lostAt > memory || (isRequest && lostAt <= begunAt);
     });
   }
   std::erase_if(m_suspects, [](const auto& aSuspect) {
@@ -100,18 +111,22 @@
   });
   std::erase_if(m_quarantined,
                 [&](const auto& aPart) { return aPart.second <= aNow; });
+  std::erase_if(m_heard, [&](const auto& aUpstream) {
+    return aNow - aUpstream.second > kRequestLossMemory;
+  });
 }
 
 std::set<uint64_t>
-PartQuarantine::UpstreamsCrashedByQuarantined() const
+PartQuarantine::UpstreamsCrashedBy(bool aWholeRequests) const
 {
   std::set<uint64_t> upstreams;
   for (const auto& [part, suspect] : m_suspects) {
-    if (m_quarantined.count(part) == 0) {
+    if (suspect.m_wholeRequest != aWholeRequests ||
+        m_quarantined.count(part) == 0) {
       continue;
     }
     for (const auto& [key, attempt] : suspect.m_losses) {
-      if (attempt.m_headRead) {
+      if (attempt.m_headRead || aWholeRequests) {
         upstreams.insert(attempt.m_upstream);
       }
     }
@@ -121,15 +136,17 @@
 
 // The parts that are guilty and not quarantined yet. If an answer was seen for
 // some of them and for others never, only the latter: the losses of the former
-// are then explained by them.
+// are then explained by them. A quarantined request explains no losses here,
+// because the part may be what makes it crash upstreams.
 std::vector<PartKey>
-PartQuarantine::FindGuilty(base::TimePoint aNow) const
+PartQuarantine::FindGuiltyParts(base::TimePoint aNow) const
 {
-  const std::set<uint64_t> explained = UpstreamsCrashedByQuarantined();
+  const std::set<uint64_t> explained = UpstreamsCrashedBy(false);
   std::vector<PartKey> begun;
   std::vector<PartKey> neverBegun;
   for (const auto& [part, suspect] : m_suspects) {
-    if (m_quarantined.count(part) > 0 || !IsGuilty(suspect, explained, aNow)) {
+    if (suspect.m_wholeRequest || m_quarantined.count(part) > 0 ||
+        !IsGuilty(suspect, explained, aNow)) {
       continue;
     }
     const bool isNeverBegun = suspect.m_begunAt == base::TimePoint();
@@ -138,16 +155,68 @@
   return neverBegun.empty() ? begun : neverBegun;
 }
 
+// Whether the upstream of a lost attempt has not been heard since.
+bool
+PartQuarantine::HasCrashed(const LostAttempt& aAttempt) const
+{
+  const auto heard = m_heard.find(aAttempt.m_upstream);
+  return heard == m_heard.end() ||
+         heard->second < aAttempt.m_lostAt + kHeardMargin;
+}
+
+// Counts afresh from the losses that are remembered, so that an answer, a sign
+// of life or another cause found meanwhile takes losses back.
 std::vector<PartKey>
+PartQuarantine::FindGuiltyRequests(base::TimePoint aNow) const
+{
+  std::set<uint64_t> explained = UpstreamsCrashedBy(false);
+  explained.merge(UpstreamsCrashedBy(true));
+  std::map<uint64_t, std::vector<uint64_t>> inFlight; // requests by upstream
+  for (const auto& [key, suspect] : m_suspects) {
+    if (!suspect.m_wholeRequest || m_quarantined.count(key) > 0) {
+      continue;
+    }
+    for (const auto& [id, attempt] : suspect.m_losses) {
+      if (attempt.m_lostAt > suspect.m_begunAt &&
+          aNow - attempt.m_lostAt >= kRequestLossDelay &&
+          explained.count(attempt.m_upstream) == 0 && HasCrashed(attempt)) {
+        inFlight[attempt.m_upstream].push_back(key);
+      }
+    }
+  }
+  policy::SuspectCounts counts;
+  std::vector<PartKey> guilty;
+  for (const auto& [upstream, requests] : inFlight) {
+    const auto loss = counts.OnLoss(std::to_string(upstream), requests);
+    guilty.insert(
+      guilty.end(), loss.m_quarantined.begin(), loss.m_quarantined.end());
+  }
+  return guilty;
+}
+
+void
+PartQuarantine::OnHeard(uint64_t aUpstream, base::TimePoint aTime)
+{
+  base::TimePoint& known = m_heard[aUpstream];
+  known = std::max(known, aTime);
+}
+
+std::vector<CrashCause>
 PartQuarantine::Update(base::TimePoint aNow)
 {
   Forget(aNow);
-  std::vector<PartKey> added = FindGuilty(aNow);
+  std::vector<CrashCause> added;
+  for (const PartKey part : FindGuiltyParts(aNow)) {
+    added.push_back({ part, false });
+  }
+  for (const PartKey request : FindGuiltyRequests(aNow)) {
+    added.push_back({ request, true });
+  }
   if (m_quarantined.size() + added.size() > kMaxQuarantined) {
     added.clear();
   }
-  for (const PartKey part : added) {
-    m_quarantined[part] = aNow + kQuarantineTime;
+  for (const CrashCause& cause : added) {
+    m_quarantined[cause.m_key] = aNow + kQuarantineTime;
   }
   return added;
 }
--- a/chivefront/routing/part_quarantine.h
+++ b/chivefront/routing/part_quarantine.h
@@ -1,8 +1,10 @@
-// Decides which prompt parts crash upstreams, from the reports of all entries.
-// Requests with such a part are then refused.
+// Decides which prompt parts, and which whole requests, crash upstreams, from
+// the reports of all entries. Requests with such a part, and such requests, are
+// then refused.
 //
 //   quarantine.Record(report);
-//   for (PartKey part : quarantine.Update(now)) ... log it ...
+//   quarantine.OnHeard(upstream, reportedAt); // for each registered upstream
+//   for (const Quarantined& added : quarantine.Update(now)) ... log it ...
 //   reply(quarantine.Suspects(), quarantine.Quarantined());
 //
 // A part is quarantined when requests with it lost their upstream time after
@@ -12,7 +14,14 @@
 // that sound requests share is cleared by their answers. When all upstreams are
 // down nothing clears it, so an upstream that a quarantined part has crashed is
 // not held against other parts, and a part that no answer was ever seen for is
-// blamed before the others. Does no I/O; not thread-safe.
+// blamed before the others.
+//
+// A request is counted and quarantined by the rule of policy::SuspectCounts,
+// which also serves the product's own path: all requests in flight at a lost
+// upstream are counted, and an answer clears the count. An upstream that is
+// heard after the loss has not crashed, so that loss does not count.
+//
+// Does no I/O; not thread-safe.
 #pragma once
 
 #include <map>
@@ -23,9 +32,21 @@
 
 namespace chivefront::routing {
 
-// Parts with the time until which requests with them are refused.
+// Keys of parts and of requests, with the time until which requests with them
+// are refused.
 using QuarantinedParts = std::map<PartKey, base::TimePoint>;
 
+// A loss of a whole request counts after this time: by then an upstream that
+// lives has registered again, about once a second, and entries have reported.
+inline constexpr base::Millis kRequestLossDelay{ 1600 };
+
+// What was found to crash upstreams.
+struct CrashCause
+{
+  PartKey m_key = 0;
+  bool m_wholeRequest = false; // m_key identifies a request, not a part
+};
+
 class PartQuarantine
 {
 public:
@@ -34,11 +55,16 @@
   // Takes over decisions of an earlier leader. A later end wins.
   void Adopt(const QuarantinedParts& aParts);
 
-  // Forgets what is old and returns the parts that are quarantined from now on.
-  std::vector<PartKey> Update(base::TimePoint aNow);
+  // The incarnation aUpstream (MakeUpstreamKey) sent a registration at aTime.
+  void OnHeard(uint64_t aUpstream, base::TimePoint aTime);
+
+  // Forgets what is old and returns what is quarantined from now on.
+  std::vector<CrashCause> Update(base::TimePoint aNow);
 
-  // Parts with a loss that are not quarantined; entries report whether answers
-  // to requests with them began.
+  // Whether OnHeard has any effect now.
+  bool HasLosses() const { return !m_suspects.empty(); }
+  // Parts and requests with a loss that are not quarantined; entries report
+  // whether answers to requests with them began.
   std::set<PartKey> Suspects() const;
   const QuarantinedParts& Quarantined() const { return m_quarantined; }
 
@@ -48,6 +74,7 @@
   using Losses = std::map<std::pair<uint64_t, uint64_t>, LostAttempt>;
   struct Suspect
   {
+    bool m_wholeRequest = false;
     Losses m_losses;
     base::TimePoint m_begunAt; // latest; unset when no answer began
   };
@@ -55,11 +82,16 @@
   static bool IsGuilty(const Suspect& aSuspect,
                        const std::set<uint64_t>& aExplained,
                        base::TimePoint aNow);
-  std::set<uint64_t> UpstreamsCrashedByQuarantined() const;
-  std::vector<PartKey> FindGuilty(base::TimePoint aNow) const;
+  // Upstreams whose loss a quarantined part, or request, explains.
+  std::set<uint64_t> UpstreamsCrashedBy(bool aWholeRequests) const;
+  std::vector<PartKey> FindGuiltyParts(base::TimePoint aNow) const;
+  std::vector<PartKey> FindGuiltyRequests(base::TimePoint aNow) const;
+  bool HasCrashed(const LostAttempt& aAttempt) const;
   void Forget(base::TimePoint aNow);
 
   std::map<PartKey, Suspect> m_suspects; // at most kMaxSuspects
+  // Upstreams that were heard after a request's loss, with the latest time.
+  std::map<uint64_t, base::TimePoint> m_heard;
   QuarantinedParts m_quarantined;
 };
 
--- a/chivefront/routing/part_quarantine_test.cc
+++ b/chivefront/routing/part_quarantine_test.cc
@@ -1,4 +1,5 @@
-// Prompt parts that crash upstreams, and parts that only look like it.
+// Prompt parts and requests that crash upstreams, and those that only look like
+// it.
 #define BOOST_TEST_MODULE part_quarantine
 #include <boost/test/unit_test.hpp>
 
@@ -11,6 +12,10 @@
 
 constexpr PartKey kTainted = 1;
 constexpr PartKey kShared = 2; // also in sound requests
+// Keys of whole requests in these tests are at least this.
+constexpr PartKey kRequests = 1000;
+constexpr PartKey kDeadly = kRequests;
+constexpr PartKey kSound = kRequests + 1;
 
 base::TimePoint
 At(int64_t aMillis)
@@ -28,23 +33,55 @@
   {
     m_evidence.OnLoss(
       { ++m_upstream, aRequest, aHeadRead, At(aSentAt), At(aSentAt + 100) },
-      aParts);
+      aParts,
+      kRequests + aRequest);
   }
-  // Reports twice, as entries do, and returns the parts that are quarantined.
-  std::set<PartKey> Decide(int64_t aNow)
+  // An upstream ends 100 ms after it got the requests in aInFlight.
+  void LoseUpstream(int64_t aSentAt, const std::vector<PartKey>& aInFlight)
+  {
+    ++m_upstream;
+    for (const PartKey request : aInFlight) {
+      m_evidence.OnLoss(
+        { m_upstream, ++m_attempt, false, At(aSentAt), At(aSentAt + 100) },
+        {},
+        request);
+    }
+  }
+  // Reports twice, as entries do.
+  void Report(int64_t aNow)
   {
     for (int i = 0; i < 2; ++i) {
       m_quarantine.Record(m_evidence.Report(m_quarantine.Suspects(), At(aNow)));
       (void)m_quarantine.Update(At(aNow));
     }
+  }
+  // Reports, and returns the parts that are quarantined.
+  std::set<PartKey> Decide(int64_t aNow)
+  {
+    Report(aNow);
     std::set<PartKey> parts;
-    for (const auto& [part, until] : m_quarantine.Quarantined()) {
-      parts.insert(part);
+    for (const auto& [key, until] : m_quarantine.Quarantined()) {
+      if (key < kRequests) {
+        parts.insert(key);
+      }
     }
     return parts;
   }
+  // Reports, and returns the requests that are quarantined.
+  std::set<PartKey> DecideRequests(int64_t aNow)
+  {
+    const std::set<PartKey> parts = Decide(aNow);
+    std::set<PartKey> requests;
+    for (const auto& [key, until] : m_quarantine.Quarantined()) {
+      if (parts.count(key) == 0) {
+        requests.insert(key);
+      }
+    }
+    return requests;
+  }
 
   uint64_t m_upstream = 0;
+  uint64_t m_attempt = 0;
   PartEvidence m_evidence;
   PartQuarantine m_quarantine;
 };
@@ -69,7 +106,7 @@
 {
   for (int i = 0; i < 6; ++i) {
     Lose(static_cast<uint64_t>(i), i * 200, { kShared, kTainted });
-    m_evidence.OnBegun({ kShared }, At(i * 200 + 150));
+    m_evidence.OnBegun({ kShared }, kSound, At(i * 200 + 150));
   }
   const std::set<PartKey> parts = Decide(2000);
   BOOST_TEST(parts.count(kTainted) == 1U);
@@ -81,7 +118,7 @@
 // prompts any more (LOST on salins-booking with a share of 0.2, seed 7).
 BOOST_FIXTURE_TEST_CASE(CommonPartIsNotBlamedWhileAllUpstreamsAreDown, Fixture)
 {
-  m_evidence.OnBegun({ kShared }, At(0));
+  m_evidence.OnBegun({ kShared }, kSound, At(0));
   for (int i = 0; i < 6; ++i) {
     Lose(static_cast<uint64_t>(i), 100 + i * 200, { kShared, kTainted });
     // A sound request waits at the same upstream.
@@ -90,7 +127,8 @@
                         false,
                         At(100 + i * 200),
                         At(200 + i * 200) },
-                      { kShared });
+                      { kShared },
+                      kRequests + 100 + static_cast<PartKey>(i));
   }
   const std::set<PartKey> parts = Decide(2000);
   BOOST_TEST(parts.count(kTainted) == 1U);
@@ -114,6 +152,9 @@
     Lose(7, i * 200, { kTainted });
   }
   BOOST_TEST(Decide(2000).empty());
+  // The request itself is blamed, also once all losses count.
+  BOOST_TEST(DecideRequests(4000).count(kRequests + 7) == 1U);
+  BOOST_TEST(Decide(4000).empty());
 }
 
 BOOST_FIXTURE_TEST_CASE(WaitingRequestsAreWeakerSuspects, Fixture)
@@ -137,3 +178,98 @@
   (void)quarantine.Update(At(5000));
   BOOST_TEST(quarantine.Quarantined().empty());
 }
+
+// Guards against a request without prompt parts that ends upstreams without
+// bound when its caller repeats it.
+BOOST_FIXTURE_TEST_CASE(CrashingRequestIsQuarantined, Fixture)
+{
+  LoseUpstream(0, { kDeadly });
+  LoseUpstream(3000, { kDeadly });
+  BOOST_TEST(DecideRequests(9000).empty());
+  LoseUpstream(10000, { kDeadly });
+  BOOST_TEST(DecideRequests(10500).empty()); // may still be heard
+  const std::set<PartKey> requests = DecideRequests(12000);
+  BOOST_TEST(requests == std::set<PartKey>{ kDeadly });
+}
+
+// Guards against blaming sound requests that ran beside the one that crashes
+// upstreams: they are answered at another upstream.
+BOOST_FIXTURE_TEST_CASE(SoundRequestsInFlightAreNotBlamed, Fixture)
+{
+  for (int i = 0; i < 4; ++i) {
+    LoseUpstream(i * 1000, { kSound, kDeadly });
+    m_evidence.OnBegun({}, kSound, At(i * 1000 + 500));
+  }
+  const std::set<PartKey> requests = DecideRequests(8000);
+  BOOST_TEST(requests == std::set<PartKey>{ kDeadly });
+}
+
+// Guards against blaming a request for connections that break while the
+// upstreams live, as when a link is reset.
+BOOST_FIXTURE_TEST_CASE(UpstreamThatIsHeardAgainHasNotCrashed, Fixture)
+{
+  for (int i = 0; i < 6; ++i) {
+    LoseUpstream(i * 1000, { kSound });
+    m_quarantine.OnHeard(m_upstream, At(i * 1000 + 900));
+  }
+  BOOST_TEST(DecideRequests(9000).empty());
+}
+
+// Guards against a crash that the last registration of the upstream hides: it
+// was sent just before the crash.
+BOOST_FIXTURE_TEST_CASE(RegistrationBeforeTheCrashIsNoSignOfLife, Fixture)
+{
+  for (int i = 0; i < 3; ++i) {
+    LoseUpstream(i * 1000, { kDeadly });
+    m_quarantine.OnHeard(m_upstream, At(i * 1000 + 150));
+  }
+  BOOST_TEST(DecideRequests(9000).count(kDeadly) == 1U);
+}
+
+// Guards against a request that is forgotten between two repeats, or with the
+// leader that counted its first losses.
+BOOST_FIXTURE_TEST_CASE(NewLeaderCountsEarlierLosses, Fixture)
+{
+  LoseUpstream(0, { kDeadly });
+  LoseUpstream(25000, { kDeadly });
+  BOOST_TEST(DecideRequests(28000).empty());
+  m_quarantine = PartQuarantine();
+  LoseUpstream(60000, { kDeadly });
+  BOOST_TEST(DecideRequests(62000).count(kDeadly) == 1U);
+}
+
+// Guards against a tainted part that is never found because each request with
+// it is quarantined before: the losses count for both.
+BOOST_FIXTURE_TEST_CASE(QuarantinedRequestsDoNotHideATaintedPart, Fixture)
+{
+  for (int request = 0; request < 2; ++request) {
+    for (int i = 0; i < 3; ++i) {
+      Lose(static_cast<uint64_t>(request),
+           request * 5000 + i * 200,
+           { kTainted },
+           false);
+    }
+    Report(request * 5000 + 4000);
+  }
+  BOOST_TEST(Decide(10000).count(kTainted) == 1U);
+}
+
+// Guards against one key for two requests: what differs between two callers, or
+// between path and body, must differ in the key.
+BOOST_AUTO_TEST_CASE(RequestKeysDiffer)
+{
+  const RequestIdentity first{ "key-1", "POST", "desk", "/book", "seat 1" };
+  RequestIdentity caller = first;
+  caller.m_caller = "key-2";
+  RequestIdentity body = first;
+  body.m_body = "seat 2";
+  RequestIdentity moved = first;
+  moved.m_target = "/bookseat";
+  moved.m_body = " 1";
+  const std::set<PartKey> keys{ MakeRequestKey(first),
+                                MakeRequestKey(caller),
+                                MakeRequestKey(body),
+                                MakeRequestKey(moved) };
+  BOOST_TEST(keys.size() == 4U);
+  BOOST_TEST(MakeRequestKey(first) == MakeRequestKey(first));
+}
--- a/chivefront/site/messages.cc
+++ b/chivefront/site/messages.cc
@@ -194,6 +194,7 @@
     row->head_read = loss.m_attempt.m_headRead;
     row->sent_age_ms = AgeMillis(loss.m_attempt.m_sentAt, aNow);
     row->lost_age_ms = AgeMillis(loss.m_attempt.m_lostAt, aNow);
+    row->whole_request = loss.m_wholeRequest;
     aRequest.part_losses.push_back(std::move(row));
   }
   for (const auto& [part, begunAt] : aReport.m_begun) {
@@ -214,7 +215,7 @@
                                         row->head_read,
                                         aNow - base::Millis(row->sent_age_ms),
                                         aNow - base::Millis(row->lost_age_ms) };
-    report.m_losses.push_back({ row->part, attempt });
+    report.m_losses.push_back({ row->part, attempt, row->whole_request });
   }
   for (const auto& row : aRequest.parts_begun) {
     report.m_begun[row->part] = aNow - base::Millis(row->age_ms);
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -9,6 +9,7 @@
 #include "chivefront/control/leadership_confirmer.h"
 #include "chivefront/control/peers.h"
 #include "chivefront/control/watcher_table.h"
+#include "chivefront/routing/request_limits.h"
 #include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
 #include "chivefront/site/rate_coordinator.h"
@@ -121,6 +122,7 @@
   void AnswerPartReport(const wire::WatchRequestT& aRequest,
                         base::TimePoint aNow,
                         wire::WatchReplyT& aReply);
+  void JudgeCrashes(base::TimePoint aNow, const std::string& aEntry);
   void OnAnnounce(const wire::AnnounceRequestT& aRequest);
   void Broadcast(const routing::Instance& aRecord);
   std::set<std::string> OtherControlProcesses() const;
@@ -239,11 +241,7 @@
   m_partQuarantine.Record(ReadPartReport(aRequest, aNow));
   if (aNow - m_partsJudgedAt >= detail::kPartJudgePeriod) {
     m_partsJudgedAt = aNow;
-    for (const routing::PartKey part : m_partQuarantine.Update(aNow)) {
-      m_log.Record("prompt_part_quarantined",
-                   base::LogCategory::State,
-                   { { "part", part }, { "entry", aRequest.holder } });
-    }
+    JudgeCrashes(aNow, aRequest.holder);
   }
   for (const routing::PartKey part : m_partQuarantine.Suspects()) {
     aReply.suspect_parts.push_back(part);
@@ -251,6 +249,24 @@
   aReply.quarantined_parts = ToWire(m_partQuarantine.Quarantined(), aNow);
 }
 
+void
+Node::Impl::JudgeCrashes(base::TimePoint aNow, const std::string& aEntry)
+{
+  if (m_partQuarantine.HasLosses()) {
+    m_registry.ForEach([&](const routing::Instance& aInstance) {
+      m_partQuarantine.OnHeard(routing::MakeUpstreamKey(aInstance),
+                               aInstance.m_reportedAt);
+    });
+  }
+  for (const routing::CrashCause& cause : m_partQuarantine.Update(aNow)) {
+    m_log.Record(
+      cause.m_wholeRequest ? "request_quarantined" : "prompt_part_quarantined",
+      base::LogCategory::State,
+      { { cause.m_wholeRequest ? "fingerprint" : "part", cause.m_key },
+        { "entry", aEntry } });
+  }
+}
+
 void
 Node::Impl::OnAnnounce(const wire::AnnounceRequestT& aRequest)
 {
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -2409,6 +2409,7 @@
   bool head_read = false;
   uint32_t sent_age_ms = 0;
   uint32_t lost_age_ms = 0;
+  bool whole_request = false;
 };
 
 struct PartLoss FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2421,7 +2422,8 @@
     VT_REQUEST = 8,
     VT_HEAD_READ = 10,
     VT_SENT_AGE_MS = 12,
-    VT_LOST_AGE_MS = 14
+    VT_LOST_AGE_MS = 14,
+    VT_WHOLE_REQUEST = 16
   };
   uint64_t part() const {
     return GetField<uint64_t>(VT_PART, 0);
@@ -2441,6 +2443,9 @@
   uint32_t lost_age_ms() const {
     return GetField<uint32_t>(VT_LOST_AGE_MS, 0);
   }
+  bool whole_request() const {
+    return GetField<uint8_t>(VT_WHOLE_REQUEST, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_PART, 8) &&
@@ -2449,6 +2454,7 @@
            VerifyField<uint8_t>(verifier, VT_HEAD_READ, 1) &&
            VerifyField<uint32_t>(verifier, VT_SENT_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_LOST_AGE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE_REQUEST, 1) &&
            verifier.EndTable();
   }
   PartLossT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2478,6 +2484,9 @@
   void add_lost_age_ms(uint32_t lost_age_ms) {
     fbb_.AddElement<uint32_t>(PartLoss::VT_LOST_AGE_MS, lost_age_ms, 0);
   }
+  void add_whole_request(bool whole_request) {
+    fbb_.AddElement<uint8_t>(PartLoss::VT_WHOLE_REQUEST, static_cast<uint8_t>(whole_request), 0);
+  }
   explicit PartLossBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2496,13 +2505,15 @@
     uint64_t request = 0,
     bool head_read = false,
     uint32_t sent_age_ms = 0,
-    uint32_t lost_age_ms = 0) {
+    uint32_t lost_age_ms = 0,
+    bool whole_request = false) {
   PartLossBuilder builder_(_fbb);
   builder_.add_request(request);
   builder_.add_upstream(upstream);
   builder_.add_part(part);
   builder_.add_lost_age_ms(lost_age_ms);
   builder_.add_sent_age_ms(sent_age_ms);
+  builder_.add_whole_request(whole_request);
   builder_.add_head_read(head_read);
   return builder_.Finish();
 }
@@ -7343,6 +7354,7 @@
   { auto _e = head_read(); _o->head_read = _e; }
   { auto _e = sent_age_ms(); _o->sent_age_ms = _e; }
   { auto _e = lost_age_ms(); _o->lost_age_ms = _e; }
+  { auto _e = whole_request(); _o->whole_request = _e; }
 }
 
 inline flatbuffers::Offset<PartLoss> PartLoss::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartLossT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7359,6 +7371,7 @@
   auto _head_read = _o->head_read;
   auto _sent_age_ms = _o->sent_age_ms;
   auto _lost_age_ms = _o->lost_age_ms;
+  auto _whole_request = _o->whole_request;
   return chivefront::wire::CreatePartLoss(
       _fbb,
       _part,
@@ -7366,7 +7379,8 @@
       _request,
       _head_read,
       _sent_age_ms,
-      _lost_age_ms);
+      _lost_age_ms,
+      _whole_request);
 }
 
 inline PartBegunT *PartBegun::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
