Pause a replica while its disk is full

Cause: any failed write was treated as damage, after which the process must stop.

Change: a write without space is an error of its own (StorageFull). The replica is then paused: it takes no messages and no calls, pending ones get Unavailable, and others elect a leader. Every 200 ms it looks for space; then it reads its folder as after a start, keeps its state machine and catches up. The same holds at the start. A failed sync stops the process as before, with storage_failed. replica_paused, replica_resumed and chivefront_site_paused show it.

--- a/chivefront/base/errors.cc
+++ b/chivefront/base/errors.cc
@@ -178,6 +178,11 @@
     500,
     Outcome::Unknown,
     Code::kDataLoss },
+  { ErrorKind::StorageFull,
+    "storage_full",
+    500,
+    Outcome::Unknown,
+    Code::kDataLoss },
   { ErrorKind::Corrupt, "corrupt", 500, Outcome::Unknown, Code::kDataLoss },
   { ErrorKind::Internal, "internal", 500, Outcome::Unknown, Code::kInternal },
 };
--- a/chivefront/base/errors.h
+++ b/chivefront/base/errors.h
@@ -75,6 +75,7 @@
   AuthFailed,
   // Local resources.
   StorageFailed,
+  StorageFull, // the disk takes no more bytes; nothing else is wrong with it
   Corrupt,
   Internal,
 };
--- a/chivefront/consensus/disk.cc
+++ b/chivefront/consensus/disk.cc
@@ -18,13 +18,36 @@
 constexpr mode_t kFileMode = 0640;
 
 absl::Status
-SystemError(const std::string& aOperation, const std::string& aPath, int aError)
+MakeDiskError(base::ErrorKind aKind,
+              const std::string& aOperation,
+              const std::string& aPath,
+              int aError)
 {
-  return base::MakeError(base::ErrorKind::StorageFailed,
+  return base::MakeError(aKind,
                          aOperation + " " + aPath + ": " +
                            std::generic_category().message(aError));
 }
 
+absl::Status
+SystemError(const std::string& aOperation, const std::string& aPath, int aError)
+{
+  const bool isFull = aError == ENOSPC || aError == EDQUOT;
+  return MakeDiskError(isFull ? base::ErrorKind::StorageFull
+                              : base::ErrorKind::StorageFailed,
+                       aOperation,
+                       aPath,
+                       aError);
+}
+
+// After a failed sync the content of the file is unknown, whatever the reason,
+// so it is not reported as a full disk.
+absl::Status
+SyncError(const std::string& aOperation, const std::string& aPath, int aError)
+{
+  return MakeDiskError(
+    base::ErrorKind::StorageFailed, aOperation, aPath, aError);
+}
+
 absl::Status
 SyncFolderAt(const std::string& aPath)
 {
@@ -35,7 +58,7 @@
   const int result = ::fsync(folder);
   const int error = errno;
   ::close(folder);
-  return result == 0 ? absl::OkStatus() : SystemError("fsync", aPath, error);
+  return result == 0 ? absl::OkStatus() : SyncError("fsync", aPath, error);
 }
 
 } // namespace
@@ -171,7 +194,7 @@
   }
   return ::fdatasync(*descriptor) == 0
            ? absl::OkStatus()
-           : SystemError("fdatasync", PathOf(aFile), errno);
+           : SyncError("fdatasync", PathOf(aFile), errno);
 }
 
 absl::Status
--- a/chivefront/consensus/disk.h
+++ b/chivefront/consensus/disk.h
@@ -11,8 +11,9 @@
 
 namespace chivefront::consensus {
 
-// The files of one folder without subfolders. All errors are of kind
-// StorageFailed. Written bytes are durable only after SyncFile. Created,
+// The files of one folder without subfolders. Errors are of kind StorageFull
+// when a write found no space and StorageFailed otherwise; a failed sync is
+// always StorageFailed. Written bytes are durable only after SyncFile. Created,
 // renamed and removed files are durable only after SyncFolder.
 class Disk
 {
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -129,6 +129,8 @@
   // On the leader: the group has its target number of voters, and each of them
   // holds all committed entries. While false, another loss may lose data.
   bool m_repaired = false;
+  // The disk of this replica is full; it takes part again once it has space.
+  bool m_paused = false;
 };
 
 class Group
@@ -140,7 +142,8 @@
     std::function<void(const std::string& aTo, std::string aPayload)>;
   using ProposeCallback = std::function<void(absl::StatusOr<std::string>)>;
   using ConfirmCallback = std::function<void(absl::StatusOr<uint64_t>)>;
-  // Called when the log can't be written, after which the process must stop.
+  // Called when the log can't be written for another reason than a full disk,
+  // after which the process must stop. With a full disk the replica is paused.
   using FatalFunction = std::function<void(const absl::Status&)>;
 
   Group(GroupOptions aOptions,
--- a/chivefront/consensus/memory_disk.h
+++ b/chivefront/consensus/memory_disk.h
@@ -20,6 +20,8 @@
   // The operation with this number, counted from 1, and all later operations
   // fail. A failing append writes half of its bytes. 0 for no failure.
   void FailFrom(uint64_t aOperation) { m_failFrom = aOperation; }
+  // While full, an append writes half of its bytes and returns StorageFull.
+  void SetFull(bool aFull) { m_full = aFull; }
   uint64_t Operations() const { return m_operations; }
   uint64_t Syncs() const { return m_syncs; }
 
@@ -71,6 +73,10 @@
       FileAt(aFile).m_bytes.append(aBytes.substr(0, aBytes.size() / 2));
       return InjectedFailure();
     }
+    if (m_full) {
+      FileAt(aFile).m_bytes.append(aBytes.substr(0, aBytes.size() / 2));
+      return base::MakeError(base::ErrorKind::StorageFull, "injected");
+    }
     FileAt(aFile).m_bytes.append(aBytes);
     return absl::OkStatus();
   }
@@ -148,6 +154,7 @@
   uint64_t m_operations = 0;
   uint64_t m_syncs = 0;
   uint64_t m_failFrom = 0;
+  bool m_full = false;
 };
 
 } // namespace chivefront::consensus
--- a/chivefront/consensus/raft_driver.cc
+++ b/chivefront/consensus/raft_driver.cc
@@ -11,6 +11,9 @@
 namespace chivefront::consensus {
 namespace {
 
+// How often a paused replica looks for space on its disk.
+constexpr base::Millis kResumePeriod{ 200 };
+
 absl::Status
 NotLeader()
 {
@@ -36,18 +39,29 @@
   , m_machine(aMachine)
   , m_send(std::move(aSend))
   , m_events(aEvents)
-  , m_store(aDisk, aOptions.m_segmentBytes)
+  , m_disk(aDisk)
 {
 }
 
 absl::Status
 RaftDriver::Open(uint64_t aNewIdentity, uint64_t aSeed, base::TimePoint aNow)
 {
-  auto state = m_store.Open(aNewIdentity);
+  m_newIdentity = aNewIdentity;
+  m_seed = aSeed;
+  return PauseIfFull(OpenFolder(aNow), aNow);
+}
+
+// The state machine keeps what it has applied before a pause: that was durable
+// here and committed.
+absl::Status
+RaftDriver::OpenFolder(base::TimePoint aNow)
+{
+  m_store = std::make_unique<Store>(m_disk, m_options.m_segmentBytes);
+  auto state = m_store->Open(m_newIdentity);
   if (!state.ok()) {
     return state.status();
   }
-  if (state->m_snapshot) {
+  if (state->m_snapshot && state->m_snapshot->m_index > m_appliedIndex) {
     auto status = m_machine.Restore(state->m_snapshot->m_data);
     if (!status.ok()) {
       return status;
@@ -66,16 +80,69 @@
   options.m_replaceAfter = m_options.m_replaceAfter;
   options.m_electionTimeout = m_options.m_electionTimeout;
   options.m_heartbeatInterval = m_options.m_heartbeatInterval;
-  options.m_seed = aSeed;
+  options.m_seed = m_seed++;
   options.m_trailingEntries = m_options.m_trailingEntries;
   options.m_snapshotChunkBytes = m_options.m_snapshotChunkBytes;
   m_raft = std::make_unique<RaftCore>(options, std::move(*state), aNow);
   return absl::OkStatus();
 }
 
+// Pauses the replica if aStatus says that the disk is full; returns any other
+// status.
+absl::Status
+RaftDriver::PauseIfFull(absl::Status aStatus, base::TimePoint aNow)
+{
+  if (base::KindOf(aStatus) != base::ErrorKind::StorageFull) {
+    return aStatus;
+  }
+  if (!IsPaused() || m_resumeDue == base::TimePoint()) {
+    base::LogError("consensus",
+                   "paused the replica, because its disk is full",
+                   { { "error", base::MessageOf(aStatus) } });
+    m_events.Record("raft-paused", {});
+  }
+  if (!IsPaused()) {
+    m_pausedStatus = Status(aNow);
+    m_pausedStatus.m_role = RaftRole::Follower;
+    m_pausedStatus.m_leader.clear();
+    m_pausedStatus.m_caughtUpVoters = 0;
+    m_pausedStatus.m_repaired = false;
+  }
+  m_pausedStatus.m_paused = true;
+  m_raft.reset();
+  m_store.reset();
+  m_resumeDue = aNow + kResumePeriod;
+  // Entries that were sent to others may still be committed.
+  FailAll(base::MakeError(base::ErrorKind::Unavailable,
+                          "the disk of this replica is full"));
+  return absl::OkStatus();
+}
+
+// Ends the pause if the disk has space again.
+absl::Status
+RaftDriver::Resume(base::TimePoint aNow)
+{
+  if (aNow < m_resumeDue) {
+    return absl::OkStatus();
+  }
+  absl::Status status = Store::CheckSpace(m_disk);
+  if (status.ok()) {
+    status = OpenFolder(aNow);
+  }
+  if (status.ok()) {
+    base::LogInfo("consensus", "resumed the replica, its disk has space", {});
+    m_events.Record("raft-resumed", {});
+  }
+  return PauseIfFull(std::move(status), aNow);
+}
+
 void
 RaftDriver::Propose(std::string aCommand, Group::ProposeCallback aDone)
 {
+  if (IsPaused()) {
+    aDone(NotLeader());
+    return;
+  }
   const auto index = m_raft->Propose(std::move(aCommand));
   if (!index) {
     aDone(NotLeader());
@@ -88,6 +155,10 @@
 void
 RaftDriver::ConfirmLeadership(Group::ConfirmCallback aDone)
 {
+  if (IsPaused()) {
+    aDone(NotLeader());
+    return;
+  }
   m_pendingConfirmations[++m_lastConfirmationId] = std::move(aDone);
   m_raft->ConfirmLeadership(m_lastConfirmationId);
 }
@@ -97,6 +168,9 @@
                     std::string_view aPayload,
                     base::TimePoint aNow)
 {
+  if (IsPaused()) {
+    return;
+  }
   auto message = DecodeMessage(aPayload);
   if (!message.ok()) {
     base::LogWarning("consensus",
@@ -110,12 +184,23 @@
 void
 RaftDriver::TransferLeadership(base::TimePoint aNow)
 {
-  m_raft->TransferLeadership(aNow);
+  if (!IsPaused()) {
+    m_raft->TransferLeadership(aNow);
+  }
+}
+
+base::TimePoint
+RaftDriver::NextDeadline() const
+{
+  return IsPaused() ? m_resumeDue : m_raft->NextDeadline();
 }
 
 GroupStatus
 RaftDriver::Status(base::TimePoint aNow) const
 {
+  if (IsPaused()) {
+    return m_pausedStatus;
+  }
   GroupStatus status = m_raft->Status(aNow);
   status.m_appliedIndex = m_appliedIndex;
   const uint64_t confirmed = m_raft->ConfirmedCommitIndex();
@@ -133,6 +218,17 @@
 
 absl::Status
 RaftDriver::Process(base::TimePoint aNow)
+{
+  if (IsPaused()) {
+    if (auto status = Resume(aNow); !status.ok() || IsPaused()) {
+      return status;
+    }
+  }
+  return PauseIfFull(ProcessActions(aNow), aNow);
+}
+
+absl::Status
+RaftDriver::ProcessActions(base::TimePoint aNow)
 {
   m_raft->Tick(aNow);
   for (Actions actions = m_raft->TakeActions(aNow); !actions.Empty();
@@ -162,8 +258,8 @@
 RaftDriver::Persist(Actions& aActions)
 {
   if (aActions.m_snapshotToInstall) {
-    auto status = m_store.InstallSnapshot(*aActions.m_snapshotToInstall,
-                                          m_raft->CurrentHardState());
+    auto status = m_store->InstallSnapshot(*aActions.m_snapshotToInstall,
+                                           m_raft->CurrentHardState());
     if (status.ok()) {
       status = m_machine.Restore(aActions.m_snapshotToInstall->m_data);
     }
@@ -182,9 +278,9 @@
     aActions.m_entriesToSave.empty()
       ? 0
       : m_raft->Entries().TermAt(aActions.m_entriesToSave.front().m_index - 1);
-  return m_store.Save(m_raft->CurrentHardState(),
-                      std::move(aActions.m_entriesToSave),
-                      termBefore);
+  return m_store->Save(m_raft->CurrentHardState(),
+                       std::move(aActions.m_entriesToSave),
+                       termBefore);
 }
 
 void
@@ -256,22 +352,25 @@
 absl::Status
 RaftDriver::TakeSnapshotIfDue()
 {
-  if (m_commandsSinceSnapshot < m_options.m_snapshotEvery) {
+  // After a pause, the state machine may be ahead of what the core knows to be
+  // committed.
+  if (m_commandsSinceSnapshot < m_options.m_snapshotEvery ||
+      m_appliedIndex > m_raft->CommitIndex()) {
     return absl::OkStatus();
   }
-  m_commandsSinceSnapshot = 0;
   auto snapshot = std::make_shared<const Snapshot>(
     Snapshot{ m_appliedIndex,
               m_raft->Entries().TermAt(m_appliedIndex),
               m_raft->MembersAt(m_appliedIndex),
               m_machine.TakeSnapshot() });
-  if (auto status = m_store.SaveSnapshot(*snapshot); !status.ok()) {
+  if (auto status = m_store->SaveSnapshot(*snapshot); !status.ok()) {
     return status;
   }
+  m_commandsSinceSnapshot = 0;
   m_raft->Compact(std::move(snapshot));
   m_events.Record("raft-snapshot",
                   { { "index", std::to_string(m_appliedIndex) } });
-  return m_store.RemoveSegmentsThrough(m_raft->Entries().BaseIndex());
+  return m_store->RemoveSegmentsThrough(m_raft->Entries().BaseIndex());
 }
 
 void
--- a/chivefront/consensus/raft_driver.h
+++ b/chivefront/consensus/raft_driver.h
@@ -29,7 +29,8 @@
 
   // Reads the data folder and restores the state machine. An empty folder gets
   // the identity aNewIdentity. aSeed seeds the random timeouts. Returns the
-  // errors of Group::Start. No other function may be called before it.
+  // errors of Group::Start. No other function may be called before it. With a
+  // full disk it succeeds, and the driver is paused.
   absl::Status Open(uint64_t aNewIdentity,
                     uint64_t aSeed,
                     base::TimePoint aNow);
@@ -43,13 +44,20 @@
   void TransferLeadership(base::TimePoint aNow);
 
   // Handles due timers and carries out all actions: sends, writes, syncs and
-  // applies. After a failure only FailAll may be called.
+  // applies. After a failure only FailAll may be called. A full disk is no
+  // failure: the driver is paused until there is space again.
   absl::Status Process(base::TimePoint aNow);
   // Calls all pending callbacks with aStatus.
   void FailAll(const absl::Status& aStatus);
 
-  base::TimePoint NextDeadline() const { return m_raft->NextDeadline(); }
+  // While paused, this replica is like one that has crashed, but for its state
+  // machine: it takes no messages and no calls, and others elect a leader. It
+  // then reads the folder again, as after a start.
+  bool IsPaused() const { return m_raft == nullptr; }
+
+  base::TimePoint NextDeadline() const;
   GroupStatus Status(base::TimePoint aNow) const;
+  // Not while paused.
   const RaftCore& Raft() const { return *m_raft; }
 
 private:
@@ -59,6 +67,10 @@
     Group::ProposeCallback m_done;
   };
 
+  absl::Status OpenFolder(base::TimePoint aNow);
+  absl::Status PauseIfFull(absl::Status aStatus, base::TimePoint aNow);
+  absl::Status Resume(base::TimePoint aNow);
+  absl::Status ProcessActions(base::TimePoint aNow);
   absl::Status Execute(Actions& aActions, base::TimePoint aNow);
   absl::Status Persist(Actions& aActions);
   void SendAll(const std::vector<Envelope>& aEnvelopes);
@@ -72,10 +84,15 @@
   StateMachine& m_machine;
   const Group::SendFunction m_send;
   base::EventLog& m_events;
-  Store m_store;
-  std::unique_ptr<RaftCore> m_raft; // set by Open
-  uint64_t m_appliedIndex = 0;
-  uint64_t m_commandsSinceSnapshot = 0;                   // applied
+  Disk& m_disk;
+  uint64_t m_newIdentity = 0;       // for an empty folder
+  uint64_t m_seed = 0;              // of the next core
+  std::unique_ptr<Store> m_store;   // opened together with m_raft
+  std::unique_ptr<RaftCore> m_raft; // null before Open and while paused
+  base::TimePoint m_resumeDue;      // while paused
+  GroupStatus m_pausedStatus;
+  uint64_t m_appliedIndex = 0;          // of m_machine, also while paused
+  uint64_t m_commandsSinceSnapshot = 0; // applied
   std::map<uint64_t, PendingProposal> m_pendingProposals; // by index
   uint64_t m_lastConfirmationId = 0;
   std::map<uint64_t, Group::ConfirmCallback> m_pendingConfirmations; // by id
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -153,8 +153,10 @@
     return;
   }
   ++host.m_starts;
-  host.m_identity = host.m_driver->Raft().Identity();
-  host.m_checkedIndex = host.m_driver->Raft().CommitIndex();
+  if (!host.m_driver->IsPaused()) {
+    host.m_identity = host.m_driver->Raft().Identity();
+    host.m_checkedIndex = host.m_driver->Raft().CommitIndex();
+  }
 }
 
 void
@@ -205,7 +207,11 @@
     Crash(aName);
     return;
   }
+  if (host.m_driver->IsPaused()) {
+    return;
+  }
   const RaftCore& raft = host.m_driver->Raft();
+  host.m_identity = raft.Identity();
   if (raft.IsLeader()) {
     const auto [leader, isNew] =
       m_leaderByTerm.emplace(raft.CurrentHardState().m_term, host.m_identity);
@@ -250,7 +256,7 @@
     const Host& host = m_hosts.at(name);
     if (host.m_driver &&
         (receivers.count(name) > 0 || host.m_driver->NextDeadline() <= m_now ||
-         host.m_driver->Raft().IsLeader())) {
+         (IsRunning(host) && host.m_driver->Raft().IsLeader()))) {
       Process(name);
     }
   }
@@ -283,6 +289,17 @@
     });
 }
 
+bool
+Simulation::AcknowledgeWrite(int64_t aMillis)
+{
+  const size_t before = m_acknowledged;
+  for (int64_t i = 0; i < aMillis && m_acknowledged == before; ++i) {
+    Write();
+    Step();
+  }
+  return m_acknowledged > before;
+}
+
 void
 Simulation::Read()
 {
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -57,6 +57,11 @@
   void CrashInsideWrite(const std::string& aName);
   void Restart(const std::string& aName);
   void LoseDisk(const std::string& aName);
+  // While its disk is full, a replica is paused.
+  void SetDiskFull(const std::string& aName, bool aFull)
+  {
+    m_hosts.at(aName).m_disk->SetFull(aFull);
+  }
   // Swaps the disk with the one that was lost last, as when an operator puts an
   // old disk back. Returns false when none was lost.
   bool ReturnOldDisk(const std::string& aName);
@@ -75,9 +80,14 @@
   void Write();
   void Read();
 
-  bool IsUp(const std::string& aName)
+  // Writes until one more command is acknowledged, for at most aMillis.
+  bool AcknowledgeWrite(int64_t aMillis);
+
+  bool IsUp(const std::string& aName) { return IsRunning(m_hosts.at(aName)); }
+  bool IsPaused(const std::string& aName)
   {
-    return m_hosts.at(aName).m_driver != nullptr;
+    const Host& host = m_hosts.at(aName);
+    return host.m_driver && host.m_driver->IsPaused();
   }
   RaftDriver& DriverOf(const std::string& aName)
   {
@@ -141,6 +151,10 @@
     std::string m_payload;
   };
 
+  static bool IsRunning(const Host& aHost)
+  {
+    return aHost.m_driver && !aHost.m_driver->IsPaused();
+  }
   void Expect(bool aHolds, const std::string& aRule);
   void Send(const std::string& aFrom,
             const std::string& aTo,
--- a/chivefront/consensus/store.cc
+++ b/chivefront/consensus/store.cc
@@ -15,6 +15,10 @@
 constexpr std::string_view kLogPrefix = "log-";
 constexpr std::string_view kSnapshotPrefix = "snapshot-";
 constexpr std::string_view kTemporarySuffix = ".tmp";
+constexpr std::string_view kSpaceCheckFile = "space.tmp";
+// Bytes that must be free before a folder is used again after its disk was
+// full. Many records, or a usual document.
+constexpr size_t kSpaceCheckBytes = 64 * 1024;
 // Base of the numbers in file names, and also their number of digits.
 constexpr int kHexadecimal = 16;
 
@@ -117,6 +121,16 @@
 {
 }
 
+absl::Status
+Store::CheckSpace(Disk& aDisk)
+{
+  const std::string file(kSpaceCheckFile);
+  const absl::Status written =
+    aDisk.Append(file, std::string(kSpaceCheckBytes, '\0'));
+  const absl::Status removed = aDisk.Remove(file);
+  return written.ok() ? removed : written;
+}
+
 absl::Status
 Store::RecordFailure(absl::Status aStatus)
 {
--- a/chivefront/consensus/store.h
+++ b/chivefront/consensus/store.h
@@ -39,10 +39,15 @@
 };
 
 // Not thread-safe. After the first failure every call returns that failure,
-// because the content of a file is unknown once a sync of it has failed.
+// because the content of a file is unknown once a sync of it has failed. After
+// StorageFull another Store may open the folder: an unfinished write is then a
+// torn tail.
 class Store
 {
 public:
+  // Returns StorageFull while aDisk has no space for some records.
+  static absl::Status CheckSpace(Disk& aDisk);
+
   // A new segment is started when the open one has more than aSegmentBytes.
   Store(Disk& aDisk, size_t aSegmentBytes);
 
--- a/chivefront/consensus/tolerance_test.cc
+++ b/chivefront/consensus/tolerance_test.cc
@@ -86,19 +86,10 @@
   }
 }
 
-// Writes until one more command is acknowledged.
 bool
 AcknowledgeWrite(Simulation& aSimulation)
 {
-  const size_t before = aSimulation.Acknowledged();
-  for (int64_t i = 0; i < kStartMillis; ++i) {
-    aSimulation.Write();
-    aSimulation.Step();
-    if (aSimulation.Acknowledged() > before) {
-      return true;
-    }
-  }
-  return false;
+  return aSimulation.AcknowledgeWrite(kStartMillis);
 }
 
 // All hosts lose power, and two random voters their disks. The group must keep
--- a/chivefront/site/group_reporter.cc
+++ b/chivefront/site/group_reporter.cc
@@ -46,6 +46,9 @@
       aMetrics.AddGauge("chivefront_site_voters_wanted",
                         "Voters that the stated tolerance and the "
                         "number of hosts need."))
+  , m_pausedGauge(aMetrics.AddGauge("chivefront_site_paused",
+                                    "1 while the disk of this replica is "
+                                    "full."))
 {
   m_wantedVotersGauge.Set(aMinVoters);
 }
@@ -55,6 +58,20 @@
 {
   ReportLeader(aStatus);
   ReportMembers(aStatus);
+  ReportPause(aStatus);
+}
+
+void
+GroupReporter::ReportPause(const consensus::GroupStatus& aStatus)
+{
+  if (aStatus.m_paused == m_paused) {
+    return;
+  }
+  m_paused = aStatus.m_paused;
+  m_pausedGauge.Set(m_paused ? 1 : 0);
+  m_log.Record(m_paused ? "replica_paused" : "replica_resumed",
+               base::LogCategory::State,
+               { { "why", m_paused ? "disk_full" : "disk_has_space" } });
 }
 
 void
--- a/chivefront/site/group_reporter.h
+++ b/chivefront/site/group_reporter.h
@@ -27,11 +27,14 @@
 private:
   void ReportLeader(const consensus::GroupStatus& aStatus);
   void ReportMembers(const consensus::GroupStatus& aStatus);
+  void ReportPause(const consensus::GroupStatus& aStatus);
 
   const uint32_t m_minVoters;
   base::DecisionLog& m_log;
   base::Gauge& m_votersGauge;
   base::Gauge& m_wantedVotersGauge;
+  base::Gauge& m_pausedGauge;
+  bool m_paused = false; // as reported last
   std::string m_leader;
   // The first membership is reported even if it is empty.
   bool m_membersReported = false;
--- a/chivefront/site/group_reporter_test.cc
+++ b/chivefront/site/group_reporter_test.cc
@@ -26,3 +26,20 @@
   BOOST_TEST(metrics.Render().find("chivefront_site_voters_wanted 7") !=
              std::string::npos);
 }
+
+// Guards against a full disk that no metric shows while its process runs on.
+BOOST_AUTO_TEST_CASE(PausedReplicaIsVisible)
+{
+  base::Metrics metrics;
+  base::DecisionLog log("host/control", base::SteadyClock::Instance());
+  site::GroupReporter reporter(3, metrics, log);
+  consensus::GroupStatus status;
+  status.m_paused = true;
+  reporter.Report(status);
+  BOOST_TEST(metrics.Render().find("chivefront_site_paused 1") !=
+             std::string::npos);
+  status.m_paused = false;
+  reporter.Report(status);
+  BOOST_TEST(metrics.Render().find("chivefront_site_paused 0") !=
+             std::string::npos);
+}
