End a replica whose folder was replaced during a pause

Cause: after a pause the folder is opened like one of a new process. An emptied folder got the identity of the first start again, so the replica could have voted twice in a term. Besides, a missing folder could not be created on a full disk at the start, which ended the process.

Change: after the first start a new identity stands ready, and another identity than before a pause is Corrupt, which stops the process. The folder is created when it is listed, so a full disk there pauses too (by reading; no test).

--- a/chivefront/consensus/disk.cc
+++ b/chivefront/consensus/disk.cc
@@ -109,6 +109,9 @@
 absl::StatusOr<std::vector<std::string>>
 PosixDisk::List()
 {
+  if (auto status = Open(); !status.ok()) {
+    return status;
+  }
   std::error_code error;
   std::vector<std::string> names;
   std::filesystem::directory_iterator files(m_folder, error);
--- a/chivefront/consensus/disk.h
+++ b/chivefront/consensus/disk.h
@@ -20,7 +20,7 @@
 public:
   virtual ~Disk() = default;
 
-  // Names of all files in the folder, sorted.
+  // Names of all files in the folder, sorted. Creates a missing folder.
   virtual absl::StatusOr<std::vector<std::string>> List() = 0;
   virtual absl::StatusOr<std::string> Read(const std::string& aFile) = 0;
   // Appends to a file, which is created when it is missing.
--- a/chivefront/consensus/full_disk_test.cc
+++ b/chivefront/consensus/full_disk_test.cc
@@ -112,3 +112,24 @@
   BOOST_TEST(simulation.ReportsRepair());
   BOOST_TEST(simulation.Violations().empty());
 }
+
+// Guards against a replica that goes on with an empty folder after a pause: it
+// would have forgotten its votes under the same identity.
+BOOST_AUTO_TEST_CASE(FolderReplacedDuringAPauseEndsTheReplica)
+{
+  Simulation simulation(9, kHosts);
+  simulation.Run(kStartMillis);
+  BOOST_REQUIRE(simulation.AcknowledgeWrite(kAcknowledgeMillis));
+  simulation.SetDiskFull("a", true);
+  KeepWriting(simulation, kFullMillis);
+  BOOST_REQUIRE(simulation.IsPaused("a"));
+  simulation.EmptyFolder("a");
+  simulation.SetDiskFull("a", false);
+  simulation.Run(kStartMillis);
+  BOOST_TEST(HasEnded(simulation, "a"));
+  // Another process on the folder is another replica.
+  simulation.Restart("a");
+  simulation.Run(2 * kStartMillis);
+  BOOST_TEST(simulation.ReportsRepair());
+  BOOST_TEST(simulation.Violations().empty());
+}
--- a/chivefront/consensus/group.cc
+++ b/chivefront/consensus/group.cc
@@ -110,9 +110,6 @@
 absl::Status
 Group::Impl::Start()
 {
-  if (auto status = m_disk.Open(); !status.ok()) {
-    return status;
-  }
   const absl::Status status =
     m_driver.Open(base::RandomBits(), base::RandomBits(), Now());
   if (!status.ok()) {
--- a/chivefront/consensus/memory_disk.h
+++ b/chivefront/consensus/memory_disk.h
@@ -22,6 +22,11 @@
   void FailFrom(uint64_t aOperation) { m_failFrom = aOperation; }
   // While full, an append writes half of its bytes and returns StorageFull.
   void SetFull(bool aFull) { m_full = aFull; }
+  void RemoveAll()
+  {
+    m_folder.clear();
+    m_syncedFolder.clear();
+  }
   uint64_t Operations() const { return m_operations; }
   uint64_t Syncs() const { return m_syncs; }
 
--- a/chivefront/consensus/raft_driver.cc
+++ b/chivefront/consensus/raft_driver.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
 #include "chivefront/base/log.h"
 #include "chivefront/consensus/codec.h"
 
@@ -61,6 +62,13 @@
   if (!state.ok()) {
     return state.status();
   }
+  if (m_identity != 0 && state->m_identity != m_identity) {
+    return base::MakeError(base::ErrorKind::Corrupt,
+                           "the data folder was replaced during a pause");
+  }
+  m_identity = state->m_identity;
+  // A folder that is empty after a pause must not get the same identity again.
+  m_newIdentity = base::StableHash("replaced folder", m_identity);
   if (state->m_snapshot && state->m_snapshot->m_index > m_appliedIndex) {
     auto status = m_machine.Restore(state->m_snapshot->m_data);
     if (!status.ok()) {
--- a/chivefront/consensus/raft_driver.h
+++ b/chivefront/consensus/raft_driver.h
@@ -85,6 +85,7 @@
   const Group::SendFunction m_send;
   base::EventLog& m_events;
   Disk& m_disk;
+  uint64_t m_identity = 0;          // of the folder; 0 before it was opened
   uint64_t m_newIdentity = 0;       // for an empty folder
   uint64_t m_seed = 0;              // of the next core
   std::unique_ptr<Store> m_store;   // opened together with m_raft
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -62,6 +62,11 @@
   {
     m_hosts.at(aName).m_disk->SetFull(aFull);
   }
+  // Removes all files while the process runs.
+  void EmptyFolder(const std::string& aName)
+  {
+    m_hosts.at(aName).m_disk->RemoveAll();
+  }
   // Swaps the disk with the one that was lost last, as when an operator puts an
   // old disk back. Returns false when none was lost.
   bool ReturnOldDisk(const std::string& aName);
--- a/chivefront/consensus/store.cc
+++ b/chivefront/consensus/store.cc
@@ -124,6 +124,9 @@
 absl::Status
 Store::CheckSpace(Disk& aDisk)
 {
+  if (const auto names = aDisk.List(); !names.ok()) {
+    return names.status();
+  }
   const std::string file(kSpaceCheckFile);
   const absl::Status written =
     aDisk.Append(file, std::string(kSpaceCheckBytes, '\0'));
