Report no losses of requests that were answered since

Cause: an entry reported the losses of a request for two minutes, also when it had been answered; each poll grew with them. Found by reading; a comment claimed otherwise.

Change: an answer removes the request's losses at its entry.

--- a/chivefront/routing/part_evidence.cc
+++ b/chivefront/routing/part_evidence.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr size_t kMaxLosses = 256;
-// Requests that were answered since are removed, so few are left.
+// Losses of requests that were answered since are removed, so few are left.
 constexpr size_t kMaxRequestLosses = 128;
 // Parts per generation; about 1 MiB for both generations.
 constexpr size_t kMaxParts = 8192;
@@ -88,6 +88,9 @@
     m_partsBegun.Record(part, aNow);
   }
   m_requestsBegun.Record(aRequest, aNow);
+  std::erase_if(m_requestLosses, [aRequest](const PartLoss& aLoss) {
+    return aLoss.m_part == aRequest;
+  });
 }
 
 void
--- a/chivefront/routing/part_quarantine.h
+++ b/chivefront/routing/part_quarantine.h
@@ -4,7 +4,7 @@
 //
 //   quarantine.Record(report);
 //   quarantine.OnHeard(upstream, reportedAt); // for each registered upstream
-//   for (const Quarantined& added : quarantine.Update(now)) ... log it ...
+//   for (const CrashCause& cause : quarantine.Update(now)) ... log it ...
 //   reply(quarantine.Suspects(), quarantine.Quarantined());
 //
 // A part is quarantined when requests with it lost their upstream time after
--- a/chivefront/routing/part_quarantine_test.cc
+++ b/chivefront/routing/part_quarantine_test.cc
@@ -204,6 +204,19 @@
   BOOST_TEST(requests == std::set<PartKey>{ kDeadly });
 }
 
+// Guards against polls that grow with each lost attempt: losses of requests
+// that were answered since were reported for two minutes.
+BOOST_FIXTURE_TEST_CASE(LossesOfAnsweredRequestsAreNotReported, Fixture)
+{
+  LoseUpstream(0, { kSound, kDeadly });
+  m_evidence.OnBegun({}, kSound, At(500));
+  const PartReport report = m_evidence.Report({ kSound }, At(600));
+  BOOST_REQUIRE(report.m_losses.size() == 1U);
+  BOOST_TEST(report.m_losses.front().m_part == kDeadly);
+  // The leader may know the loss already, so it is told of the answer.
+  BOOST_TEST(report.m_begun.count(kSound) == 1U);
+}
+
 // Guards against blaming a request for connections that break while the
 // upstreams live, as when a link is reset.
 BOOST_FIXTURE_TEST_CASE(UpstreamThatIsHeardAgainHasNotCrashed, Fixture)
