--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -15,10 +15,9 @@
 //
 // No change leaves a group that bears fewer losses than stated. A silent voter
 // counts for this, because it may only be cut off: with it, the voters left
-// after a lost disk can still be a majority. Joint consensus, which would
-// replace a voter in one change, is not implemented; a single-server change
-// can't do it, because {a, b, c} and {a, b, d} have majorities without a common
-// replica.
+// after a lost disk can still be a majority. A single change can't replace a
+// voter without joint consensus: {a, b, c} and {a, b, d} have majorities
+// without a common replica.
 //
 // A replica without a durable disk stays a learner.
 #include <algorithm>
