--- a/chivefront/proxy/unframed_answer_test.cc
+++ b/chivefront/proxy/unframed_answer_test.cc
@@ -105,3 +105,26 @@
   BOOST_TEST(Contains(answer, "data: b"));
   BOOST_TEST(m_far.m_requests.size() == 1U);
 }
+
+// Guards against a 200 with an empty or short body that looks whole: an
+// upstream stopped in the middle of the head of its answer and closed.
+BOOST_AUTO_TEST_CASE(HeadThatIsCutOffIsNoAnswer)
+{
+  const std::string start = "HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\n";
+  for (const std::string& head : { std::string("HTTP/1.1 200"),
+                                   std::string("HTTP/1.1 200 OK\r\n"),
+                                   start,
+                                   start + "Content-Le",
+                                   start + "Content-Length: 4",
+                                   start + "Content-Length: 4\r\n",
+                                   start + "Content-Length: 4\r\n\r" }) {
+    for (const char* route : { "plain", "once", "stream" }) {
+      RunningEntry entry;
+      entry.m_near.AddScript(head + kCloseConnection);
+      entry.m_far.AddScript(head + kCloseConnection);
+      const std::string answer = entry.Call(MakeRequest(route));
+      BOOST_TEST(Contains(answer, "HTTP/1.1 502 "), route << ": " << answer);
+      BOOST_TEST(!Contains(answer, "HTTP/1.1 200"), route << ": " << answer);
+    }
+  }
+}
