Reserve the ports of test processes

Cause: TestCluster asked the system for a free port, closed it, and listened on it later. In between the system may hand the port out again, to another node of the same cluster or to a server of a test that runs beside it.

Change: ReservedPort keeps a socket bound, but not listening, for as long as the port is needed; the servers set SO_REUSEADDR and listen beside it. Used by TestCluster, the entry's fixture and net_test; reserve_ports does the same for the end-to-end tests. A node that can't start now says why.

--- a/chivefront/ctl/test_cluster.h
+++ b/chivefront/ctl/test_cluster.h
@@ -15,6 +15,7 @@
 #include "chivefront/client/watcher.h"
 #include "chivefront/control/node.h"
 #include "chivefront/ctl/control_client.h"
+#include "chivefront/net/testing/reserved_port.h"
 
 namespace chivefront::ctl {
 
@@ -78,7 +79,8 @@
     : TestProcess(aName, wire::Role::Control)
     , m_node(m_context, m_identity, std::move(aOptions), m_events, m_metrics)
   {
-    BOOST_REQUIRE(m_node.Start().ok());
+    const absl::Status status = m_node.Start();
+    BOOST_REQUIRE_MESSAGE(status.ok(), aName << ": " << status.message());
     StartLoop();
   }
   // Ends as a killed process does: without notice to the other nodes.
@@ -91,16 +93,6 @@
   control::Node m_node;
 };
 
-// Returns an endpoint of this machine where nothing listens.
-inline base::Endpoint
-UnusedEndpoint()
-{
-  net::asio::io_context context;
-  net::asio::ip::tcp::acceptor acceptor(
-    context, { net::asio::ip::make_address("127.0.0.1"), 0 });
-  return { "127.0.0.1", acceptor.local_endpoint().port() };
-}
-
 // The nodes c1, c2 and c3, which are started by the constructor.
 class TestCluster
 {
@@ -110,7 +102,7 @@
              ("chivefront-cluster-" + base::RequestId::Random().ToString()))
   {
     for (const char* name : { "c1", "c2", "c3" }) {
-      m_peers[name] = UnusedEndpoint();
+      m_peers[name] = m_ports[name].Address();
     }
     for (const auto& [name, endpoint] : m_peers) {
       Start(name);
@@ -129,7 +121,7 @@
   {
     control::PeerMap peers = m_peers;
     for (auto& [name, endpoint] : peers) {
-      endpoint = name == aName ? endpoint : UnusedEndpoint();
+      endpoint = name == aName ? endpoint : m_unusedPort.Address();
     }
     StartWith(aName, peers);
   }
@@ -197,6 +189,8 @@
   }
 
   const std::filesystem::path m_root;
+  std::map<std::string, net::testing::ReservedPort> m_ports; // by name
+  const net::testing::ReservedPort m_unusedPort; // where nothing listens
   control::PeerMap m_peers;
   std::map<std::string, std::unique_ptr<TestNode>> m_nodes;
 };
--- a/chivefront/net/net_test.cc
+++ b/chivefront/net/net_test.cc
@@ -14,6 +14,7 @@
 #include "chivefront/net/http_server.h"
 #include "chivefront/net/link.h"
 #include "chivefront/net/runtime.h"
+#include "chivefront/net/testing/reserved_port.h"
 
 using namespace chivefront;
 namespace asio = boost::asio;
@@ -268,16 +269,10 @@
 BOOST_AUTO_TEST_CASE(RefusedConnectionIsNotRun)
 {
   EventLoop loop;
-  base::Endpoint closed;
-  {
-    asio::io_context context;
-    asio::ip::tcp::acceptor acceptor(
-      context, { asio::ip::make_address("127.0.0.1"), 0 });
-    closed = { "127.0.0.1", acceptor.local_endpoint().port() };
-  }
+  const net::testing::ReservedPort closed;
   const auto result = loop.Await<absl::StatusOr<net::HttpResponse>>(
     [&]() -> net::Task<absl::StatusOr<net::HttpResponse>> {
-      co_return co_await net::HttpCall(closed, {}, {});
+      co_return co_await net::HttpCall(closed.Address(), {}, {});
     });
   BOOST_TEST((base::KindOf(result.status()) == base::ErrorKind::NoUpstream));
 }
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -14,6 +14,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/net/testing/reserved_port.h"
 #include "chivefront/proxy/entry.h"
 #include "chivefront/site/messages.h"
 
@@ -236,9 +237,6 @@
   {
     m_identity.m_process = "entry";
     m_config = MakeConfig(aTimeout);
-    // Picks a free port; the probe closes it before the entry binds it.
-    const Tcp::acceptor probe(m_context, Tcp::endpoint(Tcp::v4(), 0));
-    m_port = probe.local_endpoint().port();
   }
 
   static routing::ConfigPointer MakeConfig(base::Millis aTimeout)
@@ -439,7 +437,8 @@
   site::Watch m_watch;
   ScriptedUpstream m_near;
   ScriptedUpstream m_far;
-  uint16_t m_port = 0;
+  const net::testing::ReservedPort m_reservedPort;
+  const uint16_t m_port = m_reservedPort.Port();
   std::string m_nearVersion; // being rolled out; empty: no roll-out
   std::string m_farVersion;
   bool m_onlyNear = false;                       // m_far is not registered
--- a/scripts/lib/deployment.py
+++ b/scripts/lib/deployment.py
@@ -10,7 +10,7 @@
 import tempfile
 import time
 
-from processes import (Failure, Process, Relay, free_ports, http, wait_until)
+from processes import (Failure, Process, Relay, reserve_ports, http, wait_until)
 
 DOMAINS = ["riga-a", "riga-b", "riga-c", "riga-d"]
 SECRET = "local-deployment-secret"
@@ -54,7 +54,7 @@
         self.agent_options = list(agent_options)
         self.controls = [f"control-{i + 1}" for i in range(controls)]
         self.entries = [f"entry-{i + 1}" for i in range(entries)]
-        ports = free_ports(controls)
+        ports = reserve_ports(controls)
         self.control_address = {name: f"127.0.0.1:{port}" for name, port
                                 in zip(self.controls, ports)}
 
--- a/scripts/lib/processes.py
+++ b/scripts/lib/processes.py
@@ -23,15 +23,19 @@
     """A failed step; the text tells the user the reason."""
 
 
-def free_ports(count):
-    """Distinct ports that were free at the time of the call."""
+# Sockets that keep ports of this program's processes.
+_reserved = []
+
+
+def reserve_ports(count):
+    """Distinct ports that the system gives to no one else until this program
+    ends. Servers that set SO_REUSEADDR can listen on them."""
     sockets = [socket.socket() for _ in range(count)]
     for sock in sockets:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    _reserved.extend(sockets)
+    return [sock.getsockname()[1] for sock in sockets]
 
 
 def wait_until(condition, seconds, what):
