Take a first configuration only from a process that hears a leader

Found by reading, from what docs/incidents/silent-voter.md left open: an entry that starts during a cut may ask a control process first that has lost its leader. That process has heard a leader since its start, so its state passed as current, although the leader may have acknowledged a newer one behind the cut. The entry served the old one until its next polls.

Change: the first configuration must come from a process that leads or hears a leader. When none answers within 3 s, the state of one that has lost its leader is taken, as by an entry that was running before; state that only a disk has held is still refused. state_unconfirmed tells the two cases apart.

--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -18,6 +18,9 @@
 constexpr base::Millis kInitialPollPeriod{ 40 };
 // Five polls without a leader; an election takes less than this.
 constexpr base::Millis kLeaderSilence{ 1000 };
+// For so long a new entry waits for a control process that hears a leader,
+// before it takes the state of one that has lost its leader.
+constexpr base::Millis kLeaderWait{ 3000 };
 
 } // namespace detail
 
@@ -30,6 +33,7 @@
   : m_context(aContext)
   , m_identity(aIdentity)
   , m_clock(aClock)
+  , m_startedAt(aClock.Now())
   , m_log(aLog)
   , m_decoder(std::move(aDecoder))
   , m_holder(aIdentity.m_process + "#" +
@@ -216,18 +220,26 @@
 }
 
 // An entry without a configuration does not take one from a process that has
-// only read its disk: entries of this host may have served a newer one. An
-// entry that has a configuration takes any newer state.
+// only read its disk: entries of this host may have served a newer one. A
+// process that has lost its leader may be cut off from a newer state that
+// another one has, so its state is taken only after kLeaderWait. An entry that
+// has a configuration takes any newer state.
 bool
 Watch::MayAdoptState(const wire::WatchReplyT& aReply)
 {
-  const bool mayAdopt = m_view.m_config || !aReply.unconfirmed;
-  if (!mayAdopt && !m_refusesUnconfirmed) {
-    m_log.Record("state_unconfirmed",
-                 base::LogCategory::State,
-                 { { "revision", aReply.revision } });
+  const bool hearsLeader = aReply.fresh || !aReply.leader.empty();
+  const bool hasWaited = m_clock.Now() - m_startedAt >= detail::kLeaderWait;
+  const bool mayAdopt =
+    m_view.m_config || (!aReply.unconfirmed && (hearsLeader || hasWaited));
+  if (!mayAdopt && !m_refusesState) {
+    m_log.Record(
+      "state_unconfirmed",
+      base::LogCategory::State,
+      { { "revision", aReply.revision },
+        { "leader", aReply.leader },
+        { "applied_since_start", aReply.unconfirmed ? "no" : "yes" } });
   }
-  m_refusesUnconfirmed = !mayAdopt;
+  m_refusesState = !mayAdopt;
   return mayAdopt;
 }
 
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -103,6 +103,7 @@
   net::asio::io_context& m_context;
   const net::LinkIdentity& m_identity;
   const base::Clock& m_clock;
+  const base::TimePoint m_startedAt;
   base::DecisionLog& m_log;
   const routing::DocumentDecoder m_decoder;
   const std::string m_holder;
@@ -121,9 +122,9 @@
   size_t m_nextLink = 0; // round robin while the leader is unknown
   uint64_t m_registryEpoch = 0;
   uint64_t m_registrySequence = 0;
-  bool m_connected = false;          // last logged state
-  bool m_hearsLeader = false;        // last logged state
-  bool m_refusesUnconfirmed = false; // last logged state
+  bool m_connected = false;    // last logged state
+  bool m_hearsLeader = false;  // last logged state
+  bool m_refusesState = false; // last logged state
   bool m_stopped = false;
 };
 
--- a/chivefront/site/watch_test.cc
+++ b/chivefront/site/watch_test.cc
@@ -30,9 +30,12 @@
     return m_watch.View().m_liveEntries;
   }
 
-  // A control process answers with the document aNumber, which is also the
-  // revision. Returns the number in the view.
-  uint64_t NumberAfterState(uint64_t aNumber, bool aUnconfirmed)
+  // A control process that hears aLeader (empty: none) answers with the
+  // document aNumber, which is also the revision. Returns the number in the
+  // view.
+  uint64_t NumberAfterState(uint64_t aNumber,
+                            bool aUnconfirmed,
+                            const std::string& aLeader = "control-1")
   {
     State state;
     state.m_revision = aNumber;
@@ -40,6 +43,7 @@
     state.m_document = std::make_shared<const std::string>("{}");
     wire::WatchReplyT reply;
     reply.unconfirmed = aUnconfirmed;
+    reply.leader = aLeader;
     reply.snapshot = true;
     reply.revision = aNumber;
     reply.entries = ToEntries(state, 0, m_clock.Now());
@@ -107,3 +111,22 @@
   // State that is newer than its own is taken from any process.
   BOOST_TEST(NumberAfterState(11, true) == 11U);
 }
+
+// Guards against an entry that starts during a cut and asks a control process
+// that has lost its leader first: it took the state of before the cut, while
+// the leader had acknowledged a newer one.
+BOOST_FIXTURE_TEST_CASE(FirstStateNeedsAProcessThatHearsALeader, WatchFixture)
+{
+  BOOST_TEST(NumberAfterState(3, false, "") == 0U);
+  BOOST_TEST(NumberAfterState(10, false) == 10U);
+}
+
+// Guards against an entry that never serves while no control process hears a
+// leader. State that only a disk has held is not taken then either.
+BOOST_FIXTURE_TEST_CASE(FirstStateDoesNotWaitForALeaderForever, WatchFixture)
+{
+  BOOST_TEST(NumberAfterState(3, false, "") == 0U);
+  m_clock.Advance(base::Millis(3000));
+  BOOST_TEST(NumberAfterState(4, true, "") == 0U);
+  BOOST_TEST(NumberAfterState(3, false, "") == 3U);
+}
