Refuse late requests that could outlive the drain

Cause: a draining entry refused streams, but passed every other request on, whatever time it could still take. A request with a long timeout, or one whose body arrived late, outlived the process.

--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -169,6 +169,7 @@
 {
   const base::TimePoint started = m_shared.m_clock.Now();
   m_shared.m_draining = true;
+  m_shared.m_drainEnd = started + aMaxDuration;
   m_shared.m_log.Record(
     "draining",
     base::LogCategory::State,
@@ -176,8 +177,7 @@
   co_await net::Sleep(aNoticeTime);
   error_code ignored; // the acceptor is not used again
   m_acceptor.close(ignored);
-  while (!m_callers.empty() &&
-         m_shared.m_clock.Now() - started < aMaxDuration) {
+  while (!m_callers.empty() && m_shared.m_clock.Now() < m_shared.m_drainEnd) {
     CloseIdle();
     co_await net::Sleep(detail::kDrainPollPeriod);
   }
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -44,10 +44,11 @@
   // Whether the entry has a configuration and is not draining.
   bool Ready() const;
 
-  // Shuts down gracefully. For aNoticeTime requests are still served, with
-  // "Connection: close", so that the load balancer can switch to other entries.
-  // Then no connection is accepted, and Drain returns when all connections have
-  // ended or aMaxDuration after the call.
+  // Shuts down gracefully. For aNoticeTime requests are still accepted, so that
+  // the load balancer can switch to other entries; those that could run for
+  // longer than the drain are refused. Then no connection is accepted, and
+  // Drain returns when all connections have ended or aMaxDuration after the
+  // call.
   net::Task<void> Drain(base::Millis aNoticeTime, base::Millis aMaxDuration);
 
 private:
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -103,13 +103,12 @@
       co_return false;
     }
   }
-  // A stream that starts now may still run when this process exits. Another
-  // entry can take the request at once.
-  if (m_shared.m_draining && m_route->m_stream) {
+  m_deadline = m_receivedAt + RequestTimeout(*m_route);
+  if (MayOutliveDrain()) {
+    // Another entry can take the request at once.
     co_await Refuse(503, "draining", detail::kRetryElsewhere);
     co_return false;
   }
-  m_deadline = m_receivedAt + RequestTimeout(*m_route);
   m_service = m_config->FindService(
     routing::ChooseService(*m_route, m_metadata.m_attemptId));
   for (size_t i = 0; i + 1 < m_metadata.m_promptParts.size(); ++i) {
@@ -124,6 +123,14 @@
   co_return true;
 }
 
+// Whether the request may still run when this process exits.
+bool
+Exchange::MayOutliveDrain() const
+{
+  return m_shared.m_draining &&
+         (m_route->m_stream || m_deadline > m_shared.m_drainEnd);
+}
+
 bool
 Exchange::HasQuarantinedPart() const
 {
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -83,6 +83,7 @@
   net::Task<void> WaitForConfiguration();
   net::Task<bool> ResolveRoute();
   net::Task<bool> RefuseQuarantined();
+  bool MayOutliveDrain() const;
   bool HasQuarantinedPart() const;
   routing::PartKey MakeRequestKey() const;
   net::Task<void> RunAttempts();
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -108,6 +108,7 @@
   const std::string m_domain; // failure domain of this entry
   const RetryBudgetLimits m_retryLimits;
   bool m_draining = false;
+  base::TimePoint m_drainEnd; // while draining: when running requests are ended
   routing::LatencyBaselines m_baselines{};
   routing::SlowThreshold m_slowThreshold{}; // of answers, by route and model
   // By service.
