Answer requests that outlive the drain before the process exits

Cause: Drain returned after its maximum duration and left the requests that still ran to the exit of the process.

Change: 100 ms before the end of the drain the entry ends the requests that still run: 503 when nothing was sent (not run, another entry can take it at once), 502 when it may have run, and a visible cut for a stream that has begun. Work at the upstream is stopped. "drained" says how many requests were ended.

--- a/chivefront/proxy/drain_test.cc
+++ b/chivefront/proxy/drain_test.cc
@@ -12,16 +12,26 @@
 
 struct DrainingEntry : EntryFixture
 {
-  void StartDrain(int64_t aNoticeMillis, int64_t aMaxMillis)
+  // Starts the drain. When it ends, which is when the process would exit, the
+  // bytes that aReceived has by then are kept in m_receivedAtExit.
+  void StartDrain(int64_t aNoticeMillis,
+                  int64_t aMaxMillis,
+                  std::shared_ptr<std::string> aReceived = nullptr)
   {
-    net::Spawn(m_context.get_executor(),
-               "test",
-               [this, aNoticeMillis, aMaxMillis]() -> net::Task<void> {
-                 co_await m_entry->Drain(base::Millis(aNoticeMillis),
-                                         base::Millis(aMaxMillis));
-               });
+    net::Spawn(
+      m_context.get_executor(),
+      "test",
+      [this, aNoticeMillis, aMaxMillis, aReceived]() -> net::Task<void> {
+        co_await m_entry->Drain(base::Millis(aNoticeMillis),
+                                base::Millis(aMaxMillis));
+        m_drained = true;
+        m_receivedAtExit = aReceived ? *aReceived : "";
+      });
     RunFor(20);
   }
+
+  bool m_drained = false;
+  std::string m_receivedAtExit;
 };
 
 } // namespace
@@ -80,3 +90,60 @@
   BOOST_TEST(Contains(answer, "HTTP/1.1 503"));
   BOOST_TEST(m_near.m_requests.empty());
 }
+
+// Guards against a request that ran when the shutdown began and is cut off
+// without an answer when the process exits. It may have run.
+BOOST_FIXTURE_TEST_CASE(RequestThatOutlivesTheDrainIsAnswered, DrainingEntry)
+{
+  Start();
+  Configure();
+  m_near.AddScript(kHoldConnection);
+  const auto received = StartCall(MakeRequest("once"));
+  RunFor(50);
+  BOOST_REQUIRE(m_near.m_requests.size() == 1U);
+  StartDrain(0, 500, received);
+  RunFor(300);
+  BOOST_TEST(received->empty()); // the upstream still has time
+  RunFor(400);
+  BOOST_TEST(m_drained);
+  BOOST_TEST(Contains(m_receivedAtExit, "HTTP/1.1 502"));
+  BOOST_TEST(Contains(m_receivedAtExit, "unknown"));
+  BOOST_TEST(m_near.m_closedByPeer == 1);
+}
+
+// Guards against a request that waits for an upstream or a configuration and is
+// cut off without an answer when the process exits. It has not run.
+BOOST_FIXTURE_TEST_CASE(RequestThatWaitsAtTheEndOfTheDrainIsRefused,
+                        DrainingEntry)
+{
+  Start();
+  const auto received = StartCall(MakeRequest("once"));
+  RunFor(50);
+  StartDrain(0, 500, received);
+  RunFor(700);
+  BOOST_TEST(m_drained);
+  BOOST_TEST(Contains(m_receivedAtExit, "HTTP/1.1 503"));
+  BOOST_TEST(Contains(m_receivedAtExit, "not_run"));
+}
+
+// Guards against a stream that the exit ends as if it were complete, and
+// against a drain that waits for it longer than it may.
+BOOST_FIXTURE_TEST_CASE(StreamThatOutlivesTheDrainIsCutOff, DrainingEntry)
+{
+  Start();
+  Configure();
+  const std::string pause = kPauseWriting;
+  std::string script = kStreamHead + Chunk("id: 1\ndata: a\n\n");
+  for (const char* id : { "2", "3", "4" }) {
+    script += pause + Chunk("id: " + std::string(id) + "\ndata: b\n\n");
+  }
+  m_near.AddScript(script + kHoldConnection);
+  const auto received = StartCall(MakeRequest("stream"));
+  RunFor(50);
+  BOOST_REQUIRE(Contains(*received, "data: a"));
+  StartDrain(0, 500, received);
+  RunFor(700);
+  BOOST_TEST(m_drained);
+  BOOST_TEST(!Contains(m_receivedAtExit, "0\r\n\r\n"));
+  BOOST_TEST(!Contains(m_receivedAtExit, "HTTP/1.1 50"));
+}
--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -18,6 +18,8 @@
 constexpr base::Millis kSweepPeriod{ 500 };
 constexpr base::Millis kAcceptRetryDelay{ 50 };
 constexpr base::Millis kDrainPollPeriod{ 20 };
+// Part of the drain in which the requests that still run are answered.
+constexpr base::Millis kLastAnswersTime{ 100 };
 // Limits of callers before the first configuration.
 constexpr routing::CallerLimits kDefaultLimits{};
 
@@ -149,7 +151,9 @@
       break;
     }
     const auto exchange = std::make_shared<Exchange>(m_shared, aCaller);
+    m_exchanges.insert(exchange);
     co_await exchange->Run();
+    m_exchanges.erase(exchange);
     keepAlive = aCaller->KeepAlive() && !m_shared.m_draining;
   }
   aCaller->Close();
@@ -164,12 +168,21 @@
   }
 }
 
+net::Task<void>
+Entry::AwaitCallers(base::TimePoint aUntil)
+{
+  while (!m_callers.empty() && m_shared.m_clock.Now() < aUntil) {
+    CloseIdle();
+    co_await net::Sleep(detail::kDrainPollPeriod);
+  }
+}
+
 net::Task<void>
 Entry::Drain(base::Millis aNoticeTime, base::Millis aMaxDuration)
 {
-  const base::TimePoint started = m_shared.m_clock.Now();
+  const base::TimePoint exit = m_shared.m_clock.Now() + aMaxDuration;
   m_shared.m_draining = true;
-  m_shared.m_drainEnd = started + aMaxDuration;
+  m_shared.m_drainEnd = exit - detail::kLastAnswersTime;
   m_shared.m_log.Record(
     "draining",
     base::LogCategory::State,
@@ -177,14 +190,17 @@
   co_await net::Sleep(aNoticeTime);
   error_code ignored; // the acceptor is not used again
   m_acceptor.close(ignored);
-  while (!m_callers.empty() && m_shared.m_clock.Now() < m_shared.m_drainEnd) {
-    CloseIdle();
-    co_await net::Sleep(detail::kDrainPollPeriod);
+  co_await AwaitCallers(m_shared.m_drainEnd);
+  const uint64_t requestsEnded = m_exchanges.size();
+  for (const auto& exchange : m_exchanges) {
+    exchange->EndForShutdown();
   }
+  co_await AwaitCallers(exit);
   m_shared.m_log.Record(
     "drained",
     base::LogCategory::State,
-    { { "connections_cut", static_cast<uint64_t>(m_callers.size()) } });
+    { { "connections_cut", static_cast<uint64_t>(m_callers.size()) },
+      { "requests_ended", requestsEnded } });
 }
 
 } // namespace chivefront::proxy
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -18,6 +18,7 @@
 namespace chivefront::proxy {
 
 class CallerConnection;
+class Exchange;
 
 struct EntryOptions
 {
@@ -48,7 +49,7 @@
   // the load balancer can switch to other entries; those that could run for
   // longer than the drain are refused. Then no connection is accepted, and
   // Drain returns when all connections have ended or aMaxDuration after the
-  // call.
+  // call. Requests that still run shortly before are ended with an answer.
   net::Task<void> Drain(base::Millis aNoticeTime, base::Millis aMaxDuration);
 
 private:
@@ -56,6 +57,8 @@
   net::Task<void> Serve(std::shared_ptr<CallerConnection> aCaller);
   net::Task<bool> Sweep();
   void CloseIdle();
+  // Closes idle connections until none is left or aUntil has passed.
+  net::Task<void> AwaitCallers(base::TimePoint aUntil);
 
   net::asio::io_context& m_context;
   const EntryOptions m_options;
@@ -67,6 +70,7 @@
   RequestMetrics m_metrics;
   SharedState m_shared;
   std::set<std::shared_ptr<CallerConnection>> m_callers;
+  std::set<std::shared_ptr<Exchange>> m_exchanges; // running
 };
 
 } // namespace chivefront::proxy
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -246,6 +246,12 @@
   }
 }
 
+void
+Exchange::EndForShutdown()
+{
+  Abort(AbortReason::ShuttingDown);
+}
+
 bool
 Exchange::IsRetryable() const
 {
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -24,6 +24,9 @@
   Exchange(SharedState& aShared, std::shared_ptr<CallerConnection> aCaller);
 
   net::Task<void> Run();
+  // Ends the request because the process exits. The caller gets an answer, or
+  // sees that its response is truncated.
+  void EndForShutdown();
 
 private:
   // Results of one attempt.
@@ -78,6 +81,7 @@
     None,
     CallerDisconnected,
     DeadlineExceeded,
+    ShuttingDown,
   };
 
   net::Task<void> WaitForConfiguration();
@@ -118,6 +122,7 @@
   net::Task<void> ForwardUpstreamError(UpstreamError aError);
   net::Task<void> WriteOwnResponse(std::string aHead, std::string aBody);
   net::Task<void> RespondDeadlineExceeded();
+  net::Task<void> RespondShuttingDown();
 
   void StartMonitoring();
   void StartDeadlineTimer();
--- a/chivefront/proxy/exchange_response.cc
+++ b/chivefront/proxy/exchange_response.cc
@@ -106,17 +106,36 @@
   co_await Fail(504, "time_over");
 }
 
-// Ends a request that was aborted by its deadline or by its caller.
+net::Task<void>
+Exchange::RespondShuttingDown()
+{
+  if (!m_mayHaveRun && m_sendCount == 0) {
+    co_await Refuse(503, "draining", detail::kRetryElsewhere);
+    co_return;
+  }
+  co_await Fail(502, "draining");
+}
+
+// Ends a request that was aborted.
 net::Task<void>
 Exchange::RespondToAbort()
 {
-  if (m_abortReason == AbortReason::DeadlineExceeded &&
-      !m_caller->ResponseEnded()) {
-    co_await RespondDeadlineExceeded();
-  } else if (m_abortReason == AbortReason::CallerDisconnected &&
-             !m_caller->ResponseEnded()) {
-    m_shared.m_metrics.m_callerLeft.Increment();
-    LogEnd(base::LogCategory::Success, "caller_left", 0, "");
+  if (m_caller->ResponseEnded()) {
+    co_return;
+  }
+  switch (m_abortReason) {
+    case AbortReason::None:
+      break;
+    case AbortReason::CallerDisconnected:
+      m_shared.m_metrics.m_callerLeft.Increment();
+      LogEnd(base::LogCategory::Success, "caller_left", 0, "");
+      break;
+    case AbortReason::DeadlineExceeded:
+      co_await RespondDeadlineExceeded();
+      break;
+    case AbortReason::ShuttingDown:
+      co_await RespondShuttingDown();
+      break;
   }
 }
 
