Split the choice of an upstream out of exchange.cc

The functions that choose the upstream and the model of the next attempt, and wait for one, stand in exchange_choice.cc now. No function changed; a constant that both files used got two names.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -1,13 +1,11 @@
-// Runs one request: route, choice of upstreams, attempts and retries.
+// Runs one request: route, deadline, attempts and retries.
 #include "chivefront/proxy/exchange.h"
 
 #include <algorithm>
 
 #include "chivefront/proxy/retry_after.h"
 #include "chivefront/proxy/text_view.h"
-#include "chivefront/proxy/waiting_request.h"
 #include "chivefront/routing/model_choice.h"
-#include "chivefront/routing/silence.h"
 
 namespace chivefront::proxy {
 namespace http = boost::beast::http;
@@ -15,16 +13,8 @@
 namespace detail {
 
 constexpr base::Millis kDefaultTimeout{ 30000 };
-// Interval at which a request that waits looks for an upstream or a
-// configuration.
-constexpr base::Millis kPollPeriod{ 15 };
-// Upstreams register about once a second, so a new entry knows all of them
-// after this time.
-constexpr base::Millis kRegistrationDelay{ 3000 };
-// A request that waits asks for permits in each poll of control.
-constexpr base::Millis kDemandPeriod{ 200 };
-// Before all new requests, because the caller sees the pause.
-constexpr int kResumedStreamPriority = -1;
+// Interval at which a request that waits looks for a configuration.
+constexpr base::Millis kConfigurationPollPeriod{ 15 };
 
 } // namespace detail
 
@@ -74,7 +64,7 @@
   const base::Millis maxWait = TimeLeft() / 2;
   while (!m_config && m_abortReason == AbortReason::None &&
          m_shared.m_clock.Now() - m_receivedAt < maxWait) {
-    co_await net::Sleep(detail::kPollPeriod);
+    co_await net::Sleep(detail::kConfigurationPollPeriod);
     m_config = m_shared.m_watch.View().m_config;
   }
 }
@@ -277,140 +267,6 @@
   return true;
 }
 
-std::string
-Exchange::CurrentModel() const
-{
-  if (m_metadata.m_anyModel && !m_route->m_models.empty()) {
-    return m_route->m_models[m_modelIndex];
-  }
-  return m_metadata.m_model;
-}
-
-bool
-Exchange::HasLargerModel() const
-{
-  return m_metadata.m_anyModel && m_modelIndex + 1 < m_route->m_models.size();
-}
-
-UpstreamCriteria
-Exchange::Criteria() const
-{
-  UpstreamCriteria criteria;
-  criteria.m_service = m_service;
-  criteria.m_choice.m_ownDomain = m_shared.m_domain;
-  criteria.m_triedUpstreams = m_triedUpstreams;
-  const std::string& session = m_metadata.m_sessionId.empty()
-                                 ? m_metadata.m_attemptId
-                                 : m_metadata.m_sessionId;
-  criteria.m_rolloutKey = { routing::StableHash(session),
-                            !m_metadata.m_sessionId.empty() };
-  if (m_caller->ResponseStarted()) {
-    criteria.m_streamVersion = m_streamVersion;
-  }
-  const std::string model = CurrentModel();
-  for (size_t i = 0; i + 1 < m_metadata.m_promptParts.size(); ++i) {
-    const PromptPart& part = m_metadata.m_promptParts[i];
-    criteria.m_choice.m_sharedParts.push_back(
-      { model + "/" + part.m_id, part.m_tokens });
-  }
-  return criteria;
-}
-
-// The priority of the team, or else of the route; 0 is the most urgent.
-int
-Exchange::Priority() const
-{
-  if (m_team != nullptr && m_team->m_priority) {
-    return *m_team->m_priority;
-  }
-  return m_route->m_priority;
-}
-
-// Whether an answer may be dropped to ask a larger model: nothing of it has
-// reached the caller, and an upstream is available for the larger model.
-bool
-Exchange::CanEscalate() const
-{
-  if (!HasLargerModel() || m_caller->ResponseStarted()) {
-    return false;
-  }
-  UpstreamCriteria criteria = Criteria();
-  criteria.m_triedUpstreams.clear(); // every upstream may run the larger model
-  return m_shared.m_upstreams.HasAvailable(criteria);
-}
-
-// A new entry may not know all upstreams yet, because they register about once
-// a second; the request may then use half of its time. Later a request waits
-// only if upstreams are unavailable for a short time: until a quarter of the
-// latency goal has passed, or, in the middle of a stream, for as long as a
-// pause is tolerated. It does not wait if it would wait for longer than that:
-// for rests that end later, or for request limits that others use up.
-bool
-Exchange::MayWaitForUpstream(const AvailableUpstreams& aAvailable,
-                             base::Millis aExpectedWait,
-                             base::TimePoint aSince) const
-{
-  const base::TimePoint now = m_shared.m_clock.Now();
-  if (now - m_shared.m_watch.View().m_configuredAt <
-      detail::kRegistrationDelay) {
-    return TimeLeft() > (m_deadline - m_receivedAt) / 2;
-  }
-  if (aAvailable.m_reason == NoUpstreamReason::None) {
-    return false;
-  }
-  if (m_caller->ResponseStarted()) {
-    return now + aExpectedWait - aSince <
-           routing::StallTimeout(m_route->m_pauseGoal);
-  }
-  return (now + aExpectedWait - m_receivedAt) * 4 < m_route->m_goal;
-}
-
-// Chooses an upstream; waits for one if MayWaitForUpstream allows it. Responds
-// to the request and returns null if there is none.
-net::Task<UpstreamPointer>
-Exchange::FindUpstream()
-{
-  const base::TimePoint startedAt = m_shared.m_clock.Now();
-  const int priority =
-    m_caller->ResponseStarted() ? detail::kResumedStreamPriority : Priority();
-  WaitingRequest waiting(m_shared.m_upstreams.WaitQueueOf(m_service->m_name),
-                         priority);
-  UpstreamCriteria criteria = Criteria();
-  base::TimePoint demandAddedAt;
-  while (m_abortReason == AbortReason::None) {
-    const base::TimePoint now = m_shared.m_clock.Now();
-    criteria.m_ticket = waiting.Ticket();
-    criteria.m_addsDemand = now - demandAddedAt >= detail::kDemandPeriod;
-    if (criteria.m_addsDemand) {
-      demandAddedAt = now;
-    }
-    AvailableUpstreams available;
-    UpstreamPointer upstream = m_shared.m_upstreams.Choose(criteria, available);
-    if (upstream) {
-      co_return upstream;
-    }
-    const base::Millis expectedWait =
-      available.m_reason == NoUpstreamReason::Resting
-        ? available.m_restUntil - now
-        : waiting.ExpectedWait(available.m_expectedRate);
-    const bool mayWait = MayWaitForUpstream(available, expectedWait, startedAt);
-    if (criteria.m_streamVersion &&
-        (!mayWait || available.m_reason == NoUpstreamReason::None)) {
-      criteria.m_streamVersion.reset(); // another version is better than none
-      continue;
-    }
-    if (!mayWait) {
-      co_await RespondNoUpstream(available.m_reason, expectedWait);
-      break;
-    }
-    if (available.m_reason == NoUpstreamReason::Limited) {
-      waiting.Enter();
-    }
-    co_await net::Sleep(detail::kPollPeriod);
-  }
-  co_return nullptr;
-}
-
 net::Task<void>
 Exchange::RunAttempts()
 {
