Name what crashes upstreams by its kind

PartQuarantine, PartEvidence, PartReport, PartLoss and PartKey stood for prompt parts and, since, for whole requests too. The messages on the wire keep their names and fields. No behaviour changed.

The tests of routing, site, proxy and platform and docs_check pass.

--- a/chivefront/proxy/crashing_request_test.cc
+++ b/chivefront/proxy/crashing_request_test.cc
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivefront/proxy/testing/entry_fixture.h"
-#include "chivefront/routing/part_quarantine.h"
+#include "chivefront/routing/crash_quarantine.h"
 
 using namespace chivefront;
 using namespace chivefront::proxy;
@@ -37,10 +37,10 @@
   void PollControl()
   {
     const base::TimePoint now = base::SteadyClock::Instance().Now();
-    m_quarantine.Record(site::ReadPartReport(m_watch.MakeRequest(), now));
+    m_quarantine.Record(site::ReadCrashReport(m_watch.MakeRequest(), now));
     (void)m_quarantine.Update(now + routing::kRequestLossDelay);
     wire::WatchReplyT reply;
-    for (const routing::PartKey key : m_quarantine.Suspects()) {
+    for (const routing::CauseKey key : m_quarantine.Suspects()) {
       reply.suspect_parts.push_back(key);
     }
     reply.quarantined_parts = site::ToWire(m_quarantine.Quarantined(), now);
@@ -68,7 +68,7 @@
   }
 
   uint64_t m_born = 1;
-  routing::PartQuarantine m_quarantine;
+  routing::CrashQuarantine m_quarantine;
 };
 
 } // namespace
--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -43,16 +43,16 @@
               m_upstreams,
               aHeaderCodec,
               m_rolloutEvidence,
-              m_partEvidence,
+              m_crashEvidence,
               aLog,
               m_metrics,
               m_options.m_domain,
               m_options.m_retryBudget }
 {
   aWatch.SetEvidenceSource([this] { return m_rolloutEvidence.Rows(); });
-  aWatch.SetPartReportSource(
-    [this](const std::set<routing::PartKey>& aSuspects) {
-      return m_partEvidence.Report(aSuspects, m_shared.m_clock.Now());
+  aWatch.SetCrashReportSource(
+    [this](const std::set<routing::CauseKey>& aSuspects) {
+      return m_crashEvidence.Report(aSuspects, m_shared.m_clock.Now());
     });
   aWatch.SetRateExchange([this] { return m_upstreams.MakeRateReport(); },
                          [this](const site::RateAnswer& aAnswer) {
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -66,7 +66,7 @@
   net::asio::ip::tcp::acceptor m_acceptor;
   Upstreams m_upstreams;
   RolloutEvidence m_rolloutEvidence;
-  routing::PartEvidence m_partEvidence;
+  routing::CrashEvidence m_crashEvidence;
   RequestMetrics m_metrics;
   SharedState m_shared;
   std::set<std::shared_ptr<CallerConnection>> m_callers;
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -124,14 +124,14 @@
 bool
 Exchange::HasQuarantinedPart() const
 {
-  const auto& quarantined = m_shared.m_watch.View().m_quarantinedParts;
+  const auto& quarantined = m_shared.m_watch.View().m_quarantinedCauses;
   return std::any_of(
-    m_sharedParts.begin(), m_sharedParts.end(), [&](routing::PartKey aPart) {
+    m_sharedParts.begin(), m_sharedParts.end(), [&](routing::CauseKey aPart) {
       return quarantined.count(aPart) > 0;
     });
 }
 
-routing::PartKey
+routing::CauseKey
 Exchange::MakeRequestKey() const
 {
   const CallerRequest& request = m_caller->Request();
@@ -148,7 +148,7 @@
 net::Task<bool>
 Exchange::RefuseQuarantined()
 {
-  const auto& quarantined = m_shared.m_watch.View().m_quarantinedParts;
+  const auto& quarantined = m_shared.m_watch.View().m_quarantinedCauses;
   std::string reason;
   if (HasQuarantinedPart()) {
     reason = "prompt_part_quarantined";
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -89,7 +89,7 @@
   net::Task<bool> RefuseQuarantined();
   bool MayOutliveDrain() const;
   bool HasQuarantinedPart() const;
-  routing::PartKey MakeRequestKey() const;
+  routing::CauseKey MakeRequestKey() const;
   net::Task<void> RunAttempts();
   net::Task<void> RespondToAbort();
   bool MayWaitForUpstream(const AvailableUpstreams& aAvailable,
@@ -193,8 +193,8 @@
   std::string m_lastUpstream;
   size_t m_modelIndex = 0; // index into the route's models
   // Parts of the prompt that other requests may share.
-  std::vector<routing::PartKey> m_sharedParts;
-  routing::PartKey m_requestKey = 0; // the same for each repeat of the caller
+  std::vector<routing::CauseKey> m_sharedParts;
+  routing::CauseKey m_requestKey = 0; // the same for each repeat of the caller
   EventSplitter m_eventSplitter;
   // Response of the last attempt that ended with UpstreamError.
   std::optional<UpstreamError> m_upstreamError;
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -295,7 +295,7 @@
 {
   if (!m_answerBegun) {
     m_answerBegun = true;
-    m_shared.m_partEvidence.OnBegun(
+    m_shared.m_crashEvidence.OnBegun(
       m_sharedParts, m_requestKey, m_shared.m_clock.Now());
   }
 }
@@ -311,7 +311,7 @@
   if (m_answerBegun || m_leftUpstream) {
     return;
   }
-  m_shared.m_partEvidence.OnLoss(
+  m_shared.m_crashEvidence.OnLoss(
     { routing::MakeUpstreamKey(aUpstream.m_instance),
       base::StableHash(m_metadata.m_attemptId),
       m_headReceivedAt != base::TimePoint(),
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -11,8 +11,8 @@
 #include "chivefront/proxy/header_codec.h"
 #include "chivefront/proxy/upstreams.h"
 #include "chivefront/routing/budget.h"
+#include "chivefront/routing/crash_evidence.h"
 #include "chivefront/routing/latency_baselines.h"
-#include "chivefront/routing/part_evidence.h"
 #include "chivefront/routing/slow_threshold.h"
 #include "chivefront/site/watch.h"
 
@@ -102,7 +102,7 @@
   Upstreams& m_upstreams;
   const HeaderCodec& m_headerCodec;
   RolloutEvidence& m_rolloutEvidence;
-  routing::PartEvidence& m_partEvidence;
+  routing::CrashEvidence& m_crashEvidence;
   base::DecisionLog& m_log;
   RequestMetrics& m_metrics;
   const std::string m_domain; // failure domain of this entry
--- a/chivefront/routing/crash_bound_test.cc
+++ b/chivefront/routing/crash_bound_test.cc
@@ -7,7 +7,7 @@
 
 #include <random>
 
-#include "chivefront/routing/part_quarantine.h"
+#include "chivefront/routing/crash_quarantine.h"
 
 using namespace chivefront;
 using namespace chivefront::routing;
@@ -21,8 +21,8 @@
 constexpr int64_t kRunMillis = 60000;
 constexpr int64_t kCrashMillis = 150; // from a send to the end of the upstream
 constexpr int64_t kRestartMillis = 4000;
-constexpr PartKey kDeadly = 1;
-constexpr PartKey kFirstSound = 2;
+constexpr CauseKey kDeadly = 1;
+constexpr CauseKey kFirstSound = 2;
 constexpr int kSoundRequests = 12;
 // After the third crash, this long, at most kMaxLateSends sends follow.
 constexpr int64_t kGraceMillis = 3000;
@@ -55,7 +55,7 @@
         PollAll();
       }
       if (m_scenario.m_changesLeader && m_now % 7000 == 0) {
-        m_leader = PartQuarantine();
+        m_leader = CrashQuarantine();
       }
       if (m_now >= nextRepeat) {
         Repeat();
@@ -68,7 +68,7 @@
   int LateSends() const { return m_lateSends; }
   bool BlamesSoundRequests() const
   {
-    const QuarantinedParts& quarantined = m_leader.Quarantined();
+    const QuarantinedCauses& quarantined = m_leader.Quarantined();
     return std::any_of(
       quarantined.begin(), quarantined.end(), [](const auto& aEntry) {
         return aEntry.first >= kFirstSound;
@@ -78,9 +78,9 @@
 private:
   struct Entry
   {
-    PartEvidence m_evidence;
-    std::set<PartKey> m_suspects;
-    QuarantinedParts m_quarantined;
+    CrashEvidence m_evidence;
+    std::set<CauseKey> m_suspects;
+    QuarantinedCauses m_quarantined;
   };
 
   base::TimePoint At(int64_t aMillis) const
@@ -160,7 +160,7 @@
         continue;
       }
       Entry& entry = m_entries[RandomBelow(m_entries.size())];
-      const PartKey key = kFirstSound + static_cast<PartKey>(i);
+      const CauseKey key = kFirstSound + static_cast<CauseKey>(i);
       LostAttempt sound = deadly;
       sound.m_request = ++m_attempt;
       entry.m_evidence.OnLoss(sound, {}, key);
@@ -175,7 +175,7 @@
   std::vector<Entry> m_entries;
   std::vector<int64_t> m_upAt; // by upstream: when it runs again
   std::vector<int> m_incarnations;
-  PartQuarantine m_leader;
+  CrashQuarantine m_leader;
   int64_t m_now = 0;
   uint64_t m_attempt = 0;
   int m_crashes = 0;
--- a/chivefront/routing/part_evidence.cc
+++ b/chivefront/routing/crash_evidence.cc
@@ -1,5 +1,5 @@
 // Bounded memory of losses and of parts whose answer began.
-#include "chivefront/routing/part_evidence.h"
+#include "chivefront/routing/crash_evidence.h"
 
 #include "chivefront/base/ids.h"
 
@@ -16,7 +16,7 @@
 constexpr size_t kMaxRequests = 512;
 
 void
-ForgetBefore(base::TimePoint aTime, std::deque<PartLoss>& aLosses)
+ForgetBefore(base::TimePoint aTime, std::deque<CrashLoss>& aLosses)
 {
   while (!aLosses.empty() && aLosses.front().m_attempt.m_lostAt < aTime) {
     aLosses.pop_front();
@@ -25,7 +25,7 @@
 
 } // namespace
 
-PartKey
+CauseKey
 MakePartKey(const std::string& aService, const std::string& aPartId)
 {
   return base::StableHash(aPartId, base::StableHash(aService));
@@ -33,10 +33,10 @@
 
 // Each field is hashed with the hash of those before it as the seed, so that
 // bytes can't move from one field to the next.
-PartKey
+CauseKey
 MakeRequestKey(const RequestIdentity& aIdentity)
 {
-  PartKey key = 0;
+  CauseKey key = 0;
   for (const std::string_view field : { aIdentity.m_caller,
                                         aIdentity.m_method,
                                         aIdentity.m_host,
@@ -50,7 +50,7 @@
 namespace detail {
 
 void
-LatestTimes::Record(PartKey aKey, base::TimePoint aTime)
+LatestTimes::Record(CauseKey aKey, base::TimePoint aTime)
 {
   m_recent[aKey] = aTime;
   if (m_recent.size() >= m_capacity) {
@@ -60,7 +60,7 @@
 }
 
 const base::TimePoint*
-LatestTimes::Find(PartKey aKey) const
+LatestTimes::Find(CauseKey aKey) const
 {
   for (const Times* times : { &m_recent, &m_older }) {
     const auto found = times->find(aKey);
@@ -73,32 +73,32 @@
 
 } // namespace detail
 
-PartEvidence::PartEvidence()
+CrashEvidence::CrashEvidence()
   : m_partsBegun(kMaxParts)
   , m_requestsBegun(kMaxRequests)
 {
 }
 
 void
-PartEvidence::OnBegun(const std::vector<PartKey>& aParts,
-                      PartKey aRequest,
-                      base::TimePoint aNow)
+CrashEvidence::OnBegun(const std::vector<CauseKey>& aParts,
+                       CauseKey aRequest,
+                       base::TimePoint aNow)
 {
-  for (const PartKey part : aParts) {
+  for (const CauseKey part : aParts) {
     m_partsBegun.Record(part, aNow);
   }
   m_requestsBegun.Record(aRequest, aNow);
-  std::erase_if(m_requestLosses, [aRequest](const PartLoss& aLoss) {
-    return aLoss.m_part == aRequest;
+  std::erase_if(m_requestLosses, [aRequest](const CrashLoss& aLoss) {
+    return aLoss.m_cause == aRequest;
   });
 }
 
 void
-PartEvidence::OnLoss(const LostAttempt& aAttempt,
-                     const std::vector<PartKey>& aParts,
-                     PartKey aRequest)
+CrashEvidence::OnLoss(const LostAttempt& aAttempt,
+                      const std::vector<CauseKey>& aParts,
+                      CauseKey aRequest)
 {
-  for (const PartKey part : aParts) {
+  for (const CauseKey part : aParts) {
     m_partLosses.push_back({ part, aAttempt });
     if (m_partLosses.size() > kMaxLosses) {
       m_partLosses.pop_front();
@@ -110,20 +110,20 @@
   }
 }
 
-PartReport
-PartEvidence::Report(const std::set<PartKey>& aSuspects, base::TimePoint aNow)
+CrashReport
+CrashEvidence::Report(const std::set<CauseKey>& aSuspects, base::TimePoint aNow)
 {
   ForgetBefore(aNow - kLossMemory, m_partLosses);
   ForgetBefore(aNow - kRequestLossMemory, m_requestLosses);
-  PartReport report;
-  std::set<PartKey> keys = aSuspects;
+  CrashReport report;
+  std::set<CauseKey> keys = aSuspects;
   for (const auto* losses : { &m_partLosses, &m_requestLosses }) {
-    for (const PartLoss& loss : *losses) {
+    for (const CrashLoss& loss : *losses) {
       report.m_losses.push_back(loss);
-      keys.insert(loss.m_part);
+      keys.insert(loss.m_cause);
     }
   }
-  for (const PartKey key : keys) {
+  for (const CauseKey key : keys) {
     for (const auto* begun : { &m_partsBegun, &m_requestsBegun }) {
       if (const base::TimePoint* time = begun->Find(key)) {
         report.m_begun[key] = *time;
--- a/chivefront/routing/part_evidence.h
+++ b/chivefront/routing/crash_evidence.h
@@ -4,7 +4,7 @@
 //
 //   evidence.OnLoss({ upstream, request, headRead, sentAt, now }, parts, key);
 //   evidence.OnBegun(parts, key, now);
-//   PartReport report = evidence.Report(suspects, now);
+//   CrashReport report = evidence.Report(suspects, now);
 //
 // Patterns: one tainted prompt part in many otherwise different requests, and
 // one request that its caller repeats. Does no I/O; not thread-safe.
@@ -24,9 +24,9 @@
 namespace chivefront::routing {
 
 // Identifies a prompt part of the requests of one service, or a whole request.
-using PartKey = uint64_t;
+using CauseKey = uint64_t;
 
-PartKey
+CauseKey
 MakePartKey(const std::string& aService, const std::string& aPartId);
 
 // What makes two requests of a caller the same request; the attempt id does
@@ -40,7 +40,7 @@
   std::string_view m_body;
 };
 
-PartKey
+CauseKey
 MakeRequestKey(const RequestIdentity& aIdentity);
 
 // An attempt whose upstream closed the connection before it began to answer.
@@ -55,18 +55,18 @@
   base::TimePoint m_lostAt;
 };
 
-struct PartLoss
+struct CrashLoss
 {
-  PartKey m_part = 0;
+  CauseKey m_cause = 0;
   LostAttempt m_attempt;
-  bool m_wholeRequest = false; // m_part identifies a request, not a part
+  bool m_wholeRequest = false; // m_cause identifies a request, not a part
 };
 
-struct PartReport
+struct CrashReport
 {
-  std::vector<PartLoss> m_losses;
-  // When an answer to a request with the part began last.
-  std::map<PartKey, base::TimePoint> m_begun;
+  std::vector<CrashLoss> m_losses;
+  // When an answer to the request, or to one with the part, began last.
+  std::map<CauseKey, base::TimePoint> m_begun;
 };
 
 namespace detail {
@@ -81,12 +81,12 @@
   {
   }
 
-  void Record(PartKey aKey, base::TimePoint aTime);
+  void Record(CauseKey aKey, base::TimePoint aTime);
   // Null when the key is not known.
-  const base::TimePoint* Find(PartKey aKey) const;
+  const base::TimePoint* Find(CauseKey aKey) const;
 
 private:
-  using Times = std::unordered_map<PartKey, base::TimePoint>;
+  using Times = std::unordered_map<CauseKey, base::TimePoint>;
 
   const size_t m_capacity;
   Times m_recent;
@@ -95,27 +95,27 @@
 
 } // namespace detail
 
-class PartEvidence
+class CrashEvidence
 {
 public:
-  PartEvidence();
+  CrashEvidence();
 
   // An upstream began to answer the request aRequest with these parts.
-  void OnBegun(const std::vector<PartKey>& aParts,
-               PartKey aRequest,
+  void OnBegun(const std::vector<CauseKey>& aParts,
+               CauseKey aRequest,
                base::TimePoint aNow);
   void OnLoss(const LostAttempt& aAttempt,
-              const std::vector<PartKey>& aParts,
-              PartKey aRequest);
+              const std::vector<CauseKey>& aParts,
+              CauseKey aRequest);
 
   // The losses of the last kLossMemory, or kRequestLossMemory, and what is
   // known of the keys in aSuspects and in these losses.
-  PartReport Report(const std::set<PartKey>& aSuspects, base::TimePoint aNow);
+  CrashReport Report(const std::set<CauseKey>& aSuspects, base::TimePoint aNow);
 
 private:
-  std::deque<PartLoss> m_partLosses; // oldest first, at most kMaxLosses
+  std::deque<CrashLoss> m_partLosses; // oldest first, at most kMaxLosses
   // Of whole requests, oldest first, at most kMaxRequestLosses.
-  std::deque<PartLoss> m_requestLosses;
+  std::deque<CrashLoss> m_requestLosses;
   detail::LatestTimes m_partsBegun;
   detail::LatestTimes m_requestsBegun;
 };
--- a/chivefront/routing/part_quarantine.cc
+++ b/chivefront/routing/crash_quarantine.cc
@@ -1,5 +1,5 @@
 // Counting of losses that follow each other, and of losses of one request.
-#include "chivefront/routing/part_quarantine.h"
+#include "chivefront/routing/crash_quarantine.h"
 
 #include <algorithm>
 
@@ -31,15 +31,15 @@
 } // namespace
 
 void
-PartQuarantine::Record(const PartReport& aReport)
+CrashQuarantine::Record(const CrashReport& aReport)
 {
-  for (const PartLoss& loss : aReport.m_losses) {
+  for (const CrashLoss& loss : aReport.m_losses) {
     if (m_suspects.size() >= kMaxSuspects &&
-        m_suspects.count(loss.m_part) == 0) {
+        m_suspects.count(loss.m_cause) == 0) {
       continue;
     }
     const std::pair key(loss.m_attempt.m_upstream, loss.m_attempt.m_request);
-    Suspect& suspect = m_suspects[loss.m_part];
+    Suspect& suspect = m_suspects[loss.m_cause];
     suspect.m_wholeRequest = loss.m_wholeRequest;
     suspect.m_losses.try_emplace(key, loss.m_attempt);
   }
@@ -52,21 +52,21 @@
 }
 
 void
-PartQuarantine::Adopt(const QuarantinedParts& aParts)
+CrashQuarantine::Adopt(const QuarantinedCauses& aCauses)
 {
-  for (const auto& [part, until] : aParts) {
+  for (const auto& [cause, until] : aCauses) {
     if (m_quarantined.size() < kMaxQuarantined ||
-        m_quarantined.count(part) > 0) {
-      base::TimePoint& known = m_quarantined[part];
+        m_quarantined.count(cause) > 0) {
+      base::TimePoint& known = m_quarantined[cause];
       known = std::max(known, until);
     }
   }
 }
 
 bool
-PartQuarantine::IsGuilty(const Suspect& aSuspect,
-                         const std::set<uint64_t>& aExplained,
-                         base::TimePoint aNow)
+CrashQuarantine::IsGuilty(const Suspect& aSuspect,
+                          const std::set<uint64_t>& aExplained,
+                          base::TimePoint aNow)
 {
   std::vector<LostAttempt> losses;
   for (const auto& [key, attempt] : aSuspect.m_losses) {
@@ -95,7 +95,7 @@
 }
 
 void
-PartQuarantine::Forget(base::TimePoint aNow)
+CrashQuarantine::Forget(base::TimePoint aNow)
 {
   for (auto& [part, suspect] : m_suspects) {
     const bool isRequest = suspect.m_wholeRequest;
@@ -117,7 +117,7 @@
 }
 
 std::set<uint64_t>
-PartQuarantine::UpstreamsCrashedBy(bool aWholeRequests) const
+CrashQuarantine::UpstreamsCrashedBy(bool aWholeRequests) const
 {
   std::set<uint64_t> upstreams;
   for (const auto& [part, suspect] : m_suspects) {
@@ -138,12 +138,12 @@
 // some of them and for others never, only the latter: the losses of the former
 // are then explained by them. A quarantined request explains no losses here,
 // because the part may be what makes it crash upstreams.
-std::vector<PartKey>
-PartQuarantine::FindGuiltyParts(base::TimePoint aNow) const
+std::vector<CauseKey>
+CrashQuarantine::FindGuiltyParts(base::TimePoint aNow) const
 {
   const std::set<uint64_t> explained = UpstreamsCrashedBy(false);
-  std::vector<PartKey> begun;
-  std::vector<PartKey> neverBegun;
+  std::vector<CauseKey> begun;
+  std::vector<CauseKey> neverBegun;
   for (const auto& [part, suspect] : m_suspects) {
     if (suspect.m_wholeRequest || m_quarantined.count(part) > 0 ||
         !IsGuilty(suspect, explained, aNow)) {
@@ -157,7 +157,7 @@
 
 // Whether the upstream of a lost attempt has not been heard since.
 bool
-PartQuarantine::HasCrashed(const LostAttempt& aAttempt) const
+CrashQuarantine::HasCrashed(const LostAttempt& aAttempt) const
 {
   const auto heard = m_heard.find(aAttempt.m_upstream);
   return heard == m_heard.end() ||
@@ -166,8 +166,8 @@
 
 // Counts afresh from the losses that are remembered, so that an answer, a sign
 // of life or another cause found meanwhile takes losses back.
-std::vector<PartKey>
-PartQuarantine::FindGuiltyRequests(base::TimePoint aNow) const
+std::vector<CauseKey>
+CrashQuarantine::FindGuiltyRequests(base::TimePoint aNow) const
 {
   std::set<uint64_t> explained = UpstreamsCrashedBy(false);
   explained.merge(UpstreamsCrashedBy(true));
@@ -185,7 +185,7 @@
     }
   }
   policy::SuspectCounts counts;
-  std::vector<PartKey> guilty;
+  std::vector<CauseKey> guilty;
   for (const auto& [upstream, requests] : inFlight) {
     const auto loss = counts.OnLoss(std::to_string(upstream), requests);
     guilty.insert(
@@ -195,21 +195,21 @@
 }
 
 void
-PartQuarantine::OnHeard(uint64_t aUpstream, base::TimePoint aTime)
+CrashQuarantine::OnHeard(uint64_t aUpstream, base::TimePoint aTime)
 {
   base::TimePoint& known = m_heard[aUpstream];
   known = std::max(known, aTime);
 }
 
 std::vector<CrashCause>
-PartQuarantine::Update(base::TimePoint aNow)
+CrashQuarantine::Update(base::TimePoint aNow)
 {
   Forget(aNow);
   std::vector<CrashCause> added;
-  for (const PartKey part : FindGuiltyParts(aNow)) {
+  for (const CauseKey part : FindGuiltyParts(aNow)) {
     added.push_back({ part, false });
   }
-  for (const PartKey request : FindGuiltyRequests(aNow)) {
+  for (const CauseKey request : FindGuiltyRequests(aNow)) {
     added.push_back({ request, true });
   }
   if (m_quarantined.size() + added.size() > kMaxQuarantined) {
@@ -221,10 +221,10 @@
   return added;
 }
 
-std::set<PartKey>
-PartQuarantine::Suspects() const
+std::set<CauseKey>
+CrashQuarantine::Suspects() const
 {
-  std::set<PartKey> parts;
+  std::set<CauseKey> parts;
   for (const auto& [part, suspect] : m_suspects) {
     if (m_quarantined.count(part) == 0) {
       parts.insert(part);
--- a/chivefront/routing/part_quarantine.h
+++ b/chivefront/routing/crash_quarantine.h
@@ -28,13 +28,13 @@
 #include <set>
 #include <vector>
 
-#include "chivefront/routing/part_evidence.h"
+#include "chivefront/routing/crash_evidence.h"
 
 namespace chivefront::routing {
 
 // Keys of parts and of requests, with the time until which requests with them
 // are refused.
-using QuarantinedParts = std::map<PartKey, base::TimePoint>;
+using QuarantinedCauses = std::map<CauseKey, base::TimePoint>;
 
 // A loss of a whole request counts after this time: by then an upstream that
 // lives has registered again, about once a second, and entries have reported.
@@ -43,17 +43,17 @@
 // What was found to crash upstreams.
 struct CrashCause
 {
-  PartKey m_key = 0;
+  CauseKey m_key = 0;
   bool m_wholeRequest = false; // m_key identifies a request, not a part
 };
 
-class PartQuarantine
+class CrashQuarantine
 {
 public:
   // Reports may be repeated and may come from several entries.
-  void Record(const PartReport& aReport);
+  void Record(const CrashReport& aReport);
   // Takes over decisions of an earlier leader. A later end wins.
-  void Adopt(const QuarantinedParts& aParts);
+  void Adopt(const QuarantinedCauses& aCauses);
 
   // The incarnation aUpstream (MakeUpstreamKey) sent a registration at aTime.
   void OnHeard(uint64_t aUpstream, base::TimePoint aTime);
@@ -65,8 +65,8 @@
   bool HasLosses() const { return !m_suspects.empty(); }
   // Parts and requests with a loss that are not quarantined; entries report
   // whether answers to requests with them began.
-  std::set<PartKey> Suspects() const;
-  const QuarantinedParts& Quarantined() const { return m_quarantined; }
+  std::set<CauseKey> Suspects() const;
+  const QuarantinedCauses& Quarantined() const { return m_quarantined; }
 
 private:
   // Losses of one part by upstream and request, which a repeated report can't
@@ -84,15 +84,15 @@
                        base::TimePoint aNow);
   // Upstreams whose loss a quarantined part, or request, explains.
   std::set<uint64_t> UpstreamsCrashedBy(bool aWholeRequests) const;
-  std::vector<PartKey> FindGuiltyParts(base::TimePoint aNow) const;
-  std::vector<PartKey> FindGuiltyRequests(base::TimePoint aNow) const;
+  std::vector<CauseKey> FindGuiltyParts(base::TimePoint aNow) const;
+  std::vector<CauseKey> FindGuiltyRequests(base::TimePoint aNow) const;
   bool HasCrashed(const LostAttempt& aAttempt) const;
   void Forget(base::TimePoint aNow);
 
-  std::map<PartKey, Suspect> m_suspects; // at most kMaxSuspects
+  std::map<CauseKey, Suspect> m_suspects; // at most kMaxSuspects
   // Upstreams that were heard after a request's loss, with the latest time.
   std::map<uint64_t, base::TimePoint> m_heard;
-  QuarantinedParts m_quarantined;
+  QuarantinedCauses m_quarantined;
 };
 
 } // namespace chivefront::routing
--- a/chivefront/routing/part_quarantine_test.cc
+++ b/chivefront/routing/crash_quarantine_test.cc
@@ -1,21 +1,21 @@
 // Prompt parts and requests that crash upstreams, and those that only look like
 // it.
-#define BOOST_TEST_MODULE part_quarantine
+#define BOOST_TEST_MODULE crash_quarantine
 #include <boost/test/unit_test.hpp>
 
-#include "chivefront/routing/part_quarantine.h"
+#include "chivefront/routing/crash_quarantine.h"
 
 using namespace chivefront;
 using namespace chivefront::routing;
 
 namespace {
 
-constexpr PartKey kTainted = 1;
-constexpr PartKey kShared = 2; // also in sound requests
+constexpr CauseKey kTainted = 1;
+constexpr CauseKey kShared = 2; // also in sound requests
 // Keys of whole requests in these tests are at least this.
-constexpr PartKey kRequests = 1000;
-constexpr PartKey kDeadly = kRequests;
-constexpr PartKey kSound = kRequests + 1;
+constexpr CauseKey kRequests = 1000;
+constexpr CauseKey kDeadly = kRequests;
+constexpr CauseKey kSound = kRequests + 1;
 
 base::TimePoint
 At(int64_t aMillis)
@@ -28,7 +28,7 @@
   // Sends a request with aParts that loses its upstream 100 ms later.
   void Lose(uint64_t aRequest,
             int64_t aSentAt,
-            const std::vector<PartKey>& aParts,
+            const std::vector<CauseKey>& aParts,
             bool aHeadRead = true)
   {
     m_evidence.OnLoss(
@@ -37,10 +37,10 @@
       kRequests + aRequest);
   }
   // An upstream ends 100 ms after it got the requests in aInFlight.
-  void LoseUpstream(int64_t aSentAt, const std::vector<PartKey>& aInFlight)
+  void LoseUpstream(int64_t aSentAt, const std::vector<CauseKey>& aInFlight)
   {
     ++m_upstream;
-    for (const PartKey request : aInFlight) {
+    for (const CauseKey request : aInFlight) {
       m_evidence.OnLoss(
         { m_upstream, ++m_attempt, false, At(aSentAt), At(aSentAt + 100) },
         {},
@@ -56,10 +56,10 @@
     }
   }
   // Reports, and returns the parts that are quarantined.
-  std::set<PartKey> Decide(int64_t aNow)
+  std::set<CauseKey> Decide(int64_t aNow)
   {
     Report(aNow);
-    std::set<PartKey> parts;
+    std::set<CauseKey> parts;
     for (const auto& [key, until] : m_quarantine.Quarantined()) {
       if (key < kRequests) {
         parts.insert(key);
@@ -68,10 +68,10 @@
     return parts;
   }
   // Reports, and returns the requests that are quarantined.
-  std::set<PartKey> DecideRequests(int64_t aNow)
+  std::set<CauseKey> DecideRequests(int64_t aNow)
   {
-    const std::set<PartKey> parts = Decide(aNow);
-    std::set<PartKey> requests;
+    const std::set<CauseKey> parts = Decide(aNow);
+    std::set<CauseKey> requests;
     for (const auto& [key, until] : m_quarantine.Quarantined()) {
       if (parts.count(key) == 0) {
         requests.insert(key);
@@ -82,8 +82,8 @@
 
   uint64_t m_upstream = 0;
   uint64_t m_attempt = 0;
-  PartEvidence m_evidence;
-  PartQuarantine m_quarantine;
+  CrashEvidence m_evidence;
+  CrashQuarantine m_quarantine;
 };
 
 } // namespace
@@ -108,7 +108,7 @@
     Lose(static_cast<uint64_t>(i), i * 200, { kShared, kTainted });
     m_evidence.OnBegun({ kShared }, kSound, At(i * 200 + 150));
   }
-  const std::set<PartKey> parts = Decide(2000);
+  const std::set<CauseKey> parts = Decide(2000);
   BOOST_TEST(parts.count(kTainted) == 1U);
   BOOST_TEST(parts.count(kShared) == 0U);
 }
@@ -128,9 +128,9 @@
                         At(100 + i * 200),
                         At(200 + i * 200) },
                       { kShared },
-                      kRequests + 100 + static_cast<PartKey>(i));
+                      kRequests + 100 + static_cast<CauseKey>(i));
   }
-  const std::set<PartKey> parts = Decide(2000);
+  const std::set<CauseKey> parts = Decide(2000);
   BOOST_TEST(parts.count(kTainted) == 1U);
   BOOST_TEST(parts.count(kShared) == 0U);
 }
@@ -171,7 +171,7 @@
 // through, because it has seen no losses itself.
 BOOST_AUTO_TEST_CASE(NewLeaderAdoptsDecisions)
 {
-  PartQuarantine quarantine;
+  CrashQuarantine quarantine;
   quarantine.Adopt({ { kTainted, At(5000) } });
   (void)quarantine.Update(At(4000));
   BOOST_TEST(quarantine.Quarantined().count(kTainted) == 1U);
@@ -188,8 +188,8 @@
   BOOST_TEST(DecideRequests(9000).empty());
   LoseUpstream(10000, { kDeadly });
   BOOST_TEST(DecideRequests(10500).empty()); // may still be heard
-  const std::set<PartKey> requests = DecideRequests(12000);
-  BOOST_TEST(requests == std::set<PartKey>{ kDeadly });
+  const std::set<CauseKey> requests = DecideRequests(12000);
+  BOOST_TEST(requests == std::set<CauseKey>{ kDeadly });
 }
 
 // Guards against blaming sound requests that ran beside the one that crashes
@@ -200,8 +200,8 @@
     LoseUpstream(i * 1000, { kSound, kDeadly });
     m_evidence.OnBegun({}, kSound, At(i * 1000 + 500));
   }
-  const std::set<PartKey> requests = DecideRequests(8000);
-  BOOST_TEST(requests == std::set<PartKey>{ kDeadly });
+  const std::set<CauseKey> requests = DecideRequests(8000);
+  BOOST_TEST(requests == std::set<CauseKey>{ kDeadly });
 }
 
 // Guards against polls that grow with each lost attempt: losses of requests
@@ -210,9 +210,9 @@
 {
   LoseUpstream(0, { kSound, kDeadly });
   m_evidence.OnBegun({}, kSound, At(500));
-  const PartReport report = m_evidence.Report({ kSound }, At(600));
+  const CrashReport report = m_evidence.Report({ kSound }, At(600));
   BOOST_REQUIRE(report.m_losses.size() == 1U);
-  BOOST_TEST(report.m_losses.front().m_part == kDeadly);
+  BOOST_TEST(report.m_losses.front().m_cause == kDeadly);
   // The leader may know the loss already, so it is told of the answer.
   BOOST_TEST(report.m_begun.count(kSound) == 1U);
 }
@@ -246,7 +246,7 @@
   LoseUpstream(0, { kDeadly });
   LoseUpstream(25000, { kDeadly });
   BOOST_TEST(DecideRequests(28000).empty());
-  m_quarantine = PartQuarantine();
+  m_quarantine = CrashQuarantine();
   LoseUpstream(60000, { kDeadly });
   BOOST_TEST(DecideRequests(62000).count(kDeadly) == 1U);
 }
@@ -279,10 +279,10 @@
   RequestIdentity moved = first;
   moved.m_target = "/bookseat";
   moved.m_body = " 1";
-  const std::set<PartKey> keys{ MakeRequestKey(first),
-                                MakeRequestKey(caller),
-                                MakeRequestKey(body),
-                                MakeRequestKey(moved) };
+  const std::set<CauseKey> keys{ MakeRequestKey(first),
+                                 MakeRequestKey(caller),
+                                 MakeRequestKey(body),
+                                 MakeRequestKey(moved) };
   BOOST_TEST(keys.size() == 4U);
   BOOST_TEST(MakeRequestKey(first) == MakeRequestKey(first));
 }
--- a/chivefront/site/messages.cc
+++ b/chivefront/site/messages.cc
@@ -182,13 +182,13 @@
 } // namespace
 
 void
-AddPartReport(const routing::PartReport& aReport,
-              base::TimePoint aNow,
-              wire::WatchRequestT& aRequest)
+AddCrashReport(const routing::CrashReport& aReport,
+               base::TimePoint aNow,
+               wire::WatchRequestT& aRequest)
 {
-  for (const routing::PartLoss& loss : aReport.m_losses) {
+  for (const routing::CrashLoss& loss : aReport.m_losses) {
     auto row = std::make_unique<wire::PartLossT>();
-    row->part = loss.m_part;
+    row->part = loss.m_cause;
     row->upstream = loss.m_attempt.m_upstream;
     row->request = loss.m_attempt.m_request;
     row->head_read = loss.m_attempt.m_headRead;
@@ -205,10 +205,10 @@
   }
 }
 
-routing::PartReport
-ReadPartReport(const wire::WatchRequestT& aRequest, base::TimePoint aNow)
+routing::CrashReport
+ReadCrashReport(const wire::WatchRequestT& aRequest, base::TimePoint aNow)
 {
-  routing::PartReport report;
+  routing::CrashReport report;
   for (const auto& row : aRequest.part_losses) {
     const routing::LostAttempt attempt{ row->upstream,
                                         row->request,
@@ -224,22 +224,22 @@
 }
 
 QuarantinedRows
-ToWire(const routing::QuarantinedParts& aParts, base::TimePoint aNow)
+ToWire(const routing::QuarantinedCauses& aCauses, base::TimePoint aNow)
 {
   QuarantinedRows rows;
-  for (const auto& [part, until] : aParts) {
+  for (const auto& [cause, until] : aCauses) {
     auto row = std::make_unique<wire::QuarantinedPartT>();
-    row->part = part;
+    row->part = cause;
     row->remaining_ms = AgeMillis(aNow, until);
     rows.push_back(std::move(row));
   }
   return rows;
 }
 
-routing::QuarantinedParts
+routing::QuarantinedCauses
 FromWire(const QuarantinedRows& aRows, base::TimePoint aNow)
 {
-  routing::QuarantinedParts parts;
+  routing::QuarantinedCauses parts;
   for (const auto& row : aRows) {
     parts[row->part] = aNow + base::Millis(row->remaining_ms);
   }
--- a/chivefront/site/messages.h
+++ b/chivefront/site/messages.h
@@ -6,7 +6,7 @@
 #include <string>
 #include <vector>
 
-#include "chivefront/routing/part_quarantine.h"
+#include "chivefront/routing/crash_quarantine.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/site/store.h"
 #include "chivefront/wire/protocol_generated.hpp"
@@ -35,19 +35,19 @@
 absl::Status
 FromEntries(const ConfigEntries& aEntries, base::TimePoint aNow, State& aState);
 
-// Adds what an entry has seen of prompt parts to a poll, and reads it.
+// Adds what an entry has seen of crashes to a poll, and reads it.
 void
-AddPartReport(const routing::PartReport& aReport,
-              base::TimePoint aNow,
-              wire::WatchRequestT& aRequest);
-routing::PartReport
-ReadPartReport(const wire::WatchRequestT& aRequest, base::TimePoint aNow);
+AddCrashReport(const routing::CrashReport& aReport,
+               base::TimePoint aNow,
+               wire::WatchRequestT& aRequest);
+routing::CrashReport
+ReadCrashReport(const wire::WatchRequestT& aRequest, base::TimePoint aNow);
 
 using QuarantinedRows = std::vector<std::unique_ptr<wire::QuarantinedPartT>>;
 
 QuarantinedRows
-ToWire(const routing::QuarantinedParts& aParts, base::TimePoint aNow);
-routing::QuarantinedParts
+ToWire(const routing::QuarantinedCauses& aCauses, base::TimePoint aNow);
+routing::QuarantinedCauses
 FromWire(const QuarantinedRows& aRows, base::TimePoint aNow);
 
 } // namespace chivefront::site
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -25,8 +25,8 @@
 // How long a graceful stop waits for another replica to become the leader.
 constexpr base::Millis kTransferTimeout{ 1500 };
 constexpr base::Millis kTransferPollPeriod{ 30 };
-// Bounds the work for suspect prompt parts when many entries poll.
-constexpr base::Millis kPartJudgePeriod{ 100 };
+// Bounds the work for suspect causes of crashes when many entries poll.
+constexpr base::Millis kCrashJudgePeriod{ 100 };
 // Log entries between snapshots. Small because a document may have hundreds of
 // kilobytes and the disk is small.
 constexpr uint64_t kSnapshotEvery = 64;
@@ -119,9 +119,9 @@
   void OnWatch(const net::Link::Pointer& aLink,
                uint64_t aCorrelation,
                const wire::WatchRequestT& aRequest);
-  void AnswerPartReport(const wire::WatchRequestT& aRequest,
-                        base::TimePoint aNow,
-                        wire::WatchReplyT& aReply);
+  void AnswerCrashReport(const wire::WatchRequestT& aRequest,
+                         base::TimePoint aNow,
+                         wire::WatchReplyT& aReply);
   void JudgeCrashes(base::TimePoint aNow, const std::string& aEntry);
   void OnAnnounce(const wire::AnnounceRequestT& aRequest);
   void Broadcast(const routing::Instance& aRecord);
@@ -159,8 +159,8 @@
     m_log
   };
   RateCoordinator m_rateCoordinator;
-  routing::PartQuarantine m_partQuarantine;
-  base::TimePoint m_partsJudgedAt; // last update of m_partQuarantine
+  routing::CrashQuarantine m_crashQuarantine;
+  base::TimePoint m_crashesJudgedAt; // last update of m_crashQuarantine
   bool m_stopped = false;
 };
 
@@ -225,7 +225,7 @@
     reply.upstreams.push_back(
       std::make_unique<wire::UpstreamInfoT>(ToWire(instance, now)));
   }
-  AnswerPartReport(aRequest, now, reply);
+  AnswerCrashReport(aRequest, now, reply);
   m_rateCoordinator.Answer(aRequest, reply.fresh, now, reply);
   (void)aLink->Reply(aCorrelation, std::move(reply));
 }
@@ -233,32 +233,32 @@
 // All entries poll the leader, so it sees all losses. The entries repeat what
 // is quarantined, so that a new leader knows it too.
 void
-Node::Impl::AnswerPartReport(const wire::WatchRequestT& aRequest,
-                             base::TimePoint aNow,
-                             wire::WatchReplyT& aReply)
+Node::Impl::AnswerCrashReport(const wire::WatchRequestT& aRequest,
+                              base::TimePoint aNow,
+                              wire::WatchReplyT& aReply)
 {
-  m_partQuarantine.Adopt(FromWire(aRequest.quarantined_parts, aNow));
-  m_partQuarantine.Record(ReadPartReport(aRequest, aNow));
-  if (aNow - m_partsJudgedAt >= detail::kPartJudgePeriod) {
-    m_partsJudgedAt = aNow;
+  m_crashQuarantine.Adopt(FromWire(aRequest.quarantined_parts, aNow));
+  m_crashQuarantine.Record(ReadCrashReport(aRequest, aNow));
+  if (aNow - m_crashesJudgedAt >= detail::kCrashJudgePeriod) {
+    m_crashesJudgedAt = aNow;
     JudgeCrashes(aNow, aRequest.holder);
   }
-  for (const routing::PartKey part : m_partQuarantine.Suspects()) {
-    aReply.suspect_parts.push_back(part);
+  for (const routing::CauseKey cause : m_crashQuarantine.Suspects()) {
+    aReply.suspect_parts.push_back(cause);
   }
-  aReply.quarantined_parts = ToWire(m_partQuarantine.Quarantined(), aNow);
+  aReply.quarantined_parts = ToWire(m_crashQuarantine.Quarantined(), aNow);
 }
 
 void
 Node::Impl::JudgeCrashes(base::TimePoint aNow, const std::string& aEntry)
 {
-  if (m_partQuarantine.HasLosses()) {
+  if (m_crashQuarantine.HasLosses()) {
     m_registry.ForEach([&](const routing::Instance& aInstance) {
-      m_partQuarantine.OnHeard(routing::MakeUpstreamKey(aInstance),
-                               aInstance.m_reportedAt);
+      m_crashQuarantine.OnHeard(routing::MakeUpstreamKey(aInstance),
+                                aInstance.m_reportedAt);
     });
   }
-  for (const routing::CrashCause& cause : m_partQuarantine.Update(aNow)) {
+  for (const routing::CrashCause& cause : m_crashQuarantine.Update(aNow)) {
     m_log.Record(
       cause.m_wholeRequest ? "request_quarantined" : "prompt_part_quarantined",
       base::LogCategory::State,
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -57,9 +57,9 @@
 }
 
 void
-Watch::SetPartReportSource(PartReportSource aSource)
+Watch::SetCrashReportSource(CrashReportSource aSource)
 {
-  m_partReport = std::move(aSource);
+  m_crashReport = std::move(aSource);
 }
 
 void
@@ -151,10 +151,10 @@
     }
   }
   const base::TimePoint now = m_clock.Now();
-  if (m_partReport) {
-    AddPartReport(m_partReport(m_suspectParts), now, request);
+  if (m_crashReport) {
+    AddCrashReport(m_crashReport(m_suspectCauses), now, request);
   }
-  request.quarantined_parts = ToWire(m_view.m_quarantinedParts, now);
+  request.quarantined_parts = ToWire(m_view.m_quarantinedCauses, now);
   if (m_rateReport) {
     const RateReport report = m_rateReport();
     request.request_limits = ToWire(report.m_limits, now);
@@ -215,7 +215,7 @@
     AcceptState(aReply, now);
   }
   AcceptInstances(aReply, now);
-  AcceptParts(aReply, now);
+  AcceptCrashCauses(aReply, now);
   AcceptRates(aReply, now);
 }
 
@@ -341,18 +341,19 @@
   m_registrySequence = aReply.registry_sequence;
 }
 
-// A process that has just started to lead does not know all quarantined parts,
-// so a part that is missing in an answer stays.
+// A process that has just started to lead does not know all quarantined
+// causes, so one that is missing in an answer stays.
 void
-Watch::AcceptParts(const wire::WatchReplyT& aReply, base::TimePoint aNow)
+Watch::AcceptCrashCauses(const wire::WatchReplyT& aReply, base::TimePoint aNow)
 {
-  m_suspectParts = { aReply.suspect_parts.begin(), aReply.suspect_parts.end() };
-  for (const auto& [part, until] : FromWire(aReply.quarantined_parts, aNow)) {
-    base::TimePoint& known = m_view.m_quarantinedParts[part];
+  m_suspectCauses = { aReply.suspect_parts.begin(),
+                      aReply.suspect_parts.end() };
+  for (const auto& [cause, until] : FromWire(aReply.quarantined_parts, aNow)) {
+    base::TimePoint& known = m_view.m_quarantinedCauses[cause];
     known = std::max(known, until);
   }
-  std::erase_if(m_view.m_quarantinedParts,
-                [aNow](const auto& aPart) { return aPart.second <= aNow; });
+  std::erase_if(m_view.m_quarantinedCauses,
+                [aNow](const auto& aCause) { return aCause.second <= aNow; });
 }
 
 void
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -21,7 +21,7 @@
 #include "chivefront/base/decision_log.h"
 #include "chivefront/net/link.h"
 #include "chivefront/routing/config.h"
-#include "chivefront/routing/part_quarantine.h"
+#include "chivefront/routing/crash_quarantine.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/site/rate_messages.h"
 #include "chivefront/site/store.h"
@@ -39,8 +39,9 @@
   uint32_t m_liveEntries = 1;         // entries that share global bounds
   base::TimePoint m_leaderAnsweredAt; // last answer from a leader
   base::TimePoint m_configuredAt;     // when the first configuration came
-  // Requests with these prompt parts are refused until the time given.
-  routing::QuarantinedParts m_quarantinedParts;
+  // These requests, and requests with these prompt parts, are refused until the
+  // time given.
+  routing::QuarantinedCauses m_quarantinedCauses;
 };
 
 class Watch
@@ -50,10 +51,10 @@
   // started.
   using EvidenceSource = std::function<std::vector<wire::VersionEvidenceT>()>;
 
-  // Returns what the entry has seen of prompt parts; the argument names parts
+  // Returns what the entry has seen of crashes; the argument names the causes
   // that other entries suspect.
-  using PartReportSource =
-    std::function<routing::PartReport(const std::set<routing::PartKey>&)>;
+  using CrashReportSource =
+    std::function<routing::CrashReport(const std::set<routing::CauseKey>&)>;
 
   // Returns the request limits that the entry knows and the permits that it
   // wants. Called once for each poll.
@@ -68,7 +69,7 @@
         routing::DocumentDecoder aDecoder);
 
   void SetEvidenceSource(EvidenceSource aSource);
-  void SetPartReportSource(PartReportSource aSource);
+  void SetCrashReportSource(CrashReportSource aSource);
   void SetRateExchange(RateReportSource aSource, RateAnswerSink aSink);
   // Adds control processes to poll, after a reload of the settings.
   void AddSeeds(const std::vector<std::string>& aNames);
@@ -96,7 +97,7 @@
   void AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptMembers(const wire::WatchReplyT& aReply);
-  void AcceptParts(const wire::WatchReplyT& aReply, base::TimePoint aNow);
+  void AcceptCrashCauses(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptRates(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void Connect(const std::string& aName);
 
@@ -108,14 +109,14 @@
   const routing::DocumentDecoder m_decoder;
   const std::string m_holder;
   EvidenceSource m_evidence;
-  PartReportSource m_partReport;
+  CrashReportSource m_crashReport;
   RateReportSource m_rateReport;
   RateAnswerSink m_rateAnswer;
   base::TimePoint m_polledAt; // when the last poll was sent
   // Since when answers name fewer live entries than the view; unset: they do
   // not.
   base::TimePoint m_fewerEntriesSince;
-  std::set<routing::PartKey> m_suspectParts; // from the last answer
+  std::set<routing::CauseKey> m_suspectCauses; // from the last answer
   WatchView m_view;
   std::map<std::string, std::shared_ptr<net::LinkConnector>> m_controlLinks;
   std::string m_leader;  // from the last answer; empty: unknown
