--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -191,9 +191,9 @@
   error_code ignored; // the acceptor is not used again
   m_acceptor.close(ignored);
   co_await AwaitCallers(m_shared.m_drainEnd);
-  const uint64_t requestsEnded = m_exchanges.size();
+  uint64_t requestsEnded = 0;
   for (const auto& exchange : m_exchanges) {
-    exchange->EndForShutdown();
+    requestsEnded += exchange->EndForShutdown() ? 1 : 0;
   }
   co_await AwaitCallers(exit);
   m_shared.m_log.Record(
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -49,7 +49,7 @@
   // the load balancer can switch to other entries; those that could run for
   // longer than the drain are refused. Then no connection is accepted, and
   // Drain returns when all connections have ended or aMaxDuration after the
-  // call. Requests that still run shortly before are ended with an answer.
+  // call. Requests whose response has not begun shortly before are answered.
   net::Task<void> Drain(base::Millis aNoticeTime, base::Millis aMaxDuration);
 
 private:
--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -236,10 +236,14 @@
   }
 }
 
-void
+bool
 Exchange::EndForShutdown()
 {
+  if (m_caller->ResponseStarted()) {
+    return false;
+  }
   Abort(AbortReason::ShuttingDown);
+  return true;
 }
 
 bool
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -24,9 +24,10 @@
   Exchange(SharedState& aShared, std::shared_ptr<CallerConnection> aCaller);
 
   net::Task<void> Run();
-  // Ends the request because the process exits. The caller gets an answer, or
-  // sees that its response is truncated.
-  void EndForShutdown();
+  // Answers the request because the process is about to exit. Returns false and
+  // does nothing if its response has begun: the rest of that may still be
+  // written in time.
+  bool EndForShutdown();
 
 private:
   // Results of one attempt.
