Free the stand-in's slot before the end of its answer

Cause: the stand-in of an engine sent the end of an answer first and gave up the request's slot afterwards, in another step. An agent that sends the next request as soon as it has the end can reach the engine before that step, if its thread is delayed, and then counts as one request too many. The agent is not at fault.

Change: the slot is free once the last token is generated, before the end of the answer is sent. The test and its bounds are unchanged.

--- a/fakes/engine_generate.cc
+++ b/fakes/engine_generate.cc
@@ -87,9 +87,10 @@
     (void)co_await aExchange.Respond(std::move(response));
     co_return;
   }
-  const bool completed = co_await Generate(aExchange, job);
-  const std::lock_guard lock(m_lock);
-  m_model.Remove(job.m_id, completed);
+  if (!co_await Generate(aExchange, job)) {
+    const std::lock_guard lock(m_lock);
+    m_model.Remove(job.m_id, false);
+  }
 }
 
 std::string
@@ -128,6 +129,7 @@
   co_return status.ok();
 }
 
+// Returns whether the whole answer was generated. The job is removed then.
 net::Task<bool>
 FakeEngine::Generate(net::HttpExchange& aExchange, const Job& aJob)
 {
@@ -158,13 +160,19 @@
       }
     }
   }
+  // The slot is free before the end of the answer can be seen. Otherwise a
+  // caller that sends the next request at once would seem to send too many.
+  {
+    const std::lock_guard lock(m_lock);
+    m_model.Remove(aJob.m_id, true);
+  }
   if (aJob.m_stream) {
     json::object event{ { "choices", json::array() },
                         { "usage", Usage(aJob) } };
     (void)co_await SendEvent(aExchange, std::move(event));
     (void)co_await aExchange.Write("data: [DONE]\n\n");
-    const absl::Status ended = co_await aExchange.EndStream();
-    co_return ended.ok();
+    (void)co_await aExchange.EndStream();
+    co_return true;
   }
   json::object message{ { "role", "assistant" }, { "content", answer } };
   json::object choice{ { "index", 0 },
@@ -177,8 +185,8 @@
                      { "usage", Usage(aJob) } };
   net::HttpResponse response(
     200, "application/json", {}, json::serialize(body));
-  const absl::Status sent = co_await aExchange.Respond(std::move(response));
-  co_return sent.ok();
+  (void)co_await aExchange.Respond(std::move(response));
+  co_return true;
 }
 
 } // namespace fakes
