Test the replication of entries that outlast an election timeout

The simulation gets uplinks with a rate, shared evenly by the receivers. With eight replicas, 100 Mbit/s and an entry of 1 MiB, 40 checks fail: the leader loses its lease in each term.

--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -109,6 +109,16 @@
   }
 }
 
+void
+Simulation::Deliver(InFlightMessage aMessage)
+{
+  const int64_t delay =
+    Chance(m_networkFaults.m_latePercent)
+      ? kLateMillis
+      : 1 + static_cast<int64_t>(m_random() % m_networkFaults.m_delayMillis);
+  m_network.emplace(m_now + base::Millis(delay), std::move(aMessage));
+}
+
 void
 Simulation::Send(const std::string& aFrom,
                  const std::string& aTo,
@@ -119,12 +129,38 @@
     if (Chance(m_networkFaults.m_lossPercent)) {
       continue;
     }
-    const int64_t delay =
-      Chance(m_networkFaults.m_latePercent)
-        ? kLateMillis
-        : 1 + static_cast<int64_t>(m_random() % m_networkFaults.m_delayMillis);
-    m_network.emplace(m_now + base::Millis(delay),
-                      InFlightMessage{ aFrom, aTo, aPayload });
+    InFlightMessage message{ aFrom, aTo, aPayload };
+    if (m_networkFaults.m_uplinkBytesPerMilli == 0) {
+      Deliver(std::move(message));
+    } else {
+      m_uplinks[aFrom][aTo].push_back({ std::move(message), aPayload.size() });
+    }
+  }
+}
+
+// Sends for one millisecond from each host that has messages waiting.
+void
+Simulation::SendFromUplinks()
+{
+  for (auto& [from, queues] : m_uplinks) {
+    uint64_t budget = m_networkFaults.m_uplinkBytesPerMilli;
+    std::erase_if(queues,
+                  [](const auto& aItem) { return aItem.second.empty(); });
+    while (budget > 0 && !queues.empty()) {
+      const uint64_t share = std::max<uint64_t>(1, budget / queues.size());
+      for (auto& [to, queue] : queues) {
+        const uint64_t sent =
+          std::min({ share, budget, queue.front().m_bytesLeft });
+        budget -= sent;
+        queue.front().m_bytesLeft -= sent;
+        if (queue.front().m_bytesLeft == 0) {
+          Deliver(std::move(queue.front().m_message));
+          queue.pop_front();
+        }
+      }
+      std::erase_if(queues,
+                    [](const auto& aItem) { return aItem.second.empty(); });
+    }
   }
 }
 
@@ -240,6 +276,7 @@
 Simulation::Step()
 {
   m_now = m_now + base::Millis(1);
+  SendFromUplinks();
   std::set<std::string> receivers;
   while (!m_network.empty() && m_network.begin()->first <= m_now) {
     const InFlightMessage message = std::move(m_network.begin()->second);
@@ -263,13 +300,14 @@
 }
 
 void
-Simulation::Write()
+Simulation::Write(size_t aBytes)
 {
   const std::string& name = m_names[m_random() % m_names.size()];
   if (!IsUp(name)) {
     return;
   }
-  const std::string command = "w" + std::to_string(++m_writes);
+  std::string command = "w" + std::to_string(++m_writes) + ".";
+  command.resize(std::max(command.size(), aBytes), 'x');
   const size_t before = m_observedLength;
   DriverOf(name).Propose(
     command, [=, this](absl::StatusOr<std::string> aResult) {
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -3,6 +3,7 @@
 // properties of Raft after every step.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -34,6 +35,9 @@
     uint32_t m_duplicatePercent = 0;
     int64_t m_delayMillis = 5;
     uint32_t m_latePercent = 0; // messages with a delay of 300 ms
+    // What a host sends per millisecond, shared evenly by the receivers for
+    // which it has messages; 0: no limit.
+    uint64_t m_uplinkBytesPerMilli = 0;
   };
 
   // aNames are the initial members. With aSpares the membership is dynamic, and
@@ -81,8 +85,8 @@
   }
   void SetNetworkFaults(NetworkFaults aFaults) { m_networkFaults = aFaults; }
 
-  // Requests of clients, to a random replica.
-  void Write();
+  // Requests of clients, to a random replica. aBytes: size of the command.
+  void Write(size_t aBytes = 0);
   void Read();
 
   // Writes until one more command is acknowledged, for at most aMillis.
@@ -156,6 +160,12 @@
     std::string m_payload;
   };
 
+  struct QueuedMessage
+  {
+    InFlightMessage m_message;
+    uint64_t m_bytesLeft = 0;
+  };
+
   static bool IsRunning(const Host& aHost)
   {
     return aHost.m_driver && !aHost.m_driver->IsPaused();
@@ -164,6 +174,8 @@
   void Send(const std::string& aFrom,
             const std::string& aTo,
             std::string aPayload);
+  void Deliver(InFlightMessage aMessage);
+  void SendFromUplinks();
   void Process(const std::string& aName);
   void CheckCommitted(const std::string& aName);
   GroupOptions OptionsOf(const std::string& aName) const;
@@ -179,6 +191,9 @@
   std::set<std::string> m_isolated;
   std::set<std::string> m_side; // hosts that are cut from all others
   NetworkFaults m_networkFaults;
+  // Messages that wait for their sender's uplink, by sender and receiver.
+  std::map<std::string, std::map<std::string, std::deque<QueuedMessage>>>
+    m_uplinks;
 
   std::map<uint64_t, uint64_t> m_leaderByTerm; // identity by term
   std::map<uint64_t, std::pair<uint64_t, std::string>> m_committedEntries;
