Replicate large entries in parts

Operators saw a configuration of 2,800 routes refused for 45 s. Seven copies of its log entry took longer than an election timeout (400 ms) on the leader's link; heartbeats waited behind them on each connection, so the leader lost its lease in every term before the commit.

An entry over 64 KiB now goes to each replica in parts, one at a time. Each part is answered, the entry counts as sent only when the replica has all of it, and heartbeats between the parts refer to the entry before it. A part without an answer is sent again after four heartbeats; a sooner repeat added to the congestion in the simulation and kept the entry from arriving at all.

large_entry_test: 40 checks failed before, 0 now. core, history, full_disk, group, store and tolerance tests pass. A replica of an older build ignores parts: it stays behind at an entry of this size until it is replaced.

--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -336,6 +336,10 @@
       return OnAppend(aFrom, aMessage, aNow);
     case MessageKind::AppendReply:
       return OnAppendReply(aMessage, aNow);
+    case MessageKind::EntryPart:
+      return OnEntryPart(aFrom, aMessage, aNow);
+    case MessageKind::EntryPartReply:
+      return OnEntryPartReply(aMessage, aNow);
     case MessageKind::Snapshot:
       return OnSnapshot(aFrom, aMessage, aNow);
     case MessageKind::SnapshotReply:
@@ -372,6 +376,7 @@
         // Messages without a reply by now are considered lost.
         peer.m_inFlightAppends = 0;
         peer.m_chunkInFlight = false;
+        RetryEntryPart(peer);
       }
     }
     for (auto& [identity, peer] : m_peers) {
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -51,6 +51,10 @@
   // Limits of the data in one message, well below the frame limit of 16 MiB.
   size_t m_maxAppendBytes = 1024 * 1024;
   size_t m_snapshotChunkBytes = 256 * 1024;
+  // A larger entry is sent in parts of this size, one at a time to each
+  // replica. Its copies must not hold up heartbeats for an election timeout:
+  // parts for seven replicas take 40 ms at 100 Mbit/s.
+  size_t m_entryPartBytes = 64 * 1024;
   // Number of entries that the log keeps before the snapshot index, so that a
   // slightly lagging replica catches up by entries and needs no snapshot.
   uint64_t m_trailingEntries = 1000;
@@ -162,7 +166,10 @@
     base::TimePoint m_lastHeard;
     std::shared_ptr<const Snapshot> m_snapshot; // being sent; null for none
     uint64_t m_snapshotOffset = 0;              // bytes
-    bool m_chunkInFlight = false;
+    uint64_t m_entryOffset = 0; // bytes of the entry m_nextIndex received there
+    bool m_chunkInFlight = false; // of the snapshot
+    bool m_partInFlight = false;  // of the entry m_nextIndex
+    uint32_t m_heartbeatsSincePart = 0;
   };
 
   // core.cc: terms, elections and timers.
@@ -194,10 +201,14 @@
   void OnAppend(const std::string& aFrom,
                 const Message& aMessage,
                 base::TimePoint aNow);
+  void OnEntryPart(const std::string& aFrom,
+                   const Message& aMessage,
+                   base::TimePoint aNow);
   void OnSnapshot(const std::string& aFrom,
                   const Message& aMessage,
                   base::TimePoint aNow);
   void InstallIncomingSnapshot();
+  bool HoldsEntryBefore(const Message& aMessage) const;
   void RejectAppend(const std::string& aFrom, const Message& aMessage);
   bool MergeEntries(const Message& aMessage);
   void ConfirmCommitIndex();
@@ -206,9 +217,17 @@
 
   // leader.cc: replication and leadership transfer.
   void OnAppendReply(const Message& aMessage, base::TimePoint aNow);
+  void OnEntryPartReply(const Message& aMessage, base::TimePoint aNow);
   void OnSnapshotReply(const Message& aMessage, base::TimePoint aNow);
+  Peer* FindReplyingPeer(const Message& aMessage, base::TimePoint aNow);
   void Replicate();
+  Message MakeAppend(uint64_t aIdentity,
+                     const Peer& aPeer,
+                     MessageKind aKind) const;
   bool SendEntries(uint64_t aIdentity, Peer& aPeer);
+  bool IsLarge(const Entry& aEntry) const;
+  void SendEntryPart(uint64_t aIdentity, Peer& aPeer);
+  static void RetryEntryPart(Peer& aPeer);
   void SendSnapshotChunk(uint64_t aIdentity, Peer& aPeer);
   void SendHeartbeat(uint64_t aIdentity, Peer& aPeer);
   void AdvanceCommit();
@@ -314,6 +333,7 @@
   std::set<std::string> m_preparedMembers;
 
   Snapshot m_incomingSnapshot; // received in part
+  Entry m_incomingEntry;       // received in part; index 0: none
 
   Actions m_actions;
 };
--- a/chivefront/consensus/follower.cc
+++ b/chivefront/consensus/follower.cc
@@ -1,5 +1,6 @@
 // The follower: appends and snapshots from the leader.
 #include <algorithm>
+#include <utility>
 
 #include "chivefront/consensus/core.h"
 
@@ -104,6 +105,14 @@
   }
 }
 
+bool
+RaftCore::HoldsEntryBefore(const Message& aMessage) const
+{
+  return aMessage.m_index <= m_commitIndex ||
+         (aMessage.m_index <= m_log.LastIndex() &&
+          m_log.TermAt(aMessage.m_index) == aMessage.m_logTerm);
+}
+
 void
 RaftCore::OnAppend(const std::string& aFrom,
                    const Message& aMessage,
@@ -112,10 +121,7 @@
   if (!FollowLeader(aFrom, aMessage, aNow)) {
     return;
   }
-  const bool matches = aMessage.m_index <= m_commitIndex ||
-                       (aMessage.m_index <= m_log.LastIndex() &&
-                        m_log.TermAt(aMessage.m_index) == aMessage.m_logTerm);
-  if (!matches) {
+  if (!HoldsEntryBefore(aMessage)) {
     RejectAppend(aFrom, aMessage);
     return;
   }
@@ -134,6 +140,46 @@
   Reply(aFrom, aMessage, std::move(reply));
 }
 
+// Collects the parts of an entry; the last one completes an append of it. Parts
+// of another entry, or of this one from its start, replace what was collected.
+void
+RaftCore::OnEntryPart(const std::string& aFrom,
+                      const Message& aMessage,
+                      TimePoint aNow)
+{
+  if (!FollowLeader(aFrom, aMessage, aNow) || aMessage.m_entries.size() != 1) {
+    return;
+  }
+  const Entry& part = aMessage.m_entries.front();
+  const bool isHeld =
+    part.m_index <= m_commitIndex || m_log.TermAt(part.m_index) == part.m_term;
+  if (isHeld || !HoldsEntryBefore(aMessage)) {
+    // The entry is in the log, or can't be appended: the answer needs no data.
+    OnAppend(aFrom, aMessage, aNow);
+    return;
+  }
+  Entry& entry = m_incomingEntry;
+  if (aMessage.m_hint == 0 || entry.m_index != part.m_index ||
+      entry.m_term != part.m_term) {
+    entry = { part.m_term, part.m_index, part.m_kind, "" };
+  }
+  const bool isNext = aMessage.m_hint == entry.m_data.size();
+  if (isNext) {
+    entry.m_data += part.m_data;
+  }
+  if (isNext && aMessage.m_flag) {
+    Message append = aMessage;
+    append.m_entries = { std::exchange(m_incomingEntry, {}) };
+    OnAppend(aFrom, append, aNow);
+    return;
+  }
+  Message reply;
+  reply.m_kind = MessageKind::EntryPartReply;
+  reply.m_index = entry.m_index;
+  reply.m_hint = entry.m_data.size();
+  Reply(aFrom, aMessage, std::move(reply));
+}
+
 void
 RaftCore::OnSnapshot(const std::string& aFrom,
                      const Message& aMessage,
--- a/chivefront/consensus/leader.cc
+++ b/chivefront/consensus/leader.cc
@@ -9,6 +9,8 @@
 // Maximum number of appends in flight to one replica. Enough to keep a link
 // with a latency of a few milliseconds busy with batches of 1 MiB.
 constexpr uint32_t kMaxInFlightAppends = 16;
+// Together about an election timeout.
+constexpr uint32_t kHeartbeatsBeforePartRetry = 4;
 
 } // namespace
 
@@ -50,29 +52,86 @@
   Send(aPeer.m_name, std::move(append), true);
 }
 
-// Sends one append with as many entries as fit. Returns false when there is
-// nothing to send or too many appends are in flight.
 bool
-RaftCore::SendEntries(uint64_t aIdentity, Peer& aPeer)
+RaftCore::IsLarge(const Entry& aEntry) const
+{
+  return aEntry.m_data.size() > m_options.m_entryPartBytes;
+}
+
+// An append to aPeer, without entries.
+Message
+RaftCore::MakeAppend(uint64_t aIdentity,
+                     const Peer& aPeer,
+                     MessageKind aKind) const
 {
-  if (aPeer.m_nextIndex > m_log.LastIndex() ||
-      aPeer.m_inFlightAppends >= kMaxInFlightAppends ||
-      (aPeer.m_probing && aPeer.m_inFlightAppends > 0)) {
-    return false;
-  }
   Message append;
-  append.m_kind = MessageKind::Append;
+  append.m_kind = aKind;
   append.m_to = aIdentity;
   append.m_term = m_hardState.m_term;
   append.m_index = aPeer.m_nextIndex - 1;
   append.m_logTerm = m_log.TermAt(append.m_index);
   append.m_commitIndex = m_commitIndex;
   append.m_round = m_confirmRound;
+  return append;
+}
+
+// Sends the next part of the entry m_nextIndex, unless one is in flight. The
+// entry counts as sent once the replica has acknowledged all of it, so that
+// heartbeats sent meanwhile refer to an entry that the replica holds.
+void
+RaftCore::SendEntryPart(uint64_t aIdentity, Peer& aPeer)
+{
+  if (aPeer.m_partInFlight) {
+    return;
+  }
+  const Entry& entry = m_log.At(aPeer.m_nextIndex);
+  const size_t offset =
+    std::min<size_t>(aPeer.m_entryOffset, entry.m_data.size());
+  Message part = MakeAppend(aIdentity, aPeer, MessageKind::EntryPart);
+  part.m_hint = offset;
+  part.m_entries.push_back(
+    { entry.m_term,
+      entry.m_index,
+      entry.m_kind,
+      entry.m_data.substr(offset, m_options.m_entryPartBytes) });
+  part.m_flag =
+    offset + part.m_entries.front().m_data.size() == entry.m_data.size();
+  aPeer.m_partInFlight = true;
+  aPeer.m_heartbeatsSincePart = 0;
+  Send(aPeer.m_name, std::move(part), true);
+}
+
+// Called with each heartbeat. A part that is not answered after several of them
+// is sent again; on a busy link an earlier repeat would delay all others.
+void
+RaftCore::RetryEntryPart(Peer& aPeer)
+{
+  if (++aPeer.m_heartbeatsSincePart >= kHeartbeatsBeforePartRetry) {
+    aPeer.m_partInFlight = false;
+  }
+}
+
+// Sends one append with as many entries as fit, or a part of a large entry.
+// Returns whether another append may be sent.
+bool
+RaftCore::SendEntries(uint64_t aIdentity, Peer& aPeer)
+{
+  if (aPeer.m_nextIndex > m_log.LastIndex() ||
+      aPeer.m_inFlightAppends >= kMaxInFlightAppends ||
+      (aPeer.m_probing && aPeer.m_inFlightAppends > 0)) {
+    return false;
+  }
+  if (IsLarge(m_log.At(aPeer.m_nextIndex))) {
+    SendEntryPart(aIdentity, aPeer);
+    return false;
+  }
+  Message append = MakeAppend(aIdentity, aPeer, MessageKind::Append);
   size_t bytes = 0;
   while (aPeer.m_nextIndex <= m_log.LastIndex()) {
     const Entry& entry = m_log.At(aPeer.m_nextIndex);
     bytes += entry.m_data.size() + sizeof(Entry);
-    if (!append.m_entries.empty() && bytes > m_options.m_maxAppendBytes) {
+    if (!append.m_entries.empty() &&
+        (bytes > m_options.m_maxAppendBytes || IsLarge(entry))) {
       break;
     }
     append.m_entries.push_back(entry);
@@ -143,52 +202,83 @@
   CompleteConfirmations();
 }
 
-void
-RaftCore::OnAppendReply(const Message& aMessage, TimePoint aNow)
+// The replica that answered a message of this leader's term, with what every
+// answer tells; null if the answer is for another term or from a stranger.
+RaftCore::Peer*
+RaftCore::FindReplyingPeer(const Message& aMessage, TimePoint aNow)
 {
-  if (aMessage.m_term > m_hardState.m_term) {
-    BecomeFollower(aMessage.m_term, "");
-    return;
-  }
   const auto found = m_peers.find(aMessage.m_from);
   if (!IsLeader() || aMessage.m_term != m_hardState.m_term ||
       found == m_peers.end()) {
-    return;
+    return nullptr;
   }
   Peer& peer = found->second;
   peer.m_lastHeard = aNow;
   peer.m_heardSinceElected = true;
   peer.m_confirmedRound = std::max(peer.m_confirmedRound, aMessage.m_round);
-  peer.m_inFlightAppends -= peer.m_inFlightAppends > 0 ? 1 : 0;
+  return &peer;
+}
+
+void
+RaftCore::OnAppendReply(const Message& aMessage, TimePoint aNow)
+{
+  if (aMessage.m_term > m_hardState.m_term) {
+    BecomeFollower(aMessage.m_term, "");
+    return;
+  }
+  Peer* const peer = FindReplyingPeer(aMessage, aNow);
+  if (peer == nullptr) {
+    return;
+  }
+  peer->m_inFlightAppends -= peer->m_inFlightAppends > 0 ? 1 : 0;
+  const uint64_t nextIndex = peer->m_nextIndex;
   if (aMessage.m_rejected) {
-    if (aMessage.m_index > peer.m_matchIndex) {
-      peer.m_nextIndex = std::max(peer.m_matchIndex, aMessage.m_hint) + 1;
-      peer.m_probing = true;
-      peer.m_inFlightAppends = 0;
+    if (aMessage.m_index > peer->m_matchIndex) {
+      peer->m_nextIndex = std::max(peer->m_matchIndex, aMessage.m_hint) + 1;
+      peer->m_probing = true;
+      peer->m_inFlightAppends = 0;
     }
   } else {
-    peer.m_matchIndex = std::max(peer.m_matchIndex, aMessage.m_index);
-    peer.m_nextIndex = std::max(peer.m_nextIndex, peer.m_matchIndex + 1);
-    peer.m_probing = false;
+    peer->m_matchIndex = std::max(peer->m_matchIndex, aMessage.m_index);
+    peer->m_nextIndex = std::max(peer->m_nextIndex, peer->m_matchIndex + 1);
+    peer->m_probing = false;
     AdvanceCommit();
     SendTakeOverIfCaughtUp();
   }
+  if (peer->m_nextIndex != nextIndex) {
+    peer->m_entryOffset = 0;
+    peer->m_partInFlight = false;
+  }
   CompleteConfirmations();
   ProposeMembershipChange(aNow);
 }
 
+// The replica holds m_hint bytes of an entry. That may be fewer than before if
+// it has restarted. An answer that tells nothing new belongs to a part that was
+// sent twice.
+void
+RaftCore::OnEntryPartReply(const Message& aMessage, TimePoint aNow)
+{
+  Peer* const peer = FindReplyingPeer(aMessage, aNow);
+  if (peer == nullptr) {
+    return;
+  }
+  if (aMessage.m_index == peer->m_nextIndex &&
+      aMessage.m_hint != peer->m_entryOffset) {
+    peer->m_entryOffset = aMessage.m_hint;
+    peer->m_partInFlight = false;
+  }
+  CompleteConfirmations();
+}
+
 void
 RaftCore::OnSnapshotReply(const Message& aMessage, TimePoint aNow)
 {
-  const auto found = m_peers.find(aMessage.m_from);
-  if (!IsLeader() || aMessage.m_term != m_hardState.m_term ||
-      found == m_peers.end()) {
+  Peer* const found = FindReplyingPeer(aMessage, aNow);
+  if (found == nullptr) {
     return;
   }
-  Peer& peer = found->second;
-  peer.m_lastHeard = aNow;
-  peer.m_heardSinceElected = true;
-  peer.m_confirmedRound = std::max(peer.m_confirmedRound, aMessage.m_round);
+  Peer& peer = *found;
   if (!peer.m_snapshot || peer.m_snapshot->m_index != aMessage.m_index) {
     return;
   }
--- a/chivefront/consensus/raft_generated.hpp
+++ b/chivefront/consensus/raft_generated.hpp
@@ -83,11 +83,13 @@
   Snapshot = 5,
   SnapshotReply = 6,
   TakeOver = 7,
+  EntryPart = 8,
+  EntryPartReply = 9,
   MIN = Hello,
-  MAX = TakeOver
+  MAX = EntryPartReply
 };
 
-inline const MessageKind (&EnumValuesMessageKind())[8] {
+inline const MessageKind (&EnumValuesMessageKind())[10] {
   static const MessageKind values[] = {
     MessageKind::Hello,
     MessageKind::Vote,
@@ -96,13 +98,15 @@
     MessageKind::AppendReply,
     MessageKind::Snapshot,
     MessageKind::SnapshotReply,
-    MessageKind::TakeOver
+    MessageKind::TakeOver,
+    MessageKind::EntryPart,
+    MessageKind::EntryPartReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessageKind() {
-  static const char * const names[9] = {
+  static const char * const names[11] = {
     "Hello",
     "Vote",
     "VoteReply",
@@ -111,13 +115,15 @@
     "Snapshot",
     "SnapshotReply",
     "TakeOver",
+    "EntryPart",
+    "EntryPartReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessageKind(MessageKind e) {
-  if (flatbuffers::IsOutRange(e, MessageKind::Hello, MessageKind::TakeOver)) return "";
+  if (flatbuffers::IsOutRange(e, MessageKind::Hello, MessageKind::EntryPartReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessageKind()[index];
 }
--- a/chivefront/consensus/types.h
+++ b/chivefront/consensus/types.h
@@ -53,22 +53,23 @@
   uint64_t m_from = 0; // identity of the sender
   uint64_t m_to = 0;   // identity of the receiver; 0 when not known
   uint64_t m_term = 0;
-  // Index and term of an entry. Vote: the last entry of the candidate. Append:
-  // the entry before the first one carried. AppendReply: the last entry known
-  // to match, or the rejected one. Snapshot: the last entry covered. Reply to a
-  // pre-vote: m_index is the term of the planned election.
+  // Index and term of an entry. Vote: the last entry of the candidate. Append
+  // and EntryPart: the entry before the first one carried. AppendReply: the
+  // last entry known to match, or the rejected one. EntryPartReply: the entry.
+  // Snapshot: the last entry covered. Reply to a pre-vote: m_index is the term
+  // of the planned election.
   uint64_t m_index = 0;
   uint64_t m_logTerm = 0;
   uint64_t m_commitIndex = 0;
   // Confirmation round, or the nonce of a Hello. Replies echo it.
   uint64_t m_round = 0;
-  // Hello: a reply. Vote and VoteReply: a pre-vote. Snapshot: the last chunk.
-  // SnapshotReply: the snapshot is complete.
+  // Hello: a reply. Vote and VoteReply: a pre-vote. Snapshot and EntryPart: the
+  // last chunk. SnapshotReply: the snapshot is complete.
   bool m_flag = false;
   bool m_rejected = false;
   bool m_forced = false; // Vote: part of a leadership transfer
-  // AppendReply: the last entry that may match, after a rejection. Snapshot and
-  // SnapshotReply: offset in bytes.
+  // AppendReply: the last entry that may match, after a rejection. Snapshot,
+  // SnapshotReply, EntryPart and EntryPartReply: offset in bytes.
   uint64_t m_hint = 0;
   Stage m_stage = Stage::Empty;
   Membership m_members;
