Fetch configurations in parts beside the polls of entries

Callers got 404 for routes of an acknowledged configuration, and upstreams that had said they leave got requests 2.7 to 3.7 s later. Each entry got the whole configuration of 2,800 routes in the answer to its poll, from the leader alone: thirty of them kept its link busy for longer than the poll's 500 ms. The entry gave up, asked the next control process for all of it again, and heard of no registration meanwhile.

A poll's answer now names the number of the document only. The entry fetches it beside the polls in parts of 32 KiB, one at a time and deflated, from any control process that has applied it; entries begin at different ones. An entry without a configuration still takes one only if a process that hears a leader has named its number or a lower one. New log record document_fetched. Older entries still get documents in answers, and older control processes still send them.

--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -10,6 +10,7 @@
 #include "chivefront/control/peers.h"
 #include "chivefront/control/watcher_table.h"
 #include "chivefront/routing/request_limits.h"
+#include "chivefront/site/document_parts.h"
 #include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
 #include "chivefront/site/rate_coordinator.h"
@@ -159,6 +160,7 @@
     m_log
   };
   RateCoordinator m_rateCoordinator;
+  DocumentSource m_documentSource;
   routing::CrashQuarantine m_crashQuarantine;
   base::TimePoint m_crashesJudgedAt; // last update of m_crashQuarantine
   bool m_stopped = false;
@@ -171,6 +173,11 @@
   switch (body.type) {
     case wire::Body::WatchRequest:
       return OnWatch(aLink, aMessage.correlation, *body.AsWatchRequest());
+    case wire::Body::DocumentRequest:
+      (void)aLink->Reply(aMessage.correlation,
+                         m_documentSource.MakeReply(*m_store.Current(),
+                                                    *body.AsDocumentRequest()));
+      return;
     case wire::Body::AnnounceRequest:
       return OnAnnounce(*body.AsAnnounceRequest());
     case wire::Body::RaftEnvelope: {
@@ -212,9 +219,12 @@
   }
   reply.live_entries = reply.fresh ? m_watchers.LiveEntries(now) : 0;
   reply.revision = state->m_revision;
+  reply.document_number = state->m_number;
   reply.snapshot = aRequest.have_revision != state->m_revision;
   if (reply.snapshot) {
-    reply.entries = ToEntries(*state, aRequest.have_number, now);
+    const uint64_t haveNumber =
+      aRequest.fetches_documents ? state->m_number : aRequest.have_number;
+    reply.entries = ToEntries(*state, haveNumber, now);
   }
   // Sequence numbers from another incarnation are not comparable.
   const bool known = aRequest.registry_epoch == m_epoch;
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -5,6 +5,7 @@
 #include <iterator>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/base/ids.h"
 #include "chivefront/control/watcher_table.h"
 #include "chivefront/site/messages.h"
 
@@ -21,6 +22,12 @@
 // For so long a new entry waits for a control process that hears a leader,
 // before it takes the state of one that has lost its leader.
 constexpr base::Millis kLeaderWait{ 3000 };
+// A part takes 26 ms on a link of 10 Mbit/s. Longer than kPollTimeout, because
+// a part that is given up has to be sent again.
+constexpr base::Millis kPartTimeout{ 1000 };
+// Before another control process is asked for a document. It may not have
+// applied yet what the leader has committed.
+constexpr base::Millis kFetchRetryPause{ 50 };
 
 } // namespace detail
 
@@ -38,6 +45,7 @@
   , m_decoder(std::move(aDecoder))
   , m_holder(aIdentity.m_process + "#" +
              std::to_string(aIdentity.m_incarnation))
+  , m_documentLink(base::StableHash(m_holder))
 {
   AddSeeds(aSeeds);
 }
@@ -123,11 +131,20 @@
       return link;
     }
   }
-  for (size_t i = 0; i < m_controlLinks.size(); ++i) {
-    const size_t index = ++m_nextLink % m_controlLinks.size();
+  ++m_nextLink;
+  return OpenLink(m_nextLink);
+}
+
+// The first open link from the position aIndex on, which becomes that of the
+// link; null if no link is open.
+net::Link::Pointer
+Watch::OpenLink(size_t& aIndex) const
+{
+  for (size_t i = 0; i < m_controlLinks.size(); ++i, ++aIndex) {
+    const auto position =
+      static_cast<ptrdiff_t>(aIndex % m_controlLinks.size());
     if (net::Link::Pointer link =
-          std::next(m_controlLinks.begin(), static_cast<ptrdiff_t>(index))
-            ->second->Current()) {
+          std::next(m_controlLinks.begin(), position)->second->Current()) {
       return link;
     }
   }
@@ -142,6 +159,7 @@
   request.role = wire::Role::Entry;
   request.have_revision = m_view.m_revision;
   request.have_number = m_view.m_number;
+  request.fetches_documents = true;
   request.registry_epoch = m_registryEpoch;
   request.registry_sequence = m_registrySequence;
   if (m_evidence) {
@@ -210,9 +228,14 @@
     m_view.m_leaderAnsweredAt = now;
     AcceptLiveEntries(std::max<uint32_t>(1, aReply.live_entries), now);
   }
-  if (aReply.snapshot && aReply.revision > m_view.m_revision &&
-      MayAdoptState(aReply)) {
-    AcceptState(aReply, now);
+  const bool isNewState =
+    aReply.snapshot && aReply.revision > m_view.m_revision;
+  const bool isNewDocument = aReply.document_number > m_view.m_number;
+  if ((isNewState || isNewDocument) && MayAdoptState(aReply)) {
+    if (isNewState) {
+      AcceptState(aReply, now);
+    }
+    WantDocument(aReply.document_number);
   }
   AcceptInstances(aReply, now);
   AcceptCrashCauses(aReply, now);
@@ -294,22 +317,8 @@
                  { { "why", base::MessageOf(status) } });
     return;
   }
-  if (state.m_document && state.m_number > m_view.m_number) {
-    const auto config = m_decoder(*state.m_document);
-    if (!config.ok()) {
-      // Control processes accept only documents that they can decode, so this
-      // process runs another release.
-      m_log.Record("configuration_refused",
-                   base::LogCategory::State,
-                   { { "number", state.m_number },
-                     { "why", base::MessageOf(config.status()) } });
-      return;
-    }
-    if (!m_view.m_config) {
-      m_view.m_configuredAt = aNow;
-    }
-    m_view.m_config = *config;
-    m_view.m_number = state.m_number;
+  if (state.m_document) { // from a control process of an older release
+    AdoptDocument(state.m_number, *state.m_document, aNow);
   }
   m_view.m_domainsOut = std::move(state.m_domainsOut);
   m_view.m_rollouts = std::move(state.m_rollouts);
@@ -324,6 +333,105 @@
       { "rollouts", static_cast<uint64_t>(m_view.m_rollouts.size()) } });
 }
 
+void
+Watch::AdoptDocument(uint64_t aNumber,
+                     const std::string& aDocument,
+                     base::TimePoint aNow)
+{
+  if (aNumber <= m_view.m_number) {
+    return;
+  }
+  const auto config = m_decoder(aDocument);
+  if (!config.ok()) {
+    // Control processes accept only documents that they can decode, so this
+    // process runs another release.
+    m_log.Record(
+      "configuration_refused",
+      base::LogCategory::State,
+      { { "number", aNumber }, { "why", base::MessageOf(config.status()) } });
+    m_refusedNumber = std::max(m_refusedNumber, aNumber);
+    return;
+  }
+  if (!m_view.m_config) {
+    m_view.m_configuredAt = aNow;
+  }
+  m_view.m_config = *config;
+  m_view.m_number = aNumber;
+}
+
+void
+Watch::WantDocument(uint64_t aNumber)
+{
+  m_wantedNumber = std::max(m_wantedNumber, aNumber);
+  if (m_fetching || !IsDocumentMissing()) {
+    return;
+  }
+  m_fetching = true;
+  m_wantedSince = m_clock.Now();
+  net::Spawn(m_context.get_executor(), "watch", [this]() -> net::Task<void> {
+    return FetchDocument();
+  });
+}
+
+bool
+Watch::IsDocumentMissing() const
+{
+  return m_wantedNumber > std::max(m_view.m_number, m_refusedNumber);
+}
+
+net::Task<void>
+Watch::FetchDocument()
+{
+  while (!m_stopped && IsDocumentMissing()) {
+    const bool progress = co_await FetchPart();
+    if (!progress) {
+      ++m_documentLink;
+      co_await net::Sleep(detail::kFetchRetryPause);
+    }
+  }
+  m_fetching = false;
+}
+
+// Fetches the next part and adopts the document when it is whole. Returns false
+// if another control process should be asked.
+net::Task<bool>
+Watch::FetchPart()
+{
+  const net::Link::Pointer link = OpenLink(m_documentLink);
+  if (!link) {
+    co_return false;
+  }
+  wire::MessageT message = wire::MakeMessage(m_documentFetch.MakeRequest());
+  const auto reply =
+    co_await link->Call(std::move(message), detail::kPartTimeout);
+  const wire::DocumentReplyT* part =
+    reply.ok() ? reply->body.AsDocumentReply() : nullptr;
+  if (part == nullptr) {
+    co_return false;
+  }
+  const auto isWhole = m_documentFetch.Accept(*part, m_wantedNumber);
+  if (!isWhole.ok() || !*isWhole) {
+    co_return isWhole.ok();
+  }
+  const uint64_t number = m_documentFetch.Number();
+  const size_t packedBytes = m_documentFetch.PackedBytes();
+  const auto document = m_documentFetch.Take();
+  const base::TimePoint now = m_clock.Now();
+  m_log.Record("document_fetched",
+               base::LogCategory::State,
+               { { "number", number },
+                 { "from", link->Peer().m_process },
+                 { "result", base::MessageOf(document.status()) },
+                 { "bytes", document.ok() ? document->size() : size_t(0) },
+                 { "packed_bytes", packedBytes },
+                 { "took_ms", (now - m_wantedSince).Count() } });
+  m_wantedSince = now;
+  if (document.ok()) {
+    AdoptDocument(number, *document, now);
+  }
+  co_return document.ok();
+}
+
 void
 Watch::AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow)
 {
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -6,8 +6,9 @@
 //   if (!watch.View().m_config) ... no configuration yet ...
 //
 // An entry that reaches no control process goes on with its last view. Numbers
-// and revisions in the view never decrease. Use the watch on the context's
-// single thread.
+// and revisions in the view never decrease. The document of a configuration is
+// fetched beside the polls, in parts, from any control process that has it. Use
+// the watch on the context's single thread.
 #pragma once
 
 #include <cstdint>
@@ -23,6 +24,7 @@
 #include "chivefront/routing/config.h"
 #include "chivefront/routing/crash_quarantine.h"
 #include "chivefront/routing/registry.h"
+#include "chivefront/site/document_parts.h"
 #include "chivefront/site/rate_messages.h"
 #include "chivefront/site/store.h"
 
@@ -95,6 +97,15 @@
   void AcceptLiveEntries(uint32_t aCount, base::TimePoint aNow);
   bool MayAdoptState(const wire::WatchReplyT& aReply);
   void AcceptState(const wire::WatchReplyT& aReply, base::TimePoint aNow);
+  void AdoptDocument(uint64_t aNumber,
+                     const std::string& aDocument,
+                     base::TimePoint aNow);
+  // Begins to fetch a document of at least this number.
+  void WantDocument(uint64_t aNumber);
+  bool IsDocumentMissing() const;
+  net::Task<void> FetchDocument();
+  net::Task<bool> FetchPart();
+  net::Link::Pointer OpenLink(size_t& aIndex) const;
   void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptMembers(const wire::WatchReplyT& aReply);
   void AcceptCrashCauses(const wire::WatchReplyT& aReply, base::TimePoint aNow);
@@ -121,6 +132,15 @@
   std::map<std::string, std::shared_ptr<net::LinkConnector>> m_controlLinks;
   std::string m_leader;  // from the last answer; empty: unknown
   size_t m_nextLink = 0; // round robin while the leader is unknown
+  // The control process that parts of documents are fetched from. Entries begin
+  // at different ones, so that all share the work.
+  size_t m_documentLink;
+  DocumentFetch m_documentFetch;
+  // The highest number in an answer whose state may be adopted.
+  uint64_t m_wantedNumber = 0;
+  uint64_t m_refusedNumber = 0;  // highest of a document that can't be decoded
+  base::TimePoint m_wantedSince; // when the running fetch began
+  bool m_fetching = false;
   uint64_t m_registryEpoch = 0;
   uint64_t m_registrySequence = 0;
   bool m_connected = false;    // last logged state
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -88,6 +88,14 @@
 struct WatchReplyBuilder;
 struct WatchReplyT;
 
+struct DocumentRequest;
+struct DocumentRequestBuilder;
+struct DocumentRequestT;
+
+struct DocumentReply;
+struct DocumentReplyBuilder;
+struct DocumentReplyT;
+
 struct AnnounceRequest;
 struct AnnounceRequestBuilder;
 struct AnnounceRequestT;
@@ -636,11 +644,13 @@
   Resume = 23,
   Settled = 24,
   LoadReport = 25,
+  DocumentRequest = 26,
+  DocumentReply = 27,
   MIN = NONE,
-  MAX = LoadReport
+  MAX = DocumentReply
 };
 
-inline const Body (&EnumValuesBody())[26] {
+inline const Body (&EnumValuesBody())[28] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -667,13 +677,15 @@
     Body::Cancel,
     Body::Resume,
     Body::Settled,
-    Body::LoadReport
+    Body::LoadReport,
+    Body::DocumentRequest,
+    Body::DocumentReply
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[27] = {
+  static const char * const names[29] = {
     "NONE",
     "Hello",
     "Auth",
@@ -700,13 +712,15 @@
     "Resume",
     "Settled",
     "LoadReport",
+    "DocumentRequest",
+    "DocumentReply",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::LoadReport)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::DocumentReply)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -815,6 +829,14 @@
   static const Body enum_value = Body::LoadReport;
 };
 
+template<> struct BodyTraits<chivefront::wire::DocumentRequest> {
+  static const Body enum_value = Body::DocumentRequest;
+};
+
+template<> struct BodyTraits<chivefront::wire::DocumentReply> {
+  static const Body enum_value = Body::DocumentReply;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -919,6 +941,14 @@
   static const Body enum_value = Body::LoadReport;
 };
 
+template<> struct BodyUnionTraits<chivefront::wire::DocumentRequestT> {
+  static const Body enum_value = Body::DocumentRequest;
+};
+
+template<> struct BodyUnionTraits<chivefront::wire::DocumentReplyT> {
+  static const Body enum_value = Body::DocumentReply;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1149,6 +1179,22 @@
     return type == Body::LoadReport ?
       reinterpret_cast<const chivefront::wire::LoadReportT *>(value) : nullptr;
   }
+  chivefront::wire::DocumentRequestT *AsDocumentRequest() {
+    return type == Body::DocumentRequest ?
+      reinterpret_cast<chivefront::wire::DocumentRequestT *>(value) : nullptr;
+  }
+  const chivefront::wire::DocumentRequestT *AsDocumentRequest() const {
+    return type == Body::DocumentRequest ?
+      reinterpret_cast<const chivefront::wire::DocumentRequestT *>(value) : nullptr;
+  }
+  chivefront::wire::DocumentReplyT *AsDocumentReply() {
+    return type == Body::DocumentReply ?
+      reinterpret_cast<chivefront::wire::DocumentReplyT *>(value) : nullptr;
+  }
+  const chivefront::wire::DocumentReplyT *AsDocumentReply() const {
+    return type == Body::DocumentReply ?
+      reinterpret_cast<const chivefront::wire::DocumentReplyT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2942,6 +2988,7 @@
   std::vector<std::unique_ptr<chivefront::wire::RequestLimitT>> request_limits{};
   std::vector<std::unique_ptr<chivefront::wire::PermitRequestT>> permits{};
   uint32_t live_entries = 0;
+  bool fetches_documents = false;
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2967,7 +3014,8 @@
     VT_QUARANTINED_PARTS = 26,
     VT_REQUEST_LIMITS = 28,
     VT_PERMITS = 30,
-    VT_LIVE_ENTRIES = 32
+    VT_LIVE_ENTRIES = 32,
+    VT_FETCHES_DOCUMENTS = 34
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3014,6 +3062,9 @@
   uint32_t live_entries() const {
     return GetField<uint32_t>(VT_LIVE_ENTRIES, 0);
   }
+  bool fetches_documents() const {
+    return GetField<uint8_t>(VT_FETCHES_DOCUMENTS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3046,6 +3097,7 @@
            verifier.VerifyVector(permits()) &&
            verifier.VerifyVectorOfTables(permits()) &&
            VerifyField<uint32_t>(verifier, VT_LIVE_ENTRIES, 4) &&
+           VerifyField<uint8_t>(verifier, VT_FETCHES_DOCUMENTS, 1) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3102,6 +3154,9 @@
   void add_live_entries(uint32_t live_entries) {
     fbb_.AddElement<uint32_t>(WatchRequest::VT_LIVE_ENTRIES, live_entries, 0);
   }
+  void add_fetches_documents(bool fetches_documents) {
+    fbb_.AddElement<uint8_t>(WatchRequest::VT_FETCHES_DOCUMENTS, static_cast<uint8_t>(fetches_documents), 0);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3129,7 +3184,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits = 0,
-    uint32_t live_entries = 0) {
+    uint32_t live_entries = 0,
+    bool fetches_documents = false) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
@@ -3145,6 +3201,7 @@
   builder_.add_reports(reports);
   builder_.add_evidence(evidence);
   builder_.add_holder(holder);
+  builder_.add_fetches_documents(fetches_documents);
   builder_.add_role(role);
   return builder_.Finish();
 }
@@ -3170,7 +3227,8 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits = nullptr,
-    uint32_t live_entries = 0) {
+    uint32_t live_entries = 0,
+    bool fetches_documents = false) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -3195,7 +3253,8 @@
       quarantined_parts__,
       request_limits__,
       permits__,
-      live_entries);
+      live_entries,
+      fetches_documents);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3221,6 +3280,7 @@
   std::vector<std::unique_ptr<chivefront::wire::RequestLimitT>> request_limits{};
   std::vector<std::unique_ptr<chivefront::wire::PermitGrantT>> permits{};
   bool unconfirmed = false;
+  uint64_t document_number = 0;
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3250,7 +3310,8 @@
     VT_QUARANTINED_PARTS = 34,
     VT_REQUEST_LIMITS = 36,
     VT_PERMITS = 38,
-    VT_UNCONFIRMED = 40
+    VT_UNCONFIRMED = 40,
+    VT_DOCUMENT_NUMBER = 42
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -3309,6 +3370,9 @@
   bool unconfirmed() const {
     return GetField<uint8_t>(VT_UNCONFIRMED, 0) != 0;
   }
+  uint64_t document_number() const {
+    return GetField<uint64_t>(VT_DOCUMENT_NUMBER, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -3345,6 +3409,7 @@
            verifier.VerifyVector(permits()) &&
            verifier.VerifyVectorOfTables(permits()) &&
            VerifyField<uint8_t>(verifier, VT_UNCONFIRMED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_DOCUMENT_NUMBER, 8) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3413,6 +3478,9 @@
   void add_unconfirmed(bool unconfirmed) {
     fbb_.AddElement<uint8_t>(WatchReply::VT_UNCONFIRMED, static_cast<uint8_t>(unconfirmed), 0);
   }
+  void add_document_number(uint64_t document_number) {
+    fbb_.AddElement<uint64_t>(WatchReply::VT_DOCUMENT_NUMBER, document_number, 0);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3444,8 +3512,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits = 0,
-    bool unconfirmed = false) {
+    bool unconfirmed = false,
+    uint64_t document_number = 0) {
   WatchReplyBuilder builder_(_fbb);
+  builder_.add_document_number(document_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
@@ -3493,7 +3563,8 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits = nullptr,
-    bool unconfirmed = false) {
+    bool unconfirmed = false,
+    uint64_t document_number = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
@@ -3523,11 +3594,188 @@
       quarantined_parts__,
       request_limits__,
       permits__,
-      unconfirmed);
+      unconfirmed,
+      document_number);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DocumentRequestT : public flatbuffers::NativeTable {
+  typedef DocumentRequest TableType;
+  uint64_t number = 0;
+  uint64_t offset = 0;
+};
+
+struct DocumentRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DocumentRequestT NativeTableType;
+  typedef DocumentRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_OFFSET = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           verifier.EndTable();
+  }
+  DocumentRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DocumentRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DocumentRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DocumentRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DocumentRequestBuilder {
+  typedef DocumentRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(DocumentRequest::VT_NUMBER, number, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(DocumentRequest::VT_OFFSET, offset, 0);
+  }
+  explicit DocumentRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DocumentRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DocumentRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DocumentRequest> CreateDocumentRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t offset = 0) {
+  DocumentRequestBuilder builder_(_fbb);
+  builder_.add_offset(offset);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct DocumentRequest::Traits {
+  using type = DocumentRequest;
+  static auto constexpr Create = CreateDocumentRequest;
+};
+
+flatbuffers::Offset<DocumentRequest> CreateDocumentRequest(flatbuffers::FlatBufferBuilder &_fbb, const DocumentRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct DocumentReplyT : public flatbuffers::NativeTable {
+  typedef DocumentReply TableType;
+  uint64_t number = 0;
+  uint64_t offset = 0;
+  uint64_t packed_size = 0;
+  std::vector<uint8_t> data{};
+};
+
+struct DocumentReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DocumentReplyT NativeTableType;
+  typedef DocumentReplyBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_OFFSET = 6,
+    VT_PACKED_SIZE = 8,
+    VT_DATA = 10
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint64_t offset() const {
+    return GetField<uint64_t>(VT_OFFSET, 0);
+  }
+  uint64_t packed_size() const {
+    return GetField<uint64_t>(VT_PACKED_SIZE, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *data() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DATA);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OFFSET, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PACKED_SIZE, 8) &&
+           VerifyOffset(verifier, VT_DATA) &&
+           verifier.VerifyVector(data()) &&
+           verifier.EndTable();
+  }
+  DocumentReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DocumentReplyT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<DocumentReply> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DocumentReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DocumentReplyBuilder {
+  typedef DocumentReply Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(DocumentReply::VT_NUMBER, number, 0);
+  }
+  void add_offset(uint64_t offset) {
+    fbb_.AddElement<uint64_t>(DocumentReply::VT_OFFSET, offset, 0);
+  }
+  void add_packed_size(uint64_t packed_size) {
+    fbb_.AddElement<uint64_t>(DocumentReply::VT_PACKED_SIZE, packed_size, 0);
+  }
+  void add_data(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data) {
+    fbb_.AddOffset(DocumentReply::VT_DATA, data);
+  }
+  explicit DocumentReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<DocumentReply> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<DocumentReply>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<DocumentReply> CreateDocumentReply(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t offset = 0,
+    uint64_t packed_size = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> data = 0) {
+  DocumentReplyBuilder builder_(_fbb);
+  builder_.add_packed_size(packed_size);
+  builder_.add_offset(offset);
+  builder_.add_number(number);
+  builder_.add_data(data);
+  return builder_.Finish();
+}
+
+struct DocumentReply::Traits {
+  using type = DocumentReply;
+  static auto constexpr Create = CreateDocumentReply;
+};
+
+inline flatbuffers::Offset<DocumentReply> CreateDocumentReplyDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint64_t offset = 0,
+    uint64_t packed_size = 0,
+    const std::vector<uint8_t> *data = nullptr) {
+  auto data__ = data ? _fbb.CreateVector<uint8_t>(*data) : 0;
+  return chivefront::wire::CreateDocumentReply(
+      _fbb,
+      number,
+      offset,
+      packed_size,
+      data__);
+}
+
+flatbuffers::Offset<DocumentReply> CreateDocumentReply(flatbuffers::FlatBufferBuilder &_fbb, const DocumentReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct AnnounceRequestT : public flatbuffers::NativeTable {
   typedef AnnounceRequest TableType;
   std::string agent{};
@@ -6759,6 +7007,12 @@
   const chivefront::wire::LoadReport *body_as_LoadReport() const {
     return body_type() == chivefront::wire::Body::LoadReport ? static_cast<const chivefront::wire::LoadReport *>(body()) : nullptr;
   }
+  const chivefront::wire::DocumentRequest *body_as_DocumentRequest() const {
+    return body_type() == chivefront::wire::Body::DocumentRequest ? static_cast<const chivefront::wire::DocumentRequest *>(body()) : nullptr;
+  }
+  const chivefront::wire::DocumentReply *body_as_DocumentReply() const {
+    return body_type() == chivefront::wire::Body::DocumentReply ? static_cast<const chivefront::wire::DocumentReply *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -6873,6 +7127,14 @@
   return body_as_LoadReport();
 }
 
+template<> inline const chivefront::wire::DocumentRequest *Message::body_as<chivefront::wire::DocumentRequest>() const {
+  return body_as_DocumentRequest();
+}
+
+template<> inline const chivefront::wire::DocumentReply *Message::body_as<chivefront::wire::DocumentReply>() const {
+  return body_as_DocumentReply();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -7551,7 +7813,8 @@
         registry_sequence(o.registry_sequence),
         report_sequence(o.report_sequence),
         have_number(o.have_number),
-        live_entries(o.live_entries) {
+        live_entries(o.live_entries),
+        fetches_documents(o.fetches_documents) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
@@ -7584,6 +7847,7 @@
   std::swap(request_limits, o.request_limits);
   std::swap(permits, o.permits);
   std::swap(live_entries, o.live_entries);
+  std::swap(fetches_documents, o.fetches_documents);
   return *this;
 }
 
@@ -7611,6 +7875,7 @@
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<chivefront::wire::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = live_entries(); _o->live_entries = _e; }
+  { auto _e = fetches_documents(); _o->fetches_documents = _e; }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7636,6 +7901,7 @@
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitRequest(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _live_entries = _o->live_entries;
+  auto _fetches_documents = _o->fetches_documents;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -7652,7 +7918,8 @@
       _quarantined_parts,
       _request_limits,
       _permits,
-      _live_entries);
+      _live_entries,
+      _fetches_documents);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -7669,7 +7936,8 @@
         leader(o.leader),
         members(o.members),
         suspect_parts(o.suspect_parts),
-        unconfirmed(o.unconfirmed) {
+        unconfirmed(o.unconfirmed),
+        document_number(o.document_number) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -7702,6 +7970,7 @@
   std::swap(request_limits, o.request_limits);
   std::swap(permits, o.permits);
   std::swap(unconfirmed, o.unconfirmed);
+  std::swap(document_number, o.document_number);
   return *this;
 }
 
@@ -7733,6 +8002,7 @@
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<chivefront::wire::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = unconfirmed(); _o->unconfirmed = _e; }
+  { auto _e = document_number(); _o->document_number = _e; }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7762,6 +8032,7 @@
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitGrant(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _unconfirmed = _o->unconfirmed;
+  auto _document_number = _o->document_number;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -7782,7 +8053,72 @@
       _quarantined_parts,
       _request_limits,
       _permits,
-      _unconfirmed);
+      _unconfirmed,
+      _document_number);
+}
+
+inline DocumentRequestT *DocumentRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DocumentRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DocumentRequest::UnPackTo(DocumentRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+}
+
+inline flatbuffers::Offset<DocumentRequest> DocumentRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DocumentRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDocumentRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DocumentRequest> CreateDocumentRequest(flatbuffers::FlatBufferBuilder &_fbb, const DocumentRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DocumentRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _offset = _o->offset;
+  return chivefront::wire::CreateDocumentRequest(
+      _fbb,
+      _number,
+      _offset);
+}
+
+inline DocumentReplyT *DocumentReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DocumentReplyT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void DocumentReply::UnPackTo(DocumentReplyT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = offset(); _o->offset = _e; }
+  { auto _e = packed_size(); _o->packed_size = _e; }
+  { auto _e = data(); if (_e) { _o->data.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->data.begin()); } }
+}
+
+inline flatbuffers::Offset<DocumentReply> DocumentReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DocumentReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDocumentReply(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<DocumentReply> CreateDocumentReply(flatbuffers::FlatBufferBuilder &_fbb, const DocumentReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DocumentReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _offset = _o->offset;
+  auto _packed_size = _o->packed_size;
+  auto _data = _o->data.size() ? _fbb.CreateVector(_o->data) : 0;
+  return chivefront::wire::CreateDocumentReply(
+      _fbb,
+      _number,
+      _offset,
+      _packed_size,
+      _data);
 }
 
 inline AnnounceRequestT::AnnounceRequestT(const AnnounceRequestT &o)
@@ -9214,6 +9550,14 @@
       auto ptr = reinterpret_cast<const chivefront::wire::LoadReport *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::DocumentRequest: {
+      auto ptr = reinterpret_cast<const chivefront::wire::DocumentRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::DocumentReply: {
+      auto ptr = reinterpret_cast<const chivefront::wire::DocumentReply *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -9333,6 +9677,14 @@
       auto ptr = reinterpret_cast<const chivefront::wire::LoadReport *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::DocumentRequest: {
+      auto ptr = reinterpret_cast<const chivefront::wire::DocumentRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::DocumentReply: {
+      auto ptr = reinterpret_cast<const chivefront::wire::DocumentReply *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -9440,6 +9792,14 @@
       auto ptr = reinterpret_cast<const chivefront::wire::LoadReportT *>(value);
       return CreateLoadReport(_fbb, ptr, _rehasher).Union();
     }
+    case Body::DocumentRequest: {
+      auto ptr = reinterpret_cast<const chivefront::wire::DocumentRequestT *>(value);
+      return CreateDocumentRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::DocumentReply: {
+      auto ptr = reinterpret_cast<const chivefront::wire::DocumentReplyT *>(value);
+      return CreateDocumentReply(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -9546,6 +9906,14 @@
       value = new chivefront::wire::LoadReportT(*reinterpret_cast<chivefront::wire::LoadReportT *>(u.value));
       break;
     }
+    case Body::DocumentRequest: {
+      value = new chivefront::wire::DocumentRequestT(*reinterpret_cast<chivefront::wire::DocumentRequestT *>(u.value));
+      break;
+    }
+    case Body::DocumentReply: {
+      value = new chivefront::wire::DocumentReplyT(*reinterpret_cast<chivefront::wire::DocumentReplyT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -9678,6 +10046,16 @@
       delete ptr;
       break;
     }
+    case Body::DocumentRequest: {
+      auto ptr = reinterpret_cast<chivefront::wire::DocumentRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::DocumentReply: {
+      auto ptr = reinterpret_cast<chivefront::wire::DocumentReplyT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
