Let the end of an incarnation overtake its records

An upstream unregisters without a sequence number. Told to a control process that had missed its last record, the end looked older than that record, and the other processes ignored it: entries kept sending until the record expired.

--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -17,13 +17,17 @@
   const auto found = m_records.find(aRecord.m_id);
   if (found != m_records.end()) {
     const Instance& known = found->second.m_instance;
-    const auto age = std::tie(known.m_born, known.m_sequence);
-    if (std::tie(aRecord.m_born, aRecord.m_sequence) <= age) {
+    const bool sameIncarnation = known.m_born == aRecord.m_born;
+    // An incarnation that left does not come back.
+    if (sameIncarnation && known.m_state == InstanceState::Gone) {
       return false;
     }
-    // An incarnation that left does not come back.
-    if (known.m_state == InstanceState::Gone &&
-        known.m_born == aRecord.m_born) {
+    // An upstream unregisters without a sequence number, maybe at a process
+    // that has not seen its last record.
+    const bool leaves =
+      sameIncarnation && aRecord.m_state == InstanceState::Gone;
+    const auto age = std::tie(known.m_born, known.m_sequence);
+    if (!leaves && std::tie(aRecord.m_born, aRecord.m_sequence) <= age) {
       return false;
     }
   }
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -7,7 +7,7 @@
 //
 // An incarnation of an upstream is identified by its id and the time of its
 // start. Within an incarnation the record with the highest sequence number
-// wins. Does no I/O; not thread-safe.
+// wins, but nothing follows its end. Does no I/O; not thread-safe.
 #pragma once
 
 #include <cstdint>
--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -66,6 +66,21 @@
   BOOST_TEST(ready);
 }
 
+// Guards against an upstream that has unregistered and still gets requests: it
+// told a control process that had missed its last record, so the end looked
+// older than that record.
+BOOST_AUTO_TEST_CASE(EndOfAnIncarnationOvertakesItsRecords)
+{
+  Registry registry;
+  BOOST_TEST(registry.Merge(Record("a", 10, 7)));
+  Instance gone = Record("a", 10, 6);
+  gone.m_state = InstanceState::Gone;
+  BOOST_TEST(registry.Merge(gone));
+  BOOST_TEST(!registry.Merge(Record("a", 10, 8)));
+  BOOST_TEST(registry.Merge(Record("a", 20, 1)));
+  BOOST_TEST(!registry.Merge(gone));
+}
+
 BOOST_AUTO_TEST_CASE(AnUpstreamThatLeftStaysAway)
 {
   Registry registry;
