Tell the other control processes of registrations until they acknowledge

A process that was frozen, cut off or restarted meanwhile never heard that an upstream had left, and the entries that poll it went on sending.

Announcer sends the records of upstreams that registered here as calls, one announcement at a time to each process, and repeats what is not acknowledged every 200 ms until the record expires. When a link opens, both sides send all that they know, so that processes also learn what a third one has told only one of them.

--- /dev/null
+++ b/chivefront/site/announcer.h
@@ -0,0 +1,68 @@
+// Tells the other control processes of upstreams that registered here.
+//
+//   site::Announcer announcer(peers, registry, clock, executor);
+//   announcer.Announce("i-1");             // after each change by the upstream
+//   announcer.AnnounceAll("10.0.0.4:7340"); // when a link to a process opens
+//   announcer.SetPeers(names);              // the processes to tell
+//
+// A process that does not acknowledge is told again until it does, or until the
+// record has expired. An upstream that is gone sends no further record, and one
+// that leaves may send its next one after its last request.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "chivefront/control/peers.h"
+#include "chivefront/routing/registry.h"
+
+namespace chivefront::site {
+
+// Use it on the executor, which must be a single thread. It must outlive the
+// coroutines on the executor.
+class Announcer
+{
+public:
+  Announcer(const net::asio::any_io_executor& aExecutor,
+            std::string aName,
+            control::Peers& aPeers,
+            const routing::Registry& aRegistry,
+            const base::Clock& aClock);
+
+  // Names of the other control processes. Forgets those that are missing.
+  void SetPeers(const std::set<std::string>& aNames);
+  // Tells all peers the current record of the upstream.
+  void Announce(const std::string& aId);
+  // Tells one peer the records of all upstreams. Processes compare what they
+  // know in this way, also what a third one has told only one of them.
+  void AnnounceAll(const std::string& aPeer);
+  // Tells again what has not been acknowledged. Call it periodically.
+  void Retry();
+
+private:
+  struct Peer
+  {
+    std::set<std::string> m_unacknowledged; // ids of upstreams
+    bool m_calling = false;                 // an announcement is under way
+  };
+
+  void Start(const std::string& aName);
+  net::Task<void> Send(std::string aName);
+  std::vector<routing::Instance> NextRecords(Peer& aPeer) const;
+  wire::AnnounceRequestT MakeRequest(
+    const std::vector<routing::Instance>& aRecords) const;
+  // The peer holds these records.
+  void Settle(Peer& aPeer,
+              const std::vector<routing::Instance>& aRecords) const;
+
+  const net::asio::any_io_executor m_executor;
+  const std::string m_name;
+  control::Peers& m_peers;
+  const routing::Registry& m_registry;
+  const base::Clock& m_clock;
+  std::map<std::string, Peer> m_states; // by name of the peer
+};
+
+} // namespace chivefront::site
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -10,6 +10,7 @@
 #include "chivefront/control/peers.h"
 #include "chivefront/control/watcher_table.h"
 #include "chivefront/routing/request_limits.h"
+#include "chivefront/site/announcer.h"
 #include "chivefront/site/document_parts.h"
 #include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
@@ -83,6 +84,7 @@
       m_log.Record("link_open",
                    base::LogCategory::State,
                    { { "peer", aLink->Peer().m_process } });
+      m_announcer.AnnounceAll(aLink->Peer().m_process);
     };
     handlers.m_onMessage = [this](const net::Link::Pointer& aLink,
                                   wire::MessageT aMessage) {
@@ -125,7 +127,6 @@
                          wire::WatchReplyT& aReply);
   void JudgeCrashes(base::TimePoint aNow, const std::string& aEntry);
   void OnAnnounce(const wire::AnnounceRequestT& aRequest);
-  void Broadcast(const routing::Instance& aRecord);
   std::set<std::string> OtherControlProcesses() const;
   net::Task<bool> OnTick();
   void SaveRegistry(base::TimePoint aNow);
@@ -150,6 +151,11 @@
   base::TimePoint m_savedAt;
   const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
   routing::Registry m_registry;
+  Announcer m_announcer{ m_context.get_executor(),
+                         Name(),
+                         m_peers,
+                         m_registry,
+                         m_clock };
   control::WatcherTable m_watchers;
   RolloutSupervisor m_rolloutSupervisor{
     m_watchers,
@@ -179,7 +185,11 @@
                                                     *body.AsDocumentRequest()));
       return;
     case wire::Body::AnnounceRequest:
-      return OnAnnounce(*body.AsAnnounceRequest());
+      OnAnnounce(*body.AsAnnounceRequest());
+      if (aMessage.correlation != 0) { // 0: a release without acknowledgements
+        (void)aLink->Reply(aMessage.correlation, wire::AnnounceReplyT());
+      }
+      return;
     case wire::Body::RaftEnvelope: {
       const wire::RaftEnvelopeT& envelope = *body.AsRaftEnvelope();
       if (aLink->Peer().m_role == wire::Role::Control) {
@@ -308,23 +318,6 @@
   return names;
 }
 
-void
-Node::Impl::Broadcast(const routing::Instance& aRecord)
-{
-  const base::TimePoint now = m_clock.Now();
-  for (const std::string& name : OtherControlProcesses()) {
-    const net::Link::Pointer link = m_peers.LinkOrConnect(name);
-    if (!link) {
-      continue; // it gets the upstream's next record
-    }
-    wire::AnnounceRequestT announce;
-    announce.agent = Name();
-    announce.upstreams.push_back(
-      std::make_unique<wire::UpstreamInfoT>(ToWire(aRecord, now)));
-    (void)link->Send(wire::MakeMessage(std::move(announce)));
-  }
-}
-
 void
 Node::Impl::SaveRegistry(base::TimePoint aNow)
 {
@@ -347,6 +340,8 @@
 {
   const base::TimePoint now = m_clock.Now();
   m_registry.Expire(now);
+  m_announcer.SetPeers(OtherControlProcesses());
+  m_announcer.Retry();
   m_rateCoordinator.Expire(m_registry, now);
   SaveRegistry(now);
   m_groupReporter.Report(m_group.Status());
@@ -472,7 +467,7 @@
         { "state", routing::kInstanceStateNames.Name(aRecord.m_state) },
         { "sequence", aRecord.m_sequence } });
   }
-  m_impl->Broadcast(aRecord);
+  m_impl->m_announcer.Announce(aRecord.m_id);
   return true;
 }
 
@@ -484,7 +479,7 @@
   }
   m_impl->m_log.Record(
     "upstream_left", base::LogCategory::State, { { "upstream", aId } });
-  m_impl->Broadcast(*m_impl->m_registry.Find(aId));
+  m_impl->m_announcer.Announce(aId);
 }
 
 void
--- /dev/null
+++ b/chivefront/site/registry_sync_test.cc
@@ -0,0 +1,230 @@
+// Registrations between real control processes when one of them misses what
+// another has acknowledged.
+// Promises: leaving
+#define BOOST_TEST_MODULE registry_sync
+#include <boost/test/unit_test.hpp>
+
+#include <filesystem>
+#include <thread>
+
+#include "chivefront/net/testing/reserved_port.h"
+#include "chivefront/site/messages.h"
+#include "chivefront/site/node.h"
+
+using namespace chivefront;
+using namespace chivefront::site;
+using routing::InstanceState;
+
+namespace {
+
+// Within which an entry must stop sending to an upstream that leaves, after the
+// processes hear each other again. Entries poll each 200 ms.
+constexpr int64_t kDrainMillis = 2500 - 200;
+// After this a link to a process that does not answer has been closed.
+constexpr int64_t kLinkClosedMillis = 2200;
+constexpr int kSetupBeats = 20;
+constexpr int64_t kBeatMillis = 400;
+
+// One control process with an event loop of its own, so that it can freeze
+// while the others go on.
+class TestNode
+{
+public:
+  TestNode(const std::string& aFolder, std::string aName)
+    : m_folder(aFolder + "/" + aName)
+    , m_name(std::move(aName))
+  {
+    std::filesystem::create_directories(m_folder);
+    m_identity.m_role = wire::Role::Control;
+    m_identity.m_process = m_name;
+  }
+
+  void Start(const std::vector<std::string>& aSeeds)
+  {
+    m_identity.m_incarnation += 1;
+    m_context = std::make_unique<net::asio::io_context>(1);
+    m_metrics = std::make_unique<base::Metrics>();
+    NodeOptions options;
+    options.m_folder = m_folder;
+    options.m_listen = *base::Endpoint::Parse(m_name);
+    options.m_seeds = aSeeds;
+    options.m_mayBootstrap = true;
+    m_node = std::make_unique<Node>(
+      *m_context, m_identity, options, m_events, *m_metrics, m_log);
+    BOOST_REQUIRE(m_node->Start().ok());
+  }
+  // Ends like a killed process: connections close, nothing more is sent.
+  void Stop()
+  {
+    m_node->Stop();
+    m_context.reset(); // its coroutines use the node
+    m_node.reset();
+  }
+
+  void RunFor(int64_t aMillis)
+  {
+    m_context->restart();
+    m_context->run_for(std::chrono::milliseconds(aMillis));
+  }
+
+  const std::string m_folder;
+  const std::string m_name;
+  net::LinkIdentity m_identity;
+  base::EventLog m_events{ "test", "", 10 };
+  base::DecisionLog m_log{ "test", base::SteadyClock::Instance() };
+  std::unique_ptr<base::Metrics> m_metrics;
+  std::unique_ptr<net::asio::io_context> m_context;
+  std::unique_ptr<Node> m_node;
+};
+
+struct ThreeNodes
+{
+  ThreeNodes()
+  {
+    for (const auto& port : m_ports) {
+      m_seeds.push_back("127.0.0.1:" + std::to_string(port.Port()));
+    }
+    m_folder = (std::filesystem::temp_directory_path() /
+                ("registry-sync-" + std::to_string(m_ports[0].Port())))
+                 .string();
+    for (size_t i = 0; i < m_ports.size(); ++i) {
+      m_nodes.push_back(std::make_unique<TestNode>(m_folder, m_seeds[i]));
+      m_nodes.back()->Start(m_seeds);
+    }
+    // Like a heartbeat, until all links have opened.
+    bool seen = false;
+    for (int i = 0; i < kSetupBeats && !seen; ++i) {
+      Register(InstanceState::Ready);
+      seen = Sees(1, InstanceState::Ready, kBeatMillis) &&
+             Sees(2, InstanceState::Ready, kBeatMillis);
+    }
+    BOOST_REQUIRE(seen);
+  }
+  ~ThreeNodes()
+  {
+    for (const auto& node : m_nodes) {
+      if (node->m_node) {
+        node->Stop();
+      }
+    }
+    std::filesystem::remove_all(m_folder);
+  }
+
+  // Runs all nodes that are up, except aFrozen.
+  void RunFor(int64_t aMillis, const TestNode* aFrozen = nullptr)
+  {
+    const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(aMillis);
+    while (std::chrono::steady_clock::now() < until) {
+      for (const auto& node : m_nodes) {
+        if (node->m_node && node.get() != aFrozen) {
+          node->RunFor(2);
+        }
+      }
+    }
+  }
+
+  // The first node gets the upstream's next record.
+  void Register(InstanceState aState)
+  {
+    routing::Instance record;
+    record.m_id = "i-1";
+    record.m_service = "app";
+    record.m_address = { "10.0.0.1", 80 };
+    record.m_state = aState;
+    record.m_born = 1;
+    record.m_sequence = ++m_sequence;
+    record.m_reportedAt = base::SteadyClock::Instance().Now();
+    BOOST_REQUIRE(m_nodes[0]->m_node->Register(record));
+  }
+
+  // Whether the node tells an entry within aMillis that the upstream is in this
+  // state.
+  bool Sees(size_t aNode, InstanceState aState, int64_t aMillis)
+  {
+    net::LinkIdentity identity;
+    identity.m_process = "entry";
+    net::Link::Handlers handlers;
+    handlers.m_onOpen = [](const net::Link::Pointer&) {};
+    handlers.m_onMessage = [](const net::Link::Pointer&,
+                              const wire::MessageT&) {};
+    handlers.m_onClose = [](const net::Link::Pointer&, const absl::Status&) {};
+    net::asio::io_context context{ 1 };
+    const auto connector = std::make_shared<net::LinkConnector>(
+      context,
+      identity,
+      *base::Endpoint::Parse(m_nodes[aNode]->m_name),
+      handlers);
+    connector->Start();
+    bool seen = false;
+    net::Spawn(context.get_executor(), "entry", [&]() -> net::Task<void> {
+      while (!seen) {
+        if (const net::Link::Pointer link = connector->Current()) {
+          wire::MessageT poll = wire::MakeMessage(wire::WatchRequestT());
+          const auto reply =
+            co_await link->Call(std::move(poll), base::Millis(500));
+          seen = reply.ok() && Names(*reply->body.AsWatchReply(), aState);
+        }
+        co_await net::Sleep(base::Millis(50));
+      }
+    });
+    const auto until =
+      std::chrono::steady_clock::now() + std::chrono::milliseconds(aMillis);
+    while (!seen && std::chrono::steady_clock::now() < until) {
+      RunFor(5);
+      context.restart();
+      context.run_for(std::chrono::milliseconds(5));
+    }
+    connector->Stop();
+    return seen;
+  }
+
+  static bool Names(const wire::WatchReplyT& aReply, InstanceState aState)
+  {
+    for (const auto& info : aReply.upstreams) {
+      routing::Instance record;
+      if (FromWire(*info, base::SteadyClock::Instance().Now(), record) &&
+          record.m_id == "i-1" && record.m_state == aState) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  std::array<net::testing::ReservedPort, 3> m_ports;
+  std::vector<std::string> m_seeds;
+  std::string m_folder;
+  std::vector<std::unique_ptr<TestNode>> m_nodes;
+  uint64_t m_sequence = 0;
+};
+
+} // namespace
+
+// Guards against an entry that keeps sending to an upstream that has left: it
+// polls a control process whose links were closed when the upstream told
+// another one, and the upstream sends no further record.
+BOOST_FIXTURE_TEST_CASE(FrozenProcessHearsWhoLeftMeanwhile, ThreeNodes)
+{
+  const TestNode* const frozen = m_nodes[2].get();
+  RunFor(kLinkClosedMillis, frozen);
+  Register(InstanceState::Draining);
+  RunFor(100, frozen);
+  m_nodes[0]->m_node->Unregister("i-1", 1);
+  RunFor(500, frozen);
+  BOOST_TEST(Sees(2, InstanceState::Gone, kDrainMillis));
+}
+
+// Guards against the same after a restart: the process reads an older record
+// from its folder, and the process that got the newer one has ended.
+BOOST_FIXTURE_TEST_CASE(RestartedProcessHearsWhoLeftFromAnother, ThreeNodes)
+{
+  RunFor(1500); // the third node saves what it knows
+  m_nodes[2]->Stop();
+  RunFor(200);
+  Register(InstanceState::Draining);
+  RunFor(200);
+  m_nodes[0]->Stop(); // only the second node has the record now
+  RunFor(200);
+  m_nodes[2]->Start(m_seeds);
+  BOOST_TEST(Sees(2, InstanceState::Draining, kDrainMillis));
+}
