Bound what a connection holds of endless chunk framing

A faulty upstream, or any caller without a key, could run a process out of memory: Boost.Beast's parser takes a chunk's extensions and a body's trailers only as a whole, header_limit and body_limit do not count them, and the read buffers had no maximum.

net::ReadBuffer bounds the unparsed bytes of all four kinds of connection to 64 KiB, or to the configured head limit. An answer that exceeds it is broken, so another upstream is asked; a request gets 400 after its head, 431 before.

A refused request was then read and dropped for as long as data kept coming: the stream's timeout ends only a read that waits. net::LingerBeforeClose, now one function for both servers, bounds this by 500 ms and 4 MiB.

--- a/chivefront/net/http_client.cc
+++ b/chivefront/net/http_client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/net/read_buffer.h"
 
 namespace chivefront::net {
 namespace beast = boost::beast;
@@ -133,7 +134,7 @@
 private:
   beast::tcp_stream m_stream;
   const HttpTimeouts m_timeouts;
-  beast::flat_buffer m_buffer;
+  ReadBuffer m_buffer;
   http::response_parser<http::buffer_body> m_parser;
   HttpHeaders m_headers;
   std::array<char, kReadBufferBytes> m_readBuffer{};
--- a/chivefront/net/http_server.cc
+++ b/chivefront/net/http_server.cc
@@ -11,6 +11,8 @@
 
 #include "chivefront/base/errors.h"
 #include "chivefront/base/log.h"
+#include "chivefront/net/lingering_close.h"
+#include "chivefront/net/read_buffer.h"
 
 namespace chivefront::net {
 namespace beast = boost::beast;
@@ -64,16 +66,17 @@
 }
 
 // The HTTP status for a request that is malformed or exceeds a limit of the
-// parser.
+// parser. After the head, a read buffer overflows on chunk extensions or
+// trailers.
 int
-StatusOfParseError(const beast::error_code& aError)
+StatusOfParseError(const beast::error_code& aError, bool aHeadRead)
 {
   if (aError == http::error::body_limit) {
     return 413;
   }
   if (aError == http::error::header_limit ||
       aError == http::error::buffer_overflow) {
-    return 431;
+    return aHeadRead ? 400 : 431;
   }
   return 400;
 }
@@ -195,6 +198,7 @@
     parser.header_limit(
       static_cast<std::uint32_t>(m_shared->m_limits.m_headerBytes));
     parser.body_limit(m_shared->m_limits.m_bodyBytes);
+    m_buffer.AllowHead(m_shared->m_limits.m_headerBytes);
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
     // The idle timeout applies until the first byte arrives; from then on the
@@ -219,7 +223,7 @@
       co_await http::async_read(m_stream, m_buffer, parser, token);
     }
     if (error) {
-      co_await RespondToParseError(error);
+      co_await RespondToParseError(error, parser.is_header_done());
       co_return false;
     }
     m_keepAlive = parser.keep_alive();
@@ -229,7 +233,7 @@
 
   // Responds to a request that could not be parsed. Sends nothing when the peer
   // has closed the connection or timed out.
-  Task<void> RespondToParseError(beast::error_code aError)
+  Task<void> RespondToParseError(beast::error_code aError, bool aHeadRead)
   {
     const bool disconnected =
       aError == http::error::end_of_stream ||
@@ -240,24 +244,13 @@
       co_return;
     }
     m_keepAlive = false;
-    const int status = detail::StatusOfParseError(aError);
+    const int status = detail::StatusOfParseError(aError, aHeadRead);
     HttpResponse response =
       m_shared->m_errorBody
         ? m_shared->m_errorBody(status, aError.message())
         : detail::DefaultErrorBody(status, aError.message());
     (void)co_await Respond(std::move(response));
-    // Reads and drops what the peer still sends, until kLingerTimeout. Closing
-    // immediately would reset the connection before the peer has read the
-    // response.
-    beast::error_code error;
-    m_stream.socket().shutdown(Tcp::socket::shutdown_send, error);
-    m_stream.expires_after(kLingerTimeout.ToChrono());
-    while (!error) {
-      m_buffer.clear();
-      (void)co_await m_stream.async_read_some(
-        m_buffer.prepare(kReadBytes),
-        asio::redirect_error(asio::use_awaitable, error));
-    }
+    co_await LingerBeforeClose(m_stream);
   }
 
   Task<void> Run()
@@ -287,12 +280,11 @@
   }
 
   static constexpr size_t kReadBytes = 4096;
-  static constexpr base::Millis kLingerTimeout{ 500 };
   static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
   std::shared_ptr<Shared> m_shared;
   beast::tcp_stream m_stream;
-  beast::flat_buffer m_buffer;
+  ReadBuffer m_buffer;
   HttpRequest m_request;
   std::atomic<bool> m_busy{ false }; // a request is arriving or running
   bool m_keepAlive = true;
--- a/chivefront/proxy/caller_connection.cc
+++ b/chivefront/proxy/caller_connection.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/net/lingering_close.h"
 
 namespace chivefront::proxy {
 namespace http = boost::beast::http;
@@ -20,23 +21,21 @@
 
 // Timeout of one write to a caller that does not read.
 constexpr base::Millis kWriteTimeout{ 10000 };
-// How long the rest of a refused request is still read. Closing the socket
-// earlier would reset the connection before the caller has read the response.
-constexpr base::Millis kLingerTime{ 500 };
 constexpr size_t kReadBufferBytes = 4096;
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Status for a request that could not be read; 0 if the caller has
-// disconnected.
+// disconnected. After the head, a read buffer overflows on chunk extensions or
+// trailers.
 int
-StatusOfReadError(const error_code& aError)
+StatusOfReadError(const error_code& aError, bool aHeadRead)
 {
   if (aError == http::error::body_limit) {
     return 413;
   }
   if (aError == http::error::header_limit ||
       aError == http::error::buffer_overflow) {
-    return 431;
+    return aHeadRead ? 400 : 431;
   }
   const bool disconnected =
     aError == http::error::end_of_stream ||
@@ -73,6 +72,7 @@
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<uint32_t>(aLimits.m_headerBytes));
   parser.body_limit(aLimits.m_bodyBytes);
+  m_buffer.AllowHead(aLimits.m_headerBytes);
   error_code error;
   if (m_buffer.size() == 0) {
     m_stream.expires_after(aLimits.m_idleTimeout.ToChrono());
@@ -111,7 +111,10 @@
   if (error || unknownEncoding) {
     // With an unknown transfer encoding the end of the body is unknown, so the
     // connection cannot be reused.
-    const int status = unknownEncoding ? 400 : detail::StatusOfReadError(error);
+    const int status =
+      unknownEncoding
+        ? 400
+        : detail::StatusOfReadError(error, parser.is_header_done());
     if (status == 0) {
       co_return ReadResult::Closed;
     }
@@ -134,15 +137,7 @@
 {
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " Refused\r\n";
   (void)co_await WriteResponse(std::move(head), "", true);
-  error_code error;
-  m_stream.socket().shutdown(Tcp::socket::shutdown_send, error);
-  m_stream.expires_after(detail::kLingerTime.ToChrono());
-  while (!error) {
-    m_buffer.clear();
-    (void)co_await m_stream.async_read_some(
-      m_buffer.prepare(detail::kReadBufferBytes),
-      net::asio::redirect_error(net::asio::use_awaitable, error));
-  }
+  co_await net::LingerBeforeClose(m_stream);
 }
 
 net::Task<absl::Status>
--- a/chivefront/proxy/caller_connection.h
+++ b/chivefront/proxy/caller_connection.h
@@ -12,11 +12,11 @@
 
 #include <absl/status/status.h>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "chivefront/net/read_buffer.h"
 #include "chivefront/net/task.h"
 #include "chivefront/routing/config.h"
 
@@ -75,7 +75,7 @@
                        std::function<void()> aOnDisconnect);
 
   boost::beast::tcp_stream m_stream;
-  boost::beast::flat_buffer m_buffer;
+  net::ReadBuffer m_buffer;
   CallerRequest m_request;
   uint64_t m_watchNumber = 0; // identifies the current WatchForDisconnect
   bool m_idle = true;
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -118,7 +118,8 @@
   std::vector<std::string> m_requests; // heads of the requests received
   // Connections that the entry closed at <hold> or <flood>.
   int m_closedByPeer = 0;
-  size_t m_floodedBytes = 0; // sent at <flood>
+  size_t m_floodedBytes = 0;     // sent at <flood>
+  std::string m_floodText = "x"; // repeated at <flood>
 
 private:
   net::Task<void> Accept()
@@ -189,7 +190,10 @@
 
   net::Task<void> Flood(Tcp::socket& aSocket)
   {
-    const std::string bytes(64 * 1024, 'x');
+    std::string bytes;
+    while (bytes.size() < kFloodBytes) {
+      bytes += m_floodText;
+    }
     error_code error;
     while (!error) {
       m_floodedBytes += co_await net::asio::async_write(
@@ -217,6 +221,8 @@
     }
   }
 
+  static constexpr size_t kFloodBytes = 64 * 1024;
+
   Tcp::acceptor m_acceptor;
   std::deque<std::string> m_scripts;
 };
--- a/chivefront/proxy/unframed_answer_test.cc
+++ b/chivefront/proxy/unframed_answer_test.cc
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE unframed_answer
 #include <boost/test/unit_test.hpp>
 
+#include "chivefront/net/testing/resident_memory.h"
 #include "chivefront/proxy/testing/entry_fixture.h"
 
 using namespace chivefront;
@@ -13,6 +14,9 @@
 // buffers of a loopback connection hold some megabytes.
 constexpr size_t kMaxFloodBytes = 16 * 1024 * 1024;
 
+// What the process may hold more than before while such an answer arrives.
+constexpr size_t kMaxHeldBytes = 4 * 1024 * 1024;
+
 const std::string kUnframedHead = "HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\n"
                                   "Sure: 90\r\nConnection: close\r\n\r\n";
 
@@ -51,6 +55,54 @@
   BOOST_TEST(entry.m_near.m_floodedBytes < kMaxFloodBytes);
 }
 
+// Guards against an entry that runs out of memory on a faulty upstream: chunk
+// extensions and trailers without end were held until the caller's deadline.
+// Other requests of the entry must go on meanwhile.
+BOOST_AUTO_TEST_CASE(EndlessFramingOfAChunkedBodyIsLeft)
+{
+  struct Row
+  {
+    const char* m_route;
+    std::string m_start;
+    std::string m_flood;
+  };
+  const std::string event = kStreamHead + Chunk("id: 1\ndata: a\n\n");
+  const std::string plain = "HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n";
+  for (const Row& row : { Row{ "plain", plain + "4;pad=", "x" },
+                          Row{ "plain", plain + "4", ";a=b" },
+                          Row{ "plain", plain + "0\r\nPad: ", "x" },
+                          Row{ "plain", plain + "0\r\n", "Pad: x\r\n" },
+                          Row{ "stream", event + "4;pad=", "x" },
+                          Row{ "stream", event + "0\r\n", "Pad: x\r\n" } }) {
+    RunningEntry entry;
+    entry.m_near.AddScript(row.m_start + kFloodConnection);
+    entry.m_near.m_floodText = row.m_flood;
+    entry.m_far.AddScript(std::string(row.m_route) == "plain"
+                            ? kGoodResponse
+                            : kStreamHead + Chunk("id: 2\ndata: b\n\n") +
+                                "0\r\n\r\n");
+    entry.m_far.AddScript(kGoodResponse);
+    const size_t before = net::testing::ResidentBytes();
+    const auto first =
+      entry.StartCall(MakeRequest(row.m_route, "Model: any\r\n"));
+    entry.RunFor(100);
+    const size_t held = net::testing::ResidentBytes() - before;
+    const std::string other = entry.Call(MakeRequest("plain"));
+    const std::string where = std::string(row.m_route) + row.m_flood;
+    BOOST_TEST(
+      (static_cast<int64_t>(held) < static_cast<int64_t>(kMaxHeldBytes)),
+      where << ": " << held << " bytes held");
+    BOOST_TEST(Contains(other, "good"), where);
+    BOOST_TEST(
+      Contains(*first,
+               std::string(row.m_route) == "plain" ? "good" : "data: b"),
+      where);
+    BOOST_TEST(entry.m_near.m_closedByPeer == 1, where);
+    BOOST_TEST(entry.m_near.m_floodedBytes < kMaxFloodBytes, where);
+  }
+}
+
 // Guards against a body without end that outlives its caller's deadline, or
 // that looks complete to the caller.
 BOOST_AUTO_TEST_CASE(EndlessBodyEndsAtTheDeadline)
--- a/chivefront/proxy/upstream_connection.h
+++ b/chivefront/proxy/upstream_connection.h
@@ -12,12 +12,12 @@
 
 #include <absl/status/statusor.h>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "chivefront/base/clock.h"
 #include "chivefront/base/settings.h"
+#include "chivefront/net/read_buffer.h"
 #include "chivefront/net/task.h"
 
 namespace chivefront::proxy {
@@ -76,7 +76,7 @@
   void ReadKeepAliveTimeout();
 
   net::asio::ip::tcp::socket m_socket;
-  boost::beast::flat_buffer m_buffer;
+  net::ReadBuffer m_buffer;
   std::optional<Parser> m_parser;
   std::array<char, 16 * 1024> m_bodyBuffer{};
   bool m_used = false;
