--- a/chivefront/site/slow_link_test.cc
+++ b/chivefront/site/slow_link_test.cc
@@ -91,7 +91,8 @@
     const Command command = Configure{ aNumber, std::move(aDocument) };
     net::Spawn(m_context.get_executor(), "test", [&]() -> net::Task<void> {
       while (!accepted) {
-        const auto outcome = co_await m_node->Commit(command);
+        Command copy = command;
+        const auto outcome = co_await m_node->Commit(std::move(copy));
         accepted = outcome.ok() && *outcome == Outcome::Accepted;
         co_await net::Sleep(base::Millis(20));
       }
@@ -156,6 +157,46 @@
     RunUntil([&] { return m_watch->View().m_number == 2; }, kAdoptMillis));
 }
 
+// Guards against a configuration that comes too late because most control
+// processes are silent: their links are still open, and an entry asks them for
+// parts of the document.
+BOOST_FIXTURE_TEST_CASE(SilentProcessesDoNotHoldUpADocument, SlowLinkFixture)
+{
+  net::Link::Handlers ignore;
+  ignore.m_onOpen = [](const net::Link::Pointer&) {};
+  ignore.m_onMessage = [](const net::Link::Pointer&, const wire::MessageT&) {};
+  ignore.m_onClose = [](const net::Link::Pointer&, const absl::Status&) {};
+  std::vector<std::unique_ptr<net::LinkServer>> silent;
+  std::vector<std::string> names{ m_slowControl->Name() };
+  for (int i = 0; i < 4; ++i) {
+    silent.push_back(
+      std::make_unique<net::LinkServer>(m_context, m_entryIdentity, ignore));
+    BOOST_REQUIRE(silent.back()->Listen({ "127.0.0.1", 0 }).ok());
+    names.push_back(silent.back()->BoundEndpoint().ToString());
+  }
+  Commit(1, "{}");
+  // Entries begin at different processes, by their incarnations.
+  for (uint64_t incarnation = 1; incarnation <= 6; ++incarnation) {
+    net::LinkIdentity identity = m_entryIdentity;
+    identity.m_incarnation = incarnation;
+    Watch watch(m_context,
+                identity,
+                names,
+                base::SteadyClock::Instance(),
+                m_log,
+                [](std::string_view) { return routing::Config::Build({}); });
+    watch.Start();
+    BOOST_REQUIRE(RunUntil([&] { return watch.View().m_number == incarnation; },
+                           kAdoptMillis));
+    Commit(incarnation + 1, "{}");
+    BOOST_TEST(
+      RunUntil([&] { return watch.View().m_number == incarnation + 1; }, 1500),
+      "incarnation " << incarnation);
+    watch.Stop();
+    (void)RunUntil([] { return false; }, 1200); // its coroutines end
+  }
+}
+
 // Guards against an entry that never gets a configuration because a newer one
 // comes before it has all of the last: changes may follow each other faster
 // than they are sent.
