--- a/chivefront/net/lingering_close.cc
+++ b/chivefront/net/lingering_close.cc
@@ -7,7 +7,6 @@
 namespace detail {
 
 constexpr base::Millis kLingerTime{ 500 };
-constexpr size_t kMaxLingerBytes = 4 * 1024 * 1024;
 constexpr size_t kReadBytes = 16 * 1024;
 
 } // namespace detail
@@ -20,11 +19,10 @@
   const base::Clock& clock = base::SteadyClock::Instance();
   const base::TimePoint until = clock.Now() + detail::kLingerTime;
   std::array<char, detail::kReadBytes> dropped{};
-  size_t bytes = 0;
   // The stream's own timeout ends only a read that has to wait.
   aStream.expires_after(detail::kLingerTime.ToChrono());
-  while (!error && bytes < detail::kMaxLingerBytes && clock.Now() < until) {
-    bytes += co_await aStream.async_read_some(
+  while (!error && clock.Now() < until) {
+    (void)co_await aStream.async_read_some(
       asio::buffer(dropped), asio::redirect_error(asio::use_awaitable, error));
   }
 }
--- a/chivefront/net/lingering_close.h
+++ b/chivefront/net/lingering_close.h
@@ -7,8 +7,8 @@
 
 namespace chivefront::net {
 
-// Ends the sending side, and reads and drops what the peer sends, within bounds
-// of time and bytes. Closing at once would reset the connection before the peer
+// Ends the sending side, and reads and drops what the peer sends for half a
+// second. Closing at once would reset the connection before the peer
 // has read the response. The caller closes the stream afterwards.
 Task<void>
 LingerBeforeClose(boost::beast::tcp_stream& aStream);
