Tell a control process that joins all registrations that are known

A process whose links opened before the others knew it as one of them was told nothing of what they had: AnnounceAll passed over it, and it heard only of upstreams that registered again. Found in the read-through. registry_sync_test JoiningProcessHearsWhatIsKnown failed before and passes now.

--- a/chivefront/site/announcer.cc
+++ b/chivefront/site/announcer.cc
@@ -35,7 +35,10 @@
     return aNames.count(aItem.first) == 0 && !aItem.second.m_calling;
   });
   for (const std::string& name : aNames) {
-    m_states[name];
+    if (m_states.try_emplace(name).second) {
+      // Its link may have opened before.
+      AnnounceAll(name);
+    }
   }
 }
 
--- a/chivefront/site/announcer.h
+++ b/chivefront/site/announcer.h
@@ -1,9 +1,10 @@
 // Tells the other control processes of upstreams that registered here.
 //
-//   site::Announcer announcer(peers, registry, clock, executor);
-//   announcer.Announce("i-1");             // after each change by the upstream
-//   announcer.AnnounceAll("10.0.0.4:7340"); // when a link to a process opens
+//   site::Announcer announcer(executor, name, peers, registry, clock);
 //   announcer.SetPeers(names);              // the processes to tell
+//   announcer.Announce("i-1");              // after each change by an upstream
+//   announcer.AnnounceAll("10.0.0.4:7340"); // when a link to a process opens
+//   announcer.Retry();                      // from time to time
 //
 // A process that does not acknowledge is told again until it does, or until the
 // record has expired. An upstream that is gone sends no further record, and one
@@ -31,7 +32,8 @@
             const routing::Registry& aRegistry,
             const base::Clock& aClock);
 
-  // Names of the other control processes. Forgets those that are missing.
+  // Names of the other control processes. Tells new ones all that is known and
+  // forgets those that are missing.
   void SetPeers(const std::set<std::string>& aNames);
   // Tells all peers the current record of the upstream.
   void Announce(const std::string& aId);
--- a/chivefront/site/registry_sync_test.cc
+++ b/chivefront/site/registry_sync_test.cc
@@ -22,6 +22,8 @@
 constexpr int64_t kDrainMillis = 2500 - 200;
 // After this a link to a process that does not answer has been closed.
 constexpr int64_t kLinkClosedMillis = 2200;
+// A process that joins must be admitted first.
+constexpr int64_t kJoinMillis = 5000;
 constexpr int kSetupBeats = 20;
 constexpr int64_t kBeatMillis = 400;
 
@@ -39,7 +41,7 @@
     m_identity.m_process = m_name;
   }
 
-  void Start(const std::vector<std::string>& aSeeds)
+  void Start(const std::vector<std::string>& aSeeds, bool aMayBootstrap = true)
   {
     m_identity.m_incarnation += 1;
     m_context = std::make_unique<net::asio::io_context>(1);
@@ -48,7 +50,7 @@
     options.m_folder = m_folder;
     options.m_listen = *base::Endpoint::Parse(m_name);
     options.m_seeds = aSeeds;
-    options.m_mayBootstrap = true;
+    options.m_mayBootstrap = aMayBootstrap;
     m_node = std::make_unique<Node>(
       *m_context, m_identity, options, m_events, *m_metrics, m_log);
     BOOST_REQUIRE(m_node->Start().ok());
@@ -191,7 +193,16 @@
     return false;
   }
 
+  // Adds a process that is not among the seeds.
+  void Join()
+  {
+    m_nodes.push_back(std::make_unique<TestNode>(
+      m_folder, "127.0.0.1:" + std::to_string(m_joinerPort.Port())));
+    m_nodes.back()->Start(m_seeds, false);
+  }
+
   std::array<net::testing::ReservedPort, 3> m_ports;
+  const net::testing::ReservedPort m_joinerPort;
   std::vector<std::string> m_seeds;
   std::string m_folder;
   std::vector<std::unique_ptr<TestNode>> m_nodes;
@@ -228,3 +239,14 @@
   m_nodes[2]->Start(m_seeds);
   BOOST_TEST(Sees(2, InstanceState::Draining, kDrainMillis));
 }
+
+// Guards against a process that joins later and never hears of an upstream that
+// sends no further record: its links opened before the others knew it as one of
+// them.
+BOOST_FIXTURE_TEST_CASE(JoiningProcessHearsWhatIsKnown, ThreeNodes)
+{
+  Register(InstanceState::Draining);
+  RunFor(300);
+  Join();
+  BOOST_TEST(Sees(3, InstanceState::Draining, kJoinMillis));
+}
