Keep the end of an upstream that is not known

An upstream that unregistered at a control process that had never heard of it got 200, and nobody else was told: entries kept sending until its record expired. The same for an incarnation younger than the one known. And the end of one upstream could end another one that has the address since.

The registry now keeps the end of any incarnation by id and start, and tells the others. Without the time of its start an unknown upstream gets 503, so that it asks the next process. Failed before, pass now: registry_test EndOfAnUnknownIncarnationIsKept (3 checks), EndOfAnIncarnationClaimsNoAddress (1), registry_sync_test UnregisteringWhereItIsUnknownReachesTheOthers (3).

--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -1,6 +1,7 @@
 // Merging of registration records.
 #include "chivefront/routing/registry.h"
 
+#include <algorithm>
 #include <tuple>
 
 namespace chivefront::routing {
@@ -14,20 +15,19 @@
 bool
 Registry::Merge(const Instance& aRecord)
 {
+  if (aRecord.m_state == InstanceState::Gone) {
+    return Remove(aRecord.m_id, aRecord.m_born, aRecord.m_reportedAt);
+  }
   const auto found = m_records.find(aRecord.m_id);
   if (found != m_records.end()) {
     const Instance& known = found->second.m_instance;
-    const bool sameIncarnation = known.m_born == aRecord.m_born;
     // An incarnation that left does not come back.
-    if (sameIncarnation && known.m_state == InstanceState::Gone) {
+    if (known.m_state == InstanceState::Gone &&
+        known.m_born == aRecord.m_born) {
       return false;
     }
-    // An upstream unregisters without a sequence number, maybe at a process
-    // that has not seen its last record.
-    const bool leaves =
-      sameIncarnation && aRecord.m_state == InstanceState::Gone;
     const auto age = std::tie(known.m_born, known.m_sequence);
-    if (!leaves && std::tie(aRecord.m_born, aRecord.m_sequence) <= age) {
+    if (std::tie(aRecord.m_born, aRecord.m_sequence) <= age) {
       return false;
     }
   }
@@ -63,21 +63,34 @@
   m_records[aRecord.m_id] = { aRecord, ++m_sequence };
 }
 
+// The end of an incarnation overtakes all its records: it has no number in
+// their sequence, and may reach a process that has missed some of them or all.
 bool
 Registry::Remove(const std::string& aId, uint64_t aBorn, base::TimePoint aNow)
 {
   const auto found = m_records.find(aId);
   if (found == m_records.end()) {
-    return false;
+    if (aBorn == 0) {
+      return false;
+    }
+    Instance unknown;
+    unknown.m_id = aId;
+    unknown.m_born = aBorn;
+    unknown.m_state = InstanceState::Gone;
+    unknown.m_reportedAt = aNow;
+    Store(unknown);
+    return true;
   }
   Instance& known = found->second.m_instance;
-  if (known.m_state == InstanceState::Gone ||
-      (aBorn != 0 && aBorn < known.m_born)) {
+  const bool isOlder = aBorn != 0 && aBorn < known.m_born;
+  const bool isKnown = aBorn <= known.m_born;
+  if (isOlder || (isKnown && known.m_state == InstanceState::Gone)) {
     return false;
   }
+  known.m_born = std::max(known.m_born, aBorn);
   known.m_state = InstanceState::Gone;
   known.m_reportedAt = aNow;
-  ++known.m_sequence;
+  ++known.m_sequence; // processes of an older release go by it
   found->second.m_changed = ++m_sequence;
   return true;
 }
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -59,9 +59,11 @@
 {
 public:
   // Returns true when the record is new, false when it is outdated or repeated.
+  // Of a record in the state Gone, id and born count.
   bool Merge(const Instance& aRecord);
-  // Marks an upstream that unregistered itself as gone. aBorn 0: any
-  // incarnation. Returns false when nothing changed.
+  // Marks an upstream that unregistered itself as gone, also one that is not
+  // known. aBorn 0: any incarnation that is known. Returns false when nothing
+  // changed.
   bool Remove(const std::string& aId, uint64_t aBorn, base::TimePoint aNow);
 
   // Increases with each change.
--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -92,6 +92,35 @@
   BOOST_TEST(registry.Merge(Record("a", 11, 1)));
 }
 
+// Guards against an upstream that has unregistered and comes back with a late
+// record: it told a process that did not know it, or not this incarnation.
+BOOST_AUTO_TEST_CASE(EndOfAnUnknownIncarnationIsKept)
+{
+  const base::TimePoint now(base::Millis(2000));
+  Registry registry;
+  BOOST_TEST(registry.Remove("a", 10, now));
+  BOOST_TEST(!registry.Merge(Record("a", 10, 7)));
+  BOOST_TEST(registry.Merge(Record("a", 11, 1)));
+  BOOST_TEST(registry.Remove("a", 12, now));
+  BOOST_TEST(!registry.Merge(Record("a", 12, 3)));
+  BOOST_TEST(registry.Merge(Record("a", 13, 1)));
+  // Without the time of its start it can't be told from a later incarnation.
+  BOOST_TEST(!registry.Remove("b", 0, now));
+}
+
+// Guards against the end of one upstream ending another one that has its
+// address since.
+BOOST_AUTO_TEST_CASE(EndOfAnIncarnationClaimsNoAddress)
+{
+  Registry registry;
+  BOOST_TEST(registry.Merge(Record("young", 20, 1)));
+  Instance gone = Record("old", 30, 1);
+  gone.m_state = InstanceState::Gone;
+  BOOST_TEST(registry.Merge(gone));
+  const bool ready = registry.Find("young")->m_state == InstanceState::Ready;
+  BOOST_TEST(ready);
+}
+
 BOOST_AUTO_TEST_CASE(ChangedSinceListsEachChangeOnce)
 {
   Registry registry;
--- a/chivefront/site/messages.cc
+++ b/chivefront/site/messages.cc
@@ -99,12 +99,13 @@
          routing::Instance& aInstance)
 {
   const auto address = base::Endpoint::Parse(aInfo.address);
-  if (!address) {
+  // The end of an upstream may be all that is known of it.
+  if (!address && !aInfo.removed) {
     return false;
   }
   aInstance.m_id = aInfo.name;
   aInstance.m_service = aInfo.service;
-  aInstance.m_address = *address;
+  aInstance.m_address = address.value_or(base::Endpoint());
   aInstance.m_domain = aInfo.failure_domain;
   aInstance.m_version = aInfo.version;
   aInstance.m_slots = aInfo.slots;
--- a/chivefront/site/messages.h
+++ b/chivefront/site/messages.h
@@ -17,7 +17,8 @@
 // comparable.
 wire::UpstreamInfoT
 ToWire(const routing::Instance& aInstance, base::TimePoint aNow);
-// Returns false when the address can't be parsed.
+// Returns false when the address of an upstream that is not gone can't be
+// parsed.
 bool
 FromWire(const wire::UpstreamInfoT& aInfo,
          base::TimePoint aNow,
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -471,15 +471,20 @@
   return true;
 }
 
-void
+absl::Status
 Node::Unregister(const std::string& aId, uint64_t aBorn)
 {
-  if (!m_impl->m_registry.Remove(aId, aBorn, m_impl->m_clock.Now())) {
-    return;
+  routing::Registry& registry = m_impl->m_registry;
+  if (registry.Remove(aId, aBorn, m_impl->m_clock.Now())) {
+    m_impl->m_log.Record(
+      "upstream_left", base::LogCategory::State, { { "upstream", aId } });
+    m_impl->m_announcer.Announce(aId);
+  }
+  if (registry.Find(aId) == nullptr) {
+    return base::MakeError(base::ErrorKind::Unavailable,
+                           "the upstream is not known here");
   }
-  m_impl->m_log.Record(
-    "upstream_left", base::LogCategory::State, { { "upstream", aId } });
-  m_impl->m_announcer.Announce(aId);
+  return absl::OkStatus();
 }
 
 void
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -77,8 +77,9 @@
   // Merges an upstream's registration and sends it to the other control
   // processes. Returns false for an outdated record.
   bool Register(const routing::Instance& aRecord);
-  // Marks an upstream as gone. aBorn 0: any incarnation.
-  void Unregister(const std::string& aId, uint64_t aBorn);
+  // Marks an upstream as gone. aBorn 0: any incarnation; returns Unavailable if
+  // none is known here, as another control process may know one.
+  absl::Status Unregister(const std::string& aId, uint64_t aBorn);
 
   // Adds control processes to connect to, after a reload of the settings.
   void AddSeeds(const std::vector<std::string>& aNames);
--- a/chivefront/site/registry_sync_test.cc
+++ b/chivefront/site/registry_sync_test.cc
@@ -220,7 +220,7 @@
   RunFor(kLinkClosedMillis, frozen);
   Register(InstanceState::Draining);
   RunFor(100, frozen);
-  m_nodes[0]->m_node->Unregister("i-1", 1);
+  BOOST_TEST(m_nodes[0]->m_node->Unregister("i-1", 1).ok());
   RunFor(500, frozen);
   BOOST_TEST(Sees(2, InstanceState::Gone, kDrainMillis));
 }
@@ -250,3 +250,17 @@
   Join();
   BOOST_TEST(Sees(3, InstanceState::Draining, kJoinMillis));
 }
+
+// Guards against an upstream that has unregistered and still gets requests: it
+// told a process that had never heard of it, which acknowledged and told no
+// one.
+BOOST_FIXTURE_TEST_CASE(UnregisteringWhereItIsUnknownReachesTheOthers,
+                        ThreeNodes)
+{
+  Join();
+  BOOST_TEST(!m_nodes[3]->m_node->Unregister("i-1", 0).ok());
+  BOOST_TEST(m_nodes[3]->m_node->Unregister("i-1", 1).ok());
+  for (size_t i = 0; i < 3; ++i) {
+    BOOST_TEST(Sees(i, InstanceState::Gone, kJoinMillis), "node " << i);
+  }
+}
