--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -373,10 +373,9 @@
       m_heartbeatDue = aNow + m_options.m_heartbeatInterval;
       m_heartbeatPending = true;
       for (auto& [identity, peer] : m_peers) {
-        // Messages without a reply by now are considered lost.
+        // Appends without a reply by now are considered lost.
         peer.m_inFlightAppends = 0;
-        peer.m_chunkInFlight = false;
-        RetryEntryPart(peer);
+        peer.m_transfer.OnHeartbeat();
       }
     }
     for (auto& [identity, peer] : m_peers) {
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "chivefront/base/clock.h"
+#include "chivefront/consensus/chunked_transfer.h"
 #include "chivefront/consensus/log.h"
 #include "chivefront/consensus/store.h"
 #include "chivefront/consensus/types.h"
@@ -50,7 +51,7 @@
   uint64_t m_seed = 0; // of the random election timeouts and nonces
   // Limits of the data in one message, well below the frame limit of 16 MiB.
   size_t m_maxAppendBytes = 1024 * 1024;
-  size_t m_snapshotChunkBytes = 256 * 1024;
+  size_t m_snapshotChunkBytes = 64 * 1024;
   // A larger entry is sent in parts of this size, one at a time to each
   // replica. Its copies must not hold up heartbeats for an election timeout:
   // parts for seven replicas take 40 ms at 100 Mbit/s.
@@ -165,11 +166,8 @@
     // Zero until the first message or, for a new replica, the next tick.
     base::TimePoint m_lastHeard;
     std::shared_ptr<const Snapshot> m_snapshot; // being sent; null for none
-    uint64_t m_snapshotOffset = 0;              // bytes
-    uint64_t m_entryOffset = 0; // bytes of the entry m_nextIndex received there
-    bool m_chunkInFlight = false; // of the snapshot
-    bool m_partInFlight = false;  // of the entry m_nextIndex
-    uint32_t m_heartbeatsSincePart = 0;
+    // Of the snapshot if there is one, else of the entry m_nextIndex.
+    ChunkedTransfer m_transfer;
   };
 
   // core.cc: terms, elections and timers.
@@ -227,7 +225,6 @@
   bool SendEntries(uint64_t aIdentity, Peer& aPeer);
   bool IsLarge(const Entry& aEntry) const;
   void SendEntryPart(uint64_t aIdentity, Peer& aPeer);
-  static void RetryEntryPart(Peer& aPeer);
   void SendSnapshotChunk(uint64_t aIdentity, Peer& aPeer);
   void SendHeartbeat(uint64_t aIdentity, Peer& aPeer);
   void AdvanceCommit();
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -97,8 +97,9 @@
   // Number of entries that the log keeps before the snapshot index, so that a
   // slightly lagging replica catches up by entries and needs no snapshot.
   uint64_t m_trailingEntries = 1000;
-  // Maximum number of snapshot bytes in one message.
-  uint64_t m_snapshotChunkBytes = 256 * 1024;
+  // Maximum number of snapshot bytes in one message. Chunks for several
+  // replicas must not hold up heartbeats for an election timeout.
+  uint64_t m_snapshotChunkBytes = 64 * 1024;
 };
 
 enum class RaftRole
--- a/chivefront/consensus/large_entry_test.cc
+++ b/chivefront/consensus/large_entry_test.cc
@@ -16,19 +16,31 @@
 // 100 Mbit/s. Seven copies of an entry take 0.6 s.
 constexpr uint64_t kUplinkBytesPerMilli = 12500;
 constexpr size_t kLargeBytes = 1024 * 1024;
+// The same while entries take most of it.
+constexpr uint64_t kBusyUplinkBytesPerMilli = 3000;
+constexpr size_t kSnapshotBytes = 3 * 1024 * 1024;
 constexpr uint64_t kSeeds = 10;
 
 // Eight replicas with a leader that has committed something.
 struct GroupOfEight : Simulation
 {
-  explicit GroupOfEight(uint64_t aSeed, NetworkFaults aFaults = {})
-    : Simulation(aSeed, kHosts)
+  explicit GroupOfEight(uint64_t aSeed,
+                        NetworkFaults aFaults = {},
+                        uint64_t aBytesPerMilli = kUplinkBytesPerMilli)
+    : Simulation(aSeed, kHosts, {}, MakeLayout())
   {
-    aFaults.m_uplinkBytesPerMilli = kUplinkBytesPerMilli;
+    aFaults.m_uplinkBytesPerMilli = aBytesPerMilli;
     SetNetworkFaults(aFaults);
     BOOST_REQUIRE(AcknowledgeWrite(10000));
     Run(500);
   }
+
+  static SimulationLayout MakeLayout()
+  {
+    SimulationLayout layout;
+    layout.m_snapshotChunkBytes = GroupOptions().m_snapshotChunkBytes;
+    return layout;
+  }
 };
 
 // Sends a large command until a replica accepts it, and returns whether it was
@@ -97,3 +109,36 @@
     }
   }
 }
+
+// Guards against replicas that return and never catch up: on a busy link the
+// chunks of their snapshots were sent again before the answers had come, and
+// each repeated answer asked for one more.
+BOOST_AUTO_TEST_CASE(SnapshotsArriveOverABusyLink)
+{
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    GroupOfEight simulation(seed, {}, kBusyUplinkBytesPerMilli);
+    const std::string leader = simulation.Leader();
+    std::vector<std::string> returning;
+    for (const std::string& name : kHosts) {
+      if (name != leader && returning.size() < 3) {
+        simulation.Crash(name);
+        returning.push_back(name);
+      }
+    }
+    for (int i = 0; i < 30; ++i) { // more than the log keeps
+      const size_t before = simulation.Acknowledged();
+      while (simulation.Acknowledged() == before) {
+        simulation.Write(kSnapshotBytes / 30);
+        simulation.Run(50);
+      }
+    }
+    for (const std::string& name : returning) {
+      simulation.Restart(name);
+    }
+    // Three snapshots of 3 MiB take 3 s.
+    simulation.Run(6000);
+    BOOST_TEST(simulation.Converged(), "seed " << seed);
+    BOOST_TEST(simulation.Leader() == leader, "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty());
+  }
+}
--- a/chivefront/consensus/leader.cc
+++ b/chivefront/consensus/leader.cc
@@ -9,8 +9,6 @@
 // Maximum number of appends in flight to one replica. Enough to keep a link
 // with a latency of a few milliseconds busy with batches of 1 MiB.
 constexpr uint32_t kMaxInFlightAppends = 16;
-// Together about an election timeout.
-constexpr uint32_t kHeartbeatsBeforePartRetry = 4;
 
 } // namespace
 
@@ -81,12 +79,12 @@
 void
 RaftCore::SendEntryPart(uint64_t aIdentity, Peer& aPeer)
 {
-  if (aPeer.m_partInFlight) {
+  if (aPeer.m_transfer.InFlight()) {
     return;
   }
   const Entry& entry = m_log.At(aPeer.m_nextIndex);
   const size_t offset =
-    std::min<size_t>(aPeer.m_entryOffset, entry.m_data.size());
+    std::min<size_t>(aPeer.m_transfer.Offset(), entry.m_data.size());
   Message part = MakeAppend(aIdentity, aPeer, MessageKind::EntryPart);
   part.m_hint = offset;
   part.m_entries.push_back(
@@ -96,21 +94,10 @@
       entry.m_data.substr(offset, m_options.m_entryPartBytes) });
   part.m_flag =
     offset + part.m_entries.front().m_data.size() == entry.m_data.size();
-  aPeer.m_partInFlight = true;
-  aPeer.m_heartbeatsSincePart = 0;
+  aPeer.m_transfer.OnSent();
   Send(aPeer.m_name, std::move(part), true);
 }
 
-// Called with each heartbeat. A part that is not answered after several of them
-// is sent again; on a busy link an earlier repeat would delay all others.
-void
-RaftCore::RetryEntryPart(Peer& aPeer)
-{
-  if (++aPeer.m_heartbeatsSincePart >= kHeartbeatsBeforePartRetry) {
-    aPeer.m_partInFlight = false;
-  }
-}
-
 // Sends one append with as many entries as fit, or a part of a large entry.
 // Returns whether another append may be sent.
 bool
@@ -149,7 +136,7 @@
 {
   if (!aPeer.m_snapshot) {
     aPeer.m_snapshot = m_snapshot;
-    aPeer.m_snapshotOffset = 0;
+    aPeer.m_transfer.Restart();
   }
   const Snapshot& snapshot = *aPeer.m_snapshot;
   Message chunk;
@@ -159,13 +146,12 @@
   chunk.m_index = snapshot.m_index;
   chunk.m_logTerm = snapshot.m_term;
   chunk.m_round = m_confirmRound;
-  chunk.m_hint = aPeer.m_snapshotOffset;
+  chunk.m_hint = aPeer.m_transfer.Offset();
   chunk.m_members = snapshot.m_membership;
-  chunk.m_data = snapshot.m_data.substr(aPeer.m_snapshotOffset,
-                                        m_options.m_snapshotChunkBytes);
-  chunk.m_flag =
-    aPeer.m_snapshotOffset + chunk.m_data.size() == snapshot.m_data.size();
-  aPeer.m_chunkInFlight = true;
+  chunk.m_data =
+    snapshot.m_data.substr(chunk.m_hint, m_options.m_snapshotChunkBytes);
+  chunk.m_flag = chunk.m_hint + chunk.m_data.size() == snapshot.m_data.size();
+  aPeer.m_transfer.OnSent();
   Send(aPeer.m_name, std::move(chunk), true);
 }
 
@@ -182,7 +168,7 @@
   }
   for (auto& [identity, peer] : m_peers) {
     if (peer.m_snapshot || peer.m_nextIndex <= m_log.BaseIndex()) {
-      if (!peer.m_chunkInFlight) {
+      if (!peer.m_transfer.InFlight()) {
         SendSnapshotChunk(identity, peer);
       }
       if (m_heartbeatPending) {
@@ -245,17 +231,14 @@
     AdvanceCommit();
     SendTakeOverIfCaughtUp();
   }
-  if (peer->m_nextIndex != nextIndex) {
-    peer->m_entryOffset = 0;
-    peer->m_partInFlight = false;
+  if (!peer->m_snapshot && peer->m_nextIndex != nextIndex) {
+    peer->m_transfer.Restart();
   }
   CompleteConfirmations();
   ProposeMembershipChange(aNow);
 }
 
-// The replica holds m_hint bytes of an entry. That may be fewer than before if
-// it has restarted. An answer that tells nothing new belongs to a part that was
-// sent twice.
+// The replica holds m_hint bytes of an entry.
 void
 RaftCore::OnEntryPartReply(const Message& aMessage, TimePoint aNow)
 {
@@ -263,10 +246,8 @@
   if (peer == nullptr) {
     return;
   }
-  if (aMessage.m_index == peer->m_nextIndex &&
-      aMessage.m_hint != peer->m_entryOffset) {
-    peer->m_entryOffset = aMessage.m_hint;
-    peer->m_partInFlight = false;
+  if (!peer->m_snapshot && aMessage.m_index == peer->m_nextIndex) {
+    peer->m_transfer.OnAnswer(aMessage.m_hint);
   }
   CompleteConfirmations();
 }
@@ -282,10 +263,9 @@
   if (!peer.m_snapshot || peer.m_snapshot->m_index != aMessage.m_index) {
     return;
   }
-  peer.m_chunkInFlight = false;
   if (!aMessage.m_flag) {
-    peer.m_snapshotOffset =
-      std::min<uint64_t>(aMessage.m_hint, peer.m_snapshot->m_data.size());
+    peer.m_transfer.OnAnswer(
+      std::min<uint64_t>(aMessage.m_hint, peer.m_snapshot->m_data.size()));
     return;
   }
   peer.m_matchIndex = std::max(peer.m_matchIndex, aMessage.m_index);
@@ -293,6 +273,7 @@
   peer.m_probing = true;
   peer.m_inFlightAppends = 0;
   peer.m_snapshot.reset();
+  peer.m_transfer.Restart();
   AdvanceCommit();
 }
 
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -37,7 +37,7 @@
   options.m_snapshotEvery = 20;
   options.m_trailingEntries = 5;
   options.m_segmentBytes = 2000;
-  options.m_snapshotChunkBytes = 200;
+  options.m_snapshotChunkBytes = m_layout.m_snapshotChunkBytes;
   return options;
 }
 
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -24,6 +24,8 @@
   // Hosts without a durable disk: each start begins with an empty folder. With
   // such hosts, only the first start of a host may bootstrap the group.
   std::set<std::string> m_diskless;
+  // Small, so that short runs send snapshots in several chunks.
+  size_t m_snapshotChunkBytes = 200;
 };
 
 class Simulation
