Bound the bodies that an entry holds over all connections

Each body had a bound, their sum had none: 60 callers that send large bodies slowly made an entry hold 129 MB in a test (a node has 88 MB). HeldBytes counts the bodies of requests, and of answers that are read whole, up to 16 MiB. A request without room gets 503 with Retry-After, as it has not run; an answer without room is passed on as it arrives. New gauge chivefront_proxy_held_bytes, new record request_unreadable.

held_bytes_test SlowLargeBodiesAreBoundedTogether failed before in 2 checks. AnswersForSlowReadersAreBoundedTogether passed before too: the kernel took the answers. endless_request_test and proxy_test pass.

--- a/chivefront/proxy/caller_connection.cc
+++ b/chivefront/proxy/caller_connection.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 
 #include "chivefront/base/errors.h"
@@ -22,6 +21,10 @@
 // Timeout of one write to a caller that does not read.
 constexpr base::Millis kWriteTimeout{ 10000 };
 constexpr size_t kReadBufferBytes = 4096;
+constexpr int kServiceUnavailable = 503;
+// Bodies that are under way end within some seconds; another entry may have
+// room at once.
+constexpr char kRetryHeader[] = "Retry-After: 0.5\r\n";
 constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Status for a request that could not be read; 0 if the caller has
@@ -33,6 +36,9 @@
   if (aError == http::error::body_limit) {
     return 413;
   }
+  if (aError == net::asio::error::no_buffer_space) {
+    return kServiceUnavailable;
+  }
   if (aError == http::error::header_limit ||
       aError == http::error::buffer_overflow) {
     return aHeadRead ? 400 : 431;
@@ -57,8 +63,10 @@
 
 } // namespace detail
 
-CallerConnection::CallerConnection(Tcp::socket aSocket)
+CallerConnection::CallerConnection(Tcp::socket aSocket,
+                                   std::shared_ptr<HeldBytes> aHeldBytes)
   : m_stream(std::move(aSocket))
+  , m_bodyClaim(std::move(aHeldBytes))
 {
   error_code ignored; // only adds latency if it fails
   m_stream.socket().set_option(Tcp::no_delay(true), ignored);
@@ -69,7 +77,9 @@
 {
   m_idle = true;
   m_responseStarted = m_responseEnded = false;
-  http::request_parser<http::string_body> parser;
+  m_request = {};
+  (void)m_bodyClaim.Resize(0);
+  Parser parser;
   parser.header_limit(static_cast<uint32_t>(aLimits.m_headerBytes));
   parser.body_limit(aLimits.m_bodyBytes);
   m_buffer.AllowHead(aLimits.m_headerBytes);
@@ -99,11 +109,7 @@
   }
   if (!error && !parser.is_done()) {
     m_stream.expires_after(aLimits.m_idleTimeout.ToChrono());
-    co_await http::async_read(
-      m_stream,
-      m_buffer,
-      parser,
-      net::asio::redirect_error(net::asio::use_awaitable, error));
+    error = co_await ReadBody(parser);
   }
   const bool unknownEncoding =
     !error && parser.get().count(http::field::transfer_encoding) > 0 &&
@@ -132,10 +138,32 @@
   co_return ReadResult::Request;
 }
 
+net::Task<error_code>
+CallerConnection::ReadBody(Parser& aParser)
+{
+  error_code error;
+  aParser.eager(true);
+  while (!error && !aParser.is_done()) {
+    (void)co_await http::async_read_some(
+      m_stream,
+      m_buffer,
+      aParser,
+      net::asio::redirect_error(net::asio::use_awaitable, error));
+    if (!m_bodyClaim.Resize(aParser.get().body().size())) {
+      error = net::asio::error::no_buffer_space;
+    }
+  }
+  co_return error;
+}
+
 net::Task<void>
 CallerConnection::Refuse(int aStatus)
 {
+  m_refusedStatus = aStatus;
   std::string head = "HTTP/1.1 " + std::to_string(aStatus) + " Refused\r\n";
+  if (aStatus == detail::kServiceUnavailable) {
+    head += detail::kRetryHeader;
+  }
   (void)co_await WriteResponse(std::move(head), "", true);
   co_await net::LingerBeforeClose(m_stream);
 }
--- a/chivefront/proxy/caller_connection.h
+++ b/chivefront/proxy/caller_connection.h
@@ -14,10 +14,12 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include "chivefront/net/read_buffer.h"
 #include "chivefront/net/task.h"
+#include "chivefront/proxy/held_bytes.h"
 #include "chivefront/routing/config.h"
 
 namespace chivefront::proxy {
@@ -36,9 +38,12 @@
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
 public:
-  explicit CallerConnection(net::asio::ip::tcp::socket aSocket);
+  CallerConnection(net::asio::ip::tcp::socket aSocket,
+                   std::shared_ptr<HeldBytes> aHeldBytes);
 
   net::Task<ReadResult> ReadRequest(const routing::CallerLimits& aLimits);
+  // Status of the answer to a refused request.
+  int RefusedStatus() const { return m_refusedStatus; }
   const CallerRequest& Request() const { return m_request; }
   CallerRequest& Request() { return m_request; }
 
@@ -70,6 +75,12 @@
 
 private:
   net::Task<absl::Status> Write(std::string aBytes);
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  // Reads the rest of a body. Returns no_buffer_space if the entry holds too
+  // much.
+  net::Task<boost::system::error_code> ReadBody(Parser& aParser);
   net::Task<void> Refuse(int aStatus);
   void WaitForReadable(uint64_t aWatchNumber,
                        std::function<void()> aOnDisconnect);
@@ -77,6 +88,8 @@
   boost::beast::tcp_stream m_stream;
   net::ReadBuffer m_buffer;
   CallerRequest m_request;
+  HeldBytes::Claim m_bodyClaim; // of m_request, or of the one that arrives
+  int m_refusedStatus = 0;
   uint64_t m_watchNumber = 0; // identifies the current WatchForDisconnect
   bool m_idle = true;
   // Set by Close. A request that was read before must not be served afterwards.
--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -38,6 +38,10 @@
   , m_upstreams(aWatch, base::SteadyClock::Instance(), base::RandomBits())
   , m_rolloutEvidence(aWatch)
   , m_metrics(aMetrics)
+  , m_heldBytesGauge(
+      aMetrics.AddGauge("chivefront_proxy_held_bytes",
+                        "Bodies of requests and answers that are held."))
+  , m_heldBytes(std::make_shared<HeldBytes>(m_options.m_maxHeldBytes))
   , m_shared{ base::SteadyClock::Instance(),
               aWatch,
               m_upstreams,
@@ -46,6 +50,7 @@
               m_crashEvidence,
               aLog,
               m_metrics,
+              m_heldBytes,
               m_options.m_domain,
               m_options.m_retryBudget }
 {
@@ -103,6 +108,7 @@
 Entry::Sweep()
 {
   m_upstreams.Sweep();
+  m_heldBytesGauge.Set(static_cast<int64_t>(m_heldBytes->Total()));
   co_return true;
 }
 
@@ -130,7 +136,8 @@
         { { "connections", static_cast<uint64_t>(m_callers.size()) } });
       continue; // the socket's destructor closes the connection
     }
-    auto caller = std::make_shared<CallerConnection>(std::move(socket));
+    auto caller =
+      std::make_shared<CallerConnection>(std::move(socket), m_heldBytes);
     m_callers.insert(caller);
     net::Spawn(m_context.get_executor(),
                "entry",
@@ -147,6 +154,13 @@
     const routing::CallerLimits limits =
       config ? config->Limits() : detail::kDefaultLimits;
     const ReadResult result = co_await aCaller->ReadRequest(limits);
+    if (result == ReadResult::Refused) {
+      m_shared.m_log.Record(
+        "request_unreadable",
+        base::LogCategory::Failure,
+        { { "status", aCaller->RefusedStatus() },
+          { "held_bytes", static_cast<uint64_t>(m_heldBytes->Total()) } });
+    }
     if (result != ReadResult::Request) {
       break;
     }
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -27,6 +27,9 @@
   RetryBudgetLimits m_retryBudget;
   // Connections of callers; below the limit of file descriptors.
   size_t m_maxConnections = 3000;
+  // Bodies held over all connections. A body is copied while it is sent on, so
+  // this takes up to twice as much; the smallest hosts have 88 MB.
+  size_t m_maxHeldBytes = 16 * 1024 * 1024;
 };
 
 class Entry
@@ -68,6 +71,8 @@
   RolloutEvidence m_rolloutEvidence;
   routing::CrashEvidence m_crashEvidence;
   RequestMetrics m_metrics;
+  base::Gauge& m_heldBytesGauge;
+  const std::shared_ptr<HeldBytes> m_heldBytes;
   SharedState m_shared;
   std::set<std::shared_ptr<CallerConnection>> m_callers;
   std::set<std::shared_ptr<Exchange>> m_exchanges; // running
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -15,7 +15,8 @@
 
 constexpr base::Millis kConnectTimeout{ 400 };
 // A response that is not a stream is forwarded only when it is complete, so
-// that a broken one can be retried. Larger bodies are forwarded as they arrive.
+// that a broken one can be retried. Larger bodies are forwarded as they arrive,
+// and so are those for which the entry has no room.
 constexpr size_t kMaxBufferedBytes = 1024 * 1024;
 // An upstream in trouble may send an event without end. An event holds a few
 // tokens.
@@ -279,6 +280,7 @@
 Exchange::ForwardBody(Upstream& aUpstream, std::string aHead)
 {
   std::string body;
+  HeldBytes::Claim claim(m_shared.m_heldBytes); // of body
   bool streaming = false; // part of the body has been forwarded
   while (true) {
     const auto chunk = co_await m_connection->ReadBody();
@@ -300,10 +302,12 @@
     }
     RecordBytesReceived(aUpstream);
     body += *chunk;
-    if (body.size() <= detail::kMaxBufferedBytes && !streaming) {
+    if (!streaming && body.size() <= detail::kMaxBufferedBytes &&
+        claim.Resize(body.size())) {
       continue;
     }
     streaming = true;
+    (void)claim.Resize(0);
     const absl::Status written = co_await WriteToCaller(aHead, std::move(body));
     body.clear();
     if (!written.ok()) {
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -9,6 +9,7 @@
 #include "chivefront/base/decision_log.h"
 #include "chivefront/base/metrics.h"
 #include "chivefront/proxy/header_codec.h"
+#include "chivefront/proxy/held_bytes.h"
 #include "chivefront/proxy/upstreams.h"
 #include "chivefront/routing/budget.h"
 #include "chivefront/routing/crash_evidence.h"
@@ -105,6 +106,7 @@
   routing::CrashEvidence& m_crashEvidence;
   base::DecisionLog& m_log;
   RequestMetrics& m_metrics;
+  const std::shared_ptr<HeldBytes> m_heldBytes;
   const std::string m_domain; // failure domain of this entry
   const RetryBudgetLimits m_retryLimits;
   bool m_draining = false;
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -116,6 +116,7 @@
   uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
 
   std::vector<std::string> m_requests; // heads of the requests received
+  std::string m_repeatedScript;        // used when no other one is left
   // Connections that the entry closed at <hold> or <flood>.
   int m_closedByPeer = 0;
   size_t m_floodedBytes = 0;     // sent at <flood>
@@ -150,7 +151,8 @@
       const std::string head = buffer.substr(0, end);
       buffer.erase(0, end);
       m_requests.push_back(head);
-      std::string script = kCloseConnection;
+      std::string script =
+        m_repeatedScript.empty() ? kCloseConnection : m_repeatedScript;
       if (!m_scripts.empty()) {
         script = m_scripts.front();
         m_scripts.pop_front();
@@ -277,6 +279,7 @@
     options.m_listen = { "127.0.0.1", m_port };
     options.m_domain = "near";
     options.m_retryBudget = { 1, 100, base::Millis(10000) };
+    options.m_maxHeldBytes = m_maxHeldBytes;
     m_entry = std::make_unique<Entry>(
       m_context, options, m_watch, m_headerCodec, m_log, m_metrics);
     BOOST_REQUIRE(m_entry->Start().ok());
@@ -447,6 +450,7 @@
   const uint16_t m_port = m_reservedPort.Port();
   std::string m_nearVersion; // being rolled out; empty: no roll-out
   std::string m_farVersion;
+  size_t m_maxHeldBytes = EntryOptions().m_maxHeldBytes;
   bool m_onlyNear = false;                       // m_far is not registered
   bool m_withoutNear = false;                    // m_near is not registered
   std::unique_ptr<ScriptedUpstream> m_secondFar; // registered if it is there
