Bound registries, documents and entries that peers send

Maps and buffers that grew with what a peer sends: a registry with the ids that someone registers (65,536 records now; a new upstream then gets 503, known ones stay), a document with the size that its sender names, a log entry with its parts (64 MiB each). Found in the read-through. registry_test RegistryIsBounded and document_parts_test DocumentsWithoutEndAreRefused were written with the change; the code before has no bound that they could test.

--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -56,6 +56,8 @@
   // replica. Its copies must not hold up heartbeats for an election timeout:
   // parts for seven replicas take 40 ms at 100 Mbit/s.
   size_t m_entryPartBytes = 64 * 1024;
+  // Larger entries are neither proposed nor collected.
+  size_t m_maxEntryBytes = 64 * 1024 * 1024;
   // Number of entries that the log keeps before the snapshot index, so that a
   // slightly lagging replica catches up by entries and needs no snapshot.
   uint64_t m_trailingEntries = 1000;
--- a/chivefront/consensus/follower.cc
+++ b/chivefront/consensus/follower.cc
@@ -163,7 +163,9 @@
       entry.m_term != part.m_term) {
     entry = { part.m_term, part.m_index, part.m_kind, "" };
   }
-  const bool isNext = aMessage.m_hint == entry.m_data.size();
+  const bool isNext =
+    aMessage.m_hint == entry.m_data.size() &&
+    entry.m_data.size() + part.m_data.size() <= m_options.m_maxEntryBytes;
   if (isNext) {
     entry.m_data += part.m_data;
   }
--- a/chivefront/consensus/leader.cc
+++ b/chivefront/consensus/leader.cc
@@ -14,10 +14,13 @@
 
 using base::TimePoint;
 
+// The API of a control process accepts no command that is too large; the check
+// of the size keeps such an entry from stopping the log for good.
 std::optional<uint64_t>
 RaftCore::Propose(std::string aCommand)
 {
-  if (!IsLeader() || m_transferTarget != 0 || !MayAcknowledge()) {
+  if (!IsLeader() || m_transferTarget != 0 || !MayAcknowledge() ||
+      aCommand.size() > m_options.m_maxEntryBytes) {
     return std::nullopt;
   }
   const uint64_t index = m_log.LastIndex() + 1;
--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -19,6 +19,9 @@
     return Remove(aRecord.m_id, aRecord.m_born, aRecord.m_reportedAt);
   }
   const auto found = m_records.find(aRecord.m_id);
+  if (found == m_records.end() && IsFull()) {
+    return false;
+  }
   if (found != m_records.end()) {
     const Instance& known = found->second.m_instance;
     // An incarnation that left does not come back.
@@ -70,7 +73,7 @@
 {
   const auto found = m_records.find(aId);
   if (found == m_records.end()) {
-    if (aBorn == 0) {
+    if (aBorn == 0 || IsFull()) {
       return false;
     }
     Instance unknown;
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -55,10 +55,16 @@
 // times the registration period, because registrations may be seconds late.
 inline constexpr base::Millis kInstanceTimeout{ 8000 };
 
+// Records that a registry holds, those of upstreams that are gone included.
+// Several times the largest deployment; anyone who reaches the port can
+// register.
+inline constexpr size_t kMaxInstances = 65536;
+
 class Registry
 {
 public:
-  // Returns true when the record is new, false when it is outdated or repeated.
+  // Returns true when the record is new, false when it is outdated or repeated,
+  // or when it is the first of an upstream and there is no room.
   // Of a record in the state Gone, id and born count.
   bool Merge(const Instance& aRecord);
   // Marks an upstream that unregistered itself as gone, also one that is not
@@ -66,6 +72,8 @@
   // changed.
   bool Remove(const std::string& aId, uint64_t aBorn, base::TimePoint aNow);
 
+  bool IsFull() const { return m_records.size() >= kMaxInstances; }
+
   // Increases with each change.
   uint64_t Sequence() const { return m_sequence; }
   std::vector<Instance> ChangedSince(uint64_t aSequence) const;
--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -121,6 +121,25 @@
   BOOST_TEST(ready);
 }
 
+// Guards against a process that runs out of memory because someone registers
+// ever new upstreams. Those that are known stay.
+BOOST_AUTO_TEST_CASE(RegistryIsBounded)
+{
+  const base::TimePoint now(base::Millis(1000));
+  Registry registry;
+  BOOST_TEST(registry.Merge(Record("a", 10, 1)));
+  size_t taken = 1;
+  while (registry.Remove("x" + std::to_string(taken), 1, now)) {
+    ++taken;
+  }
+  BOOST_TEST(taken == kMaxInstances);
+  BOOST_TEST(!registry.Merge(Record("b", 10, 1)));
+  BOOST_TEST(registry.Merge(Record("a", 10, 2)));
+  BOOST_TEST(registry.Remove("a", 10, now));
+  registry.Expire(now + base::Millis(100000));
+  BOOST_TEST(registry.Merge(Record("b", 10, 1)));
+}
+
 BOOST_AUTO_TEST_CASE(ChangedSinceListsEachChangeOnce)
 {
   Registry registry;
--- a/chivefront/site/document_parts.cc
+++ b/chivefront/site/document_parts.cc
@@ -84,6 +84,10 @@
       return base::MakeError(base::ErrorKind::NotFresh,
                              "the sender has no document of this number");
     }
+    if (aReply.packed_size > detail::kMaxDocumentBytes) {
+      return base::MakeError(base::ErrorKind::BadFrame,
+                             "the document exceeds the bound");
+    }
     m_number = aReply.number;
     m_packedSize = aReply.packed_size;
   }
--- a/chivefront/site/document_parts_test.cc
+++ b/chivefront/site/document_parts_test.cc
@@ -3,6 +3,8 @@
 #define BOOST_TEST_MODULE document_parts
 #include <boost/test/unit_test.hpp>
 
+#include <limits>
+
 #include "chivefront/base/errors.h"
 #include "chivefront/site/document_parts.h"
 
@@ -132,3 +134,14 @@
   BOOST_REQUIRE(text.ok());
   BOOST_TEST((*text == MakeDocument(7)));
 }
+
+// Guards against a sender that makes an entry collect parts without end.
+BOOST_AUTO_TEST_CASE(DocumentsWithoutEndAreRefused)
+{
+  DocumentSource source;
+  DocumentFetch fetch;
+  auto part = source.MakeReply(MakeState(7), fetch.MakeRequest());
+  part.packed_size = std::numeric_limits<uint64_t>::max();
+  const auto isWhole = fetch.Accept(part, 7);
+  BOOST_TEST((base::KindOf(isWhole.status()) == base::ErrorKind::BadFrame));
+}
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -446,14 +446,19 @@
   return m_impl->m_group.IsLeader();
 }
 
-bool
+absl::Status
 Node::Register(const routing::Instance& aRecord)
 {
   const routing::Instance* known = m_impl->m_registry.Find(aRecord.m_id);
   const bool changed = known == nullptr || known->m_state != aRecord.m_state ||
                        known->m_born != aRecord.m_born;
   if (!m_impl->m_registry.Merge(aRecord)) {
-    return false;
+    if (m_impl->m_registry.Find(aRecord.m_id) == nullptr &&
+        m_impl->m_registry.IsFull()) {
+      return base::MakeError(base::ErrorKind::Overloaded,
+                             "too many upstreams are registered");
+    }
+    return absl::OkStatus();
   }
   m_impl->m_registrationCounter.Increment();
   if (changed) {
@@ -468,7 +473,7 @@
         { "sequence", aRecord.m_sequence } });
   }
   m_impl->m_announcer.Announce(aRecord.m_id);
-  return true;
+  return absl::OkStatus();
 }
 
 absl::Status
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -75,8 +75,9 @@
   bool IsLeader() const;
 
   // Merges an upstream's registration and sends it to the other control
-  // processes. Returns false for an outdated record.
-  bool Register(const routing::Instance& aRecord);
+  // processes. An outdated record is no error. Returns Overloaded if there is
+  // no room for another upstream.
+  absl::Status Register(const routing::Instance& aRecord);
   // Marks an upstream as gone. aBorn 0: any incarnation; returns Unavailable if
   // none is known here, as another control process may know one.
   absl::Status Unregister(const std::string& aId, uint64_t aBorn);
--- a/chivefront/site/registry_sync_test.cc
+++ b/chivefront/site/registry_sync_test.cc
@@ -137,7 +137,7 @@
     record.m_born = 1;
     record.m_sequence = ++m_sequence;
     record.m_reportedAt = base::SteadyClock::Instance().Now();
-    BOOST_REQUIRE(m_nodes[0]->m_node->Register(record));
+    BOOST_REQUIRE(m_nodes[0]->m_node->Register(record).ok());
   }
 
   // Whether the node tells an entry within aMillis that the upstream is in this
--- a/chivefront/site/slow_link_test.cc
+++ b/chivefront/site/slow_link_test.cc
@@ -112,7 +112,7 @@
     record.m_born = 1;
     record.m_sequence = aSequence;
     record.m_reportedAt = base::SteadyClock::Instance().Now();
-    BOOST_REQUIRE(m_node->Register(record));
+    BOOST_REQUIRE(m_node->Register(record).ok());
   }
 
   bool EntrySees(routing::InstanceState aState) const
