Split crash reports out of node.cc and join the endless writers of tests

Three tests wrote without end each on its own. No behaviour changed; the tests of site, proxy and net pass.

--- a/chivefront/net/endless_http_test.cc
+++ b/chivefront/net/endless_http_test.cc
@@ -8,6 +8,7 @@
 #include "chivefront/base/errors.h"
 #include "chivefront/net/http_client.h"
 #include "chivefront/net/http_server.h"
+#include "chivefront/net/testing/flood.h"
 #include "chivefront/net/testing/resident_memory.h"
 
 using namespace chivefront;
@@ -20,7 +21,6 @@
 // Socket buffers of a loopback connection hold some megabytes.
 constexpr size_t kMaxFloodBytes = 16 * 1024 * 1024;
 constexpr int64_t kMaxHeldBytes = 4 * 1024 * 1024;
-constexpr size_t kFloodBytes = 64 * 1024;
 const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
 
 struct Row
@@ -33,29 +33,6 @@
                               { "0\r\nPad: ", "x" },
                               { "0\r\n", "Pad: x\r\n" } };
 
-// Writes aStart and then aText again and again. Returns the bytes that were
-// taken until the peer closed.
-net::Task<size_t>
-WriteWithoutEnd(Tcp::socket& aSocket, std::string aStart, std::string aText)
-{
-  std::string bytes;
-  while (bytes.size() < kFloodBytes) {
-    bytes += aText;
-  }
-  error_code error;
-  size_t sent = co_await asio::async_write(
-    aSocket,
-    asio::buffer(aStart),
-    asio::redirect_error(asio::use_awaitable, error));
-  while (!error) {
-    sent += co_await asio::async_write(
-      aSocket,
-      asio::buffer(bytes),
-      asio::redirect_error(asio::use_awaitable, error));
-  }
-  co_return sent;
-}
-
 void
 RunFor(asio::io_context& aContext, int64_t aMillis)
 {
@@ -94,7 +71,7 @@
     const std::string start =
       "PUT /x HTTP/1.1\r\nHost: a\r\n" + kChunked + row.m_start;
     net::Spawn(context.get_executor(), "test", [&]() -> net::Task<void> {
-      sent = co_await WriteWithoutEnd(socket, start, row.m_text);
+      sent = co_await net::testing::WriteWithoutEnd(socket, start, row.m_text);
     });
     RunFor(context, 200);
     BOOST_TEST(HeldSince(before) < kMaxHeldBytes, row.m_start);
@@ -118,7 +95,7 @@
     const std::string start = "HTTP/1.1 200 OK\r\n" + kChunked + row.m_start;
     net::Spawn(context.get_executor(), "test", [&]() -> net::Task<void> {
       Tcp::socket socket = co_await acceptor.async_accept(asio::use_awaitable);
-      sent = co_await WriteWithoutEnd(socket, start, row.m_text);
+      sent = co_await net::testing::WriteWithoutEnd(socket, start, row.m_text);
     });
     absl::Status result;
     bool done = false;
--- a/chivefront/proxy/endless_request_test.cc
+++ b/chivefront/proxy/endless_request_test.cc
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr size_t kMaxHeldBytes = 4 * 1024 * 1024;
-constexpr size_t kFloodBytes = 64 * 1024;
 constexpr int kCallers = 8;
 
 const std::string kChunkedHead = "POST /plain/x HTTP/1.1\r\n"
@@ -32,23 +31,11 @@
                std::string aText,
                std::shared_ptr<Flood> aFlood)
 {
-  std::string bytes;
-  while (bytes.size() < kFloodBytes) {
-    bytes += aText;
-  }
   error_code error;
   co_await aSocket->async_connect(
     aEntry, net::asio::redirect_error(net::asio::use_awaitable, error));
-  co_await net::asio::async_write(
-    *aSocket,
-    net::asio::buffer(aStart),
-    net::asio::redirect_error(net::asio::use_awaitable, error));
-  while (!error) {
-    (void)co_await net::asio::async_write(
-      *aSocket,
-      net::asio::buffer(bytes),
-      net::asio::redirect_error(net::asio::use_awaitable, error));
-  }
+  (void)co_await net::testing::WriteWithoutEnd(
+    *aSocket, std::move(aStart), std::move(aText));
   aFlood->m_closed = true;
 }
 
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -14,6 +14,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/net/testing/flood.h"
 #include "chivefront/net/testing/reserved_port.h"
 #include "chivefront/proxy/entry.h"
 #include "chivefront/site/messages.h"
@@ -172,7 +173,8 @@
       }
       co_await Write(*aSocket, std::move(script));
       if (floods) {
-        co_await Flood(*aSocket);
+        m_floodedBytes +=
+          co_await net::testing::WriteWithoutEnd(*aSocket, "", m_floodText);
         ++m_closedByPeer;
         co_return;
       }
@@ -190,21 +192,6 @@
     }
   }
 
-  net::Task<void> Flood(Tcp::socket& aSocket)
-  {
-    std::string bytes;
-    while (bytes.size() < kFloodBytes) {
-      bytes += m_floodText;
-    }
-    error_code error;
-    while (!error) {
-      m_floodedBytes += co_await net::asio::async_write(
-        aSocket,
-        net::asio::buffer(bytes),
-        net::asio::redirect_error(net::asio::use_awaitable, error));
-    }
-  }
-
   static net::Task<void> Write(Tcp::socket& aSocket, std::string aScript)
   {
     while (!aScript.empty()) {
@@ -223,8 +210,6 @@
     }
   }
 
-  static constexpr size_t kFloodBytes = 64 * 1024;
-
   Tcp::acceptor m_acceptor;
   std::deque<std::string> m_scripts;
 };
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -1,7 +1,6 @@
 // Assembly of a control process, and its handling of link messages.
 #include "chivefront/site/node.h"
 
-#include <algorithm>
 #include <set>
 
 #include "chivefront/base/errors.h"
@@ -9,8 +8,8 @@
 #include "chivefront/control/leadership_confirmer.h"
 #include "chivefront/control/peers.h"
 #include "chivefront/control/watcher_table.h"
-#include "chivefront/routing/request_limits.h"
 #include "chivefront/site/announcer.h"
+#include "chivefront/site/crash_coordinator.h"
 #include "chivefront/site/document_parts.h"
 #include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
@@ -27,8 +26,6 @@
 // How long a graceful stop waits for another replica to become the leader.
 constexpr base::Millis kTransferTimeout{ 1500 };
 constexpr base::Millis kTransferPollPeriod{ 30 };
-// Bounds the work for suspect causes of crashes when many entries poll.
-constexpr base::Millis kCrashJudgePeriod{ 100 };
 // Log entries between snapshots. Small because a document may have hundreds of
 // kilobytes and the disk is small.
 constexpr uint64_t kSnapshotEvery = 64;
@@ -122,10 +119,6 @@
   void OnWatch(const net::Link::Pointer& aLink,
                uint64_t aCorrelation,
                const wire::WatchRequestT& aRequest);
-  void AnswerCrashReport(const wire::WatchRequestT& aRequest,
-                         base::TimePoint aNow,
-                         wire::WatchReplyT& aReply);
-  void JudgeCrashes(base::TimePoint aNow, const std::string& aEntry);
   void OnAnnounce(const wire::AnnounceRequestT& aRequest);
   std::set<std::string> OtherControlProcesses() const;
   net::Task<bool> OnTick();
@@ -167,8 +160,7 @@
   };
   RateCoordinator m_rateCoordinator;
   DocumentSource m_documentSource;
-  routing::CrashQuarantine m_crashQuarantine;
-  base::TimePoint m_crashesJudgedAt; // last update of m_crashQuarantine
+  CrashCoordinator m_crashCoordinator{ m_log };
   bool m_stopped = false;
 };
 
@@ -245,48 +237,11 @@
     reply.upstreams.push_back(
       std::make_unique<wire::UpstreamInfoT>(ToWire(instance, now)));
   }
-  AnswerCrashReport(aRequest, now, reply);
+  m_crashCoordinator.Answer(aRequest, m_registry, now, reply);
   m_rateCoordinator.Answer(aRequest, reply.fresh, now, reply);
   (void)aLink->Reply(aCorrelation, std::move(reply));
 }
 
-// All entries poll the leader, so it sees all losses. The entries repeat what
-// is quarantined, so that a new leader knows it too.
-void
-Node::Impl::AnswerCrashReport(const wire::WatchRequestT& aRequest,
-                              base::TimePoint aNow,
-                              wire::WatchReplyT& aReply)
-{
-  m_crashQuarantine.Adopt(FromWire(aRequest.quarantined_parts, aNow));
-  m_crashQuarantine.Record(ReadCrashReport(aRequest, aNow));
-  if (aNow - m_crashesJudgedAt >= detail::kCrashJudgePeriod) {
-    m_crashesJudgedAt = aNow;
-    JudgeCrashes(aNow, aRequest.holder);
-  }
-  for (const routing::CauseKey cause : m_crashQuarantine.Suspects()) {
-    aReply.suspect_parts.push_back(cause);
-  }
-  aReply.quarantined_parts = ToWire(m_crashQuarantine.Quarantined(), aNow);
-}
-
-void
-Node::Impl::JudgeCrashes(base::TimePoint aNow, const std::string& aEntry)
-{
-  if (m_crashQuarantine.HasLosses()) {
-    m_registry.ForEach([&](const routing::Instance& aInstance) {
-      m_crashQuarantine.OnHeard(routing::MakeUpstreamKey(aInstance),
-                                aInstance.m_reportedAt);
-    });
-  }
-  for (const routing::CrashCause& cause : m_crashQuarantine.Update(aNow)) {
-    m_log.Record(
-      cause.m_wholeRequest ? "request_quarantined" : "prompt_part_quarantined",
-      base::LogCategory::State,
-      { { cause.m_wholeRequest ? "fingerprint" : "part", cause.m_key },
-        { "entry", aEntry } });
-  }
-}
-
 void
 Node::Impl::OnAnnounce(const wire::AnnounceRequestT& aRequest)
 {
