Make the test of silent control processes fail on the code before

SilentProcessesDoNotHoldUpADocument waited up to 10 s for an entry's first document, so it passed on too.

--- a/chivefront/site/slow_link_test.cc
+++ b/chivefront/site/slow_link_test.cc
@@ -20,6 +20,10 @@
 // As text that can be halved at best: at least 1.6 s on that link.
 constexpr size_t kDocumentBytes = 4 * 1024 * 1024;
 constexpr int64_t kAdoptMillis = 10000;
+// For a small document beside silent processes: an entry may lose one call, and
+// still has to poll, within the 2.5 s in which a configuration must be in
+// force.
+constexpr int64_t kDocumentMillis = 1000;
 // Within which an entry must stop sending to an upstream that leaves.
 constexpr int64_t kDrainMillis = 2500;
 
@@ -187,11 +191,16 @@
                 m_log,
                 [](std::string_view) { return routing::Config::Build({}); });
     watch.Start();
-    BOOST_REQUIRE(RunUntil([&] { return watch.View().m_number == incarnation; },
-                           kAdoptMillis));
+    // The state that names the document, then the document.
+    BOOST_REQUIRE(RunUntil(
+      [&] { return watch.View().m_revision == incarnation; }, kAdoptMillis));
+    BOOST_TEST(RunUntil([&] { return watch.View().m_number == incarnation; },
+                        kDocumentMillis),
+               "incarnation " << incarnation);
     Commit(incarnation + 1, "{}");
     BOOST_TEST(
-      RunUntil([&] { return watch.View().m_number == incarnation + 1; }, 1500),
+      RunUntil([&] { return watch.View().m_number == incarnation + 1; },
+               kDocumentMillis),
       "incarnation " << incarnation);
     watch.Stop();
     (void)RunUntil([] { return false; }, 1200); // its coroutines end
