Agree on a founder when no initial member has a disk

Change: initial members without a disk back one founder, a host with a disk that asks; the one with the smallest name chooses, the others follow. The founder forms the group alone once all of them back it, and the others join. Seats for 24 members without a disk (8 before) and 32 in all (16).

--- a/chivefront/consensus/bootstrap.cc
+++ b/chivefront/consensus/bootstrap.cc
@@ -11,7 +11,14 @@
 // them is Active already, the others adopt its membership.
 //
 // An initial member without a durable disk prepares nothing; the others form
-// the group without it, and at least one must have a disk.
+// the group without it.
+//
+// When no initial member has a disk, another replica must form the group alone,
+// the founder. The initial members agree on it: each backs one founder for the
+// life of its process, the one with the smallest name the first replica that
+// asks, the others the founder that it names. A replica that all of them back
+// becomes the only initial voter; all others join it. Two founders can't be
+// backed by all, and a process that may bootstrap has not been restarted.
 #include <algorithm>
 #include <set>
 
@@ -29,6 +36,11 @@
   hello.m_flag = aIsReply;
   hello.m_stage = m_hardState.m_stage;
   hello.m_members = m_hardState.m_initialMembers;
+  if (m_founder) {
+    hello.m_members = { *m_founder };
+  } else if (!aIsReply && MayFound()) {
+    hello.m_members = { Self() }; // asks to be the founder
+  }
   hello.m_domain = m_options.m_domain;
   hello.m_diskless = m_options.m_diskless;
   if (aIsReply && m_options.m_targetVoters > 0) {
@@ -86,11 +98,9 @@
 RaftCore::AdvanceBootstrap()
 {
   m_emptyMembers[m_options.m_name] = Self();
-  const bool initial = std::count(m_options.m_initialMembers.begin(),
-                                  m_options.m_initialMembers.end(),
-                                  m_options.m_name) > 0;
-  if (m_hardState.m_stage == Stage::Empty && initial &&
-      m_options.m_mayBootstrap && !m_options.m_diskless &&
+  if (m_hardState.m_stage == Stage::Empty &&
+      IsInitialMember(m_options.m_name) && m_options.m_mayBootstrap &&
+      !m_options.m_diskless &&
       m_emptyMembers.size() == m_options.m_initialMembers.size()) {
     for (const auto& [name, replica] : m_emptyMembers) {
       if (!replica.m_diskless) {
@@ -100,6 +110,11 @@
     EnterStage(Stage::Prepared);
     SendHellos();
   }
+  if (m_hardState.m_stage == Stage::Empty && MayFound() &&
+      m_backers.size() == m_options.m_initialMembers.size()) {
+    m_hardState.m_initialMembers = { Self() };
+    EnterStage(Stage::Prepared);
+  }
   if (m_hardState.m_stage == Stage::Prepared) {
     m_preparedMembers.insert(m_options.m_name);
     if (m_preparedMembers.size() == m_hardState.m_initialMembers.size()) {
@@ -117,6 +132,58 @@
   m_helloNonce = m_random();
   m_emptyMembers.clear();
   m_preparedMembers.clear();
+  m_backers.clear();
+}
+
+// Whether this replica may form the group alone if all initial members back it.
+bool
+RaftCore::MayFound() const
+{
+  return m_hardState.m_stage == Stage::Empty && m_options.m_mayBootstrap &&
+         !m_options.m_diskless && !m_options.m_initialMembers.empty() &&
+         !IsInitialMember(m_options.m_name);
+}
+
+bool
+RaftCore::IsInitialMember(const std::string& aName) const
+{
+  return std::count(m_options.m_initialMembers.begin(),
+                    m_options.m_initialMembers.end(),
+                    aName) > 0;
+}
+
+// Whether this replica, an initial member, knows that none of them has a disk.
+bool
+RaftCore::KnowsAllDiskless() const
+{
+  return m_options.m_diskless && IsInitialMember(m_options.m_name) &&
+         m_emptyMembers.size() == m_options.m_initialMembers.size() &&
+         std::all_of(
+           m_emptyMembers.begin(),
+           m_emptyMembers.end(),
+           [](const auto& aMember) { return aMember.second.m_diskless; });
+}
+
+void
+RaftCore::BackFounder(const Replica& aFounder)
+{
+  if (!m_options.m_mayBootstrap || m_founder || !KnowsAllDiskless()) {
+    return;
+  }
+  m_founder = aFounder;
+  m_leaderHint = aFounder.m_name;
+}
+
+// Handles the hello of a replica with a disk that asks to be the founder. Only
+// the initial member with the smallest name chooses.
+void
+RaftCore::OnFounderRequest(const Replica& aCandidate)
+{
+  const auto& names = m_options.m_initialMembers;
+  const auto smallest = std::min_element(names.begin(), names.end());
+  if (smallest != names.end() && *smallest == m_options.m_name) {
+    BackFounder(aCandidate);
+  }
 }
 
 void
@@ -142,8 +209,15 @@
   const bool includesThis =
     std::count(members.begin(), members.end(), self) > 0;
   if (aMessage.m_diskless) {
-    // It prepares nothing. The others form the group without it.
+    // It prepares nothing. The others form the group without it, or the founder
+    // that it backs.
     m_emptyMembers[aFrom] = sender;
+    if (includesThis) {
+      m_backers.insert(aFrom);
+    }
+    if (m_options.m_diskless && !members.empty()) {
+      BackFounder(members.front());
+    }
     AdvanceBootstrap();
   } else if (aMessage.m_stage == Stage::Active) {
     m_emptyMembers.erase(aFrom);
@@ -177,17 +251,18 @@
                   const Message& aMessage,
                   TimePoint aNow)
 {
-  const bool isInitial = std::count(m_options.m_initialMembers.begin(),
-                                    m_options.m_initialMembers.end(),
-                                    aFrom) > 0;
-  if (isInitial && m_hardState.m_stage != Stage::Active && aMessage.m_flag &&
-      aMessage.m_round == m_helloNonce) {
+  if (IsInitialMember(aFrom) && m_hardState.m_stage != Stage::Active &&
+      aMessage.m_flag && aMessage.m_round == m_helloNonce) {
     OnHelloReply(aFrom, aMessage);
   }
   if (aMessage.m_flag && !aMessage.m_data.empty()) {
     m_leaderHint = aMessage.m_data;
   }
   if (!aMessage.m_flag) {
+    if (aMessage.m_stage == Stage::Empty && !aMessage.m_diskless &&
+        !aMessage.m_members.empty()) {
+      OnFounderRequest(aMessage.m_members.front());
+    }
     Message reply = MakeHello(true);
     reply.m_round = aMessage.m_round;
     Send(aFrom, std::move(reply));
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -245,6 +245,11 @@
   void EnterStage(Stage aStage);
   void Activate();
   void OnHelloReply(const std::string& aFrom, const Message& aMessage);
+  bool IsInitialMember(const std::string& aName) const;
+  bool MayFound() const;
+  bool KnowsAllDiskless() const;
+  void OnFounderRequest(const Replica& aCandidate);
+  void BackFounder(const Replica& aFounder);
 
   // membership.cc: admission, replacement and choice of voters.
   void RecordAdmissionRequest(const std::string& aName,
@@ -330,6 +335,11 @@
   std::map<std::string, Replica> m_emptyMembers;
   // Names of the initial members that prepared the same membership.
   std::set<std::string> m_preparedMembers;
+  // On an initial member without a disk: the founder that it backs. Never
+  // changed once it is set.
+  std::optional<Replica> m_founder;
+  // Names of the initial members that back this replica as the founder.
+  std::set<std::string> m_backers;
 
   Snapshot m_incomingSnapshot; // received in part
   Entry m_incomingEntry;       // received in part; index 0: none
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -35,14 +35,14 @@
 
 // Maximum number of members with dynamic membership. Bounds the membership when
 // processes with ever new names ask for admission.
-constexpr size_t kMaxMembers = 16;
+constexpr size_t kMaxMembers = 32;
 // How long a leader waits for another voter to join before it accepts commands
 // with fewer voters than the target. Joining takes some heartbeats; the group
 // of a deployment with too few hosts serves after this time.
 constexpr base::Millis kGrowthTimeout{ 2000 };
 // Members up to which replicas without a disk are admitted; the other seats are
 // left to replicas that can vote.
-constexpr size_t kMaxDisklessMembers = 8;
+constexpr size_t kMaxDisklessMembers = 24;
 // A silent member that nobody replaces is removed after this many times
 // m_replaceAfter.
 constexpr int64_t kRemovalSilenceFactor = 4;
--- a/chivefront/consensus/tolerance_test.cc
+++ b/chivefront/consensus/tolerance_test.cc
@@ -354,6 +354,93 @@
   }
 }
 
+// Guards against a group that is never formed, or is formed twice, because none
+// of the initial members has a disk.
+BOOST_AUTO_TEST_CASE(SeedsWithoutDiskAgreeOnAFounder)
+{
+  SimulationLayout layout = FiveVoters();
+  layout.m_diskless = { "a", "b", "c" };
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, layout);
+    Simulation::NetworkFaults faults;
+    faults.m_lossPercent = seed % 2 == 0 ? 20 : 0;
+    faults.m_duplicatePercent = 10;
+    faults.m_latePercent = 10;
+    simulation.SetNetworkFaults(faults);
+    simulation.Run(kStartMillis);
+    simulation.SetNetworkFaults({});
+    simulation.Run(kStartMillis);
+    BOOST_TEST(Voters(simulation).size() == kMinVoters, "seed " << seed);
+    BOOST_REQUIRE(AcknowledgeWrite(simulation));
+    LoseTwoVoterDisks(simulation, seed);
+  }
+}
+
+// Guards against a second group when initial members without a disk are
+// restarted before the first one is formed.
+BOOST_AUTO_TEST_CASE(RestartedSeedsWithoutDiskFormNoSecondGroup)
+{
+  SimulationLayout layout = FiveVoters();
+  layout.m_diskless = { "a", "b", "c" };
+  for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    Simulation simulation(seed, kSeedHosts, kJoiningHosts, layout);
+    for (const std::string& name : kSeedHosts) {
+      simulation.Run(static_cast<int64_t>(simulation.Random()() % 200));
+      simulation.Crash(name);
+      simulation.Restart(name);
+    }
+    simulation.Run(kStartMillis);
+    std::set<std::string> leaders;
+    for (const std::string& name : simulation.Names()) {
+      if (simulation.StatusOf(name).m_role == RaftRole::Leader) {
+        leaders.insert(name);
+      }
+    }
+    BOOST_TEST(leaders.size() <= 1U, "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+  }
+}
+
+// Guards against processes without a disk that find no seat in the group, and
+// against a group of them and one voter a domain that a lost domain stops.
+BOOST_AUTO_TEST_CASE(OneDiskADomainBearsALostDomain)
+{
+  SimulationLayout layout = FiveVoters();
+  std::vector<std::string> joining;
+  for (const char* domain : { "1", "2", "3", "4", "5", "6" }) {
+    for (const char* host : { "disk-", "none-" }) {
+      const std::string name = std::string(host) + domain;
+      layout.m_domains[name] = domain;
+      if (name.starts_with("none")) {
+        layout.m_diskless.insert(name);
+      }
+      joining.push_back(name);
+    }
+  }
+  const std::vector<std::string> seeds{ "disk-1", "none-2", "disk-3" };
+  for (const std::string& name : seeds) {
+    std::erase(joining, name);
+  }
+  for (uint64_t seed = 1; seed <= kSeeds / 4; ++seed) {
+    Simulation simulation(seed, seeds, joining, layout);
+    simulation.Run(kStartMillis);
+    BOOST_REQUIRE(AcknowledgeWrite(simulation));
+    BOOST_TEST(Voters(simulation).size() == kMinVoters, "seed " << seed);
+    for (const std::string& name : simulation.Names()) {
+      BOOST_TEST(!simulation.StatusOf(name).m_leader.empty(),
+                 name << ", seed " << seed);
+    }
+    const auto lost = simulation.Random()() % layout.m_domains.size();
+    const std::string domain =
+      std::next(layout.m_domains.begin(), static_cast<ptrdiff_t>(lost))->second;
+    simulation.Crash("disk-" + domain);
+    simulation.Crash("none-" + domain);
+    simulation.Run(kStartMillis);
+    BOOST_TEST(AcknowledgeWrite(simulation), "seed " << seed);
+    BOOST_TEST(simulation.Violations().empty(), "seed " << seed);
+  }
+}
+
 // Guards against a group that stops, or loses a write, when a host is replaced
 // for good while another one is down, and the host that took the vote loses its
 // disk at once.
