Run control processes without a disk

Change: such a replica writes nothing (VolatileDisk); its log and identity end with the process, and the saved registry is left out. Entries link only to control processes that may lead.

--- a/chivefront/base/errors.cc
+++ b/chivefront/base/errors.cc
@@ -183,6 +183,11 @@
     500,
     Outcome::Unknown,
     Code::kDataLoss },
+  { ErrorKind::StorageReadOnly,
+    "storage_read_only",
+    500,
+    Outcome::Unknown,
+    Code::kDataLoss },
   { ErrorKind::Corrupt, "corrupt", 500, Outcome::Unknown, Code::kDataLoss },
   { ErrorKind::Internal, "internal", 500, Outcome::Unknown, Code::kInternal },
 };
--- a/chivefront/base/errors.h
+++ b/chivefront/base/errors.h
@@ -76,6 +76,7 @@
   // Local resources.
   StorageFailed,
   StorageFull, // the disk takes no more bytes; nothing else is wrong with it
+  StorageReadOnly, // the folder may not be written by this process
   Corrupt,
   Internal,
 };
--- a/chivefront/consensus/disk.cc
+++ b/chivefront/consensus/disk.cc
@@ -28,15 +28,26 @@
                            std::generic_category().message(aError));
 }
 
+base::ErrorKind
+KindOfSystemError(int aError)
+{
+  switch (aError) {
+    case ENOSPC:
+    case EDQUOT:
+      return base::ErrorKind::StorageFull;
+    case EROFS:
+    case EACCES:
+    case EPERM:
+      return base::ErrorKind::StorageReadOnly;
+    default:
+      return base::ErrorKind::StorageFailed;
+  }
+}
+
 absl::Status
 SystemError(const std::string& aOperation, const std::string& aPath, int aError)
 {
-  const bool isFull = aError == ENOSPC || aError == EDQUOT;
-  return MakeDiskError(isFull ? base::ErrorKind::StorageFull
-                              : base::ErrorKind::StorageFailed,
-                       aOperation,
-                       aPath,
-                       aError);
+  return MakeDiskError(KindOfSystemError(aError), aOperation, aPath, aError);
 }
 
 // After a failed sync the content of the file is unknown, whatever the reason,
--- a/chivefront/consensus/disk.h
+++ b/chivefront/consensus/disk.h
@@ -12,9 +12,10 @@
 namespace chivefront::consensus {
 
 // The files of one folder without subfolders. Errors are of kind StorageFull
-// when a write found no space and StorageFailed otherwise; a failed sync is
-// always StorageFailed. Written bytes are durable only after SyncFile. Created,
-// renamed and removed files are durable only after SyncFolder.
+// when a write found no space, StorageReadOnly when the process may not write
+// there and StorageFailed otherwise; a failed sync is always StorageFailed.
+// Written bytes are durable only after SyncFile. Created, renamed and removed
+// files are durable only after SyncFolder.
 class Disk
 {
 public:
--- a/chivefront/consensus/disk_test.cc
+++ b/chivefront/consensus/disk_test.cc
@@ -41,6 +41,16 @@
               base::ErrorKind::StorageFailed));
 }
 
+// Guards against endless restarts on a host whose folder can't be written: the
+// process has to tell this from a broken disk. Nobody can create folders in the
+// system's folder /sys.
+BOOST_AUTO_TEST_CASE(ReadOnlyFolderIsToldFromABrokenDisk)
+{
+  PosixDisk disk("/sys/chivefront-disk-test");
+  BOOST_TEST(
+    (base::KindOf(disk.List().status()) == base::ErrorKind::StorageReadOnly));
+}
+
 // Guards against a sync that failed and is reported as a full disk: what the
 // file holds is unknown then, so the replica may not go on with it.
 BOOST_FIXTURE_TEST_CASE(FailedSyncIsNoFullDisk, DiskFixture)
--- a/chivefront/consensus/group.cc
+++ b/chivefront/consensus/group.cc
@@ -12,6 +12,7 @@
 #include "chivefront/base/log.h"
 #include "chivefront/consensus/disk.h"
 #include "chivefront/consensus/raft_driver.h"
+#include "chivefront/consensus/volatile_disk.h"
 
 namespace chivefront::consensus {
 namespace {
@@ -59,6 +60,15 @@
   return base::MakeError(base::ErrorKind::Unavailable, aWhy);
 }
 
+std::unique_ptr<Disk>
+MakeDisk(const GroupOptions& aOptions)
+{
+  if (aOptions.m_diskless) {
+    return std::make_unique<VolatileDisk>();
+  }
+  return std::make_unique<PosixDisk>(aOptions.m_folder);
+}
+
 } // namespace
 
 struct Group::Impl
@@ -71,8 +81,8 @@
     : m_options(std::move(aOptions))
     , m_fatal(std::move(aFatal))
     , m_events(aEvents)
-    , m_disk(m_options.m_folder)
-    , m_driver(m_options, aMachine, m_disk, std::move(aSend), aEvents)
+    , m_disk(MakeDisk(m_options))
+    , m_driver(m_options, aMachine, *m_disk, std::move(aSend), aEvents)
   {
   }
 
@@ -101,7 +111,7 @@
   GroupStatus m_status;
 
   // Used only by the group's thread once the thread runs.
-  PosixDisk m_disk;
+  const std::unique_ptr<Disk> m_disk;
   RaftDriver m_driver;
 
   std::thread m_thread;
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -52,7 +52,7 @@
   uint64_t m_identity = 0;
   bool m_voter = false;
   std::string m_domain; // failure domain; empty when not known
-  // Its folder does not survive the process, so it never votes.
+  // Its log and identity end with its process, so it never votes.
   bool m_diskless = false;
 };
 
@@ -61,8 +61,9 @@
   uint32_t m_group = 0; // number of the group, for events
   std::string m_name;   // of this process
   std::string m_domain; // failure domain of this process
-  // The folder does not survive the process. The replica then never votes: a
-  // restarted replica that has forgotten its vote could vote twice in a term.
+  // The host has no disk: the log and the identity end with the process. The
+  // replica then never votes: a restarted replica that has forgotten its vote
+  // could vote twice in a term.
   bool m_diskless = false;
   std::vector<std::string> m_initialMembers; // names of the initial members
   // This replica may bootstrap the group together with the other initial
@@ -80,7 +81,7 @@
   // While voters are expected to join, commands get NotLeader.
   uint32_t m_targetVoters = 0;
   base::Millis m_replaceAfter{ 5000 };
-  std::string m_folder; // data folder of this group
+  std::string m_folder; // data folder of this group; not used when m_diskless
   base::Millis m_electionTimeout{ 400 };
   // Halves the first election timeout after a start, because no replica leads
   // when all of them were restarted. If there is a leader, the pre-vote does
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -122,6 +122,7 @@
   void OnAnnounce(const wire::AnnounceRequestT& aRequest);
   std::set<std::string> OtherControlProcesses() const;
   net::Task<bool> OnTick();
+  void LoadRegistry();
   void SaveRegistry(base::TimePoint aNow);
 
   net::asio::io_context& m_context;
@@ -216,8 +217,12 @@
   reply.unconfirmed = !status.m_appliedSinceStart;
   reply.fresh = status.m_role == consensus::RaftRole::Leader;
   reply.leader = status.m_leader;
+  // Entries need a link to each process that may lead; the others would only
+  // add links.
   for (const consensus::Replica& replica : status.m_replicas) {
-    reply.members.push_back(replica.m_name);
+    if (!replica.m_diskless) {
+      reply.members.push_back(replica.m_name);
+    }
   }
   reply.live_entries = reply.fresh ? m_watchers.LiveEntries(now) : 0;
   reply.revision = state->m_revision;
@@ -273,10 +278,19 @@
   return names;
 }
 
+void
+Node::Impl::LoadRegistry()
+{
+  const absl::Status loaded = m_registryFile.Load(m_registry, m_clock.Now());
+  m_log.Record("registry_loaded",
+               base::LogCategory::State,
+               { { "result", base::MessageOf(loaded) } });
+}
+
 void
 Node::Impl::SaveRegistry(base::TimePoint aNow)
 {
-  if (m_registry.Sequence() == m_savedSequence ||
+  if (m_options.m_diskless || m_registry.Sequence() == m_savedSequence ||
       aNow - m_savedAt < detail::kSavePeriod) {
     return;
   }
@@ -337,11 +351,9 @@
       !status.ok()) {
     return status;
   }
-  const absl::Status loaded =
-    m_impl->m_registryFile.Load(m_impl->m_registry, m_impl->m_clock.Now());
-  m_impl->m_log.Record("registry_loaded",
-                       base::LogCategory::State,
-                       { { "result", base::MessageOf(loaded) } });
+  if (!m_impl->m_options.m_diskless) {
+    m_impl->LoadRegistry();
+  }
   for (const std::string& seed : m_impl->m_options.m_seeds) {
     (void)m_impl->m_peers.LinkOrConnect(seed);
   }
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -29,10 +29,10 @@
 
 struct NodeOptions
 {
-  std::string m_folder;    // of the replicated log
+  std::string m_folder;    // of the replicated log; not used when m_diskless
   base::Endpoint m_listen; // for links; as text, the node's name
   std::string m_domain;    // failure domain of the host
-  // The folder does not survive the process: the replica never votes.
+  // The host has no disk: nothing is written, and the replica never votes.
   bool m_diskless = false;
   std::vector<std::string> m_seeds; // names of known control processes
   // The seeds may bootstrap the group. False on a host that joins an existing
