Give requests without an id a connection of their own

Cause: an answer is recognised by the id of its request. A request without one took any answer without one, so a late copy of the answer before it on a kept connection reached the next caller.

Change: such a request uses a new connection, which is not used again.

Measured: late_copy_test RequestWithoutIdUsesItsOwnConnection failed before (2 checks) and passes. Copies with an id, of streams, and before at-most-once requests were refused before; these tests passed without a change.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -98,6 +98,7 @@
                           base::TimePoint aSince) const;
   net::Task<AttemptResult> RunAttempt(UpstreamPointer aUpstream);
   net::Task<AttemptResult> SendAndReceive(const UpstreamPointer& aUpstream);
+  bool MayShareConnection() const;
   net::Task<absl::Status> OpenConnection(Upstream& aUpstream);
   net::Task<AttemptResult> HandleResponse(Upstream& aUpstream);
   net::Task<AttemptResult> ForwardBody(Upstream& aUpstream, std::string aHead);
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -88,7 +88,7 @@
   aUpstream->m_estimate.OnEnded();
   m_eventSplitter.Restart();
   if (m_connection) {
-    if (m_abortReason == AbortReason::None) {
+    if (m_abortReason == AbortReason::None && !m_metadata.m_attemptId.empty()) {
       m_shared.m_upstreams.ReturnConnection(*aUpstream,
                                             std::move(m_connection));
     }
@@ -97,13 +97,20 @@
   co_return result;
 }
 
+// Whether other requests may use the same connection before or after this one.
+// The upstream may close an idle connection while a request is being sent,
+// which leaves open whether the request ran. The answer to a request without an
+// id can't be told from a late copy of another answer.
+bool
+Exchange::MayShareConnection() const
+{
+  return IsRetryable() && !m_metadata.m_attemptId.empty();
+}
+
 net::Task<absl::Status>
 Exchange::OpenConnection(Upstream& aUpstream)
 {
-  // The upstream may close an idle connection while a request is being sent,
-  // which leaves open whether the request ran. A request that cannot be retried
-  // uses a new connection.
-  if (IsRetryable()) {
+  if (MayShareConnection()) {
     m_connection = m_shared.m_upstreams.TakeIdleConnection(aUpstream);
     if (m_connection) {
       co_return absl::OkStatus();
