Do not pass on promises that an upstream has not made

Cause: 408, 421, 429 and 503 tell a caller that its request has not run. Those of an upstream that did not mark them as such were passed on as they were, and a caller could send again what had run.

Change: such an answer is a failure of the upstream: another upstream for idempotent requests, else 502 with an unknown effect.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -47,7 +47,8 @@
     std::string m_reason;
   };
   // The upstream responded with an error. The response is held back, so that
-  // another attempt can replace it.
+  // another attempt can replace it. Without a head it must not be forwarded:
+  // its status would promise that the request has not run.
   struct UpstreamError
   {
     int m_status = 0;
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -25,6 +25,9 @@
 constexpr int kMaxStrayResponses = 2;
 
 constexpr unsigned kFirstServerError = 500;
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kMisdirectedRequest = 421;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServiceUnavailable = 503;
 constexpr unsigned kFirstSuccess = 200;
 constexpr unsigned kFirstRedirect = 300;
@@ -60,6 +63,14 @@
   bool m_counted = false;
 };
 
+// Whether callers take the status as a promise that the request has not run.
+bool
+PromisesNotRun(unsigned aStatus)
+{
+  return aStatus == kRequestTimeout || aStatus == kMisdirectedRequest ||
+         aStatus == kTooManyRequests || aStatus == kServiceUnavailable;
+}
+
 bool
 IsSuccess(unsigned aStatus)
 {
@@ -227,6 +238,12 @@
     ++aUpstream.m_answersWhileResting;
   }
   RecordHeadLatency(aUpstream);
+  if (detail::PromisesNotRun(status)) {
+    // The upstream has not said that the request did not run.
+    m_connection->Close();
+    RecordOutcome(aUpstream, false);
+    co_return UpstreamError{ m_responseStatus, {}, {} };
+  }
   std::string head = MakeForwardedHead(m_connection->Head());
   if (!detail::IsSuccess(status)) {
     if (m_caller->ResponseStarted()) {
--- a/chivefront/proxy/exchange_response.cc
+++ b/chivefront/proxy/exchange_response.cc
@@ -50,7 +50,7 @@
 net::Task<void>
 Exchange::ForwardUpstreamError(UpstreamError aError)
 {
-  if (m_caller->ResponseStarted()) {
+  if (m_caller->ResponseStarted() || aError.m_head.empty()) {
     co_await Fail(502, "upstream_failure");
     co_return;
   }
