Reset connections of broken answers to callers without chunks

Cause: to a caller that speaks HTTP/1.0 an answer ends with its connection. An answer that broke off was closed in order, so it looked complete.

Change: the connection is reset when an unframed answer has begun and not ended.

Measured: truncated_answer_test failed before in both cases of a broken answer (end of file instead of a reset) and passes.

--- a/chivefront/proxy/caller_connection.cc
+++ b/chivefront/proxy/caller_connection.cc
@@ -289,6 +289,13 @@
 CallerConnection::Close()
 {
   m_closed = true;
+  if (m_responseStarted && !m_responseEnded && !m_chunked) {
+    // The caller takes the end of the connection for the end of the response,
+    // unless the connection is reset.
+    error_code ignored; // closes in order if it fails
+    m_stream.socket().set_option(net::asio::socket_base::linger(true, 0),
+                                 ignored);
+  }
   m_stream.close();
 }
 
--- a/chivefront/proxy/caller_connection.h
+++ b/chivefront/proxy/caller_connection.h
@@ -71,6 +71,8 @@
   net::asio::any_io_executor Executor() { return m_stream.get_executor(); }
   // Closes the connection unless a request has started to arrive.
   void CloseIfIdle();
+  // Closes the connection so that a response that has not ended looks
+  // truncated.
   void Close();
 
 private:
