Count events, not bytes, as progress of a stream

Cause: each byte of a stream reset the time of its silence. An upstream that sent a comment or a byte now and then kept a stalled stream to its deadline, although another one could have continued it.

Change: progress is an event with data or an id. Comments and empty events are passed on with the next event, so they don't begin an answer that could still come from elsewhere.

--- a/chivefront/proxy/event_stream.cc
+++ b/chivefront/proxy/event_stream.cc
@@ -2,6 +2,7 @@
 #include "chivefront/proxy/event_stream.h"
 
 #include <charconv>
+#include <utility>
 
 namespace chivefront::proxy {
 namespace {
@@ -19,6 +20,15 @@
   return end;
 }
 
+// Whether a line of aText is the data or the id of an event.
+bool
+HasContent(std::string_view aText)
+{
+  return aText.starts_with("data:") || aText.starts_with("id:") ||
+         aText.find("\ndata:") != std::string_view::npos ||
+         aText.find("\nid:") != std::string_view::npos;
+}
+
 } // namespace
 
 std::string
@@ -29,8 +39,15 @@
   if (end == 0) {
     return {};
   }
-  std::string whole = m_partialEvent.substr(0, end);
+  m_held += m_partialEvent.substr(0, end);
   m_partialEvent.erase(0, end);
+  return HasContent(m_held) ? TakeHeld() : std::string();
+}
+
+std::string
+EventSplitter::TakeHeld()
+{
+  std::string whole = std::exchange(m_held, {});
   UpdateLastId(whole);
   return whole;
 }
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -157,7 +157,7 @@
   void RecordLeaving(const Upstream& aUpstream);
   void RecordRest(Upstream& aUpstream, base::Millis aRest);
   void CountSent(Upstream& aUpstream) const;
-  void RecordBytesReceived(Upstream& aUpstream);
+  void RecordProgress(Upstream& aUpstream);
   void EndHeadWait(Upstream& aUpstream);
   void RecordHeadLatency(Upstream& aUpstream);
   void RecordEventInterval(Upstream& aUpstream);
@@ -204,7 +204,8 @@
   base::TimePoint m_sentAt;
   bool m_headPending = false; // counted as waiting for a head in the estimate
   base::TimePoint m_headReceivedAt; // of the running attempt; unset before it
-  // Last bytes from the upstream, or the end of a write to the caller if later.
+  // Last progress of the upstream, an event or bytes of a body, or the end of a
+  // write to the caller if later.
   base::TimePoint m_silentSince;
   // Of the running attempt: bytes of the request that the upstream had not
   // acknowledged at the last check (0: all or no check yet), and when it last
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -324,7 +324,7 @@
     if (chunk->empty()) {
       break;
     }
-    RecordBytesReceived(aUpstream);
+    RecordProgress(aUpstream);
     body += *chunk;
     if (!streaming && body.size() <= detail::kMaxBufferedBytes &&
         claim.Resize(body.size())) {
@@ -377,18 +377,18 @@
       break;
     }
     ++m_chunkCount;
-    RecordBytesReceived(aUpstream);
     RecordStartOfStream(aUpstream);
     std::string events = m_eventSplitter.Add(*chunk);
-    if (m_eventSplitter.PartialEvent().size() > detail::kMaxEventBytes) {
+    if (m_eventSplitter.PendingBytes() > detail::kMaxEventBytes) {
       m_connection->Close();
       aUpstream.m_estimate.OnFailure(m_shared.m_clock.Now());
       RecordConnectionLost(aUpstream);
       co_return StreamTruncated{ "event too long" };
     }
     if (events.empty()) {
-      continue;
+      continue; // bytes without an event are no progress
     }
+    RecordProgress(aUpstream);
     RecordAnswerBegun();
     running.Pause();
     const absl::Status written =
@@ -414,6 +414,9 @@
     written =
       co_await m_caller->BeginStream(std::move(aHead), m_shared.m_draining);
   }
+  if (written.ok()) {
+    written = co_await m_caller->WriteChunk(m_eventSplitter.TakeHeld());
+  }
   if (written.ok()) {
     written = co_await m_caller->EndStream();
   }
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -169,7 +169,7 @@
 }
 
 void
-Exchange::RecordBytesReceived(Upstream& aUpstream)
+Exchange::RecordProgress(Upstream& aUpstream)
 {
   m_silentSince = m_shared.m_clock.Now();
   aUpstream.m_estimate.OnBytesReceived(m_silentSince);
