End answers without progress at agents

Cause: an agent bounds the time to each piece of an answer. An engine that sends a byte every few seconds kept its attempt and its slot for ever: a stream has no other deadline there.

Change: an answer ends after 30 s of reading without an event that has data. The time in which the caller reads slowly does not count.

--- a/chivefront/agent/answer_scanner.cc
+++ b/chivefront/agent/answer_scanner.cc
@@ -103,6 +103,7 @@
 AnswerScanner::ScanEvent(std::string_view aEvent, std::string& aOut)
 {
   const std::string_view data = detail::DataOf(aEvent);
+  m_progress += data.empty() ? 0 : 1;
   if (data == detail::kTerminator) {
     m_terminated = true;
     return;
@@ -124,6 +125,7 @@
 AnswerScanner::Scan(std::string_view aPiece, std::string& aOut)
 {
   if (m_format != AnswerFormat::EventStream) {
+    ++m_progress;
     AppendToCopy(aPiece);
     aOut += aPiece;
     return absl::OkStatus();
--- a/chivefront/agent/answer_scanner.h
+++ b/chivefront/agent/answer_scanner.h
@@ -40,6 +40,10 @@
   // without its terminator.
   absl::Status Finish();
 
+  // Grows with each event that has data, or with each piece of another answer.
+  // Bytes without such an event are no progress of a stream.
+  uint64_t Progress() const { return m_progress; }
+
   const Usage& GetUsage() const { return m_usage; }
   const std::string& Copy() const { return m_copy; }
   // False when the answer was too large to be copied.
@@ -55,6 +59,7 @@
   std::string m_copy;
   bool m_copyComplete = true;
   bool m_terminated = false; // the terminator arrived
+  uint64_t m_progress = 0;
   uint32_t m_deltaEvents = 0;
   bool m_usageReported = false; // the upstream reported its usage
   Usage m_usage;
--- a/chivefront/agent/attempt_forward.cc
+++ b/chivefront/agent/attempt_forward.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "chivefront/agent/stall_meter.h"
+
 namespace chivefront::agent {
 namespace detail {
 
@@ -14,6 +16,7 @@
 // Limits the wait for the response header only: once the header arrived, a
 // stream has no deadline of its own.
 constexpr base::Millis kMaxHeaderTimeout{ 120000 };
+// For each piece of an answer, and for bytes without progress in a row.
 constexpr base::Millis kPieceTimeout{ 30000 };
 // Limits the cancel request to an engine. A cancelled request keeps its slot at
 // most this long.
@@ -167,8 +170,11 @@
 net::Task<absl::Status>
 Attempt::RelayAnswer()
 {
+  StallMeter stall;
   while (m_stopReason == StopReason::None) {
+    const base::TimePoint readFrom = m_host.Now();
     auto piece = co_await m_stream->Read();
+    const base::Millis waited = m_host.Now() - readFrom;
     if (!piece.ok()) {
       co_return piece.status();
     }
@@ -178,6 +184,11 @@
     if (absl::Status status = co_await RelayPiece(*piece); !status.ok()) {
       co_return status;
     }
+    stall.OnRead(waited, m_scanner.Progress());
+    if (stall.IsStalled(detail::kPieceTimeout)) {
+      co_return base::MakeError(base::ErrorKind::Timeout,
+                                "no progress of the answer");
+    }
   }
   if (m_stopReason != StopReason::None) {
     co_return StopStatus();
