Choose an upstream again after a pause

Cause: an entry chose an upstream, took its permits and connected. When the process stood still meanwhile, it sent seconds later, to an upstream that had left or beyond the rate of a cold one.

Change: a choice is used for 600 ms, longer than a connect may take; then it is made again.

--- a/chivefront/proxy/exchange.cc
+++ b/chivefront/proxy/exchange.cc
@@ -299,6 +299,10 @@
     LogFailedAttempt("not_run", notRun->m_reason);
     co_return co_await HandleNotRun(std::move(notRun->m_reason));
   }
+  if (std::holds_alternative<ChoiceExpired>(aResult)) {
+    LogFailedAttempt("not_run", "choice_expired");
+    co_return true;
+  }
   if (auto* unknown = std::get_if<OutcomeUnknown>(&aResult)) {
     LogFailedAttempt("unknown", unknown->m_reason);
     m_mayHaveRun = true;
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -40,6 +40,10 @@
   {
     std::string m_reason;
   };
+  // Nothing was sent, because the choice of the upstream is too old: roll-outs,
+  // permits and registrations may have changed since.
+  struct ChoiceExpired
+  {};
   // The request may have run at the upstream; the caller has received nothing
   // of this response.
   struct OutcomeUnknown
@@ -72,6 +76,7 @@
   {};
   using AttemptResult = std::variant<ResponseSent,
                                      NotRun,
+                                     ChoiceExpired,
                                      OutcomeUnknown,
                                      UpstreamError,
                                      StreamTruncated,
@@ -201,6 +206,7 @@
   EventSplitter m_eventSplitter;
   // Response of the last attempt that ended with UpstreamError.
   std::optional<UpstreamError> m_upstreamError;
+  base::TimePoint m_chosenAt; // the upstream of the running attempt
   base::TimePoint m_sentAt;
   bool m_headPending = false; // counted as waiting for a head in the estimate
   base::TimePoint m_headReceivedAt; // of the running attempt; unset before it
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -14,6 +14,9 @@
 namespace detail {
 
 constexpr base::Millis kConnectTimeout{ 400 };
+// A choice of an upstream, and the permits taken with it, are used for this
+// long: only a process that was paused takes longer to connect.
+constexpr base::Millis kChoiceLifetime{ 600 };
 // A response that is not a stream is forwarded only when it is complete, so
 // that a broken one can be retried. Larger bodies are forwarded as they arrive,
 // and so are those for which the entry has no room.
@@ -88,6 +91,7 @@
   m_countedSuccess.reset();
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_triedUpstreams.push_back(m_lastUpstream);
+  m_chosenAt = m_shared.m_clock.Now();
   aUpstream->m_estimate.OnSent();
   m_headPending = true;
   AttemptResult result = co_await SendAndReceive(aUpstream);
@@ -144,6 +148,10 @@
     aUpstream->m_estimate.OnFailure(m_shared.m_clock.Now());
     co_return NotRun{ "connect: " + std::string(base::MessageOf(status)) };
   }
+  if (m_shared.m_clock.Now() - m_chosenAt > detail::kChoiceLifetime) {
+    m_triedUpstreams.pop_back(); // it got nothing
+    co_return ChoiceExpired{};
+  }
   std::shared_ptr<const std::string> request = BuildUpstreamRequest(*aUpstream);
   m_sentAt = m_shared.m_clock.Now();
   ++m_sendCount;
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -2,6 +2,8 @@
 // loopback TCP.
 #pragma once
 
+#include <poll.h>
+
 #include <charconv>
 #include <deque>
 #include <thread>
@@ -115,6 +117,12 @@
     m_scripts.push_back(std::move(aScript));
   }
   uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
+  // Whether a connection was made, accepted or not.
+  bool IsConnectedTo()
+  {
+    pollfd listening{ m_acceptor.native_handle(), POLLIN, 0 };
+    return m_accepted > 0 || ::poll(&listening, 1, 0) > 0;
+  }
 
   std::vector<std::string> m_requests; // heads of the requests received
   std::string m_repeatedScript;        // used when no other one is left
@@ -129,6 +137,7 @@
     while (true) {
       Tcp::socket socket =
         co_await m_acceptor.async_accept(net::asio::use_awaitable);
+      ++m_accepted;
       auto shared = std::make_shared<Tcp::socket>(std::move(socket));
       net::Spawn(m_acceptor.get_executor(), "upstream", [this, shared] {
         return Serve(shared);
@@ -211,6 +220,7 @@
   }
 
   Tcp::acceptor m_acceptor;
+  int m_accepted = 0;
   std::deque<std::string> m_scripts;
 };
 
@@ -342,6 +352,17 @@
     return {};
   }
 
+  // Tells the entry that an upstream has left.
+  void Unregister(const std::string& aName, const ScriptedUpstream& aUpstream)
+  {
+    wire::WatchReplyT reply;
+    reply.fresh = true;
+    AddUpstream(aName, "near", aUpstream, "", reply);
+    reply.upstreams.back()->removed = true;
+    reply.upstreams.back()->sequence = 2;
+    m_watch.Accept(reply);
+  }
+
   // Makes the entry refuse requests whose prompt has the part.
   void Quarantine(const std::string& aPartId)
   {
