Let a published leadership run out by itself

Cause: the group's thread publishes its status, other threads answer polls with it. After a pause of the process, a poll could be answered as leader, with permits to send, before that thread had looked at the time, while another leader was elected.

Change: the status says until when the last replies of a majority vouch for the leadership; readers compare it with the clock, which counts suspended time.

Measured: core_test LeadershipRunsOutDuringAPause, new with the function that it tests.

--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -2,6 +2,7 @@
 #include "chivefront/consensus/core.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace chivefront::consensus {
 
@@ -311,6 +312,24 @@
   }
 }
 
+// On the leader: when CheckQuorum ends its leadership, unless it hears from
+// others before.
+TimePoint
+RaftCore::LeadsUntil(TimePoint aNow) const
+{
+  std::vector<TimePoint> heard;
+  for (const Replica& replica : Members()) {
+    if (!replica.m_voter) {
+      continue;
+    }
+    const auto peer = m_peers.find(replica.m_identity);
+    heard.push_back(peer == m_peers.end() ? aNow : peer->second.m_lastHeard);
+  }
+  std::sort(heard.begin(), heard.end(), std::greater<>());
+  // The last of the smallest majority; a group always has a voter.
+  return heard.at(heard.size() / 2) + m_options.m_electionTimeout;
+}
+
 void
 RaftCore::Receive(const std::string& aFrom,
                   const Message& aMessage,
@@ -460,6 +479,9 @@
   status.m_wantedVoters = static_cast<uint32_t>(TargetVoters());
   status.m_caughtUpVoters = CountCaughtUp(aNow);
   status.m_repaired = IsRepaired(aNow);
+  if (IsLeader()) {
+    status.m_leadsUntil = LeadsUntil(aNow);
+  }
   return status;
 }
 
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -184,6 +184,7 @@
   void RequestVotes(uint64_t aTerm, bool aPreVote, bool aForced);
   void CheckVotes(base::TimePoint aNow);
   void CheckQuorum(base::TimePoint aNow);
+  base::TimePoint LeadsUntil(base::TimePoint aNow) const;
   bool HearsLeader(base::TimePoint aNow) const;
   bool IsUpToDate(const Message& aMessage) const;
   void OnVoteRequest(const std::string& aFrom,
--- a/chivefront/consensus/core_test.cc
+++ b/chivefront/consensus/core_test.cc
@@ -295,6 +295,24 @@
   BOOST_TEST(!actions.m_confirmations[0].m_readIndex.has_value());
 }
 
+// Guards against a leader that was paused and acts on its leadership before it
+// has looked at the time: others may have elected another one meanwhile.
+BOOST_AUTO_TEST_CASE(LeadershipRunsOutDuringAPause)
+{
+  RaftCore core(Options(), Stored({}), kStart);
+  Elect(core);
+  ReceiveAndDrain(core, Acknowledge(kB, 1), After(2100));
+  core.Receive("c", Acknowledge(kC, 1), After(2050));
+  const GroupStatus published = core.Status(After(2100));
+  const GroupStatus before = CurrentStatus(published, After(2499));
+  BOOST_TEST((before.m_role == RaftRole::Leader));
+  BOOST_TEST(before.m_leader == "a");
+  const GroupStatus after = CurrentStatus(published, After(2500));
+  BOOST_TEST((after.m_role == RaftRole::Follower));
+  BOOST_TEST(after.m_leader.empty());
+  BOOST_TEST(!after.m_repaired);
+}
+
 // Guards against a term that rises while a replica is partitioned, which would
 // depose a working leader when the replica returns.
 BOOST_AUTO_TEST_CASE(IsolatedReplicaKeepsItsTerm)
--- a/chivefront/consensus/group.cc
+++ b/chivefront/consensus/group.cc
@@ -71,6 +71,19 @@
 
 } // namespace
 
+GroupStatus
+CurrentStatus(GroupStatus aPublished, base::TimePoint aNow)
+{
+  if (aPublished.m_role == RaftRole::Leader &&
+      aNow >= aPublished.m_leadsUntil) {
+    aPublished.m_role = RaftRole::Follower;
+    aPublished.m_leader.clear();
+    aPublished.m_caughtUpVoters = 0;
+    aPublished.m_repaired = false;
+  }
+  return aPublished;
+}
+
 struct Group::Impl
 {
   Impl(GroupOptions aOptions,
@@ -345,14 +358,15 @@
 Group::Status() const
 {
   const std::lock_guard guard(m_impl->m_lock);
-  return m_impl->m_status;
+  return CurrentStatus(m_impl->m_status, m_impl->Now());
 }
 
 bool
 Group::IsLeader() const
 {
   const std::lock_guard guard(m_impl->m_lock);
-  return m_impl->m_status.m_role == RaftRole::Leader;
+  return m_impl->m_status.m_role == RaftRole::Leader &&
+         m_impl->Now() < m_impl->m_status.m_leadsUntil;
 }
 
 } // namespace chivefront::consensus
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -133,8 +133,16 @@
   bool m_repaired = false;
   // The disk of this replica is full; it takes part again once it has space.
   bool m_paused = false;
+  // On the leader: until then no other replica can have been elected, unless
+  // this one hands its leadership over.
+  base::TimePoint m_leadsUntil;
 };
 
+// What a status that was published earlier says at aNow. A process that was
+// paused must not act as a leader whose time has passed meanwhile.
+GroupStatus
+CurrentStatus(GroupStatus aPublished, base::TimePoint aNow);
+
 class Group
 {
 public:
