Answer connections that wait in the kernel at a planned stop

Cause: the close of a listening socket resets the connections that the kernel has accepted and the process has not, with their requests.

Change: entries and control processes take these connections over before they stop to listen.

--- a/chivefront/net/http_server.cc
+++ b/chivefront/net/http_server.cc
@@ -11,6 +11,7 @@
 
 #include "chivefront/base/errors.h"
 #include "chivefront/base/log.h"
+#include "chivefront/net/accept_pending.h"
 #include "chivefront/net/lingering_close.h"
 #include "chivefront/net/read_buffer.h"
 
@@ -40,6 +41,12 @@
   Tcp::acceptor m_acceptor;
   std::atomic<bool> m_draining{ false };
   std::atomic<size_t> m_active{ 0 };
+  size_t CountConnections()
+  {
+    const std::lock_guard lock(m_lock);
+    return m_connections.size();
+  }
+
   std::mutex m_lock;
   std::set<Connection*> m_connections; // guarded by m_lock
 };
@@ -362,27 +369,35 @@
       co_await Sleep(kAcceptRetryDelay);
       continue;
     }
-    socket.set_option(Tcp::no_delay(true), error);
-    if (shared->m_limits.m_sendBufferBytes > 0) {
-      socket.set_option(
-        asio::socket_base::send_buffer_size(shared->m_limits.m_sendBufferBytes),
-        error);
-    }
-    const auto connection =
-      std::make_shared<Connection>(shared, std::move(socket));
-    {
-      const std::lock_guard lock(shared->m_lock);
-      if (shared->m_connections.size() >= shared->m_limits.m_maxConnections) {
-        continue; // the destructor of the socket closes the connection
-      }
-      shared->m_connections.insert(connection.get());
+    Admit(shared, std::move(socket));
+  }
+}
+
+void
+HttpServer::Admit(const std::shared_ptr<Shared>& aShared, Tcp::socket aSocket)
+{
+  const HttpLimits& limits = aShared->m_limits;
+  beast::error_code error; // without its options, the socket works too
+  aSocket.set_option(Tcp::no_delay(true), error);
+  if (limits.m_sendBufferBytes > 0) {
+    aSocket.set_option(
+      asio::socket_base::send_buffer_size(limits.m_sendBufferBytes), error);
+  }
+  const auto connection =
+    std::make_shared<Connection>(aShared, std::move(aSocket));
+  {
+    const std::lock_guard lock(aShared->m_lock);
+    if (aShared->m_connections.size() >= limits.m_maxConnections) {
+      return; // the destructor of the socket closes the connection
     }
-    Spawn(strand, "http", [connection]() -> Task<void> {
-      co_await connection->Run();
-      const std::lock_guard lock(connection->m_shared->m_lock);
-      connection->m_shared->m_connections.erase(connection.get());
-    });
+    aShared->m_connections.insert(connection.get());
   }
+  const auto executor = connection->m_stream.get_executor();
+  Spawn(executor, "http", [connection]() -> Task<void> {
+    co_await connection->Run();
+    const std::lock_guard lock(connection->m_shared->m_lock);
+    connection->m_shared->m_connections.erase(connection.get());
+  });
 }
 
 void
@@ -390,11 +405,28 @@
 {
   m_shared->m_draining = true;
   asio::post(m_shared->m_acceptor.get_executor(), [shared = m_shared] {
+    for (Tcp::socket& socket : AcceptPending(shared->m_acceptor)) {
+      Admit(shared, std::move(socket));
+    }
     beast::error_code ignored;
     shared->m_acceptor.close(ignored);
   });
 }
 
+Task<void>
+HttpServer::Drain(base::Millis aTimeout)
+{
+  constexpr base::Millis kPollPeriod{ 10 };
+  const auto shared = m_shared;
+  const base::Clock& clock = base::SteadyClock::Instance();
+  const base::TimePoint deadline = clock.Now() + aTimeout;
+  StopAccepting();
+  do {
+    co_await Sleep(kPollPeriod);
+    CloseIdle();
+  } while (shared->CountConnections() > 0 && clock.Now() < deadline);
+}
+
 size_t
 HttpServer::ActiveRequests() const
 {
@@ -408,7 +440,10 @@
   for (Connection* connection : m_shared->m_connections) {
     asio::post(connection->m_stream.get_executor(),
                [self = connection->shared_from_this()] {
-                 if (!self->m_busy) {
+                 beast::error_code error;
+                 const bool arriving =
+                   self->m_stream.socket().available(error) > 0;
+                 if (!self->m_busy && !arriving) {
                    self->m_stream.close();
                  }
                });
--- a/chivefront/net/http_server.h
+++ b/chivefront/net/http_server.h
@@ -92,6 +92,9 @@
   // Stops accepting connections. Requests on open connections still run; their
   // responses carry "Connection: close".
   void StopAccepting();
+  // Stops accepting connections and waits until all requests that have arrived
+  // are answered, for at most aTimeout.
+  Task<void> Drain(base::Millis aTimeout);
   // The number of requests whose handler has not returned.
   size_t ActiveRequests() const;
   // Closes the connections that are waiting for a request.
@@ -102,6 +105,8 @@
   struct Shared;
 
   Task<void> AcceptLoop();
+  static void Admit(const std::shared_ptr<Shared>& aShared,
+                    asio::ip::tcp::socket aSocket);
 
   std::shared_ptr<Shared> m_shared;
 };
--- a/chivefront/proxy/drain_test.cc
+++ b/chivefront/proxy/drain_test.cc
@@ -150,3 +150,30 @@
   BOOST_TEST(!Contains(m_receivedAtExit, "0\r\n\r\n"));
   BOOST_TEST(!Contains(m_receivedAtExit, "HTTP/1.1 50"));
 }
+
+// Guards against connections that are reset without an answer: the kernel had
+// accepted them, with their requests, when the entry stopped to listen.
+BOOST_FIXTURE_TEST_CASE(ConnectionsInTheBacklogAreAnswered, DrainingEntry)
+{
+  Start();
+  Configure();
+  m_near.m_repeatedScript = kGoodResponse;
+  constexpr int kCallers = 8;
+  std::vector<Tcp::socket> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(m_context);
+    callers.back().connect(
+      { net::asio::ip::make_address("127.0.0.1"), m_port });
+    const std::string request = MakeRequest("once", "Patience: 500\r\n");
+    net::asio::write(callers.back(), net::asio::buffer(request));
+  }
+  StartDrain(0, 1500);
+  RunFor(500);
+  for (Tcp::socket& caller : callers) {
+    std::string answer(4096, '\0');
+    error_code error;
+    caller.non_blocking(true);
+    answer.resize(caller.read_some(net::asio::buffer(answer), error));
+    BOOST_TEST(Contains(answer, "HTTP/1.1 "), error.message());
+  }
+}
--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -6,6 +6,7 @@
 
 #include "chivefront/base/errors.h"
 #include "chivefront/base/ids.h"
+#include "chivefront/net/accept_pending.h"
 #include "chivefront/proxy/caller_connection.h"
 #include "chivefront/proxy/exchange.h"
 
@@ -129,22 +130,40 @@
       co_await net::Sleep(detail::kAcceptRetryDelay);
       continue;
     }
-    if (m_callers.size() >= m_options.m_maxConnections) {
-      m_shared.m_log.Record(
-        "caller_turned_away",
-        base::LogCategory::Failure,
-        { { "connections", static_cast<uint64_t>(m_callers.size()) } });
-      continue; // the socket's destructor closes the connection
-    }
-    auto caller =
-      std::make_shared<CallerConnection>(std::move(socket), m_heldBytes);
-    m_callers.insert(caller);
-    net::Spawn(m_context.get_executor(),
-               "entry",
-               [this, caller]() -> net::Task<void> { return Serve(caller); });
+    Admit(std::move(socket));
   }
 }
 
+void
+Entry::Admit(Tcp::socket aSocket)
+{
+  if (m_callers.size() >= m_options.m_maxConnections) {
+    m_shared.m_log.Record(
+      "caller_turned_away",
+      base::LogCategory::Failure,
+      { { "connections", static_cast<uint64_t>(m_callers.size()) } });
+    return; // the socket's destructor closes the connection
+  }
+  auto caller =
+    std::make_shared<CallerConnection>(std::move(aSocket), m_heldBytes);
+  m_callers.insert(caller);
+  net::Spawn(m_context.get_executor(),
+             "entry",
+             [this, caller]() -> net::Task<void> { return Serve(caller); });
+}
+
+// Admits the connections that the kernel has accepted already. The close of the
+// listening socket would reset them, with the requests that they have sent.
+void
+Entry::StopAccepting()
+{
+  for (Tcp::socket& socket : net::AcceptPending(m_acceptor)) {
+    Admit(std::move(socket));
+  }
+  error_code ignored; // the acceptor is not used again
+  m_acceptor.close(ignored);
+}
+
 net::Task<void>
 Entry::Serve(std::shared_ptr<CallerConnection> aCaller)
 {
@@ -202,8 +221,7 @@
     base::LogCategory::State,
     { { "connections", static_cast<uint64_t>(m_callers.size()) } });
   co_await net::Sleep(aNoticeTime);
-  error_code ignored; // the acceptor is not used again
-  m_acceptor.close(ignored);
+  StopAccepting();
   co_await AwaitCallers(m_shared.m_drainEnd);
   uint64_t requestsEnded = 0;
   for (const auto& exchange : m_exchanges) {
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -57,6 +57,8 @@
 
 private:
   net::Task<void> AcceptLoop();
+  void Admit(net::asio::ip::tcp::socket aSocket);
+  void StopAccepting();
   net::Task<void> Serve(std::shared_ptr<CallerConnection> aCaller);
   net::Task<bool> Sweep();
   void CloseIdle();
