Count crashes that a late registration hides

Cause: a registration that an upstream sent before its end and that arrives after it looked like a sign of life, so the loss did not count for the request that crashed it.

Change: the registry keeps which incarnations were succeeded by another one at their id or address. A loss counts when the upstream was heard for less than 5 s after it and was replaced within 15 s.

--- a/chivefront/routing/crash_bound_test.cc
+++ b/chivefront/routing/crash_bound_test.cc
@@ -8,6 +8,8 @@
 #include <random>
 
 #include "chivefront/routing/crash_quarantine.h"
+#include "chivefront/routing/registry.h"
+#include "chivefront/routing/request_limits.h"
 
 using namespace chivefront;
 using namespace chivefront::routing;
@@ -21,18 +23,23 @@
 constexpr int64_t kRunMillis = 60000;
 constexpr int64_t kCrashMillis = 150; // from a send to the end of the upstream
 constexpr int64_t kRestartMillis = 4000;
+constexpr int64_t kHeardLateMillis = 1000;
 constexpr CauseKey kDeadly = 1;
 constexpr CauseKey kFirstSound = 2;
 constexpr int kSoundRequests = 12;
 // After the third crash, this long, at most kMaxLateSends sends follow.
 constexpr int64_t kGraceMillis = 3000;
 constexpr int kMaxLateSends = 3;
+// A crash shows with the next incarnation, so all upstreams may end once first.
+constexpr int kMaxCrashesWithLateSigns = kUpstreams + kMaxLateSends;
 
 struct Scenario
 {
   int m_maxAttempts = 3; // 1: the request may run once
   int64_t m_pauseMillis = 500;
   bool m_changesLeader = false;
+  // A registration that the upstream sent before its end arrives after it.
+  bool m_lateRegistrations = false;
 };
 
 class CrashSimulation
@@ -44,6 +51,7 @@
     , m_entries(kEntries)
     , m_upAt(kUpstreams, 0)
     , m_incarnations(kUpstreams, 1)
+    , m_lateAt(kUpstreams, 0)
   {
   }
 
@@ -51,6 +59,7 @@
   {
     int64_t nextRepeat = 1000;
     for (m_now = 0; m_now < kRunMillis; m_now += 50) {
+      DeliverRegistrations();
       if (m_now % kPollMillis == 0) {
         PollAll();
       }
@@ -90,14 +99,40 @@
 
   size_t RandomBelow(size_t aCount) { return m_random() % aCount; }
 
-  // All entries poll the leader, which judges and answers.
-  void PollAll()
+  // Registrations reach control processes that outlive a leader's judgement.
+  void DeliverRegistrations()
   {
     for (int i = 0; i < kUpstreams; ++i) {
-      if (m_now >= m_upAt[i] && m_now % 1000 == 0) {
-        m_leader.OnHeard(Incarnation(i), At(m_now));
+      const auto at = static_cast<size_t>(i);
+      if (m_now >= m_upAt[at] && m_now % 1000 == 0) {
+        Register(i, m_incarnations[at]);
       }
+      if (m_lateAt[at] != 0 && m_now >= m_lateAt[at]) {
+        m_lateAt[at] = 0;
+        Register(i, m_incarnations[at] - 1);
+      }
+    }
+    m_registry.Expire(At(m_now));
+  }
+
+  void Register(int aUpstream, int aIncarnation)
+  {
+    Instance record;
+    record.m_id = "i-" + std::to_string(aUpstream);
+    if (aUpstream % 2 == 0) { // the others start again under their id
+      record.m_id += "-" + std::to_string(aIncarnation);
     }
+    record.m_address = { "10.0.0." + std::to_string(aUpstream + 1), 80 };
+    record.m_born = static_cast<uint64_t>(aIncarnation);
+    record.m_sequence = static_cast<uint64_t>(m_now) + 1;
+    record.m_reportedAt = At(m_now);
+    (void)m_registry.Merge(record);
+  }
+
+  // All entries poll the leader, which judges and answers.
+  void PollAll()
+  {
+    m_leader.OnRegistry(m_registry);
     for (Entry& entry : m_entries) {
       m_leader.Adopt(entry.m_quarantined);
       m_leader.Record(entry.m_evidence.Report(entry.m_suspects, At(m_now)));
@@ -111,9 +146,14 @@
 
   uint64_t Incarnation(int aUpstream) const
   {
-    return static_cast<uint64_t>(aUpstream) * 1000 +
-           static_cast<uint64_t>(
-             m_incarnations[static_cast<size_t>(aUpstream)]);
+    const int incarnation = m_incarnations[static_cast<size_t>(aUpstream)];
+    Instance record;
+    record.m_id = "i-" + std::to_string(aUpstream);
+    if (aUpstream % 2 == 0) {
+      record.m_id += "-" + std::to_string(incarnation);
+    }
+    record.m_born = static_cast<uint64_t>(incarnation);
+    return MakeUpstreamKey(record);
   }
 
   // The caller sends the request to a random entry, which tries several
@@ -166,6 +206,10 @@
       entry.m_evidence.OnLoss(sound, {}, key);
       entry.m_evidence.OnBegun({}, key, At(m_now + 2 * kCrashMillis));
     }
+    if (m_scenario.m_lateRegistrations) {
+      m_lateAt[static_cast<size_t>(aUpstream)] =
+        m_now + kCrashMillis + kHeardLateMillis;
+    }
     m_upAt[static_cast<size_t>(aUpstream)] = m_now + kRestartMillis;
     ++m_incarnations[static_cast<size_t>(aUpstream)];
   }
@@ -175,6 +219,8 @@
   std::vector<Entry> m_entries;
   std::vector<int64_t> m_upAt; // by upstream: when it runs again
   std::vector<int> m_incarnations;
+  std::vector<int64_t> m_lateAt; // by upstream: of a late registration; 0: none
+  Registry m_registry;
   CrashQuarantine m_leader;
   int64_t m_now = 0;
   uint64_t m_attempt = 0;
@@ -207,3 +253,24 @@
     }
   }
 }
+
+// Guards against a crash that a late registration hides: it left the upstream
+// before its end, arrives after it, and looks like a sign of life. The next
+// incarnation at the address, or under the id, shows the crash.
+BOOST_AUTO_TEST_CASE(LateRegistrationsHideNoCrash)
+{
+  const std::vector<Scenario> scenarios{ { 3, 2500, false, true },
+                                         { 1, 900, true, true } };
+  for (size_t i = 0; i < scenarios.size(); ++i) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CrashSimulation simulation(seed, scenarios[i]);
+      simulation.Run();
+      const std::string where =
+        "scenario " + std::to_string(i) + ", seed " + std::to_string(seed);
+      BOOST_TEST(simulation.Crashes() >= 3, where);
+      BOOST_TEST(simulation.Crashes() <= kMaxCrashesWithLateSigns,
+                 where << ": " << simulation.Crashes() << " crashes");
+      BOOST_TEST(!simulation.BlamesSoundRequests(), where);
+    }
+  }
+}
--- a/chivefront/routing/crash_quarantine.cc
+++ b/chivefront/routing/crash_quarantine.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 
 #include "chivefront/policy/suspects.h"
+#include "chivefront/routing/request_limits.h"
 
 namespace chivefront::routing {
 namespace {
@@ -25,6 +26,11 @@
 // A registration that was sent just before the crash does not show that the
 // upstream lives.
 constexpr base::Millis kHeardMargin{ 300 };
+// A registration may arrive seconds late. An upstream that is heard for longer
+// after a loss has survived it.
+constexpr base::Millis kLateRegistration{ 5000 };
+// An upstream that has crashed is replaced within this time.
+constexpr base::Millis kReplacementTime{ 15000 };
 constexpr size_t kMaxSuspects = 4096;
 constexpr size_t kMaxQuarantined = 1024;
 
@@ -111,9 +117,11 @@
   });
   std::erase_if(m_quarantined,
                 [&](const auto& aPart) { return aPart.second <= aNow; });
-  std::erase_if(m_heard, [&](const auto& aUpstream) {
-    return aNow - aUpstream.second > kRequestLossMemory;
-  });
+  for (auto* times : { &m_heard, &m_ended }) {
+    std::erase_if(*times, [&](const auto& aUpstream) {
+      return aNow - aUpstream.second > kRequestLossMemory;
+    });
+  }
 }
 
 std::set<uint64_t>
@@ -155,13 +163,20 @@
   return neverBegun.empty() ? begun : neverBegun;
 }
 
-// Whether the upstream of a lost attempt has not been heard since.
+// Whether the upstream of a lost attempt has not been heard since, or only by a
+// registration that came late.
 bool
 CrashQuarantine::HasCrashed(const LostAttempt& aAttempt) const
 {
   const auto heard = m_heard.find(aAttempt.m_upstream);
-  return heard == m_heard.end() ||
-         heard->second < aAttempt.m_lostAt + kHeardMargin;
+  if (heard == m_heard.end() ||
+      heard->second < aAttempt.m_lostAt + kHeardMargin) {
+    return true;
+  }
+  const auto ended = m_ended.find(aAttempt.m_upstream);
+  return ended != m_ended.end() &&
+         heard->second < aAttempt.m_lostAt + kLateRegistration &&
+         ended->second < aAttempt.m_lostAt + kReplacementTime;
 }
 
 // Counts afresh from the losses that are remembered, so that an answer, a sign
@@ -194,6 +209,29 @@
   return guilty;
 }
 
+void
+CrashQuarantine::OnRegistry(const Registry& aRegistry)
+{
+  if (m_suspects.empty()) {
+    return;
+  }
+  aRegistry.ForEach([&](const Instance& aInstance) {
+    OnHeard(MakeUpstreamKey(aInstance), aInstance.m_reportedAt);
+  });
+  for (const SucceededInstance& succeeded : aRegistry.Succeeded()) {
+    Instance ended;
+    ended.m_id = succeeded.m_id;
+    ended.m_born = succeeded.m_born;
+    OnEnded(MakeUpstreamKey(ended), succeeded.m_at);
+  }
+}
+
+void
+CrashQuarantine::OnEnded(uint64_t aUpstream, base::TimePoint aTime)
+{
+  m_ended.try_emplace(aUpstream, aTime);
+}
+
 void
 CrashQuarantine::OnHeard(uint64_t aUpstream, base::TimePoint aTime)
 {
--- a/chivefront/routing/crash_quarantine.h
+++ b/chivefront/routing/crash_quarantine.h
@@ -3,7 +3,7 @@
 // then refused.
 //
 //   quarantine.Record(report);
-//   quarantine.OnHeard(upstream, reportedAt); // for each registered upstream
+//   quarantine.OnRegistry(registry);
 //   for (const CrashCause& cause : quarantine.Update(now)) ... log it ...
 //   reply(quarantine.Suspects(), quarantine.Quarantined());
 //
@@ -19,7 +19,8 @@
 // A request is counted and quarantined by the rule of policy::SuspectCounts,
 // which also serves the product's own path: all requests in flight at a lost
 // upstream are counted, and an answer clears the count. An upstream that is
-// heard after the loss has not crashed, so that loss does not count.
+// heard after the loss has not crashed, so that loss does not count, unless the
+// upstream proves to have ended soon after it: the registration was late then.
 //
 // Does no I/O; not thread-safe.
 #pragma once
@@ -29,6 +30,7 @@
 #include <vector>
 
 #include "chivefront/routing/crash_evidence.h"
+#include "chivefront/routing/registry.h"
 
 namespace chivefront::routing {
 
@@ -55,14 +57,16 @@
   // Takes over decisions of an earlier leader. A later end wins.
   void Adopt(const QuarantinedCauses& aCauses);
 
+  // Takes in which incarnations have registered, and when.
+  void OnRegistry(const Registry& aRegistry);
   // The incarnation aUpstream (MakeUpstreamKey) sent a registration at aTime.
   void OnHeard(uint64_t aUpstream, base::TimePoint aTime);
+  // The incarnation has ended without unregistering by aTime.
+  void OnEnded(uint64_t aUpstream, base::TimePoint aTime);
 
   // Forgets what is old and returns what is quarantined from now on.
   std::vector<CrashCause> Update(base::TimePoint aNow);
 
-  // Whether OnHeard has any effect now.
-  bool HasLosses() const { return !m_suspects.empty(); }
   // Parts and requests with a loss that are not quarantined; entries report
   // whether answers to requests with them began.
   std::set<CauseKey> Suspects() const;
@@ -92,6 +96,8 @@
   std::map<CauseKey, Suspect> m_suspects; // at most kMaxSuspects
   // Upstreams that were heard after a request's loss, with the latest time.
   std::map<uint64_t, base::TimePoint> m_heard;
+  // Upstreams that have ended without unregistering, with the time by then.
+  std::map<uint64_t, base::TimePoint> m_ended;
   QuarantinedCauses m_quarantined;
 };
 
--- a/chivefront/routing/crash_quarantine_test.cc
+++ b/chivefront/routing/crash_quarantine_test.cc
@@ -239,6 +239,19 @@
   BOOST_TEST(DecideRequests(9000).count(kDeadly) == 1U);
 }
 
+// Guards against blaming a request for broken connections to upstreams that end
+// much later, for another reason.
+BOOST_FIXTURE_TEST_CASE(UpstreamThatEndsMuchLaterHasSurvived, Fixture)
+{
+  for (int i = 0; i < 4; ++i) {
+    LoseUpstream(i * 1000, { kSound });
+    m_quarantine.OnHeard(m_upstream, At(i * 1000 + 900));
+    m_quarantine.OnHeard(m_upstream, At(i * 1000 + 30000));
+    m_quarantine.OnEnded(m_upstream, At(i * 1000 + 40000));
+  }
+  BOOST_TEST(DecideRequests(50000).empty());
+}
+
 // Guards against a request that is forgotten between two repeats, or with the
 // leader that counted its first losses.
 BOOST_FIXTURE_TEST_CASE(NewLeaderCountsEarlierLosses, Fixture)
--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -9,6 +9,8 @@
 
 // Long enough to cover records that were delayed by a network partition.
 constexpr base::Millis kGoneRetention{ 60000 };
+// Several times the upstreams of a service that end under one request.
+constexpr size_t kMaxSuccessions = 256;
 
 } // namespace detail
 
@@ -37,10 +39,26 @@
   if (!ClaimAddress(aRecord)) {
     return false;
   }
+  if (found != m_records.end() &&
+      found->second.m_instance.m_born != aRecord.m_born) {
+    RecordSuccession(found->second.m_instance, aRecord.m_reportedAt);
+  }
   Store(aRecord);
   return true;
 }
 
+void
+Registry::RecordSuccession(const Instance& aEnded, base::TimePoint aNow)
+{
+  if (aEnded.m_state != InstanceState::Ready) {
+    return;
+  }
+  m_succeeded.push_back({ aEnded.m_id, aEnded.m_born, aNow });
+  if (m_succeeded.size() > detail::kMaxSuccessions) {
+    m_succeeded.pop_front();
+  }
+}
+
 // Two incarnations never share an address: the younger one has it.
 bool
 Registry::ClaimAddress(const Instance& aRecord)
@@ -54,6 +72,7 @@
     if (other.m_born > aRecord.m_born) {
       return false;
     }
+    RecordSuccession(other, aRecord.m_reportedAt);
     other.m_state = InstanceState::Gone;
     known.m_changed = ++m_sequence;
   }
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -60,6 +61,15 @@
 // register.
 inline constexpr size_t kMaxInstances = 65536;
 
+// An incarnation that was ready and whose id or address a younger one has taken
+// over: it has ended without saying so.
+struct SucceededInstance
+{
+  std::string m_id;
+  uint64_t m_born = 0;
+  base::TimePoint m_at; // when the younger one registered
+};
+
 class Registry
 {
 public:
@@ -82,6 +92,9 @@
   // Removes upstreams that have not registered for a long time.
   void Expire(base::TimePoint aNow);
 
+  // The latest successions, oldest first, at most kMaxSuccessions.
+  const std::deque<SucceededInstance>& Succeeded() const { return m_succeeded; }
+
   template<typename Visitor>
   void ForEach(Visitor aVisit) const
   {
@@ -102,7 +115,10 @@
   // a younger incarnation has that address.
   bool ClaimAddress(const Instance& aRecord);
 
+  void RecordSuccession(const Instance& aEnded, base::TimePoint aNow);
+
   std::map<std::string, Record> m_records; // by id
+  std::deque<SucceededInstance> m_succeeded;
   uint64_t m_sequence = 0;
 };
 
--- a/chivefront/site/crash_coordinator.cc
+++ b/chivefront/site/crash_coordinator.cc
@@ -1,7 +1,6 @@
 // Reports in, suspects and quarantined causes out.
 #include "chivefront/site/crash_coordinator.h"
 
-#include "chivefront/routing/request_limits.h"
 #include "chivefront/site/messages.h"
 
 namespace chivefront::site {
@@ -35,12 +34,7 @@
                         base::TimePoint aNow,
                         const std::string& aEntry)
 {
-  if (m_quarantine.HasLosses()) {
-    aRegistry.ForEach([&](const routing::Instance& aInstance) {
-      m_quarantine.OnHeard(routing::MakeUpstreamKey(aInstance),
-                           aInstance.m_reportedAt);
-    });
-  }
+  m_quarantine.OnRegistry(aRegistry);
   for (const routing::CrashCause& cause : m_quarantine.Update(aNow)) {
     m_log.Record(
       cause.m_wholeRequest ? "request_quarantined" : "prompt_part_quarantined",
