End idle connections of a drain without losing a request

A read that has taken the bytes of a request from the socket, and whose coroutine has not been resumed, looks idle: nothing is available and nothing is buffered. The drain closed such connections, also on the control port, where the order was then carried out and its answer lost.

Change: the drain cancels the read that waits instead of closing the connection. A read that has its bytes is not affected.

Measured: drain_test passes, 7 of 7 cases.

--- a/chivefront/net/http_server.cc
+++ b/chivefront/net/http_server.cc
@@ -443,8 +443,10 @@
                  beast::error_code error;
                  const bool arriving =
                    self->m_stream.socket().available(error) > 0;
+                 // Does not affect a read that has taken bytes from the
+                 // socket and has not been resumed.
                  if (!self->m_busy && !arriving) {
-                   self->m_stream.close();
+                   self->m_stream.cancel();
                  }
                });
   }
--- a/chivefront/proxy/caller_connection.cc
+++ b/chivefront/proxy/caller_connection.cc
@@ -281,7 +281,9 @@
   const bool arriving =
     m_buffer.size() > 0 || m_stream.socket().available(error) > 0;
   if (m_idle && !arriving) {
-    Close();
+    // Ends the read that waits for a request. One that has taken bytes from the
+    // socket, and has not been resumed, is not affected.
+    m_stream.cancel();
   }
 }
 
