--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -32,9 +32,9 @@
 HEARTBEAT_MS = 1200
 RUN_LIMIT_S = 110  # a case ends its processes by itself within 120 s
 OPERATOR_TIMEOUT_S = 1.0  # an operator moves on after a second without a response
-HOSTNAME = "ficu95.example"
-KEY = "n2ctnfzs989anu6wsjnb"
-TENANT = "hule930"
+HOSTNAME = "desk.example"
+KEY = "key-of-the-callers"
+TENANT = "callers"
 
 
 class CannotRun(Exception):
