--- a/chivefront/proxy/crashing_request_test.cc
+++ b/chivefront/proxy/crashing_request_test.cc
@@ -33,6 +33,26 @@
     m_watch.Accept(reply);
   }
 
+  // The upstream sends one event of a stream, and then crashes or ends the
+  // stream.
+  static void AddStream(ScriptedUpstream& aUpstream, int aEvent, bool aCrashes)
+  {
+    const std::string event =
+      Chunk("id: " + std::to_string(aEvent) + "\ndata: a\n\n");
+    aUpstream.AddScript(kStreamHead + event +
+                        (aCrashes ? kCloseConnection : "0\r\n\r\n"));
+  }
+
+  // Losses of whole requests in the next report of the entry.
+  size_t ReportedRequestLosses()
+  {
+    size_t losses = 0;
+    for (const auto& row : m_watch.MakeRequest().part_losses) {
+      losses += row->whole_request ? 1 : 0;
+    }
+    return losses;
+  }
+
   // One poll of a control process, in which m_quarantine decides on all losses.
   void PollControl()
   {
@@ -104,6 +124,76 @@
   BOOST_TEST(Crashes() <= kMostCrashes, Crashes() << " crashes");
 }
 
+// Guards against a request that ends each upstream after the first event of its
+// answer: the first event counted as an answer, so the request was never
+// refused.
+BOOST_FIXTURE_TEST_CASE(RequestThatCrashesAfterItsFirstEventIsRefused,
+                        CrashingRequestFixture)
+{
+  for (int i = 0; i < kRepeats; ++i) {
+    AddStream(m_near, 1, true);
+    AddStream(m_far, 2, true);
+  }
+  const std::string answer = Repeat(MakeRequest("stream"));
+  BOOST_TEST(Contains(answer, "HTTP/1.1 503 "), answer);
+  BOOST_TEST(Contains(answer, "request_quarantined"), answer);
+  BOOST_TEST(Crashes() <= kMostCrashes, Crashes() << " crashes");
+}
+
+// Guards against the same when another upstream completes the stream: the rest
+// of an answer does not show that the request is sound.
+BOOST_FIXTURE_TEST_CASE(ResumedStreamDoesNotClearItsRequest,
+                        CrashingRequestFixture)
+{
+  for (int i = 0; i < kRepeats; ++i) {
+    AddStream(m_near, 1, true);
+    AddStream(m_far, 2, false);
+  }
+  const std::string answer = Repeat(MakeRequest("stream"));
+  BOOST_TEST(Contains(answer, "request_quarantined"), answer);
+  BOOST_TEST(m_near.m_requests.size() <= kMostCrashes);
+}
+
+// Guards against the refusal of a sound stream that is repeated often, and
+// whose upstream fails now and then in the middle of the answer.
+BOOST_FIXTURE_TEST_CASE(StreamThatIsAnsweredWholeIsNotBlamed,
+                        CrashingRequestFixture)
+{
+  for (int i = 0; i < kRepeats; ++i) {
+    AddStream(m_near, 1, i % 2 == 0);
+    if (i % 2 == 0) {
+      AddStream(m_far, 2, false);
+    }
+  }
+  const std::string answer = Repeat(MakeRequest("stream"));
+  BOOST_TEST(Contains(answer, "data: a"), answer);
+  BOOST_TEST(m_quarantine.Quarantined().empty());
+}
+
+// Guards against a crash that leaves no evidence because a part of a large body
+// had been forwarded.
+BOOST_FIXTURE_TEST_CASE(CrashDuringALargeBodyIsReported, CrashingRequestFixture)
+{
+  constexpr size_t kBodyBytes = 3 * 1024 * 1024;
+  m_near.AddScript("HTTP/1.1 200 OK\r\nId: $ID\r\nSeal: s\r\nContent-Length: " +
+                   std::to_string(2 * kBodyBytes) + "\r\n\r\n" +
+                   std::string(kBodyBytes, 'b') + kCloseConnection);
+  (void)Call(MakeRequest("once"));
+  BOOST_TEST(ReportedRequestLosses() == 1U);
+}
+
+// Guards against a crash that leaves no evidence because a late copy of another
+// answer came before it.
+BOOST_FIXTURE_TEST_CASE(CrashAfterAStrayAnswerIsReported,
+                        CrashingRequestFixture)
+{
+  const std::string stray =
+    "HTTP/1.1 200 OK\r\nId: other\r\nSeal: s\r\nContent-Length: 4\r\n\r\ngood";
+  m_near.AddScript(stray + kCloseConnection);
+  (void)Call(MakeRequest("once"));
+  BOOST_TEST(ReportedRequestLosses() == 1U);
+}
+
 // Guards against the refusal of a sound request that is repeated often and
 // whose upstream fails now and then: an answer in between clears it.
 BOOST_FIXTURE_TEST_CASE(AnsweredRequestIsNotBlamed, CrashingRequestFixture)
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -150,11 +150,15 @@
   base::Millis TimeLeft() const;
   std::shared_ptr<const std::string> BuildUpstreamRequest(
     const Upstream& aUpstream);
+  // The event after which the next attempt's stream goes on, if any.
+  std::optional<uint64_t> ResumeAfter() const;
   UpstreamCriteria Criteria() const;
   int Priority() const;
   bool CanEscalate() const;
   void RecordPromptParts(Upstream& aUpstream) const;
   void RecordAnswerBegun();
+  void RecordSurvival();
+  void RecordAnswered();
   void CountForVersion(const Upstream& aUpstream, bool aSucceeded);
   void RecordConnectionLost(Upstream& aUpstream);
   void RecordRequestLimit(Upstream& aUpstream,
@@ -222,8 +226,12 @@
   base::Millis m_headTimeout;     // of the running attempt
   // The running attempt was left by this process, as its upstream was silent.
   bool m_leftUpstream = false;
-  // The upstream of the running attempt sent an event or a whole body.
+  // The upstream of the running attempt sent an event or a part of a body.
   bool m_answerBegun = false;
+  base::TimePoint m_answerBegunAt; // set when m_answerBegun is
+  bool m_survivalRecorded = false; // of the running attempt
+  // The running attempt goes on where an earlier one ended.
+  bool m_resumesStream = false;
   int m_responseStatus = 0;      // of the running attempt
   uint64_t m_chunkCount = 0;     // of the running attempt's stream
   base::TimePoint m_firstSentAt; // first bytes of the response to the caller
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -88,6 +88,8 @@
   ++m_attemptCount;
   m_leftUpstream = false;
   m_answerBegun = false;
+  m_survivalRecorded = false;
+  m_resumesStream = ResumeAfter().has_value();
   m_countedSuccess.reset();
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_triedUpstreams.push_back(m_lastUpstream);
@@ -210,6 +212,9 @@
     }
     if (!status.ok()) {
       m_connection->Close();
+      if (base::KindOf(status) != base::ErrorKind::BadFrame) {
+        RecordConnectionLost(aUpstream);
+      }
       co_return OutcomeUnknown{ "stray answer" };
     }
   }
@@ -322,17 +327,19 @@
     if (!chunk.ok()) {
       m_connection->Close();
       aUpstream.m_estimate.OnFailure(m_shared.m_clock.Now());
+      RecordConnectionLost(aUpstream);
       if (streaming) {
         m_caller->Close();
         co_return Aborted{};
       }
-      RecordConnectionLost(aUpstream);
       co_return OutcomeUnknown{ std::string(base::MessageOf(chunk.status())) };
     }
     if (chunk->empty()) {
       break;
     }
     RecordProgress(aUpstream);
+    RecordAnswerBegun();
+    RecordSurvival();
     body += *chunk;
     if (!streaming && body.size() <= detail::kMaxBufferedBytes &&
         claim.Resize(body.size())) {
@@ -349,7 +356,7 @@
   const bool succeeded =
     m_responseStatus < static_cast<int>(detail::kFirstServerError);
   RecordOutcome(aUpstream, succeeded);
-  RecordAnswerBegun();
+  RecordAnswered();
   if (!succeeded && !streaming) {
     co_return UpstreamError{ m_responseStatus,
                              std::move(aHead),
@@ -398,6 +405,7 @@
     }
     RecordProgress(aUpstream);
     RecordAnswerBegun();
+    RecordSurvival();
     running.Pause();
     const absl::Status written =
       co_await WriteToCaller(aHead, std::move(events));
@@ -417,6 +425,7 @@
   }
   RecordEventInterval(aUpstream);
   RecordOutcome(aUpstream, true);
+  RecordAnswered();
   absl::Status written;
   if (!m_caller->ResponseStarted()) {
     written =
@@ -441,6 +450,13 @@
   return Aborted{};
 }
 
+std::optional<uint64_t>
+Exchange::ResumeAfter() const
+{
+  const std::optional<uint64_t> received = m_eventSplitter.LastId();
+  return received ? received : m_metadata.m_lastEventId;
+}
+
 std::shared_ptr<const std::string>
 Exchange::BuildUpstreamRequest(const Upstream& aUpstream)
 {
@@ -449,8 +465,7 @@
   metadata.m_upstreamId = aUpstream.m_instance.m_id;
   metadata.m_team = m_team != nullptr ? m_team->m_name : "";
   metadata.m_model = CurrentModel();
-  metadata.m_lastEventId = m_eventSplitter.LastId() ? m_eventSplitter.LastId()
-                                                    : m_metadata.m_lastEventId;
+  metadata.m_lastEventId = ResumeAfter();
   metadata.m_priority = Priority();
   return std::make_shared<const std::string>(MakeForwardedRequest(
     m_caller->Request(), m_shared.m_headerCodec, metadata));
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -295,26 +295,51 @@
 {
   if (!m_answerBegun) {
     m_answerBegun = true;
-    m_shared.m_crashEvidence.OnBegun(
+    m_answerBegunAt = m_shared.m_clock.Now();
+    m_shared.m_crashEvidence.OnBegun(m_sharedParts, m_answerBegunAt);
+  }
+}
+
+// Records that the upstream still runs the request some time after it began to
+// answer.
+void
+Exchange::RecordSurvival()
+{
+  const base::TimePoint now = m_shared.m_clock.Now();
+  if (m_answerBegun && !m_survivalRecorded &&
+      now - m_answerBegunAt >= routing::kSurvivalTime) {
+    m_survivalRecorded = true;
+    m_shared.m_crashEvidence.OnSurvived(m_sharedParts, now);
+  }
+}
+
+// Records a whole answer. A resumed attempt has run only the rest of the
+// request, so it shows nothing of the upstreams that were lost before.
+void
+Exchange::RecordAnswered()
+{
+  if (!m_resumesStream) {
+    m_shared.m_crashEvidence.OnAnswered(
       m_sharedParts, m_requestKey, m_shared.m_clock.Now());
   }
 }
 
-// Records an attempt whose connection ended before the response, by the
-// upstream or because it was left as silent. It counts against the upstream's
-// version. If the upstream closed it before it began to answer, the request or
-// a part of its prompt may have crashed it.
+// Records an attempt whose connection ended before the end of the response, by
+// the upstream or because it was left as silent. It counts against the
+// upstream's version. If the upstream closed it, the request or a part of its
+// prompt may have crashed it, whether the answer had begun or not.
 void
 Exchange::RecordConnectionLost(Upstream& aUpstream)
 {
   CountForVersion(aUpstream, false);
-  if (m_answerBegun || m_leftUpstream) {
+  if (m_leftUpstream) {
     return;
   }
   m_shared.m_crashEvidence.OnLoss(
     { routing::MakeUpstreamKey(aUpstream.m_instance),
       base::StableHash(m_metadata.m_attemptId),
       m_headReceivedAt != base::TimePoint(),
+      m_answerBegun,
       m_sentAt,
       m_shared.m_clock.Now() },
     m_sharedParts,
--- a/chivefront/routing/crash_bound_test.cc
+++ b/chivefront/routing/crash_bound_test.cc
@@ -40,6 +40,8 @@
   bool m_changesLeader = false;
   // A registration that the upstream sent before its end arrives after it.
   bool m_lateRegistrations = false;
+  // The upstream ends after the first event of its answer.
+  bool m_inAnswer = false;
 };
 
 class CrashSimulation
@@ -189,11 +191,10 @@
     if (m_crashes == 3) {
       m_thirdCrashAt = m_now + kCrashMillis;
     }
-    const LostAttempt deadly{ Incarnation(aUpstream),
-                              ++m_attempt,
-                              false,
-                              At(m_now),
-                              At(m_now + kCrashMillis) };
+    const LostAttempt deadly{
+      Incarnation(aUpstream), ++m_attempt, m_scenario.m_inAnswer,
+      m_scenario.m_inAnswer,  At(m_now),   At(m_now + kCrashMillis)
+    };
     aEntry.m_evidence.OnLoss(deadly, {}, kDeadly);
     for (int i = 0; i < kSoundRequests; ++i) {
       if (RandomBelow(3) != 0) {
@@ -204,7 +205,7 @@
       LostAttempt sound = deadly;
       sound.m_request = ++m_attempt;
       entry.m_evidence.OnLoss(sound, {}, key);
-      entry.m_evidence.OnBegun({}, key, At(m_now + 2 * kCrashMillis));
+      entry.m_evidence.OnAnswered({}, key, At(m_now + 2 * kCrashMillis));
     }
     if (m_scenario.m_lateRegistrations) {
       m_lateAt[static_cast<size_t>(aUpstream)] =
@@ -254,6 +255,27 @@
   }
 }
 
+// Guards against the same when each upstream ends after the first event of its
+// answer, which counted as a sign that the request is sound.
+BOOST_AUTO_TEST_CASE(RepeatsThatCrashDuringAnswersAreBounded)
+{
+  const std::vector<Scenario> scenarios{ { 3, 500, false, false, true },
+                                         { 3, 4000, true, false, true },
+                                         { 1, 900, true, false, true } };
+  for (size_t i = 0; i < scenarios.size(); ++i) {
+    for (uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CrashSimulation simulation(seed, scenarios[i]);
+      simulation.Run();
+      const std::string where =
+        "scenario " + std::to_string(i) + ", seed " + std::to_string(seed);
+      BOOST_TEST(simulation.Crashes() >= 3, where);
+      BOOST_TEST(simulation.LateSends() <= kMaxLateSends,
+                 where << ": " << simulation.LateSends() << " late sends");
+      BOOST_TEST(!simulation.BlamesSoundRequests(), where);
+    }
+  }
+}
+
 // Guards against a crash that a late registration hides: it left the upstream
 // before its end, arrives after it, and looks like a sign of life. The next
 // incarnation at the address, or under the id, shows the crash.
--- a/chivefront/routing/crash_evidence.cc
+++ b/chivefront/routing/crash_evidence.cc
@@ -1,4 +1,4 @@
-// Bounded memory of losses and of parts whose answer began.
+// Bounded memory of losses and of what speaks for parts and requests.
 #include "chivefront/routing/crash_evidence.h"
 
 #include "chivefront/base/ids.h"
@@ -9,7 +9,7 @@
 constexpr size_t kMaxLosses = 256;
 // Losses of requests that were answered since are removed, so few are left.
 constexpr size_t kMaxRequestLosses = 128;
-// Parts per generation; about 1 MiB for both generations.
+// Parts per generation; about 2 MiB for both generations of both tables.
 constexpr size_t kMaxParts = 8192;
 // Answered requests per generation. A repeat that is answered before its entry
 // hears that it is suspect must be remembered for some polls.
@@ -75,19 +75,36 @@
 
 CrashEvidence::CrashEvidence()
   : m_partsBegun(kMaxParts)
-  , m_requestsBegun(kMaxRequests)
+  , m_partsSurvived(kMaxParts)
+  , m_requestsAnswered(kMaxRequests)
 {
 }
 
 void
 CrashEvidence::OnBegun(const std::vector<CauseKey>& aParts,
-                       CauseKey aRequest,
                        base::TimePoint aNow)
 {
   for (const CauseKey part : aParts) {
     m_partsBegun.Record(part, aNow);
   }
-  m_requestsBegun.Record(aRequest, aNow);
+}
+
+void
+CrashEvidence::OnSurvived(const std::vector<CauseKey>& aParts,
+                          base::TimePoint aNow)
+{
+  for (const CauseKey part : aParts) {
+    m_partsSurvived.Record(part, aNow);
+  }
+}
+
+void
+CrashEvidence::OnAnswered(const std::vector<CauseKey>& aParts,
+                          CauseKey aRequest,
+                          base::TimePoint aNow)
+{
+  OnSurvived(aParts, aNow);
+  m_requestsAnswered.Record(aRequest, aNow);
   std::erase_if(m_requestLosses, [aRequest](const CrashLoss& aLoss) {
     return aLoss.m_cause == aRequest;
   });
@@ -124,9 +141,12 @@
     }
   }
   for (const CauseKey key : keys) {
-    for (const auto* begun : { &m_partsBegun, &m_requestsBegun }) {
-      if (const base::TimePoint* time = begun->Find(key)) {
-        report.m_begun[key] = *time;
+    if (const base::TimePoint* time = m_partsBegun.Find(key)) {
+      report.m_begun[key] = *time;
+    }
+    for (const auto* survived : { &m_partsSurvived, &m_requestsAnswered }) {
+      if (const base::TimePoint* time = survived->Find(key)) {
+        report.m_survived[key] = *time;
       }
     }
   }
--- a/chivefront/routing/crash_evidence.h
+++ b/chivefront/routing/crash_evidence.h
@@ -1,11 +1,19 @@
 // What one entry has seen of prompt parts and of whole requests that may crash
-// upstreams: attempts that lost their upstream before it began to answer, and
-// parts and requests whose answer did begin.
+// upstreams: attempts that lost their upstream before the end of the answer,
+// and what speaks for their parts and for the requests themselves.
 //
-//   evidence.OnLoss({ upstream, request, headRead, sentAt, now }, parts, key);
-//   evidence.OnBegun(parts, key, now);
+//   evidence.OnLoss({ upstream, request, headRead, answerBegun, sentAt, now },
+//                   parts,
+//                   key);
+//   evidence.OnBegun(parts, now);
+//   evidence.OnSurvived(parts, now);
+//   evidence.OnAnswered(parts, key, now);
 //   CrashReport report = evidence.Report(suspects, now);
 //
+// An upstream may crash in the middle of an answer, so an answer that has only
+// begun says nothing of losses after the beginning of answers, and nothing of
+// its whole request.
+//
 // Patterns: one tainted prompt part in many otherwise different requests, and
 // one request that its caller repeats. Does no I/O; not thread-safe.
 #pragma once
@@ -43,7 +51,7 @@
 CauseKey
 MakeRequestKey(const RequestIdentity& aIdentity);
 
-// An attempt whose upstream closed the connection before it began to answer.
+// An attempt whose upstream closed the connection before the end of the answer.
 struct LostAttempt
 {
   uint64_t m_upstream = 0; // hash of the incarnation
@@ -51,6 +59,7 @@
   // The head of the response had been read, so the upstream had taken the
   // request up. A request that only waited there is a weaker suspect.
   bool m_headRead = false;
+  bool m_answerBegun = false; // a part of the answer itself had been read
   base::TimePoint m_sentAt;
   base::TimePoint m_lostAt;
 };
@@ -65,8 +74,11 @@
 struct CrashReport
 {
   std::vector<CrashLoss> m_losses;
-  // When an answer to the request, or to one with the part, began last.
+  // When an answer to a request with the part began last.
   std::map<CauseKey, base::TimePoint> m_begun;
+  // When an upstream last survived a request with the part, or ran the request
+  // from its beginning to its end.
+  std::map<CauseKey, base::TimePoint> m_survived;
 };
 
 namespace detail {
@@ -100,10 +112,16 @@
 public:
   CrashEvidence();
 
-  // An upstream began to answer the request aRequest with these parts.
-  void OnBegun(const std::vector<CauseKey>& aParts,
-               CauseKey aRequest,
-               base::TimePoint aNow);
+  // An upstream began to answer a request with these parts.
+  void OnBegun(const std::vector<CauseKey>& aParts, base::TimePoint aNow);
+  // An upstream still runs a request with these parts kSurvivalTime after it
+  // began to answer.
+  void OnSurvived(const std::vector<CauseKey>& aParts, base::TimePoint aNow);
+  // One upstream has answered the request aRequest with these parts from its
+  // beginning to its end.
+  void OnAnswered(const std::vector<CauseKey>& aParts,
+                  CauseKey aRequest,
+                  base::TimePoint aNow);
   void OnLoss(const LostAttempt& aAttempt,
               const std::vector<CauseKey>& aParts,
               CauseKey aRequest);
@@ -117,9 +135,14 @@
   // Of whole requests, oldest first, at most kMaxRequestLosses.
   std::deque<CrashLoss> m_requestLosses;
   detail::LatestTimes m_partsBegun;
-  detail::LatestTimes m_requestsBegun;
+  detail::LatestTimes m_partsSurvived;
+  detail::LatestTimes m_requestsAnswered;
 };
 
+// A prompt part that crashes upstreams does so while its request is read or
+// soon after, so an answer that goes on for this long speaks for the part.
+inline constexpr base::Millis kSurvivalTime{ 1000 };
+
 // Losses of prompt parts that are older are not reported any more.
 inline constexpr base::Millis kLossMemory{ 30000 };
 // The same for whole requests. A caller may repeat a request after long pauses.
--- a/chivefront/routing/crash_quarantine.cc
+++ b/chivefront/routing/crash_quarantine.cc
@@ -51,10 +51,24 @@
   }
   for (const auto& [part, begunAt] : aReport.m_begun) {
     const auto found = m_suspects.find(part);
-    if (found != m_suspects.end()) {
+    if (found != m_suspects.end() && !found->second.m_wholeRequest) {
       found->second.m_begunAt = std::max(found->second.m_begunAt, begunAt);
     }
   }
+  for (const auto& [cause, survivedAt] : aReport.m_survived) {
+    const auto found = m_suspects.find(cause);
+    if (found != m_suspects.end()) {
+      Suspect& suspect = found->second;
+      suspect.m_survivedAt = std::max(suspect.m_survivedAt, survivedAt);
+    }
+  }
+}
+
+bool
+CrashQuarantine::Suspect::IsCleared(const LostAttempt& aAttempt) const
+{
+  return aAttempt.m_lostAt <= m_survivedAt ||
+         (!aAttempt.m_answerBegun && aAttempt.m_lostAt <= m_begunAt);
 }
 
 void
@@ -69,15 +83,27 @@
   }
 }
 
+// Whether a loss counts for a part by now. Every reset of a connection cuts
+// answers off, so a loss after the beginning of an answer counts only once the
+// upstream would have been heard again.
+bool
+CrashQuarantine::CountsForPart(const LostAttempt& aAttempt,
+                               base::TimePoint aNow) const
+{
+  const base::Millis age = aNow - aAttempt.m_lostAt;
+  return aAttempt.m_answerBegun
+           ? age >= kRequestLossDelay && HasCrashed(aAttempt)
+           : age >= kReportDelay;
+}
+
 bool
 CrashQuarantine::IsGuilty(const Suspect& aSuspect,
                           const std::set<uint64_t>& aExplained,
-                          base::TimePoint aNow)
+                          base::TimePoint aNow) const
 {
   std::vector<LostAttempt> losses;
   for (const auto& [key, attempt] : aSuspect.m_losses) {
-    if (attempt.m_lostAt > aSuspect.m_begunAt &&
-        aNow - attempt.m_lostAt >= kReportDelay &&
+    if (!aSuspect.IsCleared(attempt) && CountsForPart(attempt, aNow) &&
         aExplained.count(attempt.m_upstream) == 0) {
       losses.push_back(attempt);
     }
@@ -106,10 +132,10 @@
   for (auto& [part, suspect] : m_suspects) {
     const bool isRequest = suspect.m_wholeRequest;
     const base::Millis memory = isRequest ? kRequestLossMemory : kLossMemory;
-    const base::TimePoint begunAt = suspect.m_begunAt;
-    std::erase_if(suspect.m_losses, [&](const auto& aLoss) {
-      const base::TimePoint lostAt = aLoss.second.m_lostAt;
-      return aNow - lostAt > memory || (isRequest && lostAt <= begunAt);
+    std::erase_if(suspect.m_losses, [&, &cause = suspect](const auto& aLoss) {
+      const LostAttempt& attempt = aLoss.second;
+      return aNow - attempt.m_lostAt > memory ||
+             (isRequest && cause.IsCleared(attempt));
     });
   }
   std::erase_if(m_suspects, [](const auto& aSuspect) {
@@ -142,25 +168,35 @@
   return upstreams;
 }
 
-// The parts that are guilty and not quarantined yet. If an answer was seen for
-// some of them and for others never, only the latter: the losses of the former
-// are then explained by them. A quarantined request explains no losses here,
-// because the part may be what makes it crash upstreams.
+// The parts that are guilty and not quarantined yet. Of these only those for
+// which least speaks: no answer to a request with the part ever began, or none
+// ever went on. They explain the losses of the others. A quarantined request
+// explains no losses here, because the part may be what makes it crash
+// upstreams.
 std::vector<CauseKey>
 CrashQuarantine::FindGuiltyParts(base::TimePoint aNow) const
 {
   const std::set<uint64_t> explained = UpstreamsCrashedBy(false);
-  std::vector<CauseKey> begun;
   std::vector<CauseKey> neverBegun;
+  std::vector<CauseKey> neverSurvived;
+  std::vector<CauseKey> survived;
   for (const auto& [part, suspect] : m_suspects) {
     if (suspect.m_wholeRequest || m_quarantined.count(part) > 0 ||
         !IsGuilty(suspect, explained, aNow)) {
       continue;
     }
-    const bool isNeverBegun = suspect.m_begunAt == base::TimePoint();
-    (isNeverBegun ? neverBegun : begun).push_back(part);
+    if (suspect.m_survivedAt != base::TimePoint()) {
+      survived.push_back(part);
+    } else if (suspect.m_begunAt != base::TimePoint()) {
+      neverSurvived.push_back(part);
+    } else {
+      neverBegun.push_back(part);
+    }
+  }
+  if (!neverBegun.empty()) {
+    return neverBegun;
   }
-  return neverBegun.empty() ? begun : neverBegun;
+  return neverSurvived.empty() ? survived : neverSurvived;
 }
 
 // Whether the upstream of a lost attempt has not been heard since, or only by a
@@ -192,7 +228,7 @@
       continue;
     }
     for (const auto& [id, attempt] : suspect.m_losses) {
-      if (attempt.m_lostAt > suspect.m_begunAt &&
+      if (!suspect.IsCleared(attempt) &&
           aNow - attempt.m_lostAt >= kRequestLossDelay &&
           explained.count(attempt.m_upstream) == 0 && HasCrashed(attempt)) {
         inFlight[attempt.m_upstream].push_back(key);
--- a/chivefront/routing/crash_quarantine.h
+++ b/chivefront/routing/crash_quarantine.h
@@ -8,17 +8,20 @@
 //   reply(quarantine.Suspects(), quarantine.Quarantined());
 //
 // A part is quarantined when requests with it lost their upstream time after
-// time and no answer to a request with it has begun meanwhile. Each counted
-// loss was sent after the loss counted before, so that upstreams that fail at
-// the same moment count once, and at least two requests are involved. A part
-// that sound requests share is cleared by their answers. When all upstreams are
-// down nothing clears it, so an upstream that a quarantined part has crashed is
-// not held against other parts, and a part that no answer was ever seen for is
-// blamed before the others.
+// time. Each counted loss was sent after the loss counted before, so that
+// upstreams that fail at the same moment count once, and at least two requests
+// are involved. A part that sound requests share is cleared by their answers: a
+// loss before the beginning of an answer by an answer that begins later, a loss
+// after it only by an answer that goes on, because the answers of a crashing
+// part may begin too. When all upstreams are down nothing clears it, so an
+// upstream that a quarantined part has crashed is not held against other parts,
+// and a part that no answer was ever seen for is blamed before the others.
 //
 // A request is counted and quarantined by the rule of policy::SuspectCounts,
 // which also serves the product's own path: all requests in flight at a lost
-// upstream are counted, and an answer clears the count. An upstream that is
+// upstream are counted, and a whole answer clears the count. An answer that
+// only began, or that was completed by a resumed attempt, does not: its request
+// may crash each upstream in the middle of the answer. An upstream that is
 // heard after the loss has not crashed, so that loss does not count, unless the
 // upstream proves to have ended soon after it: the registration was late then.
 //
@@ -80,12 +83,18 @@
   {
     bool m_wholeRequest = false;
     Losses m_losses;
-    base::TimePoint m_begunAt; // latest; unset when no answer began
+    // Latest times; unset when there was none. A request has no m_begunAt.
+    base::TimePoint m_begunAt;
+    base::TimePoint m_survivedAt;
+
+    // Whether an answer has shown since that the loss was not its fault.
+    bool IsCleared(const LostAttempt& aAttempt) const;
   };
 
-  static bool IsGuilty(const Suspect& aSuspect,
-                       const std::set<uint64_t>& aExplained,
-                       base::TimePoint aNow);
+  bool IsGuilty(const Suspect& aSuspect,
+                const std::set<uint64_t>& aExplained,
+                base::TimePoint aNow) const;
+  bool CountsForPart(const LostAttempt& aAttempt, base::TimePoint aNow) const;
   // Upstreams whose loss a quarantined part, or request, explains.
   std::set<uint64_t> UpstreamsCrashedBy(bool aWholeRequests) const;
   std::vector<CauseKey> FindGuiltyParts(base::TimePoint aNow) const;
--- a/chivefront/routing/crash_quarantine_test.cc
+++ b/chivefront/routing/crash_quarantine_test.cc
@@ -29,22 +29,39 @@
   void Lose(uint64_t aRequest,
             int64_t aSentAt,
             const std::vector<CauseKey>& aParts,
-            bool aHeadRead = true)
+            bool aHeadRead = true,
+            bool aAnswerBegun = false)
   {
-    m_evidence.OnLoss(
-      { ++m_upstream, aRequest, aHeadRead, At(aSentAt), At(aSentAt + 100) },
-      aParts,
-      kRequests + aRequest);
+    m_evidence.OnLoss({ ++m_upstream,
+                        aRequest,
+                        aHeadRead,
+                        aAnswerBegun,
+                        At(aSentAt),
+                        At(aSentAt + 100) },
+                      aParts,
+                      kRequests + aRequest);
+  }
+  // The same after the upstream has begun to answer.
+  void LoseInAnswer(uint64_t aRequest,
+                    int64_t aSentAt,
+                    const std::vector<CauseKey>& aParts)
+  {
+    m_evidence.OnBegun(aParts, At(aSentAt + 80));
+    Lose(aRequest, aSentAt, aParts, true, true);
   }
   // An upstream ends 100 ms after it got the requests in aInFlight.
   void LoseUpstream(int64_t aSentAt, const std::vector<CauseKey>& aInFlight)
   {
     ++m_upstream;
     for (const CauseKey request : aInFlight) {
-      m_evidence.OnLoss(
-        { m_upstream, ++m_attempt, false, At(aSentAt), At(aSentAt + 100) },
-        {},
-        request);
+      m_evidence.OnLoss({ m_upstream,
+                          ++m_attempt,
+                          false,
+                          false,
+                          At(aSentAt),
+                          At(aSentAt + 100) },
+                        {},
+                        request);
     }
   }
   // Reports twice, as entries do.
@@ -106,7 +123,7 @@
 {
   for (int i = 0; i < 6; ++i) {
     Lose(static_cast<uint64_t>(i), i * 200, { kShared, kTainted });
-    m_evidence.OnBegun({ kShared }, kSound, At(i * 200 + 150));
+    m_evidence.OnBegun({ kShared }, At(i * 200 + 150));
   }
   const std::set<CauseKey> parts = Decide(2000);
   BOOST_TEST(parts.count(kTainted) == 1U);
@@ -118,13 +135,14 @@
 // prompts any more (LOST on salins-booking with a share of 0.2, seed 7).
 BOOST_FIXTURE_TEST_CASE(CommonPartIsNotBlamedWhileAllUpstreamsAreDown, Fixture)
 {
-  m_evidence.OnBegun({ kShared }, kSound, At(0));
+  m_evidence.OnBegun({ kShared }, At(0));
   for (int i = 0; i < 6; ++i) {
     Lose(static_cast<uint64_t>(i), 100 + i * 200, { kShared, kTainted });
     // A sound request waits at the same upstream.
     m_evidence.OnLoss({ m_upstream,
                         static_cast<uint64_t>(100 + i),
                         false,
+                        false,
                         At(100 + i * 200),
                         At(200 + i * 200) },
                       { kShared },
@@ -167,6 +185,45 @@
   BOOST_TEST(Decide(2600).count(kTainted) == 1U);
 }
 
+// Guards against a prompt part that crashes upstreams after the first event of
+// an answer: each answer that began erased the losses of the part.
+BOOST_FIXTURE_TEST_CASE(PartThatCrashesDuringAnswersIsQuarantined, Fixture)
+{
+  for (int i = 0; i < 3; ++i) {
+    LoseInAnswer(static_cast<uint64_t>(i), i * 500, { kShared, kTainted });
+    // Sound requests with the common part go on at other upstreams.
+    m_evidence.OnSurvived({ kShared }, At(i * 500 + 450));
+  }
+  BOOST_TEST(Decide(2000).empty()); // the upstreams may still be heard
+  const std::set<CauseKey> parts = Decide(3000);
+  BOOST_TEST(parts.count(kTainted) == 1U);
+  BOOST_TEST(parts.count(kShared) == 0U);
+}
+
+// Guards against the refusal of all requests of a route once answers that are
+// cut off count: while no answer clears the common part, the part that no
+// answer went on with explains the crashes.
+BOOST_FIXTURE_TEST_CASE(PartThatNoAnswerSurvivedIsBlamedFirst, Fixture)
+{
+  m_evidence.OnSurvived({ kShared }, At(-500));
+  for (int i = 0; i < 3; ++i) {
+    LoseInAnswer(static_cast<uint64_t>(i), i * 500, { kShared, kTainted });
+  }
+  const std::set<CauseKey> parts = Decide(3000);
+  BOOST_TEST(parts == std::set<CauseKey>{ kTainted });
+}
+
+// Guards against blaming a part for connections that are reset during answers
+// while the upstreams live.
+BOOST_FIXTURE_TEST_CASE(ResetsDuringAnswersAreNoCrashes, Fixture)
+{
+  for (int i = 0; i < 6; ++i) {
+    LoseInAnswer(static_cast<uint64_t>(i), i * 500, { kShared });
+    m_quarantine.OnHeard(m_upstream, At(i * 500 + 900));
+  }
+  BOOST_TEST(Decide(6000).empty());
+}
+
 // Guards against a new leader that lets requests with a known tainted part
 // through, because it has seen no losses itself.
 BOOST_AUTO_TEST_CASE(NewLeaderAdoptsDecisions)
@@ -192,13 +249,43 @@
   BOOST_TEST(requests == std::set<CauseKey>{ kDeadly });
 }
 
+// Guards against a request that crashes each upstream during its answer and is
+// never refused: the beginning of an answer erased the losses known before, and
+// a loss after it was not recorded.
+BOOST_FIXTURE_TEST_CASE(RequestThatCrashesDuringAnswersIsQuarantined, Fixture)
+{
+  for (int i = 0; i < 3; ++i) {
+    LoseInAnswer(0, i * 1000, {});
+  }
+  BOOST_TEST(DecideRequests(2500).empty()); // the last upstream may be heard
+  const std::set<CauseKey> requests = DecideRequests(4000);
+  BOOST_TEST(requests == std::set<CauseKey>{ kDeadly });
+}
+
+// Guards against the report of an entry of an earlier release, which names the
+// beginning of answers to whole requests: it must not clear them.
+BOOST_AUTO_TEST_CASE(BeginningOfAnAnswerDoesNotClearARequest)
+{
+  CrashQuarantine quarantine;
+  for (uint64_t i = 0; i < 3; ++i) {
+    const int64_t sentAt = static_cast<int64_t>(i) * 1000;
+    CrashReport report;
+    const LostAttempt attempt{ i, i, true, true, At(sentAt), At(sentAt + 100) };
+    report.m_losses.push_back({ kDeadly, attempt, true });
+    report.m_begun[kDeadly] = At(sentAt + 500);
+    quarantine.Record(report);
+  }
+  (void)quarantine.Update(At(4000));
+  BOOST_TEST(quarantine.Quarantined().count(kDeadly) == 1U);
+}
+
 // Guards against blaming sound requests that ran beside the one that crashes
 // upstreams: they are answered at another upstream.
 BOOST_FIXTURE_TEST_CASE(SoundRequestsInFlightAreNotBlamed, Fixture)
 {
   for (int i = 0; i < 4; ++i) {
     LoseUpstream(i * 1000, { kSound, kDeadly });
-    m_evidence.OnBegun({}, kSound, At(i * 1000 + 500));
+    m_evidence.OnAnswered({}, kSound, At(i * 1000 + 500));
   }
   const std::set<CauseKey> requests = DecideRequests(8000);
   BOOST_TEST(requests == std::set<CauseKey>{ kDeadly });
@@ -209,12 +296,12 @@
 BOOST_FIXTURE_TEST_CASE(LossesOfAnsweredRequestsAreNotReported, Fixture)
 {
   LoseUpstream(0, { kSound, kDeadly });
-  m_evidence.OnBegun({}, kSound, At(500));
+  m_evidence.OnAnswered({}, kSound, At(500));
   const CrashReport report = m_evidence.Report({ kSound }, At(600));
   BOOST_REQUIRE(report.m_losses.size() == 1U);
   BOOST_TEST(report.m_losses.front().m_cause == kDeadly);
   // The leader may know the loss already, so it is told of the answer.
-  BOOST_TEST(report.m_begun.count(kSound) == 1U);
+  BOOST_TEST(report.m_survived.count(kSound) == 1U);
 }
 
 // Guards against blaming a request for connections that break while the
--- a/chivefront/site/messages.cc
+++ b/chivefront/site/messages.cc
@@ -180,6 +180,32 @@
   return static_cast<uint32_t>(std::max<int64_t>(0, (aNow - aTime).Count()));
 }
 
+using TimesOfCauses = std::map<routing::CauseKey, base::TimePoint>;
+using PartSeenRows = std::vector<std::unique_ptr<wire::PartSeenT>>;
+
+PartSeenRows
+ToSeenRows(const TimesOfCauses& aTimes, base::TimePoint aNow)
+{
+  PartSeenRows rows;
+  for (const auto& [cause, time] : aTimes) {
+    auto row = std::make_unique<wire::PartSeenT>();
+    row->part = cause;
+    row->age_ms = AgeMillis(time, aNow);
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+TimesOfCauses
+FromSeenRows(const PartSeenRows& aRows, base::TimePoint aNow)
+{
+  TimesOfCauses times;
+  for (const auto& row : aRows) {
+    times[row->part] = aNow - base::Millis(row->age_ms);
+  }
+  return times;
+}
+
 } // namespace
 
 void
@@ -196,14 +222,11 @@
     row->sent_age_ms = AgeMillis(loss.m_attempt.m_sentAt, aNow);
     row->lost_age_ms = AgeMillis(loss.m_attempt.m_lostAt, aNow);
     row->whole_request = loss.m_wholeRequest;
+    row->answer_begun = loss.m_attempt.m_answerBegun;
     aRequest.part_losses.push_back(std::move(row));
   }
-  for (const auto& [part, begunAt] : aReport.m_begun) {
-    auto row = std::make_unique<wire::PartBegunT>();
-    row->part = part;
-    row->age_ms = AgeMillis(begunAt, aNow);
-    aRequest.parts_begun.push_back(std::move(row));
-  }
+  aRequest.parts_begun = ToSeenRows(aReport.m_begun, aNow);
+  aRequest.parts_survived = ToSeenRows(aReport.m_survived, aNow);
 }
 
 routing::CrashReport
@@ -214,13 +237,13 @@
     const routing::LostAttempt attempt{ row->upstream,
                                         row->request,
                                         row->head_read,
+                                        row->answer_begun,
                                         aNow - base::Millis(row->sent_age_ms),
                                         aNow - base::Millis(row->lost_age_ms) };
     report.m_losses.push_back({ row->part, attempt, row->whole_request });
   }
-  for (const auto& row : aRequest.parts_begun) {
-    report.m_begun[row->part] = aNow - base::Millis(row->age_ms);
-  }
+  report.m_begun = FromSeenRows(aRequest.parts_begun, aNow);
+  report.m_survived = FromSeenRows(aRequest.parts_survived, aNow);
   return report;
 }
 
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -60,9 +60,9 @@
 struct PartLossBuilder;
 struct PartLossT;
 
-struct PartBegun;
-struct PartBegunBuilder;
-struct PartBegunT;
+struct PartSeen;
+struct PartSeenBuilder;
+struct PartSeenT;
 
 struct QuarantinedPart;
 struct QuarantinedPartBuilder;
@@ -2456,6 +2456,7 @@
   uint32_t sent_age_ms = 0;
   uint32_t lost_age_ms = 0;
   bool whole_request = false;
+  bool answer_begun = false;
 };
 
 struct PartLoss FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2469,7 +2470,8 @@
     VT_HEAD_READ = 10,
     VT_SENT_AGE_MS = 12,
     VT_LOST_AGE_MS = 14,
-    VT_WHOLE_REQUEST = 16
+    VT_WHOLE_REQUEST = 16,
+    VT_ANSWER_BEGUN = 18
   };
   uint64_t part() const {
     return GetField<uint64_t>(VT_PART, 0);
@@ -2492,6 +2494,9 @@
   bool whole_request() const {
     return GetField<uint8_t>(VT_WHOLE_REQUEST, 0) != 0;
   }
+  bool answer_begun() const {
+    return GetField<uint8_t>(VT_ANSWER_BEGUN, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_PART, 8) &&
@@ -2501,6 +2506,7 @@
            VerifyField<uint32_t>(verifier, VT_SENT_AGE_MS, 4) &&
            VerifyField<uint32_t>(verifier, VT_LOST_AGE_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_WHOLE_REQUEST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWER_BEGUN, 1) &&
            verifier.EndTable();
   }
   PartLossT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2533,6 +2539,9 @@
   void add_whole_request(bool whole_request) {
     fbb_.AddElement<uint8_t>(PartLoss::VT_WHOLE_REQUEST, static_cast<uint8_t>(whole_request), 0);
   }
+  void add_answer_begun(bool answer_begun) {
+    fbb_.AddElement<uint8_t>(PartLoss::VT_ANSWER_BEGUN, static_cast<uint8_t>(answer_begun), 0);
+  }
   explicit PartLossBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2552,13 +2561,15 @@
     bool head_read = false,
     uint32_t sent_age_ms = 0,
     uint32_t lost_age_ms = 0,
-    bool whole_request = false) {
+    bool whole_request = false,
+    bool answer_begun = false) {
   PartLossBuilder builder_(_fbb);
   builder_.add_request(request);
   builder_.add_upstream(upstream);
   builder_.add_part(part);
   builder_.add_lost_age_ms(lost_age_ms);
   builder_.add_sent_age_ms(sent_age_ms);
+  builder_.add_answer_begun(answer_begun);
   builder_.add_whole_request(whole_request);
   builder_.add_head_read(head_read);
   return builder_.Finish();
@@ -2571,15 +2582,15 @@
 
 flatbuffers::Offset<PartLoss> CreatePartLoss(flatbuffers::FlatBufferBuilder &_fbb, const PartLossT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct PartBegunT : public flatbuffers::NativeTable {
-  typedef PartBegun TableType;
+struct PartSeenT : public flatbuffers::NativeTable {
+  typedef PartSeen TableType;
   uint64_t part = 0;
   uint32_t age_ms = 0;
 };
 
-struct PartBegun FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef PartBegunT NativeTableType;
-  typedef PartBegunBuilder Builder;
+struct PartSeen FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartSeenT NativeTableType;
+  typedef PartSeenBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_PART = 4,
@@ -2597,48 +2608,48 @@
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
            verifier.EndTable();
   }
-  PartBegunT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(PartBegunT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<PartBegun> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  PartSeenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PartSeenT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PartSeen> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartSeenT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct PartBegunBuilder {
-  typedef PartBegun Table;
+struct PartSeenBuilder {
+  typedef PartSeen Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_part(uint64_t part) {
-    fbb_.AddElement<uint64_t>(PartBegun::VT_PART, part, 0);
+    fbb_.AddElement<uint64_t>(PartSeen::VT_PART, part, 0);
   }
   void add_age_ms(uint32_t age_ms) {
-    fbb_.AddElement<uint32_t>(PartBegun::VT_AGE_MS, age_ms, 0);
+    fbb_.AddElement<uint32_t>(PartSeen::VT_AGE_MS, age_ms, 0);
   }
-  explicit PartBegunBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  explicit PartSeenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<PartBegun> Finish() {
+  flatbuffers::Offset<PartSeen> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<PartBegun>(end);
+    auto o = flatbuffers::Offset<PartSeen>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<PartBegun> CreatePartBegun(
+inline flatbuffers::Offset<PartSeen> CreatePartSeen(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t part = 0,
     uint32_t age_ms = 0) {
-  PartBegunBuilder builder_(_fbb);
+  PartSeenBuilder builder_(_fbb);
   builder_.add_part(part);
   builder_.add_age_ms(age_ms);
   return builder_.Finish();
 }
 
-struct PartBegun::Traits {
-  using type = PartBegun;
-  static auto constexpr Create = CreatePartBegun;
+struct PartSeen::Traits {
+  using type = PartSeen;
+  static auto constexpr Create = CreatePartSeen;
 };
 
-flatbuffers::Offset<PartBegun> CreatePartBegun(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<PartSeen> CreatePartSeen(flatbuffers::FlatBufferBuilder &_fbb, const PartSeenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct QuarantinedPartT : public flatbuffers::NativeTable {
   typedef QuarantinedPart TableType;
@@ -2983,12 +2994,13 @@
   std::vector<std::unique_ptr<chivefront::wire::HolderReportT>> reports{};
   uint64_t have_number = 0;
   std::vector<std::unique_ptr<chivefront::wire::PartLossT>> part_losses{};
-  std::vector<std::unique_ptr<chivefront::wire::PartBegunT>> parts_begun{};
+  std::vector<std::unique_ptr<chivefront::wire::PartSeenT>> parts_begun{};
   std::vector<std::unique_ptr<chivefront::wire::QuarantinedPartT>> quarantined_parts{};
   std::vector<std::unique_ptr<chivefront::wire::RequestLimitT>> request_limits{};
   std::vector<std::unique_ptr<chivefront::wire::PermitRequestT>> permits{};
   uint32_t live_entries = 0;
   bool fetches_documents = false;
+  std::vector<std::unique_ptr<chivefront::wire::PartSeenT>> parts_survived{};
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3015,7 +3027,8 @@
     VT_REQUEST_LIMITS = 28,
     VT_PERMITS = 30,
     VT_LIVE_ENTRIES = 32,
-    VT_FETCHES_DOCUMENTS = 34
+    VT_FETCHES_DOCUMENTS = 34,
+    VT_PARTS_SURVIVED = 36
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3047,8 +3060,8 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>> *part_losses() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>> *>(VT_PART_LOSSES);
   }
-  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *parts_begun() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *>(VT_PARTS_BEGUN);
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_begun() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *>(VT_PARTS_BEGUN);
   }
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *>(VT_QUARANTINED_PARTS);
@@ -3065,6 +3078,9 @@
   bool fetches_documents() const {
     return GetField<uint8_t>(VT_FETCHES_DOCUMENTS, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *>(VT_PARTS_SURVIVED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3098,6 +3114,9 @@
            verifier.VerifyVectorOfTables(permits()) &&
            VerifyField<uint32_t>(verifier, VT_LIVE_ENTRIES, 4) &&
            VerifyField<uint8_t>(verifier, VT_FETCHES_DOCUMENTS, 1) &&
+           VerifyOffset(verifier, VT_PARTS_SURVIVED) &&
+           verifier.VerifyVector(parts_survived()) &&
+           verifier.VerifyVectorOfTables(parts_survived()) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3139,7 +3158,7 @@
   void add_part_losses(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>>> part_losses) {
     fbb_.AddOffset(WatchRequest::VT_PART_LOSSES, part_losses);
   }
-  void add_parts_begun(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>>> parts_begun) {
+  void add_parts_begun(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_begun) {
     fbb_.AddOffset(WatchRequest::VT_PARTS_BEGUN, parts_begun);
   }
   void add_quarantined_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts) {
@@ -3157,6 +3176,9 @@
   void add_fetches_documents(bool fetches_documents) {
     fbb_.AddElement<uint8_t>(WatchRequest::VT_FETCHES_DOCUMENTS, static_cast<uint8_t>(fetches_documents), 0);
   }
+  void add_parts_survived(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived) {
+    fbb_.AddOffset(WatchRequest::VT_PARTS_SURVIVED, parts_survived);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3180,18 +3202,20 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::HolderReport>>> reports = 0,
     uint64_t have_number = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartLoss>>> part_losses = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartBegun>>> parts_begun = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_begun = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>> quarantined_parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits = 0,
     uint32_t live_entries = 0,
-    bool fetches_documents = false) {
+    bool fetches_documents = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived = 0) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_have_revision(have_revision);
+  builder_.add_parts_survived(parts_survived);
   builder_.add_live_entries(live_entries);
   builder_.add_permits(permits);
   builder_.add_request_limits(request_limits);
@@ -3223,20 +3247,22 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::HolderReport>> *reports = nullptr,
     uint64_t have_number = 0,
     const std::vector<flatbuffers::Offset<chivefront::wire::PartLoss>> *part_losses = nullptr,
-    const std::vector<flatbuffers::Offset<chivefront::wire::PartBegun>> *parts_begun = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_begun = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> *quarantined_parts = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits = nullptr,
     uint32_t live_entries = 0,
-    bool fetches_documents = false) {
+    bool fetches_documents = false,
+    const std::vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived = nullptr) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
   auto part_losses__ = part_losses ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartLoss>>(*part_losses) : 0;
-  auto parts_begun__ = parts_begun ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartBegun>>(*parts_begun) : 0;
+  auto parts_begun__ = parts_begun ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>>(*parts_begun) : 0;
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>(*quarantined_parts) : 0;
   auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>>(*request_limits) : 0;
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>>(*permits) : 0;
+  auto parts_survived__ = parts_survived ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>>(*parts_survived) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       holder__,
@@ -3254,7 +3280,8 @@
       request_limits__,
       permits__,
       live_entries,
-      fetches_documents);
+      fetches_documents,
+      parts_survived__);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7617,6 +7644,7 @@
   { auto _e = sent_age_ms(); _o->sent_age_ms = _e; }
   { auto _e = lost_age_ms(); _o->lost_age_ms = _e; }
   { auto _e = whole_request(); _o->whole_request = _e; }
+  { auto _e = answer_begun(); _o->answer_begun = _e; }
 }
 
 inline flatbuffers::Offset<PartLoss> PartLoss::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartLossT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7634,6 +7662,7 @@
   auto _sent_age_ms = _o->sent_age_ms;
   auto _lost_age_ms = _o->lost_age_ms;
   auto _whole_request = _o->whole_request;
+  auto _answer_begun = _o->answer_begun;
   return chivefront::wire::CreatePartLoss(
       _fbb,
       _part,
@@ -7642,33 +7671,34 @@
       _head_read,
       _sent_age_ms,
       _lost_age_ms,
-      _whole_request);
+      _whole_request,
+      _answer_begun);
 }
 
-inline PartBegunT *PartBegun::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<PartBegunT>();
+inline PartSeenT *PartSeen::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PartSeenT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void PartBegun::UnPackTo(PartBegunT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void PartSeen::UnPackTo(PartSeenT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = part(); _o->part = _e; }
   { auto _e = age_ms(); _o->age_ms = _e; }
 }
 
-inline flatbuffers::Offset<PartBegun> PartBegun::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreatePartBegun(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<PartSeen> PartSeen::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartSeenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePartSeen(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<PartBegun> CreatePartBegun(flatbuffers::FlatBufferBuilder &_fbb, const PartBegunT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<PartSeen> CreatePartSeen(flatbuffers::FlatBufferBuilder &_fbb, const PartSeenT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartBegunT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartSeenT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _part = _o->part;
   auto _age_ms = _o->age_ms;
-  return chivefront::wire::CreatePartBegun(
+  return chivefront::wire::CreatePartSeen(
       _fbb,
       _part,
       _age_ms);
@@ -7822,13 +7852,15 @@
   part_losses.reserve(o.part_losses.size());
   for (const auto &part_losses_ : o.part_losses) { part_losses.emplace_back((part_losses_) ? new chivefront::wire::PartLossT(*part_losses_) : nullptr); }
   parts_begun.reserve(o.parts_begun.size());
-  for (const auto &parts_begun_ : o.parts_begun) { parts_begun.emplace_back((parts_begun_) ? new chivefront::wire::PartBegunT(*parts_begun_) : nullptr); }
+  for (const auto &parts_begun_ : o.parts_begun) { parts_begun.emplace_back((parts_begun_) ? new chivefront::wire::PartSeenT(*parts_begun_) : nullptr); }
   quarantined_parts.reserve(o.quarantined_parts.size());
   for (const auto &quarantined_parts_ : o.quarantined_parts) { quarantined_parts.emplace_back((quarantined_parts_) ? new chivefront::wire::QuarantinedPartT(*quarantined_parts_) : nullptr); }
   request_limits.reserve(o.request_limits.size());
   for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new chivefront::wire::RequestLimitT(*request_limits_) : nullptr); }
   permits.reserve(o.permits.size());
   for (const auto &permits_ : o.permits) { permits.emplace_back((permits_) ? new chivefront::wire::PermitRequestT(*permits_) : nullptr); }
+  parts_survived.reserve(o.parts_survived.size());
+  for (const auto &parts_survived_ : o.parts_survived) { parts_survived.emplace_back((parts_survived_) ? new chivefront::wire::PartSeenT(*parts_survived_) : nullptr); }
 }
 
 inline WatchRequestT &WatchRequestT::operator=(WatchRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -7848,6 +7880,7 @@
   std::swap(permits, o.permits);
   std::swap(live_entries, o.live_entries);
   std::swap(fetches_documents, o.fetches_documents);
+  std::swap(parts_survived, o.parts_survived);
   return *this;
 }
 
@@ -7870,12 +7903,13 @@
   { auto _e = reports(); if (_e) { _o->reports.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->reports[_i] = std::unique_ptr<chivefront::wire::HolderReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = have_number(); _o->have_number = _e; }
   { auto _e = part_losses(); if (_e) { _o->part_losses.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->part_losses[_i] = std::unique_ptr<chivefront::wire::PartLossT>(_e->Get(_i)->UnPack(_resolver)); } } }
-  { auto _e = parts_begun(); if (_e) { _o->parts_begun.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_begun[_i] = std::unique_ptr<chivefront::wire::PartBegunT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = parts_begun(); if (_e) { _o->parts_begun.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_begun[_i] = std::unique_ptr<chivefront::wire::PartSeenT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = quarantined_parts(); if (_e) { _o->quarantined_parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->quarantined_parts[_i] = std::unique_ptr<chivefront::wire::QuarantinedPartT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = request_limits(); if (_e) { _o->request_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->request_limits[_i] = std::unique_ptr<chivefront::wire::RequestLimitT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitRequestT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = live_entries(); _o->live_entries = _e; }
   { auto _e = fetches_documents(); _o->fetches_documents = _e; }
+  { auto _e = parts_survived(); if (_e) { _o->parts_survived.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_survived[_i] = std::unique_ptr<chivefront::wire::PartSeenT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7896,12 +7930,13 @@
   auto _reports = _o->reports.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>> (_o->reports.size(), [](size_t i, _VectorArgs *__va) { return CreateHolderReport(*__va->__fbb, __va->__o->reports[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _have_number = _o->have_number;
   auto _part_losses = _o->part_losses.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartLoss>> (_o->part_losses.size(), [](size_t i, _VectorArgs *__va) { return CreatePartLoss(*__va->__fbb, __va->__o->part_losses[i].get(), __va->__rehasher); }, &_va ) : 0;
-  auto _parts_begun = _o->parts_begun.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartBegun>> (_o->parts_begun.size(), [](size_t i, _VectorArgs *__va) { return CreatePartBegun(*__va->__fbb, __va->__o->parts_begun[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _parts_begun = _o->parts_begun.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>> (_o->parts_begun.size(), [](size_t i, _VectorArgs *__va) { return CreatePartSeen(*__va->__fbb, __va->__o->parts_begun[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _quarantined_parts = _o->quarantined_parts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>> (_o->quarantined_parts.size(), [](size_t i, _VectorArgs *__va) { return CreateQuarantinedPart(*__va->__fbb, __va->__o->quarantined_parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _request_limits = _o->request_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>> (_o->request_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRequestLimit(*__va->__fbb, __va->__o->request_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitRequest(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _live_entries = _o->live_entries;
   auto _fetches_documents = _o->fetches_documents;
+  auto _parts_survived = _o->parts_survived.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>> (_o->parts_survived.size(), [](size_t i, _VectorArgs *__va) { return CreatePartSeen(*__va->__fbb, __va->__o->parts_survived[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -7919,7 +7954,8 @@
       _request_limits,
       _permits,
       _live_entries,
-      _fetches_documents);
+      _fetches_documents,
+      _parts_survived);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
