Commit the leaving of an upstream before it is acknowledged

Cause: the registry is soft state that the next heartbeat renews, and an upstream that has left sends none. The acknowledgement came before the fact was on any disk or known to another process; the file of the registry then brought the upstream back, and entries outside the core kept their own record. Evidence: with logs, upstream_left in one control process and in none after the restart. Change: draining and unregistering are committed to the replicated log, through the leader, before they are acknowledged; otherwise the answer is 503. Each control process corrects its registry, and each record that it merges, from the log. The state of an incarnation never goes back.

--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -39,11 +39,16 @@
   if (!ClaimAddress(aRecord)) {
     return false;
   }
-  if (found != m_records.end() &&
-      found->second.m_instance.m_born != aRecord.m_born) {
-    RecordSuccession(found->second.m_instance, aRecord.m_reportedAt);
+  Instance merged = aRecord;
+  if (found != m_records.end()) {
+    const Instance& known = found->second.m_instance;
+    if (known.m_born != aRecord.m_born) {
+      RecordSuccession(known, aRecord.m_reportedAt);
+    } else if (aRecord.m_born != 0) { // 0: the incarnation is not known
+      merged.m_state = std::max(known.m_state, aRecord.m_state);
+    }
   }
-  Store(aRecord);
+  Store(std::move(merged));
   return true;
 }
 
@@ -80,9 +85,10 @@
 }
 
 void
-Registry::Store(const Instance& aRecord)
+Registry::Store(Instance aRecord)
 {
-  m_records[aRecord.m_id] = { aRecord, ++m_sequence };
+  Record& stored = m_records[aRecord.m_id];
+  stored = { std::move(aRecord), ++m_sequence };
 }
 
 // The end of an incarnation overtakes all its records: it has no number in
@@ -117,6 +123,23 @@
   return true;
 }
 
+bool
+Registry::MarkDraining(const std::string& aId, uint64_t aBorn)
+{
+  const auto found = m_records.find(aId);
+  if (found == m_records.end()) {
+    return false;
+  }
+  Instance& known = found->second.m_instance;
+  if (known.m_born != aBorn || known.m_state != InstanceState::Ready) {
+    return false;
+  }
+  known.m_state = InstanceState::Draining;
+  ++known.m_sequence; // entries that know the older record go by it
+  found->second.m_changed = ++m_sequence;
+  return true;
+}
+
 std::vector<Instance>
 Registry::ChangedSince(uint64_t aSequence) const
 {
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -7,7 +7,8 @@
 //
 // An incarnation of an upstream is identified by its id and the time of its
 // start. Within an incarnation the record with the highest sequence number
-// wins, but nothing follows its end. Does no I/O; not thread-safe.
+// wins, but its state never goes back: one that drains does not become ready,
+// and nothing follows its end. Does no I/O; not thread-safe.
 #pragma once
 
 #include <cstdint>
@@ -81,6 +82,9 @@
   // known. aBorn 0: any incarnation that is known. Returns false when nothing
   // changed.
   bool Remove(const std::string& aId, uint64_t aBorn, base::TimePoint aNow);
+  // Marks the incarnation as draining if it is known as ready. Returns false
+  // when nothing changed.
+  bool MarkDraining(const std::string& aId, uint64_t aBorn);
 
   bool IsFull() const { return m_records.size() >= kMaxInstances; }
 
@@ -110,7 +114,7 @@
     uint64_t m_changed = 0; // value of m_sequence at the last change
   };
 
-  void Store(const Instance& aRecord);
+  void Store(Instance aRecord);
   // Marks an older incarnation at aRecord's address as gone. Returns false when
   // a younger incarnation has that address.
   bool ClaimAddress(const Instance& aRecord);
--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -38,6 +38,47 @@
   BOOST_TEST(kept);
 }
 
+// Guards against an upstream that drains and gets requests again: a record of
+// the same incarnation that names it as ready comes later. It stays known as
+// alive.
+BOOST_AUTO_TEST_CASE(DrainingIncarnationDoesNotBecomeReady)
+{
+  Registry registry;
+  Instance draining = Record("a", 10, 5);
+  draining.m_state = InstanceState::Draining;
+  registry.Merge(draining);
+  Instance ready = Record("a", 10, 6);
+  ready.m_reportedAt = ready.m_reportedAt + base::Millis(1000);
+  BOOST_TEST(registry.Merge(ready));
+  const Instance* known = registry.Find("a");
+  const bool drains = known->m_state == InstanceState::Draining;
+  BOOST_TEST(drains);
+  const bool alive = known->m_reportedAt == ready.m_reportedAt;
+  BOOST_TEST(alive);
+  // The next incarnation is ready.
+  BOOST_TEST(registry.Merge(Record("a", 20, 1)));
+  const bool isReady = registry.Find("a")->m_state == InstanceState::Ready;
+  BOOST_TEST(isReady);
+}
+
+// Guards against an entry that ignores the draining of an upstream that control
+// has learnt from its log: the record that the entry knows has the same number.
+BOOST_AUTO_TEST_CASE(MarkedDrainingReachesEntries)
+{
+  Registry control;
+  Registry entry;
+  control.Merge(Record("a", 10, 5));
+  entry.Merge(Record("a", 10, 5));
+  BOOST_TEST(!control.MarkDraining("a", 9));
+  BOOST_TEST(control.MarkDraining("a", 10));
+  BOOST_TEST(!control.MarkDraining("a", 10));
+  for (const Instance& changed : control.ChangedSince(0)) {
+    BOOST_TEST(entry.Merge(changed));
+  }
+  const bool drains = entry.Find("a")->m_state == InstanceState::Draining;
+  BOOST_TEST(drains);
+}
+
 // Guards against ignoring an upstream that restarted under its id: its sequence
 // numbers start from one again.
 BOOST_AUTO_TEST_CASE(LaterIncarnationOfAnIdWins)
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -8,13 +8,12 @@
 #include "chivefront/control/leadership_confirmer.h"
 #include "chivefront/control/peers.h"
 #include "chivefront/control/watcher_table.h"
-#include "chivefront/site/announcer.h"
 #include "chivefront/site/crash_coordinator.h"
 #include "chivefront/site/document_parts.h"
 #include "chivefront/site/group_reporter.h"
 #include "chivefront/site/messages.h"
 #include "chivefront/site/rate_coordinator.h"
-#include "chivefront/site/registry_file.h"
+#include "chivefront/site/registrations.h"
 #include "chivefront/site/rollout_supervisor.h"
 
 namespace chivefront::site {
@@ -22,7 +21,6 @@
 
 constexpr uint32_t kGroup = 0;
 constexpr base::Millis kTickPeriod{ 200 };
-constexpr base::Millis kSavePeriod{ 1000 };
 // How long a graceful stop waits for another replica to become the leader.
 constexpr base::Millis kTransferTimeout{ 1500 };
 constexpr base::Millis kTransferPollPeriod{ 30 };
@@ -61,14 +59,16 @@
     , m_replica(m_group)
     , m_confirmer(m_replica)
     , m_groupReporter(m_options.m_voters, aMetrics, aLog)
-    , m_registryFile(m_options.m_folder + "/upstreams")
     , m_watchCounter(aMetrics.AddCounter("chivefront_site_watches_total",
                                          "Polls of entries answered."))
-    , m_registrationCounter(
-        aMetrics.AddCounter("chivefront_site_registrations_total",
-                            "Records of upstreams taken in."))
     , m_commandCounter(aMetrics.AddCounter("chivefront_site_orders_total",
                                            "Commands proposed."))
+    , m_registrations(aContext,
+                      MakeRegistrationsOptions(),
+                      m_peers,
+                      m_store,
+                      aLog,
+                      aMetrics)
   {
   }
 
@@ -81,7 +81,7 @@
       m_log.Record("link_open",
                    base::LogCategory::State,
                    { { "peer", aLink->Peer().m_process } });
-      m_announcer.AnnounceAll(aLink->Peer().m_process);
+      m_registrations.OnLinkOpen(aLink->Peer().m_process);
     };
     handlers.m_onMessage = [this](const net::Link::Pointer& aLink,
                                   wire::MessageT aMessage) {
@@ -115,15 +115,26 @@
     return options;
   }
 
+  RegistrationsOptions MakeRegistrationsOptions()
+  {
+    RegistrationsOptions options;
+    options.m_name = Name();
+    options.m_folder = m_options.m_folder;
+    options.m_diskless = m_options.m_diskless;
+    options.m_leader = [this] { return m_group.Status().m_leader; };
+    options.m_commit = [this](Command aCommand) {
+      return Commit(std::move(aCommand));
+    };
+    return options;
+  }
+
   void Handle(const net::Link::Pointer& aLink, wire::MessageT& aMessage);
   void OnWatch(const net::Link::Pointer& aLink,
                uint64_t aCorrelation,
                const wire::WatchRequestT& aRequest);
-  void OnAnnounce(const wire::AnnounceRequestT& aRequest);
+  net::Task<absl::StatusOr<Outcome>> Commit(Command aCommand);
   std::set<std::string> OtherControlProcesses() const;
   net::Task<bool> OnTick();
-  void LoadRegistry();
-  void SaveRegistry(base::TimePoint aNow);
 
   net::asio::io_context& m_context;
   const NodeOptions m_options;
@@ -137,19 +148,10 @@
   control::GroupReplica m_replica;
   control::LeadershipConfirmer m_confirmer;
   GroupReporter m_groupReporter;
-  RegistryFile m_registryFile;
   base::Counter& m_watchCounter;
-  base::Counter& m_registrationCounter;
   base::Counter& m_commandCounter;
-  uint64_t m_savedSequence = 0; // of m_registry
-  base::TimePoint m_savedAt;
-  const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
-  routing::Registry m_registry;
-  Announcer m_announcer{ m_context.get_executor(),
-                         Name(),
-                         m_peers,
-                         m_registry,
-                         m_clock };
+  Registrations m_registrations;
+  const uint64_t m_epoch = base::RandomBits(); // of the registry's numbers
   control::WatcherTable m_watchers;
   RolloutSupervisor m_rolloutSupervisor{
     m_watchers,
@@ -178,10 +180,8 @@
                                                     *body.AsDocumentRequest()));
       return;
     case wire::Body::AnnounceRequest:
-      OnAnnounce(*body.AsAnnounceRequest());
-      if (aMessage.correlation != 0) { // 0: a release without acknowledgements
-        (void)aLink->Reply(aMessage.correlation, wire::AnnounceReplyT());
-      }
+      m_registrations.OnAnnounce(
+        aLink, aMessage.correlation, *body.AsAnnounceRequest());
       return;
     case wire::Body::RaftEnvelope: {
       const wire::RaftEnvelopeT& envelope = *body.AsRaftEnvelope();
@@ -237,32 +237,31 @@
   const bool known = aRequest.registry_epoch == m_epoch;
   const uint64_t since = known ? aRequest.registry_sequence : 0;
   reply.registry_epoch = m_epoch;
-  reply.registry_sequence = m_registry.Sequence();
-  for (const routing::Instance& instance : m_registry.ChangedSince(since)) {
+  const routing::Registry& registry = m_registrations.Known();
+  reply.registry_sequence = registry.Sequence();
+  for (const routing::Instance& instance : registry.ChangedSince(since)) {
     reply.upstreams.push_back(
       std::make_unique<wire::UpstreamInfoT>(ToWire(instance, now)));
   }
-  m_crashCoordinator.Answer(aRequest, m_registry, now, reply);
+  m_crashCoordinator.Answer(aRequest, registry, now, reply);
   m_rateCoordinator.Answer(aRequest, reply.fresh, now, reply);
   (void)aLink->Reply(aCorrelation, std::move(reply));
 }
 
-void
-Node::Impl::OnAnnounce(const wire::AnnounceRequestT& aRequest)
+net::Task<absl::StatusOr<Outcome>>
+Node::Impl::Commit(Command aCommand)
 {
-  const base::TimePoint now = m_clock.Now();
-  for (const auto& info : aRequest.upstreams) {
-    routing::Instance record;
-    if (!FromWire(*info, now, record)) {
-      m_log.Record("instance_unreadable",
-                   base::LogCategory::Failure,
-                   { { "upstream", info->name }, { "peer", aRequest.agent } });
-      continue;
-    }
-    if (m_registry.Merge(record)) {
-      m_registrationCounter.Increment();
-    }
+  using Result = absl::StatusOr<std::string>;
+  m_commandCounter.Increment();
+  std::function<void(std::function<void(Result)>)> propose =
+    [this, text = Encode(aCommand)](std::function<void(Result)> aDone) {
+      m_replica.Propose(text, std::move(aDone));
+    };
+  const Result result = co_await net::AwaitCallback<Result>(std::move(propose));
+  if (!result.ok()) {
+    co_return result.status();
   }
+  co_return DecodeOutcome(*result);
 }
 
 // Names of all other control processes that this process knows.
@@ -278,41 +277,12 @@
   return names;
 }
 
-void
-Node::Impl::LoadRegistry()
-{
-  const absl::Status loaded = m_registryFile.Load(m_registry, m_clock.Now());
-  m_log.Record("registry_loaded",
-               base::LogCategory::State,
-               { { "result", base::MessageOf(loaded) } });
-}
-
-void
-Node::Impl::SaveRegistry(base::TimePoint aNow)
-{
-  if (m_options.m_diskless || m_registry.Sequence() == m_savedSequence ||
-      aNow - m_savedAt < detail::kSavePeriod) {
-    return;
-  }
-  m_savedSequence = m_registry.Sequence();
-  m_savedAt = aNow;
-  if (const absl::Status status = m_registryFile.Save(m_registry, aNow);
-      !status.ok()) {
-    m_log.Record("registry_not_saved",
-                 base::LogCategory::State,
-                 { { "why", base::MessageOf(status) } });
-  }
-}
-
 net::Task<bool>
 Node::Impl::OnTick()
 {
   const base::TimePoint now = m_clock.Now();
-  m_registry.Expire(now);
-  m_announcer.SetPeers(OtherControlProcesses());
-  m_announcer.Retry();
-  m_rateCoordinator.Expire(m_registry, now);
-  SaveRegistry(now);
+  m_registrations.OnTick(now, OtherControlProcesses());
+  m_rateCoordinator.Expire(m_registrations.Known(), now);
   m_groupReporter.Report(m_group.Status());
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
@@ -351,9 +321,7 @@
       !status.ok()) {
     return status;
   }
-  if (!m_impl->m_options.m_diskless) {
-    m_impl->LoadRegistry();
-  }
+  m_impl->m_registrations.Load();
   for (const std::string& seed : m_impl->m_options.m_seeds) {
     (void)m_impl->m_peers.LinkOrConnect(seed);
   }
@@ -367,17 +335,7 @@
 net::Task<absl::StatusOr<Outcome>>
 Node::Commit(Command aCommand)
 {
-  using Result = absl::StatusOr<std::string>;
-  m_impl->m_commandCounter.Increment();
-  std::function<void(std::function<void(Result)>)> propose =
-    [this, text = Encode(aCommand)](std::function<void(Result)> aDone) {
-      m_impl->m_replica.Propose(text, std::move(aDone));
-    };
-  const Result result = co_await net::AwaitCallback<Result>(std::move(propose));
-  if (!result.ok()) {
-    co_return result.status();
-  }
-  co_return DecodeOutcome(*result);
+  return m_impl->Commit(std::move(aCommand));
 }
 
 net::Task<absl::StatusOr<std::shared_ptr<const State>>>
@@ -413,50 +371,16 @@
   return m_impl->m_group.IsLeader();
 }
 
-absl::Status
-Node::Register(const routing::Instance& aRecord)
+net::Task<absl::Status>
+Node::Register(routing::Instance aRecord)
 {
-  const routing::Instance* known = m_impl->m_registry.Find(aRecord.m_id);
-  const bool changed = known == nullptr || known->m_state != aRecord.m_state ||
-                       known->m_born != aRecord.m_born;
-  if (!m_impl->m_registry.Merge(aRecord)) {
-    if (m_impl->m_registry.Find(aRecord.m_id) == nullptr &&
-        m_impl->m_registry.IsFull()) {
-      return base::MakeError(base::ErrorKind::Overloaded,
-                             "too many upstreams are registered");
-    }
-    return absl::OkStatus();
-  }
-  m_impl->m_registrationCounter.Increment();
-  if (changed) {
-    m_impl->m_log.Record(
-      "upstream_registered",
-      base::LogCategory::State,
-      { { "upstream", aRecord.m_id },
-        { "service", aRecord.m_service },
-        { "address", aRecord.m_address.ToString() },
-        { "version", aRecord.m_version },
-        { "state", routing::kInstanceStateNames.Name(aRecord.m_state) },
-        { "sequence", aRecord.m_sequence } });
-  }
-  m_impl->m_announcer.Announce(aRecord.m_id);
-  return absl::OkStatus();
+  return m_impl->m_registrations.Register(std::move(aRecord));
 }
 
-absl::Status
-Node::Unregister(const std::string& aId, uint64_t aBorn)
+net::Task<absl::Status>
+Node::Unregister(std::string aId, uint64_t aBorn)
 {
-  routing::Registry& registry = m_impl->m_registry;
-  if (registry.Remove(aId, aBorn, m_impl->m_clock.Now())) {
-    m_impl->m_log.Record(
-      "upstream_left", base::LogCategory::State, { { "upstream", aId } });
-    m_impl->m_announcer.Announce(aId);
-  }
-  if (registry.Find(aId) == nullptr) {
-    return base::MakeError(base::ErrorKind::Unavailable,
-                           "the upstream is not known here");
-  }
-  return absl::OkStatus();
+  return m_impl->m_registrations.Unregister(std::move(aId), aBorn);
 }
 
 void
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -75,12 +75,14 @@
   bool IsLeader() const;
 
   // Merges an upstream's registration and sends it to the other control
-  // processes. An outdated record is no error. Returns Overloaded if there is
-  // no room for another upstream.
-  absl::Status Register(const routing::Instance& aRecord);
-  // Marks an upstream as gone. aBorn 0: any incarnation; returns Unavailable if
-  // none is known here, as another control process may know one.
-  absl::Status Unregister(const std::string& aId, uint64_t aBorn);
+  // processes. An outdated record is no error. When the upstream drains,
+  // returns only once that is durable. Returns Overloaded if there is no room
+  // for another upstream, Unavailable if it is not known whether it is durable.
+  net::Task<absl::Status> Register(routing::Instance aRecord);
+  // Marks an upstream as gone, and returns once that is durable. aBorn 0: any
+  // incarnation. Returns Unavailable if it is not known whether it is durable,
+  // or if aBorn is 0 and no incarnation is known here.
+  net::Task<absl::Status> Unregister(std::string aId, uint64_t aBorn);
 
   // Adds control processes to connect to, after a reload of the settings.
   void AddSeeds(const std::vector<std::string>& aNames);
--- a/chivefront/site/store.cc
+++ b/chivefront/site/store.cc
@@ -48,6 +48,24 @@
   };
 }
 
+json::object
+ToJson(const Departure& aDeparture)
+{
+  const std::string_view state =
+    routing::kInstanceStateNames.Name(aDeparture.m_state);
+  return { { "upstream", aDeparture.m_upstream },
+           { "born", aDeparture.m_born },
+           { "state", std::string(state) },
+           { "recorded_at", aDeparture.m_recordedAt },
+           { "number", aDeparture.m_number } };
+}
+
+json::object
+ToJson(const RecordDeparture& aCommand)
+{
+  return { { "departure", ToJson(aCommand.m_departure) } };
+}
+
 std::string
 Text(const json::object& aObject, const char* aName)
 {
@@ -61,6 +79,17 @@
   return stage.value_or(RolloutStage::RolledBack);
 }
 
+Departure
+DepartureOf(const json::object& aObject)
+{
+  const auto state = routing::kInstanceStateNames.Find(Text(aObject, "state"));
+  return { Text(aObject, "upstream"),
+           aObject.at("born").to_number<uint64_t>(),
+           state.value_or(routing::InstanceState::Gone),
+           aObject.at("recorded_at").to_number<int64_t>(),
+           aObject.at("number").to_number<uint64_t>() };
+}
+
 // Throws when aText is not an encoded command.
 Command
 Decode(std::string_view aText)
@@ -81,6 +110,9 @@
                          base::Millis(fields.at("span_ms").as_int64()),
                          fields.at("ordered_at").as_int64() };
   }
+  if (kind == "departure") {
+    return RecordDeparture{ DepartureOf(fields) };
+  }
   return EndRollout{ Text(fields, "service"),
                      Text(fields, "version"),
                      StageOf(fields) };
@@ -125,6 +157,7 @@
 {
   auto next = std::make_shared<State>(*Current());
   const uint64_t before = next->m_revision;
+  const auto departuresBefore = next->m_departures;
   Outcome outcome = Outcome::Unknown;
   try {
     outcome =
@@ -133,7 +166,7 @@
   } catch (const std::exception&) {
     outcome = Outcome::Unknown; // reported to the proposer
   }
-  if (next->m_revision != before) {
+  if (next->m_revision != before || next->m_departures != departuresBefore) {
     const std::lock_guard lock(m_lock);
     m_state = std::move(next);
   }
@@ -198,6 +231,16 @@
   return Outcome::Accepted;
 }
 
+Outcome
+Store::Execute(State& aState, const RecordDeparture& aCommand) const
+{
+  auto departures = std::make_shared<Departures>(*aState.m_departures);
+  if (departures->Record(aCommand.m_departure)) {
+    aState.m_departures = std::move(departures);
+  }
+  return Outcome::Accepted;
+}
+
 // A replica that applies the command when it is committed sees an age of about
 // zero. A replica that replays its log later can only use the wall clock.
 base::TimePoint
@@ -225,10 +268,15 @@
         { "ordered_at", rollout.m_orderedAt },
         { "stage", std::string(kRolloutStageNames.Name(rollout.m_stage)) } });
   }
+  json::array departures;
+  state->m_departures->ForEachAfter(0, [&](const Departure& aDeparture) {
+    departures.push_back(ToJson(aDeparture));
+  });
   json::object snapshot{ { "revision", state->m_revision },
                          { "number", state->m_number },
                          { "domains_out", std::move(domains) },
-                         { "rollouts", std::move(rollouts) } };
+                         { "rollouts", std::move(rollouts) },
+                         { "departures", std::move(departures) } };
   if (state->m_document) {
     snapshot["document"] = *state->m_document;
   }
@@ -263,6 +311,13 @@
                                                   LocalTimeOf(orderedAt,
                                                               span) };
     }
+    if (fields.contains("departures")) { // not in those of older releases
+      auto departures = std::make_shared<Departures>();
+      for (const json::value& item : fields.at("departures").as_array()) {
+        departures->Restore(DepartureOf(item.as_object()));
+      }
+      state->m_departures = std::move(departures);
+    }
   } catch (const std::exception& error) {
     return base::MakeError(base::ErrorKind::Corrupt, error.what());
   }
--- a/chivefront/site/store.h
+++ b/chivefront/site/store.h
@@ -1,5 +1,6 @@
 // The replicated state of a deployment whose configuration is one numbered
-// document: the document, failure domains out of service, and roll-outs.
+// document: the document, failure domains out of service, roll-outs, and
+// upstreams that have said that they leave.
 //
 //   site::Store store;                          // passed to a consensus group
 //   group.Propose(site::Encode(site::Configure{ 7, text }), done);
@@ -22,6 +23,7 @@
 #include "chivefront/base/clock.h"
 #include "chivefront/base/names.h"
 #include "chivefront/consensus/group.h"
+#include "chivefront/site/departures.h"
 
 namespace chivefront::site {
 
@@ -65,7 +67,13 @@
   RolloutStage m_stage = RolloutStage::RolledBack;
 };
 
-using Command = std::variant<Configure, SetDomain, StartRollout, EndRollout>;
+struct RecordDeparture
+{
+  Departure m_departure;
+};
+
+using Command =
+  std::variant<Configure, SetDomain, StartRollout, EndRollout, RecordDeparture>;
 
 std::string
 Encode(const Command& aCommand);
@@ -98,6 +106,9 @@
   std::shared_ptr<const std::string> m_document; // null: none yet
   std::set<std::string> m_domainsOut;
   std::map<std::string, Rollout> m_rollouts; // by service
+  // Never null. Not counted in m_revision: entries learn it with the registry.
+  std::shared_ptr<const Departures> m_departures =
+    std::make_shared<const Departures>();
 };
 
 class Store final : public consensus::StateMachine
@@ -117,6 +128,7 @@
   Outcome Execute(State& aState, const SetDomain& aCommand) const;
   Outcome Execute(State& aState, const StartRollout& aCommand) const;
   Outcome Execute(State& aState, const EndRollout& aCommand) const;
+  Outcome Execute(State& aState, const RecordDeparture& aCommand) const;
   base::TimePoint LocalTimeOf(int64_t aOrderedAt, base::Millis aSpan) const;
 
   const base::Clock& m_clock;
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -3810,6 +3810,7 @@
   std::string failure_domain{};
   uint64_t incarnation = 0;
   std::vector<std::unique_ptr<chivefront::wire::UpstreamInfoT>> upstreams{};
+  bool until_durable = false;
   AnnounceRequestT() = default;
   AnnounceRequestT(const AnnounceRequestT &o);
   AnnounceRequestT(AnnounceRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3825,7 +3826,8 @@
     VT_AGENT_ADDRESS = 6,
     VT_FAILURE_DOMAIN = 8,
     VT_INCARNATION = 10,
-    VT_UPSTREAMS = 12
+    VT_UPSTREAMS = 12,
+    VT_UNTIL_DURABLE = 14
   };
   const flatbuffers::String *agent() const {
     return GetPointer<const flatbuffers::String *>(VT_AGENT);
@@ -3842,6 +3844,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> *upstreams() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> *>(VT_UPSTREAMS);
   }
+  bool until_durable() const {
+    return GetField<uint8_t>(VT_UNTIL_DURABLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_AGENT) &&
@@ -3854,6 +3859,7 @@
            VerifyOffset(verifier, VT_UPSTREAMS) &&
            verifier.VerifyVector(upstreams()) &&
            verifier.VerifyVectorOfTables(upstreams()) &&
+           VerifyField<uint8_t>(verifier, VT_UNTIL_DURABLE, 1) &&
            verifier.EndTable();
   }
   AnnounceRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3880,6 +3886,9 @@
   void add_upstreams(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>> upstreams) {
     fbb_.AddOffset(AnnounceRequest::VT_UPSTREAMS, upstreams);
   }
+  void add_until_durable(bool until_durable) {
+    fbb_.AddElement<uint8_t>(AnnounceRequest::VT_UNTIL_DURABLE, static_cast<uint8_t>(until_durable), 0);
+  }
   explicit AnnounceRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3897,13 +3906,15 @@
     flatbuffers::Offset<flatbuffers::String> agent_address = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     uint64_t incarnation = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>> upstreams = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>> upstreams = 0,
+    bool until_durable = false) {
   AnnounceRequestBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
   builder_.add_upstreams(upstreams);
   builder_.add_failure_domain(failure_domain);
   builder_.add_agent_address(agent_address);
   builder_.add_agent(agent);
+  builder_.add_until_durable(until_durable);
   return builder_.Finish();
 }
 
@@ -3918,7 +3929,8 @@
     const char *agent_address = nullptr,
     const char *failure_domain = nullptr,
     uint64_t incarnation = 0,
-    const std::vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> *upstreams = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> *upstreams = nullptr,
+    bool until_durable = false) {
   auto agent__ = agent ? _fbb.CreateString(agent) : 0;
   auto agent_address__ = agent_address ? _fbb.CreateString(agent_address) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
@@ -3929,7 +3941,8 @@
       agent_address__,
       failure_domain__,
       incarnation,
-      upstreams__);
+      upstreams__,
+      until_durable);
 }
 
 flatbuffers::Offset<AnnounceRequest> CreateAnnounceRequest(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3937,6 +3950,7 @@
 struct AnnounceReplyT : public flatbuffers::NativeTable {
   typedef AnnounceReply TableType;
   uint32_t time_to_live_ms = 0;
+  bool durable = false;
 };
 
 struct AnnounceReply FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3944,14 +3958,19 @@
   typedef AnnounceReplyBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TIME_TO_LIVE_MS = 4
+    VT_TIME_TO_LIVE_MS = 4,
+    VT_DURABLE = 6
   };
   uint32_t time_to_live_ms() const {
     return GetField<uint32_t>(VT_TIME_TO_LIVE_MS, 0);
   }
+  bool durable() const {
+    return GetField<uint8_t>(VT_DURABLE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_TIME_TO_LIVE_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_DURABLE, 1) &&
            verifier.EndTable();
   }
   AnnounceReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3966,6 +3985,9 @@
   void add_time_to_live_ms(uint32_t time_to_live_ms) {
     fbb_.AddElement<uint32_t>(AnnounceReply::VT_TIME_TO_LIVE_MS, time_to_live_ms, 0);
   }
+  void add_durable(bool durable) {
+    fbb_.AddElement<uint8_t>(AnnounceReply::VT_DURABLE, static_cast<uint8_t>(durable), 0);
+  }
   explicit AnnounceReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3979,9 +4001,11 @@
 
 inline flatbuffers::Offset<AnnounceReply> CreateAnnounceReply(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint32_t time_to_live_ms = 0) {
+    uint32_t time_to_live_ms = 0,
+    bool durable = false) {
   AnnounceReplyBuilder builder_(_fbb);
   builder_.add_time_to_live_ms(time_to_live_ms);
+  builder_.add_durable(durable);
   return builder_.Finish();
 }
 
@@ -8161,7 +8185,8 @@
       : agent(o.agent),
         agent_address(o.agent_address),
         failure_domain(o.failure_domain),
-        incarnation(o.incarnation) {
+        incarnation(o.incarnation),
+        until_durable(o.until_durable) {
   upstreams.reserve(o.upstreams.size());
   for (const auto &upstreams_ : o.upstreams) { upstreams.emplace_back((upstreams_) ? new chivefront::wire::UpstreamInfoT(*upstreams_) : nullptr); }
 }
@@ -8172,6 +8197,7 @@
   std::swap(failure_domain, o.failure_domain);
   std::swap(incarnation, o.incarnation);
   std::swap(upstreams, o.upstreams);
+  std::swap(until_durable, o.until_durable);
   return *this;
 }
 
@@ -8189,6 +8215,7 @@
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = upstreams(); if (_e) { _o->upstreams.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->upstreams[_i] = std::unique_ptr<chivefront::wire::UpstreamInfoT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = until_durable(); _o->until_durable = _e; }
 }
 
 inline flatbuffers::Offset<AnnounceRequest> AnnounceRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8204,13 +8231,15 @@
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   auto _incarnation = _o->incarnation;
   auto _upstreams = _o->upstreams.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>> (_o->upstreams.size(), [](size_t i, _VectorArgs *__va) { return CreateUpstreamInfo(*__va->__fbb, __va->__o->upstreams[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _until_durable = _o->until_durable;
   return chivefront::wire::CreateAnnounceRequest(
       _fbb,
       _agent,
       _agent_address,
       _failure_domain,
       _incarnation,
-      _upstreams);
+      _upstreams,
+      _until_durable);
 }
 
 inline AnnounceReplyT *AnnounceReply::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -8223,6 +8252,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = time_to_live_ms(); _o->time_to_live_ms = _e; }
+  { auto _e = durable(); _o->durable = _e; }
 }
 
 inline flatbuffers::Offset<AnnounceReply> AnnounceReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnnounceReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8234,9 +8264,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const AnnounceReplyT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _time_to_live_ms = _o->time_to_live_ms;
+  auto _durable = _o->durable;
   return chivefront::wire::CreateAnnounceReply(
       _fbb,
-      _time_to_live_ms);
+      _time_to_live_ms,
+      _durable);
 }
 
 inline PinSessionT *PinSession::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
