Leave a seed that may not bootstrap out of the first membership

Cause: the seed is back empty and may not bootstrap. The others counted it as a member that is empty, prepared a membership with it, and waited for it for good. Evidence: with logs on, members_changed names no member in any process in 60 s, and no process leads. Change: a hello tells whether its sender may bootstrap. Seeds that may not are left out, like those without a disk, and join later; a membership that was prepared with one is given up. At most as many may be left out that any majority of the seeds with a disk contains one that remembers, so no second group arises beside one that has committed something.

--- a/chivefront/consensus/bootstrap.cc
+++ b/chivefront/consensus/bootstrap.cc
@@ -13,6 +13,13 @@
 // An initial member without a durable disk prepares nothing; the others form
 // the group without it.
 //
+// Nor does one that may not bootstrap: it has lost its disk since the first
+// start, or was restarted before it had prepared anything. The others form the
+// group without it, and it joins later. It may have been Active before its
+// loss, so any majority of the members with a disk must contain one that has
+// not lost its memory: that one would be Active too if anything had been
+// committed.
+//
 // When no initial member has a disk, another replica must form the group alone,
 // the founder. The initial members agree on it: each backs one founder for the
 // life of its process, the one with the smallest name the first replica that
@@ -43,6 +50,7 @@
   }
   hello.m_domain = m_options.m_domain;
   hello.m_diskless = m_options.m_diskless;
+  hello.m_mayBootstrap = m_options.m_mayBootstrap;
   if (aIsReply && m_options.m_targetVoters > 0) {
     hello.m_data = m_leader;
   }
@@ -101,9 +109,10 @@
   if (m_hardState.m_stage == Stage::Empty &&
       IsInitialMember(m_options.m_name) && m_options.m_mayBootstrap &&
       !m_options.m_diskless &&
-      m_emptyMembers.size() == m_options.m_initialMembers.size()) {
+      m_emptyMembers.size() == m_options.m_initialMembers.size() &&
+      RemembersCommits()) {
     for (const auto& [name, replica] : m_emptyMembers) {
-      if (!replica.m_diskless) {
+      if (!replica.m_diskless && m_joiningMembers.count(name) == 0) {
         m_hardState.m_initialMembers.push_back(replica);
       }
     }
@@ -123,6 +132,19 @@
   }
 }
 
+// Whether the members that may bootstrap would know if an earlier group of the
+// initial members had committed anything.
+bool
+RaftCore::RemembersCommits() const
+{
+  const auto withDisk = static_cast<size_t>(std::count_if(
+    m_emptyMembers.begin(), m_emptyMembers.end(), [](const auto& aItem) {
+      return !aItem.second.m_diskless;
+    }));
+  const size_t majority = withDisk / 2 + 1;
+  return m_joiningMembers.size() < majority;
+}
+
 // The new nonce invalidates replies to hellos of the previous stage.
 void
 RaftCore::EnterStage(Stage aStage)
@@ -131,6 +153,7 @@
   m_actions.m_saveHardState = true;
   m_helloNonce = m_random();
   m_emptyMembers.clear();
+  m_joiningMembers.clear();
   m_preparedMembers.clear();
   m_backers.clear();
 }
@@ -195,6 +218,29 @@
   }
 }
 
+// Whether the sender, an initial member with a disk, will never prepare the
+// membership that this replica has prepared: it is another replica than the one
+// in it, or it has prepared nothing and may not any more.
+bool
+RaftCore::WillNotPrepare(const Replica& aSender, const Message& aMessage) const
+{
+  if (aMessage.m_stage == Stage::Empty && !aMessage.m_mayBootstrap) {
+    return HasMemberNamed(aSender.m_name); // else it was left out
+  }
+  const auto& members = m_hardState.m_initialMembers;
+  return std::count(members.begin(), members.end(), aSender) == 0;
+}
+
+bool
+RaftCore::HasMemberNamed(const std::string& aName) const
+{
+  const auto& members = m_hardState.m_initialMembers;
+  return std::any_of(
+    members.begin(), members.end(), [&](const Replica& aMember) {
+      return aMember.m_name == aName;
+    });
+}
+
 // Handles the reply of another initial member to a hello of the current stage.
 void
 RaftCore::OnHelloReply(const std::string& aFrom, const Message& aMessage)
@@ -228,15 +274,17 @@
   } else if (m_hardState.m_stage == Stage::Empty) {
     // A replica that prepared a membership with this replica in it knew this
     // replica as empty, and was empty itself until then.
+    m_joiningMembers.erase(aFrom);
     if (aMessage.m_stage == Stage::Empty || includesThis) {
       m_emptyMembers[aFrom] = sender;
     } else {
       m_emptyMembers.erase(aFrom);
     }
+    if (aMessage.m_stage == Stage::Empty && !aMessage.m_mayBootstrap) {
+      m_joiningMembers.insert(aFrom);
+    }
     AdvanceBootstrap();
-  } else if (std::count(m_hardState.m_initialMembers.begin(),
-                        m_hardState.m_initialMembers.end(),
-                        sender) == 0) {
+  } else if (WillNotPrepare(sender, aMessage)) {
     m_hardState.m_initialMembers.clear();
     EnterStage(Stage::Empty);
   } else if (aMessage.m_stage == Stage::Prepared &&
--- a/chivefront/consensus/codec.cc
+++ b/chivefront/consensus/codec.cc
@@ -161,7 +161,8 @@
                                     entries,
                                     data,
                                     domain,
-                                    aMessage.m_diskless));
+                                    aMessage.m_diskless,
+                                    aMessage.m_mayBootstrap));
 }
 
 absl::StatusOr<Message>
@@ -190,6 +191,7 @@
   message.m_data = ToString(table->data());
   message.m_domain = ToString(table->domain());
   message.m_diskless = table->diskless();
+  message.m_mayBootstrap = table->may_bootstrap();
   return message;
 }
 
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -243,6 +243,9 @@
   Replica Self() const;
   Message MakeHello(bool aIsReply) const;
   void AdvanceBootstrap();
+  bool RemembersCommits() const;
+  bool WillNotPrepare(const Replica& aSender, const Message& aMessage) const;
+  bool HasMemberNamed(const std::string& aName) const;
   void EnterStage(Stage aStage);
   void Activate();
   void OnHelloReply(const std::string& aFrom, const Message& aMessage);
@@ -334,6 +337,8 @@
   uint64_t m_helloNonce = 0; // of the hellos sent in the current stage
   // The initial members known to be empty, by name.
   std::map<std::string, Replica> m_emptyMembers;
+  // Names of those in m_emptyMembers that have a disk and may not bootstrap.
+  std::set<std::string> m_joiningMembers;
   // Names of the initial members that prepared the same membership.
   std::set<std::string> m_preparedMembers;
   // On an initial member without a disk: the founder that it backs. Never
--- a/chivefront/consensus/raft_generated.hpp
+++ b/chivefront/consensus/raft_generated.hpp
@@ -470,6 +470,7 @@
   std::string data{};
   std::string domain{};
   bool diskless = false;
+  bool may_bootstrap = true;
   MessageT() = default;
   MessageT(const MessageT &o);
   MessageT(MessageT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -498,7 +499,8 @@
     VT_ENTRIES = 32,
     VT_DATA = 34,
     VT_DOMAIN = 36,
-    VT_DISKLESS = 38
+    VT_DISKLESS = 38,
+    VT_MAY_BOOTSTRAP = 40
   };
   chivefront::consensus::raft::MessageKind kind() const {
     return static_cast<chivefront::consensus::raft::MessageKind>(GetField<uint8_t>(VT_KIND, 0));
@@ -554,6 +556,9 @@
   bool diskless() const {
     return GetField<uint8_t>(VT_DISKLESS, 0) != 0;
   }
+  bool may_bootstrap() const {
+    return GetField<uint8_t>(VT_MAY_BOOTSTRAP, 1) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
@@ -580,6 +585,7 @@
            VerifyOffset(verifier, VT_DOMAIN) &&
            verifier.VerifyString(domain()) &&
            VerifyField<uint8_t>(verifier, VT_DISKLESS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_MAY_BOOTSTRAP, 1) &&
            verifier.EndTable();
   }
   MessageT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -645,6 +651,9 @@
   void add_diskless(bool diskless) {
     fbb_.AddElement<uint8_t>(Message::VT_DISKLESS, static_cast<uint8_t>(diskless), 0);
   }
+  void add_may_bootstrap(bool may_bootstrap) {
+    fbb_.AddElement<uint8_t>(Message::VT_MAY_BOOTSTRAP, static_cast<uint8_t>(may_bootstrap), 1);
+  }
   explicit MessageBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -675,7 +684,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::consensus::raft::Entry>>> entries = 0,
     flatbuffers::Offset<flatbuffers::String> data = 0,
     flatbuffers::Offset<flatbuffers::String> domain = 0,
-    bool diskless = false) {
+    bool diskless = false,
+    bool may_bootstrap = true) {
   MessageBuilder builder_(_fbb);
   builder_.add_hint(hint);
   builder_.add_round(round);
@@ -689,6 +699,7 @@
   builder_.add_data(data);
   builder_.add_entries(entries);
   builder_.add_members(members);
+  builder_.add_may_bootstrap(may_bootstrap);
   builder_.add_diskless(diskless);
   builder_.add_stage(stage);
   builder_.add_forced(forced);
@@ -722,7 +733,8 @@
     const std::vector<flatbuffers::Offset<chivefront::consensus::raft::Entry>> *entries = nullptr,
     const char *data = nullptr,
     const char *domain = nullptr,
-    bool diskless = false) {
+    bool diskless = false,
+    bool may_bootstrap = true) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Member>>(*members) : 0;
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::consensus::raft::Entry>>(*entries) : 0;
   auto data__ = data ? _fbb.CreateString(data) : 0;
@@ -746,7 +758,8 @@
       entries__,
       data__,
       domain__,
-      diskless);
+      diskless,
+      may_bootstrap);
 }
 
 flatbuffers::Offset<Message> CreateMessage(flatbuffers::FlatBufferBuilder &_fbb, const MessageT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1193,7 +1206,8 @@
         stage(o.stage),
         data(o.data),
         domain(o.domain),
-        diskless(o.diskless) {
+        diskless(o.diskless),
+        may_bootstrap(o.may_bootstrap) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new chivefront::consensus::raft::MemberT(*members_) : nullptr); }
   entries.reserve(o.entries.size());
@@ -1219,6 +1233,7 @@
   std::swap(data, o.data);
   std::swap(domain, o.domain);
   std::swap(diskless, o.diskless);
+  std::swap(may_bootstrap, o.may_bootstrap);
   return *this;
 }
 
@@ -1249,6 +1264,7 @@
   { auto _e = data(); if (_e) _o->data = _e->str(); }
   { auto _e = domain(); if (_e) _o->domain = _e->str(); }
   { auto _e = diskless(); _o->diskless = _e; }
+  { auto _e = may_bootstrap(); _o->may_bootstrap = _e; }
 }
 
 inline flatbuffers::Offset<Message> Message::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MessageT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1277,6 +1293,7 @@
   auto _data = _o->data.empty() ? 0 : _fbb.CreateString(_o->data);
   auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
   auto _diskless = _o->diskless;
+  auto _may_bootstrap = _o->may_bootstrap;
   return chivefront::consensus::raft::CreateMessage(
       _fbb,
       _kind,
@@ -1296,7 +1313,8 @@
       _entries,
       _data,
       _domain,
-      _diskless);
+      _diskless,
+      _may_bootstrap);
 }
 
 inline LogRecordT::LogRecordT(const LogRecordT &o)
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -29,7 +29,8 @@
   }
   options.m_diskless = m_layout.m_diskless.count(aName) > 0;
   options.m_mayBootstrap =
-    m_layout.m_diskless.empty() || m_hosts.at(aName).m_starts == 0;
+    (m_layout.m_diskless.empty() && !m_layout.m_onlyFirstStartBootstraps) ||
+    m_hosts.at(aName).m_starts == 0;
   options.m_replaceAfter = base::Millis(1500);
   options.m_fastFirstElection = isDynamic;
   // Small limits, so that short runs start new segments, compact the log and
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -24,6 +24,9 @@
   // Hosts without a durable disk: each start begins with an empty folder. With
   // such hosts, only the first start of a host may bootstrap the group.
   std::set<std::string> m_diskless;
+  // Only the first start of a host may bootstrap the group, also if all hosts
+  // have disks.
+  bool m_onlyFirstStartBootstraps = false;
   // Small, so that short runs send snapshots in several chunks.
   size_t m_snapshotChunkBytes = 200;
 };
--- a/chivefront/consensus/types.h
+++ b/chivefront/consensus/types.h
@@ -79,6 +79,8 @@
   // disk.
   std::string m_domain;
   bool m_diskless = false;
+  // Hello: the sender may take part in a bootstrap.
+  bool m_mayBootstrap = true;
 };
 
 inline bool
