Read load reports that have a fourth figure

Cause: a load header with four figures was taken for unreadable, so the choice counted only the entry's own requests there. Change: three or four figures are read; the fourth, the time that work takes on the host, is kept for the choice. Test LoadWithAndWithoutSlowdown fails before.

--- a/chivefront/proxy/header_codec.h
+++ b/chivefront/proxy/header_codec.h
@@ -56,6 +56,8 @@
   uint32_t m_running = 0;
   uint32_t m_waiting = 0;
   uint32_t m_slots = 0;
+  // How many times as long as usual work takes on the upstream's host now.
+  std::optional<double> m_slowdown;
 };
 
 // Headers of an upstream's response.
