Let the timeouts of heads and streams follow what answers take

Change: routing/adaptive_timeout.h; the timeout of a head per route and model, and of the pauses of streams per model, is at least mean and four deviations.

--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -60,7 +60,15 @@
   }
   const auto promptReadMs = static_cast<int64_t>(m_metadata.m_promptTokens /
                                                  detail::kMinPromptTokensPerMs);
-  return m_route->m_goal / 2 + base::Millis(promptReadMs);
+  const base::Millis idleTimeout =
+    m_route->m_goal / 2 + base::Millis(promptReadMs);
+  return std::max(idleTimeout, HeadTimeoutOf(CurrentModel()).Value());
+}
+
+routing::AdaptiveTimeout&
+Exchange::HeadTimeoutOf(const std::string& aModel) const
+{
+  return m_shared.m_headTimeouts[{ m_route->m_name, aModel }];
 }
 
 // Calls OnStallTimer after aWait if the attempt is still running.
@@ -120,11 +128,14 @@
     LeaveUpstream(*aUpstream);
     return;
   }
+  const base::Millis usualPause =
+    m_shared.m_eventTimeouts[CurrentModel()].Value();
   const bool stalled =
     headReceived
       ? routing::IsStreamStalled(
-          estimate, m_route->m_pauseGoal, m_silentSince, now)
-      : routing::IsHeadOverdue(estimate, m_headTimeout, m_sentAt, now);
+          estimate, m_route->m_pauseGoal, m_silentSince, now, usualPause)
+      : routing::IsHeadOverdue(
+          estimate, m_headTimeout, m_sentAt, now, usualPause);
   if (m_writingToCaller || !stalled || !TryReserveRetry()) {
     StartStallTimer(aUpstream, routing::kSilenceTimeout);
     return;
@@ -138,6 +149,9 @@
       { "waited_ms", (now - m_sentAt).Count() },
       { "silent_ms", (now - m_silentSince).Count() },
       { "heard_ms", (now - estimate.LastReceivedAt()).Count() } });
+  if (!headReceived) {
+    HeadTimeoutOf(CurrentModel()).RecordAtLeast(now - m_sentAt);
+  }
   m_leftUpstream = true;
   LeaveUpstream(*aUpstream);
 }
@@ -171,8 +185,12 @@
 void
 Exchange::RecordProgress(Upstream& aUpstream)
 {
-  m_silentSince = m_shared.m_clock.Now();
-  aUpstream.m_estimate.OnBytesReceived(m_silentSince);
+  const base::TimePoint now = m_shared.m_clock.Now();
+  if (m_route->m_stream) {
+    m_shared.m_eventTimeouts[CurrentModel()].Record(now - m_silentSince);
+  }
+  m_silentSince = now;
+  aUpstream.m_estimate.OnBytesReceived(now);
 }
 
 void
@@ -190,6 +208,7 @@
   m_headReceivedAt = m_shared.m_clock.Now();
   m_silentSince = m_headReceivedAt;
   m_chunkCount = 0;
+  HeadTimeoutOf(CurrentModel()).Record(m_headReceivedAt - m_sentAt);
   const auto waited =
     static_cast<double>((m_headReceivedAt - m_sentAt).Count());
   const double cost = detail::kFixedCostTokens + m_metadata.m_promptTokens;
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -11,6 +11,7 @@
 #include "chivefront/proxy/header_codec.h"
 #include "chivefront/proxy/held_bytes.h"
 #include "chivefront/proxy/upstreams.h"
+#include "chivefront/routing/adaptive_timeout.h"
 #include "chivefront/routing/budget.h"
 #include "chivefront/routing/crash_evidence.h"
 #include "chivefront/routing/latency_baselines.h"
@@ -113,6 +114,11 @@
   base::TimePoint m_drainEnd; // while draining: when running requests are ended
   routing::LatencyBaselines m_baselines{};
   routing::SlowThreshold m_slowThreshold{}; // of answers, by route and model
+  // Of answer heads, by route and model.
+  std::map<std::pair<std::string, std::string>, routing::AdaptiveTimeout>
+    m_headTimeouts{};
+  // Of events within a stream, by model.
+  std::map<std::string, routing::AdaptiveTimeout> m_eventTimeouts{};
   // By service.
   std::map<std::string, routing::WindowedRetryBudget> m_retryBudgets;
 
--- a/chivefront/routing/silence.h
+++ b/chivefront/routing/silence.h
@@ -25,31 +25,36 @@
 }
 
 // Whether a stream without events since aLastEvent should be resumed at another
-// upstream.
+// upstream. aUsualPause: the longest pause that is usual at present; a stream
+// that is resumed sooner gains nothing, as its prompt is read again.
 inline bool
 IsStreamStalled(const UpstreamEstimate& aEstimate,
                 base::Millis aPauseGoal,
                 base::TimePoint aLastEvent,
-                base::TimePoint aNow)
+                base::TimePoint aNow,
+                base::Millis aUsualPause = base::Millis(0))
 {
   const base::Millis pause = aNow - aLastEvent;
-  const base::Millis timeout = StallTimeout(aPauseGoal);
+  const base::Millis timeout = std::max(StallTimeout(aPauseGoal), aUsualPause);
   const bool active = aNow - aEstimate.LastReceivedAt() < timeout;
   return pause >= (active ? timeout * kActiveUpstreamFactor : timeout);
 }
 
 // Whether a request that has waited for the head of its answer since aSent
 // should be retried elsewhere. aHeadTimeout: how long a healthy upstream may
-// take.
+// take. aUsualPause: as above; the streams of an upstream may pause while it
+// reads a long prompt.
 inline bool
 IsHeadOverdue(const UpstreamEstimate& aEstimate,
               base::Millis aHeadTimeout,
               base::TimePoint aSent,
-              base::TimePoint aNow)
+              base::TimePoint aNow,
+              base::Millis aUsualPause = base::Millis(0))
 {
   const base::Millis waited = aNow - aSent;
   return waited >= aHeadTimeout ||
-         (waited >= kSilenceTimeout && aEstimate.IsSilent(aNow));
+         (waited >= kSilenceTimeout && aEstimate.IsSilent(aNow) &&
+          aNow - aEstimate.LastReceivedAt() >= aUsualPause);
 }
 
 } // namespace chivefront::routing
