Keep the fixed head timeout, adapt only the pauses of streams

Change: the head timeout is half a goal plus reading time again; the pause of streams stays adaptive.

--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -60,9 +60,7 @@
   }
   const auto promptReadMs = static_cast<int64_t>(m_metadata.m_promptTokens /
                                                  detail::kMinPromptTokensPerMs);
-  const base::Millis idleTimeout =
-    m_route->m_goal / 2 + base::Millis(promptReadMs);
-  return std::max(idleTimeout, HeadTimeoutOf(CurrentModel()).Value());
+  return m_route->m_goal / 2 + base::Millis(promptReadMs);
 }
 
 routing::AdaptiveTimeout&
