Take a reset after a failed write, and strange statuses, for no answer

Cause: the write of a long request took the reset from the socket, so the read saw an orderly end, which ends an answer without a length. Statuses 000 and 099 were skipped as interim answers, 600 and above were passed on; the product's client took all of them, and 1xx, as final.

--- a/chivefront/net/http.h
+++ b/chivefront/net/http.h
@@ -53,6 +53,21 @@
   std::string m_body;
 };
 
+// Whether aStatus is one of HTTP, interim ones included. Parsers also accept
+// other numbers of three digits.
+constexpr bool
+IsHttpStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus < 600;
+}
+
+// Whether an answer with aStatus is followed by the final one.
+constexpr bool
+IsInterimStatus(unsigned aStatus)
+{
+  return aStatus >= 100 && aStatus < 200;
+}
+
 // The first value of a header, by case-insensitive name; empty when absent.
 std::string_view
 FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
--- a/chivefront/net/http_client.cc
+++ b/chivefront/net/http_client.cc
@@ -2,6 +2,7 @@
 #include "chivefront/net/http_client.h"
 
 #include <array>
+#include <optional>
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -20,6 +21,7 @@
 namespace detail {
 
 constexpr size_t kReadBufferBytes = 16 * 1024;
+constexpr int kMaxInterimAnswers = 3;
 
 absl::Status
 ClientError(base::ErrorKind aKind, const beast::error_code& aError)
@@ -37,7 +39,6 @@
     : m_stream(aExecutor)
     , m_timeouts(aTimeouts)
   {
-    m_parser.body_limit(boost::none);
   }
 
   Task<absl::Status> Connect(const base::Endpoint& aEndpoint)
@@ -87,31 +88,51 @@
     if (error) {
       co_return ClientError(base::ErrorKind::LinkClosed, error);
     }
-    co_await http::async_read_header(
-      m_stream,
-      m_buffer,
-      m_parser,
-      asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_return ClientError(base::ErrorKind::LinkClosed, error);
-    }
-    for (const auto& field : m_parser.get()) {
-      m_headers.emplace_back(field.name_string(), field.value());
+    co_return co_await ReadHead();
+  }
+
+  // Reads the head of the final answer.
+  Task<absl::Status> ReadHead()
+  {
+    for (int i = 0; i < kMaxInterimAnswers; ++i) {
+      m_parser.emplace();
+      m_parser->body_limit(boost::none);
+      beast::error_code error;
+      co_await http::async_read_header(
+        m_stream,
+        m_buffer,
+        *m_parser,
+        asio::redirect_error(asio::use_awaitable, error));
+      if (error) {
+        co_return ClientError(base::ErrorKind::LinkClosed, error);
+      }
+      const unsigned status = m_parser->get().result_int();
+      if (!IsHttpStatus(status)) {
+        break;
+      }
+      if (IsInterimStatus(status)) {
+        continue;
+      }
+      for (const auto& field : m_parser->get()) {
+        m_headers.emplace_back(field.name_string(), field.value());
+      }
+      co_return absl::OkStatus();
     }
-    co_return absl::OkStatus();
+    co_return base::MakeError(base::ErrorKind::LinkClosed,
+                              "no final status of HTTP");
   }
 
   int Status() const override
   {
-    return static_cast<int>(m_parser.get().result_int());
+    return static_cast<int>(m_parser->get().result_int());
   }
   const HttpHeaders& Headers() const override { return m_headers; }
 
   Task<absl::StatusOr<std::string>> Read() override
   {
     std::string piece;
-    while (piece.empty() && !m_parser.is_done()) {
-      auto& body = m_parser.get().body();
+    while (piece.empty() && !m_parser->is_done()) {
+      auto& body = m_parser->get().body();
       body.data = m_readBuffer.data();
       body.size = m_readBuffer.size();
       m_stream.expires_after(m_timeouts.m_piece.ToChrono());
@@ -119,7 +140,7 @@
       co_await http::async_read_some(
         m_stream,
         m_buffer,
-        m_parser,
+        *m_parser,
         asio::redirect_error(asio::use_awaitable, error));
       if (error && error != http::error::need_buffer) {
         co_return ClientError(base::ErrorKind::AnswerIncomplete, error);
@@ -135,7 +156,8 @@
   beast::tcp_stream m_stream;
   const HttpTimeouts m_timeouts;
   ReadBuffer m_buffer;
-  http::response_parser<http::buffer_body> m_parser;
+  // Of the current head; set once the request has been written.
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
   HttpHeaders m_headers;
   std::array<char, kReadBufferBytes> m_readBuffer{};
 };
--- a/chivefront/proxy/status_promise_test.cc
+++ b/chivefront/proxy/status_promise_test.cc
@@ -54,3 +54,24 @@
   m_far.AddScript(kGoodResponse);
   BOOST_TEST(Contains(Call(MakeRequest("once")), "good"));
 }
+
+// Guards against an answer that has no status of HTTP and reaches the caller.
+// The request may have run, so only one that may run again is sent elsewhere.
+BOOST_AUTO_TEST_CASE(AnswerWithoutAStatusIsNone)
+{
+  for (const std::string status : { "000", "099", "103", "600" }) {
+    const std::string answer =
+      "HTTP/1.1 " + status +
+      " X\r\nId: $ID\r\nSeal: s\r\nContent-Length: 0\r\n\r\n" +
+      kCloseConnection;
+    RunningEntry entry;
+    entry.m_near.AddScript(answer);
+    entry.m_far.AddScript(kGoodResponse);
+    BOOST_TEST(Contains(entry.Call(MakeRequest("plain")), "good"), status);
+    RunningEntry once;
+    once.m_near.AddScript(answer);
+    BOOST_TEST(Contains(once.Call(MakeRequest("once")), "HTTP/1.1 502"),
+               status);
+    BOOST_TEST(once.m_far.m_requests.empty(), status);
+  }
+}
--- a/chivefront/proxy/upstream_connection.cc
+++ b/chivefront/proxy/upstream_connection.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include "chivefront/base/errors.h"
+#include "chivefront/net/http.h"
 
 namespace chivefront::proxy {
 namespace http = boost::beast::http;
@@ -150,8 +151,12 @@
     if (error) {
       co_return detail::MakeNetworkError(base::ErrorKind::LinkClosed, error);
     }
-    constexpr unsigned kFirstFinalStatus = 200;
-    if (m_parser->get().result_int() >= kFirstFinalStatus) {
+    const unsigned status = m_parser->get().result_int();
+    if (!net::IsHttpStatus(status)) {
+      co_return base::MakeError(base::ErrorKind::BadFrame,
+                                "status " + std::to_string(status));
+    }
+    if (!net::IsInterimStatus(status)) {
       ReadKeepAliveTimeout();
       co_return absl::OkStatus();
     }
@@ -197,6 +202,12 @@
     }
     chunk.assign(m_bodyBuffer.data(), m_bodyBuffer.size() - body.size);
   }
+  // The failed write has taken the socket's error, so a reset looks like the
+  // end of the connection, which is all that ends such a body.
+  if (chunk.empty() && !m_requestWritten && EndsWithConnection()) {
+    co_return base::MakeError(base::ErrorKind::AnswerIncomplete,
+                              "the request could not be written");
+  }
   co_return chunk;
 }
 
