Learn the reading pace of each model

Cause: the choice assumed 125 prompt tokens a millisecond for every model, while models differ by a factor of 10.

Change: routing::ReadingPace fits a line (fixed delay + tokens / pace) below most of the latest 96 samples of a service and model, so that queueing and batch delays do not count. Samples count tokens that the upstream certainly read: the unshared part of the prompt, if it is at least half of it. Requests without a model keep the constant.

--- a/chivefront/proxy/exchange_choice.cc
+++ b/chivefront/proxy/exchange_choice.cc
@@ -50,6 +50,8 @@
     criteria.m_streamVersion = m_streamVersion;
   }
   const std::string model = CurrentModel();
+  criteria.m_choice.m_tokensPerMs =
+    m_shared.m_readingPace.TokensPerMs({ m_service->m_name, model });
   for (size_t i = 0; i + 1 < m_metadata.m_promptParts.size(); ++i) {
     const PromptPart& part = m_metadata.m_promptParts[i];
     criteria.m_choice.m_sharedParts.push_back(
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -8,6 +8,8 @@
 #include "chivefront/routing/silence.h"
 
 namespace chivefront::proxy {
+namespace http = boost::beast::http;
+
 namespace detail {
 
 // Prompt tokens that the largest model of an idle upstream reads at least, per
@@ -42,6 +44,20 @@
   return ids;
 }
 
+// Prompt tokens that an upstream certainly read: those of no other request.
+// Returns 0 if the upstream may have had most of the prompt cached, because the
+// time to the answer then shows nothing of its pace.
+double
+TokensCertainlyRead(const RequestMetadata& aMetadata)
+{
+  double shared = 0;
+  for (size_t i = 0; i + 1 < aMetadata.m_promptParts.size(); ++i) {
+    shared += aMetadata.m_promptParts[i].m_tokens;
+  }
+  const double unshared = aMetadata.m_promptTokens - shared;
+  return unshared >= shared ? unshared : 0;
+}
+
 } // namespace detail
 
 // How long to wait for the head of a response before another upstream is tried.
@@ -197,6 +213,12 @@
     "head/" + m_route->m_name + "/" + CurrentModel(), (waited + 1) / cost);
   m_slowResponse = ratio > detail::kSlowResponseRatio;
   aUpstream.m_estimate.OnLatencyRatio(ratio, m_headReceivedAt);
+  const std::string model = CurrentModel();
+  if (!model.empty() && m_connection->Head().result() == http::status::ok) {
+    m_shared.m_readingPace.Record({ m_service->m_name, model },
+                                  detail::TokensCertainlyRead(m_metadata),
+                                  m_headReceivedAt - m_sentAt);
+  }
 }
 
 // Records the mean time between the chunks of a stream.
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -14,6 +14,7 @@
 #include "chivefront/routing/budget.h"
 #include "chivefront/routing/crash_evidence.h"
 #include "chivefront/routing/latency_baselines.h"
+#include "chivefront/routing/reading_pace.h"
 #include "chivefront/routing/slow_threshold.h"
 #include "chivefront/site/watch.h"
 
@@ -113,6 +114,7 @@
   base::TimePoint m_drainEnd; // while draining: when running requests are ended
   routing::LatencyBaselines m_baselines{};
   routing::SlowThreshold m_slowThreshold{}; // of answers, by route and model
+  routing::ReadingPace m_readingPace{};
   // By service.
   std::map<std::string, routing::WindowedRetryBudget> m_retryBudgets;
 
--- a/chivefront/routing/choice.h
+++ b/chivefront/routing/choice.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "chivefront/routing/reading_pace.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/routing/upstream_estimate.h"
 
@@ -24,7 +25,8 @@
 {
   std::string m_ownDomain;                     // failure domain of the entry
   std::vector<SharedPromptPart> m_sharedParts; // in the order of the prompt
-  double m_tokensPerMs = 125; // prompt tokens that an idle upstream reads
+  // Prompt tokens of the request's model that an idle upstream reads.
+  double m_tokensPerMs = kInitialTokensPerMs;
 };
 
 struct Candidate
