Choose by the expected time to the first token

Cause: the choice counted waiting prompts, not the time that they take, and knew neither the memory of an upstream nor the slowdown of its host.

Change: an upstream's estimate holds the reading time of this entry's sends that await their heads, by priority (of less urgent ones only the prompt that may be under way counts), and the tokens of its running requests. Waiting requests of others count with the mean of the own. Tokens beyond 90% of the memory count with the time to read them again. When it is reported, two of the upstreams of about equal delay are drawn and the better one is taken. A prompt that has a model and that another upstream would have to read again counts 1.5 times; while the first upstream of its rendezvous hash is loaded, the second and the third have the same advantage. Requests without a model count 80 ms per waiting prompt, as before.

No effect on a whole system was measured.

--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -210,7 +210,8 @@
   EventSplitter m_eventSplitter;
   // Response of the last attempt that ended with UpstreamError.
   std::optional<UpstreamError> m_upstreamError;
-  base::TimePoint m_chosenAt; // the upstream of the running attempt
+  routing::RequestCost m_cost; // of the running attempt
+  base::TimePoint m_chosenAt;  // the upstream of the running attempt
   base::TimePoint m_sentAt;
   bool m_headPending = false; // counted as waiting for a head in the estimate
   base::TimePoint m_headReceivedAt; // of the running attempt; unset before it
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -94,7 +94,9 @@
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_triedUpstreams.push_back(m_lastUpstream);
   m_chosenAt = m_shared.m_clock.Now();
-  aUpstream->m_estimate.OnSent();
+  m_cost =
+    routing::CostAt(aUpstream->m_estimate, Criteria().m_choice, m_chosenAt);
+  aUpstream->m_estimate.OnSent(m_cost);
   m_headPending = true;
   AttemptResult result = co_await SendAndReceive(aUpstream);
   m_stallTimer.cancel();
@@ -102,7 +104,7 @@
   if (m_abortReason == AbortReason::DeadlineExceeded) {
     CountForVersion(*aUpstream, false);
   }
-  aUpstream->m_estimate.OnEnded();
+  aUpstream->m_estimate.OnEnded(m_cost);
   m_eventSplitter.Restart();
   if (m_connection) {
     if (m_abortReason == AbortReason::None && !m_metadata.m_attemptId.empty()) {
@@ -223,8 +225,10 @@
   const unsigned status = m_connection->Head().result_int();
   m_responseStatus = static_cast<int>(status);
   if (metadata.m_load) {
-    aUpstream.m_estimate.OnLoad(
-      metadata.m_load->m_running, metadata.m_load->m_waiting, now);
+    aUpstream.m_estimate.OnLoad(metadata.m_load->m_running,
+                                metadata.m_load->m_waiting,
+                                now,
+                                metadata.m_load->m_slowdown);
   }
   if (!metadata.m_wrongUpstream) {
     RecordRequestLimit(aUpstream, metadata.m_requestLimit);
--- a/chivefront/proxy/exchange_choice.cc
+++ b/chivefront/proxy/exchange_choice.cc
@@ -52,6 +52,15 @@
   const std::string model = CurrentModel();
   criteria.m_choice.m_tokensPerMs =
     m_shared.m_readingPace.TokensPerMs({ m_service->m_name, model });
+  criteria.m_choice.m_priority = Priority();
+  if (!model.empty()) {
+    criteria.m_choice.m_promptTokens = m_metadata.m_promptTokens;
+    criteria.m_choice.m_maxAnswerTokens = m_metadata.m_maxAnswerTokens;
+  }
+  if (m_service->m_engine) {
+    criteria.m_choice.m_memoryTokens =
+      static_cast<double>(m_service->m_engine->m_cacheTokens);
+  }
   for (size_t i = 0; i + 1 < m_metadata.m_promptParts.size(); ++i) {
     const PromptPart& part = m_metadata.m_promptParts[i];
     criteria.m_choice.m_sharedParts.push_back(
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -196,7 +196,7 @@
 {
   if (m_headPending) {
     m_headPending = false;
-    aUpstream.m_estimate.OnHead();
+    aUpstream.m_estimate.OnHead(m_cost);
   }
 }
 
@@ -215,9 +215,10 @@
   aUpstream.m_estimate.OnLatencyRatio(ratio, m_headReceivedAt);
   const std::string model = CurrentModel();
   if (!model.empty() && m_connection->Head().result() == http::status::ok) {
-    m_shared.m_readingPace.Record({ m_service->m_name, model },
-                                  detail::TokensCertainlyRead(m_metadata),
-                                  m_headReceivedAt - m_sentAt);
+    m_shared.m_readingPace.Record(
+      { m_service->m_name, model },
+      detail::TokensCertainlyRead(m_metadata),
+      waited / aUpstream.m_estimate.HostSlowdown(m_headReceivedAt));
   }
 }
 
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -24,6 +24,7 @@
   : m_watch(aWatch)
   , m_clock(aClock)
   , m_permits(aSeed)
+  , m_random(aSeed)
 {
 }
 
@@ -251,8 +252,10 @@
                            &upstream->m_estimate,
                            upstream->m_instance.m_slots });
   }
-  UpstreamPointer chosen = available[routing::ChooseUpstream(
-    candidates, aCriteria.m_choice, m_clock.Now())];
+  routing::ChoiceCriteria choice = aCriteria.m_choice;
+  choice.m_random = m_random();
+  UpstreamPointer chosen =
+    available[routing::ChooseUpstream(candidates, choice, m_clock.Now())];
   TakePermits(*chosen, *aCriteria.m_service);
   return chosen;
 }
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -162,6 +163,7 @@
   std::unordered_map<std::string, UpstreamPointer> m_upstreams;
   routing::RequestLimits m_requestLimits;
   routing::PermitClient m_permits;
+  std::mt19937_64 m_random; // decides between upstreams of about equal delay
   // Requests that wait for an upstream with a request limit, by service.
   std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
   struct Forgotten
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -1,6 +1,10 @@
 // The delay estimate behind the choice of an upstream.
 #include "chivefront/routing/choice.h"
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 #include "chivefront/routing/config.h"
 
 namespace chivefront::routing {
@@ -11,17 +15,33 @@
 // queueing delay.
 constexpr double kDelayAtFullSlotsMs = 120;
 constexpr double kQueueDelayPerRequestMs = 25;
-// Delay per request that has not begun to run, because its prompt is read
-// first. Long prompts of large models take this much.
-constexpr double kDelayPerWaitingPromptMs = 80;
+// Work for the first tokens of an answer on an idle upstream. Counts only
+// through the slowdown of a host.
+constexpr double kAnswerWorkMs = 60;
+// Requests beyond this share of an upstream's memory are rejected, or others
+// are preempted and their prompts read again. Below 1, because the answers
+// grow and the requests of other entries are estimated.
+constexpr double kUsableMemoryShare = 0.9;
+// Share of the longest possible answer that a running request has in memory.
+constexpr double kExpectedAnswerShare = 0.5;
 // An upstream in another failure domain costs a round trip and charged traffic.
 // The penalty exceeds the cost of reading a short prompt again, and is below
 // the cost of reading a long prompt or of a busy upstream.
 constexpr double kOtherDomainPenaltyMs = 20;
 // Share of the prompt-reading time that counts for the upstream that rendezvous
-// hashing assigns to a prompt. Entries that have not sent the prompt yet thus
-// choose the same upstream, and the prompt is read once and not once per entry.
+// hashing ranks first for a prompt. Entries that have not sent the prompt yet
+// thus choose the same upstream, and the prompt is read once and not once per
+// entry. While that upstream is loaded the second and then the third rank have
+// the same advantage, so that few upstreams keep a prompt of many requests.
 constexpr double kAffinityReadShare = 0.5;
+constexpr size_t kAffinityRanks = 3;
+// Weight of the time in which any other upstream reads the shared parts of a
+// prompt for a model. Above 1, because it also delays the requests there and
+// takes room from other parts.
+constexpr double kOtherReadShare = 1.5;
+// Upstreams whose delays differ by less count as equal, because the load of the
+// others' requests is known from reports only.
+constexpr double kEqualDelayMs = 8;
 // A slowdown up to this factor is attributed to the requests themselves. Beyond
 // it the penalty grows with the slowdown, like the delay of a loaded upstream.
 constexpr double kTolerableSlowdown = 1.6;
@@ -32,60 +52,142 @@
 constexpr double kTolerableFailureShare = 0.25;
 constexpr double kFailurePenaltyMs = 2000;
 
-// Rendezvous hashing: the upstream with the highest hash value for the part.
-size_t
-AffinityUpstream(const std::vector<Candidate>& aCandidates,
-                 const std::string& aPart)
+// The candidates with the highest rendezvous hashes for the part, highest
+// first.
+std::vector<size_t>
+AffinityRanks(const std::vector<Candidate>& aCandidates,
+              const std::string& aPart)
 {
-  size_t best = 0;
-  uint64_t bestValue = 0;
+  std::vector<std::pair<uint64_t, size_t>> hashes;
+  hashes.reserve(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
-    const uint64_t value =
-      StableHash(aPart + "@" + aCandidates[i].m_instance->m_id);
-    if (i == 0 || value > bestValue) {
-      best = i;
-      bestValue = value;
-    }
+    hashes.emplace_back(
+      StableHash(aPart + "@" + aCandidates[i].m_instance->m_id), i);
   }
-  return best;
+  const size_t count = std::min(hashes.size(), kAffinityRanks);
+  std::partial_sort(hashes.begin(),
+                    hashes.begin() + static_cast<ptrdiff_t>(count),
+                    hashes.end(),
+                    std::greater<>());
+  std::vector<size_t> ranks;
+  for (size_t i = 0; i < count; ++i) {
+    ranks.push_back(hashes[i].second);
+  }
+  return ranks;
 }
 
+// Tokens of the shared parts that the upstream has to read.
 double
-PromptReadMs(const Candidate& aCandidate,
-             const ChoiceCriteria& aCriteria,
-             bool aHasAffinity,
-             base::TimePoint aNow)
+SharedTokensToRead(const UpstreamEstimate& aEstimate,
+                   const ChoiceCriteria& aCriteria,
+                   base::TimePoint aNow)
 {
   double tokens = 0;
   // A part saves reading only if all parts before it are cached as well.
   bool cached = true;
   for (const SharedPromptPart& part : aCriteria.m_sharedParts) {
-    cached = cached && aCandidate.m_estimate->LikelyCaches(part.m_key, aNow);
-    if (!cached) {
-      tokens +=
-        aHasAffinity ? part.m_tokens * kAffinityReadShare : part.m_tokens;
+    cached = cached && aEstimate.LikelyCaches(part.m_key, aNow);
+    tokens += cached ? 0 : part.m_tokens;
+  }
+  return tokens;
+}
+
+// Tokens of the prompt that no other request has.
+double
+UnsharedTokens(const ChoiceCriteria& aCriteria)
+{
+  double tokens = aCriteria.m_promptTokens;
+  for (const SharedPromptPart& part : aCriteria.m_sharedParts) {
+    tokens -= part.m_tokens;
+  }
+  return std::max(0.0, tokens);
+}
+
+double
+MemoryTokens(const ChoiceCriteria& aCriteria)
+{
+  return aCriteria.m_promptTokens +
+         kExpectedAnswerShare * aCriteria.m_maxAnswerTokens;
+}
+
+// Time to read again what has to leave the memory for the request.
+double
+MemoryDelayMs(const UpstreamEstimate& aEstimate,
+              const ChoiceCriteria& aCriteria,
+              base::TimePoint aNow)
+{
+  if (aCriteria.m_memoryTokens <= 0) {
+    return 0;
+  }
+  const double excess = aEstimate.OccupiedTokens(aNow) +
+                        MemoryTokens(aCriteria) -
+                        aCriteria.m_memoryTokens * kUsableMemoryShare;
+  return std::max(0.0, excess) / aCriteria.m_tokensPerMs;
+}
+
+// Delay before the candidate begins to read the prompt, on a host that is not
+// slowed down.
+double
+LoadDelayMs(const Candidate& aCandidate,
+            const ChoiceCriteria& aCriteria,
+            base::TimePoint aNow)
+{
+  const UpstreamEstimate& estimate = *aCandidate.m_estimate;
+  const double load = estimate.Load(aNow);
+  const double slots = aCandidate.m_slots > 0 ? aCandidate.m_slots : 1;
+  double delay = kDelayAtFullSlotsMs * load / slots;
+  delay += load > slots ? (load - slots) * kQueueDelayPerRequestMs : 0;
+  delay += estimate.WorkAheadMs(aCriteria.m_priority, aNow);
+  return delay + MemoryDelayMs(estimate, aCriteria, aNow);
+}
+
+// For each candidate the share that counts of the time in which it reads the
+// shared parts.
+std::vector<double>
+SharedReadShares(const std::vector<Candidate>& aCandidates,
+                 const ChoiceCriteria& aCriteria,
+                 base::TimePoint aNow)
+{
+  std::vector<double> shares(
+    aCandidates.size(), aCriteria.m_promptTokens > 0 ? kOtherReadShare : 1);
+  if (aCriteria.m_sharedParts.empty()) {
+    return shares;
+  }
+  double sharedMs = 0;
+  for (const SharedPromptPart& part : aCriteria.m_sharedParts) {
+    sharedMs += part.m_tokens / aCriteria.m_tokensPerMs;
+  }
+  for (const size_t index :
+       AffinityRanks(aCandidates, aCriteria.m_sharedParts.back().m_key)) {
+    shares[index] = kAffinityReadShare;
+    if (LoadDelayMs(aCandidates[index], aCriteria, aNow) <=
+        (1 - kAffinityReadShare) * sharedMs) {
+      break;
     }
   }
-  return tokens / aCriteria.m_tokensPerMs;
+  return shares;
 }
 
 double
 EstimatedDelayMs(const Candidate& aCandidate,
                  const ChoiceCriteria& aCriteria,
-                 bool aHasAffinity,
+                 double aReadShare,
                  base::TimePoint aNow)
 {
   const UpstreamEstimate& estimate = *aCandidate.m_estimate;
-  const double load = estimate.Load(aNow);
-  const double slots = aCandidate.m_slots > 0 ? aCandidate.m_slots : 1;
-  double delay = PromptReadMs(aCandidate, aCriteria, aHasAffinity, aNow);
-  delay += kDelayAtFullSlotsMs * load / slots;
-  delay += load > slots ? (load - slots) * kQueueDelayPerRequestMs : 0;
-  delay += kDelayPerWaitingPromptMs * estimate.Waiting(aNow);
+  const double hostSlowdown = estimate.HostSlowdown(aNow);
+  const double tokens =
+    aReadShare * SharedTokensToRead(estimate, aCriteria, aNow) +
+    UnsharedTokens(aCriteria);
+  double delay = tokens / aCriteria.m_tokensPerMs;
+  delay += LoadDelayMs(aCandidate, aCriteria, aNow);
+  delay = delay * hostSlowdown + kAnswerWorkMs * (hostSlowdown - 1);
   delay += aCandidate.m_instance->m_domain == aCriteria.m_ownDomain
              ? 0
              : kOtherDomainPenaltyMs;
-  if (const double slowdown = estimate.Slowdown(aNow);
+  // The host's slowdown has been counted above.
+  if (const double slowdown =
+        estimate.Slowdown(aNow) / std::max(1.0, hostSlowdown);
       slowdown > kTolerableSlowdown) {
     delay += kSlowPenaltyMs * (slowdown - 1);
   }
@@ -97,27 +199,70 @@
   return delay;
 }
 
+// Power of two choices: of the candidates whose delay is about that of aBest,
+// two are drawn and the better one is chosen. Entries with the same reports
+// thus choose different upstreams. Those that would have to read more of the
+// prompt are not drawn.
+size_t
+ChooseAmongEqual(const std::vector<Candidate>& aCandidates,
+                 const std::vector<double>& aDelays,
+                 const ChoiceCriteria& aCriteria,
+                 size_t aBest,
+                 base::TimePoint aNow)
+{
+  const auto toRead = [&](size_t aIndex) {
+    return SharedTokensToRead(*aCandidates[aIndex].m_estimate, aCriteria, aNow);
+  };
+  const double tokens = toRead(aBest);
+  std::vector<size_t> equal;
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    if (aDelays[i] <= aDelays[aBest] + kEqualDelayMs && toRead(i) <= tokens) {
+      equal.push_back(i);
+    }
+  }
+  constexpr unsigned kHalfBits = 32;
+  const uint64_t random = *aCriteria.m_random;
+  const size_t one = equal[(random >> kHalfBits) % equal.size()];
+  const size_t other = equal[(random & UINT32_MAX) % equal.size()];
+  return aDelays[one] <= aDelays[other] ? one : other;
+}
+
 } // namespace detail
 
+RequestCost
+CostAt(const UpstreamEstimate& aEstimate,
+       const ChoiceCriteria& aCriteria,
+       base::TimePoint aNow)
+{
+  RequestCost cost;
+  if (aCriteria.m_promptTokens > 0) {
+    cost.m_priority = aCriteria.m_priority;
+    cost.m_readMs = (detail::SharedTokensToRead(aEstimate, aCriteria, aNow) +
+                     detail::UnsharedTokens(aCriteria)) /
+                    aCriteria.m_tokensPerMs;
+    cost.m_memoryTokens = detail::MemoryTokens(aCriteria);
+  }
+  return cost;
+}
+
 size_t
 ChooseUpstream(const std::vector<Candidate>& aCandidates,
                const ChoiceCriteria& aCriteria,
                base::TimePoint aNow)
 {
-  size_t affinityIndex = aCandidates.size();
-  if (!aCriteria.m_sharedParts.empty()) {
-    affinityIndex = detail::AffinityUpstream(
-      aCandidates, aCriteria.m_sharedParts.back().m_key);
-  }
-  size_t best = 0;
-  double bestDelay = 0;
+  const std::vector<double> readShares =
+    detail::SharedReadShares(aCandidates, aCriteria, aNow);
+  std::vector<double> delays;
+  delays.reserve(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
-    const double delay = detail::EstimatedDelayMs(
-      aCandidates[i], aCriteria, i == affinityIndex, aNow);
-    if (i == 0 || delay < bestDelay) {
-      best = i;
-      bestDelay = delay;
-    }
+    delays.push_back(
+      detail::EstimatedDelayMs(aCandidates[i], aCriteria, readShares[i], aNow));
+  }
+  const auto best = static_cast<size_t>(
+    std::min_element(delays.begin(), delays.end()) - delays.begin());
+  if (aCriteria.m_random &&
+      aCandidates[best].m_estimate->ReportsSlowdown(aNow)) {
+    return detail::ChooseAmongEqual(aCandidates, delays, aCriteria, best, aNow);
   }
   return best;
 }
--- a/chivefront/routing/choice.h
+++ b/chivefront/routing/choice.h
@@ -1,9 +1,11 @@
 // Chooses the upstream for a request: among the candidates, the one with the
-// lowest estimated delay, which counts the upstream's load, the prompt parts
-// that it has to read because they aren't in its cache, and its distance. Does
-// no I/O.
+// lowest expected time to the first token. It counts the prompt parts that the
+// upstream has to read because they aren't in its cache, the prompts that it
+// reads before, its load and memory, the slowdown of its host, and its
+// distance. Does no I/O.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +29,15 @@
   std::vector<SharedPromptPart> m_sharedParts; // in the order of the prompt
   // Prompt tokens of the request's model that an idle upstream reads.
   double m_tokensPerMs = kInitialTokensPerMs;
+  // Tokens of the whole prompt, and of the longest possible answer. 0: unknown,
+  // or the request has no model.
+  double m_promptTokens = 0;
+  double m_maxAnswerTokens = 0;
+  int m_priority = 0;        // 0 is the most urgent
+  double m_memoryTokens = 0; // memory of an upstream; 0: unknown
+  // Decides between upstreams of about the same delay; differs between requests
+  // and between entries. Without it the first one is chosen.
+  std::optional<uint64_t> m_random;
 };
 
 struct Candidate
@@ -36,6 +47,12 @@
   uint32_t m_slots = 1;
 };
 
+// What the request takes at the upstream of aEstimate.
+RequestCost
+CostAt(const UpstreamEstimate& aEstimate,
+       const ChoiceCriteria& aCriteria,
+       base::TimePoint aNow);
+
 // Returns an index into aCandidates, which must not be empty.
 size_t
 ChooseUpstream(const std::vector<Candidate>& aCandidates,
--- a/chivefront/routing/reading_pace.cc
+++ b/chivefront/routing/reading_pace.cc
@@ -77,15 +77,13 @@
 }
 
 void
-ReadingPace::Record(const ModelKey& aModel,
-                    double aTokens,
-                    base::Millis aWaited)
+ReadingPace::Record(const ModelKey& aModel, double aTokens, double aWaitedMs)
 {
   if (aTokens < detail::kMinTokens) {
     return;
   }
   Window& window = m_windows[aModel];
-  const Sample sample{ aTokens, static_cast<double>(aWaited.Count()) };
+  const Sample sample{ aTokens, aWaitedMs };
   if (window.m_samples.size() < detail::kWindowSize) {
     window.m_samples.push_back(sample);
   } else {
--- a/chivefront/routing/reading_pace.h
+++ b/chivefront/routing/reading_pace.h
@@ -10,7 +10,7 @@
 // value is corrected by as many new ones. Does no I/O; not thread-safe.
 //
 //   ReadingPace pace;
-//   pace.Record({ "service", "model" }, 1500, base::Millis(40));
+//   pace.Record({ "service", "model" }, 1500, 40);
 //   const double ms = tokens / pace.TokensPerMs({ "service", "model" });
 #pragma once
 
@@ -20,8 +20,6 @@
 #include <utility>
 #include <vector>
 
-#include "chivefront/base/clock.h"
-
 namespace chivefront::routing {
 
 // The pace of a model until it is known.
@@ -36,8 +34,8 @@
   // aTokens: prompt tokens that the upstream certainly read for the answer. A
   // part that it may have cached must not count, because the answer would
   // appear to be faster than any upstream is. Few tokens show nothing and are
-  // ignored.
-  void Record(const ModelKey& aModel, double aTokens, base::Millis aWaited);
+  // ignored. aWaitedMs: on a host that is not slowed down.
+  void Record(const ModelKey& aModel, double aTokens, double aWaitedMs);
 
   // kInitialTokensPerMs if there are too few samples.
   double TokensPerMs(const ModelKey& aModel) const;
--- a/chivefront/routing/reading_pace_test.cc
+++ b/chivefront/routing/reading_pace_test.cc
@@ -8,7 +8,6 @@
 
 #include "chivefront/routing/reading_pace.h"
 
-using namespace chivefront;
 using namespace chivefront::routing;
 
 namespace {
@@ -44,8 +43,7 @@
     waited += 10 + share(random) * kMaxBatchMs;
     waited +=
       share(random) < aLoad.m_queuedShare ? share(random) * kMaxQueueMs : 0;
-    aPace.Record(
-      aModel, tokens, base::Millis(static_cast<int64_t>(std::round(waited))));
+    aPace.Record(aModel, tokens, std::round(waited));
   }
 }
 
@@ -55,7 +53,7 @@
 {
   ReadingPace pace;
   BOOST_TEST(pace.TokensPerMs(kLarge) == kInitialTokensPerMs);
-  pace.Record(kLarge, 1000, base::Millis(5000));
+  pace.Record(kLarge, 1000, 5000);
   BOOST_TEST(pace.TokensPerMs(kLarge) == kInitialTokensPerMs);
 }
 
--- a/chivefront/routing/upstream_estimate.cc
+++ b/chivefront/routing/upstream_estimate.cc
@@ -30,15 +30,71 @@
 // How long an unused prompt part is likely to stay in an upstream's cache.
 constexpr base::Millis kPromptPartTtl{ 20000 };
 constexpr size_t kMaxPromptParts = 4096;
+// Weight of the newest request in the means of requests.
+constexpr double kRequestSmoothing = 0.1;
+// A reported slowdown outside these bounds is a fault of the report.
+constexpr double kMinHostSlowdown = 0.25;
+constexpr double kMaxHostSlowdown = 20;
+
+size_t
+PriorityIndex(int aPriority, size_t aCount)
+{
+  return std::min(static_cast<size_t>(std::max(aPriority, 0)), aCount - 1);
+}
 
 } // namespace detail
 
+UpstreamEstimate::Pending&
+UpstreamEstimate::PendingOf(int aPriority)
+{
+  return m_pending[detail::PriorityIndex(aPriority, kPriorities)];
+}
+
+void
+UpstreamEstimate::OnSent(const RequestCost& aCost)
+{
+  ++m_inFlight;
+  ++m_awaitingHead;
+  Pending& pending = PendingOf(aCost.m_priority);
+  ++pending.m_count;
+  pending.m_readMs += aCost.m_readMs;
+  m_meanReadMs += detail::kRequestSmoothing * (aCost.m_readMs - m_meanReadMs);
+  if (aCost.m_memoryTokens > 0) {
+    m_ownTokens += aCost.m_memoryTokens;
+    m_meanTokens = m_meanTokens > 0
+                     ? m_meanTokens + detail::kRequestSmoothing *
+                                        (aCost.m_memoryTokens - m_meanTokens)
+                     : aCost.m_memoryTokens;
+  }
+}
+
+void
+UpstreamEstimate::OnHead(const RequestCost& aCost)
+{
+  m_awaitingHead -= m_awaitingHead > 0 ? 1 : 0;
+  Pending& pending = PendingOf(aCost.m_priority);
+  pending.m_count -= pending.m_count > 0 ? 1 : 0;
+  pending.m_readMs =
+    pending.m_count > 0 ? std::max(0.0, pending.m_readMs - aCost.m_readMs) : 0;
+}
+
+void
+UpstreamEstimate::OnEnded(const RequestCost& aCost)
+{
+  m_inFlight -= m_inFlight > 0 ? 1 : 0;
+  m_ownTokens =
+    m_inFlight > 0 ? std::max(0.0, m_ownTokens - aCost.m_memoryTokens) : 0;
+}
+
 void
 UpstreamEstimate::OnLoad(uint32_t aRunning,
                          uint32_t aWaiting,
-                         base::TimePoint aNow)
+                         base::TimePoint aNow,
+                         std::optional<double> aSlowdown)
 {
-  m_reported = { aRunning, aWaiting, aNow, m_inFlight, m_awaitingHead };
+  m_reported = {
+    aRunning, aWaiting, aNow, m_inFlight, m_awaitingHead, aSlowdown
+  };
 }
 
 // The requests of other entries as last reported, plus this entry's current
@@ -55,19 +111,68 @@
   return others + m_inFlight;
 }
 
-// The waiting requests of other entries as last reported, weighted down
-// linearly with the age of the report, plus this entry's current ones.
+// Decreases linearly with the age of the report.
 double
-UpstreamEstimate::Waiting(base::TimePoint aNow) const
+UpstreamEstimate::ReportWeight(base::TimePoint aNow) const
 {
   const auto age =
     static_cast<double>((aNow - m_reported.m_receivedAt).Count());
   const auto ttl = static_cast<double>(detail::kLoadReportTtl.Count());
-  const double kept = std::max(0.0, 1 - age / ttl);
+  return std::clamp(1 - age / ttl, 0.0, 1.0);
+}
+
+double
+UpstreamEstimate::OthersWaiting(base::TimePoint aNow) const
+{
   const double others = std::max(0.0,
                                  static_cast<double>(m_reported.m_waiting) -
                                    m_reported.m_ownAwaitingHead);
-  return others * kept + m_awaitingHead;
+  return others * ReportWeight(aNow);
+}
+
+double
+UpstreamEstimate::Waiting(base::TimePoint aNow) const
+{
+  return OthersWaiting(aNow) + m_awaitingHead;
+}
+
+double
+UpstreamEstimate::WorkAheadMs(int aPriority, base::TimePoint aNow) const
+{
+  const size_t index = detail::PriorityIndex(aPriority, kPriorities);
+  double own = 0;
+  double lessUrgent = 0;
+  uint32_t lessUrgentCount = 0;
+  for (size_t i = 0; i < kPriorities; ++i) {
+    (i <= index ? own : lessUrgent) += m_pending[i].m_readMs;
+    lessUrgentCount += i <= index ? 0 : m_pending[i].m_count;
+  }
+  if (lessUrgentCount > 0) {
+    own += lessUrgent / lessUrgentCount;
+  }
+  return own + OthersWaiting(aNow) * m_meanReadMs;
+}
+
+double
+UpstreamEstimate::OccupiedTokens(base::TimePoint aNow) const
+{
+  const double others = std::max(0.0, Load(aNow) - m_inFlight);
+  return m_ownTokens + others * m_meanTokens;
+}
+
+bool
+UpstreamEstimate::ReportsSlowdown(base::TimePoint aNow) const
+{
+  return m_reported.m_slowdown && ReportWeight(aNow) > 0;
+}
+
+double
+UpstreamEstimate::HostSlowdown(base::TimePoint aNow) const
+{
+  const double reported = std::clamp(m_reported.m_slowdown.value_or(1),
+                                     detail::kMinHostSlowdown,
+                                     detail::kMaxHostSlowdown);
+  return 1 + (reported - 1) * ReportWeight(aNow);
 }
 
 void
--- a/chivefront/routing/upstream_estimate.h
+++ b/chivefront/routing/upstream_estimate.h
@@ -5,7 +5,9 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -17,6 +19,19 @@
 // counts as silent. A healthy stream sends many events in this time.
 inline constexpr base::Millis kSilenceTimeout{ 400 };
 
+// Assumed time to read a prompt whose length or model isn't known. Long prompts
+// of large models take this much.
+inline constexpr double kUnknownReadMs = 80;
+
+// What a request takes at the upstream that it is sent to.
+struct RequestCost
+{
+  // Time in which an idle upstream reads what it has not cached of the prompt.
+  double m_readMs = kUnknownReadMs;
+  double m_memoryTokens = 0; // of prompt and expected answer; 0: unknown
+  int m_priority = 0;        // 0 is read first
+};
+
 // The load that an upstream reported.
 struct ReportedLoad
 {
@@ -25,29 +40,44 @@
   base::TimePoint m_receivedAt;   // when this entry received the report
   uint32_t m_ownInFlight = 0;     // requests of this entry at m_receivedAt
   uint32_t m_ownAwaitingHead = 0; // m_ownInFlight without an answer head
+  // How many times as long as usual work took on the host, if reported.
+  std::optional<double> m_slowdown;
 };
 
 class UpstreamEstimate
 {
 public:
-  void OnSent()
-  {
-    ++m_inFlight;
-    ++m_awaitingHead;
-  }
+  // OnHead and OnEnded get the same cost as the OnSent before.
+  void OnSent(const RequestCost& aCost = {});
   // The head of an answer arrived, or none is awaited any more.
-  void OnHead() { m_awaitingHead -= m_awaitingHead > 0 ? 1 : 0; }
-  void OnEnded() { m_inFlight -= m_inFlight > 0 ? 1 : 0; }
+  void OnHead(const RequestCost& aCost = {});
+  void OnEnded(const RequestCost& aCost = {});
   // Requests of this entry at the upstream.
   uint32_t InFlight() const { return m_inFlight; }
 
-  // The upstream reported its load.
-  void OnLoad(uint32_t aRunning, uint32_t aWaiting, base::TimePoint aNow);
+  // The upstream reported its load and, in some deployments, how many times as
+  // long as usual work takes on its host.
+  void OnLoad(uint32_t aRunning,
+              uint32_t aWaiting,
+              base::TimePoint aNow,
+              std::optional<double> aSlowdown = {});
   // Estimated number of requests at the upstream, from all entries.
   double Load(base::TimePoint aNow) const;
-  // Estimated number of those requests that have not begun to run. The upstream
-  // reads their prompts before the prompt of a new request.
+  // Estimated number of those requests that have not begun to run.
   double Waiting(base::TimePoint aNow) const;
+  // Time in which an idle upstream reads the prompts that it reads before that
+  // of a new request of aPriority: the pending ones that are as urgent, and of
+  // the less urgent ones the one that it may be reading. Waiting requests of
+  // other entries count with the mean of this entry's own.
+  double WorkAheadMs(int aPriority, base::TimePoint aNow) const;
+  // Estimated tokens of the requests at the upstream in its memory. Requests of
+  // other entries count with the mean of this entry's own. 0 if unknown.
+  double OccupiedTokens(base::TimePoint aNow) const;
+  // The slowdown that the upstream reported for its host; 1 is usual. Decays to
+  // 1 with the age of the report.
+  double HostSlowdown(base::TimePoint aNow) const;
+  // Whether a report that counts stated a slowdown.
+  bool ReportsSlowdown(base::TimePoint aNow) const;
 
   // An answer arrived, whatever its status: ends the backoff.
   void OnAnswer(base::TimePoint aNow);
@@ -100,7 +130,27 @@
                     base::TimePoint aNow) const;
 
 private:
-  uint32_t m_inFlight = 0;     // requests of this entry
+  // Less urgent priorities count as the last.
+  static constexpr size_t kPriorities = 4;
+
+  // Requests of this entry of one priority that await their answer heads.
+  struct Pending
+  {
+    uint32_t m_count = 0;
+    double m_readMs = 0; // 0 if m_count is
+  };
+
+  // Weight of the report, 1 when it arrives; 0 when it has expired.
+  double ReportWeight(base::TimePoint aNow) const;
+  // Waiting requests of other entries.
+  double OthersWaiting(base::TimePoint aNow) const;
+  Pending& PendingOf(int aPriority);
+
+  std::array<Pending, kPriorities> m_pending;
+  double m_meanReadMs = kUnknownReadMs; // of recent requests of this entry
+  double m_ownTokens = 0;               // in memory, of m_inFlight
+  double m_meanTokens = 0;              // of recent requests; 0: unknown
+  uint32_t m_inFlight = 0;              // requests of this entry
   uint32_t m_awaitingHead = 0; // those of m_inFlight without an answer head
   ReportedLoad m_reported;
   double m_recentAnswers = 0; // as of m_answeredAt; decays
