--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -16,6 +16,7 @@
 #include "chivefront/routing/latency_baselines.h"
 #include "chivefront/routing/reading_pace.h"
 #include "chivefront/routing/slow_threshold.h"
+#include "chivefront/routing/work_classes.h"
 #include "chivefront/site/watch.h"
 
 namespace chivefront::proxy {
@@ -115,6 +116,7 @@
   routing::LatencyBaselines m_baselines{};
   routing::SlowThreshold m_slowThreshold{}; // of answers, by route and model
   routing::ReadingPace m_readingPace{};
+  routing::WorkClasses m_workClasses{};
   // By service.
   std::map<std::string, routing::WindowedRetryBudget> m_retryBudgets;
 
