--- a/chivefront/proxy/exchange_choice.cc
+++ b/chivefront/proxy/exchange_choice.cc
@@ -1,5 +1,6 @@
 // Chooses the upstream of the next attempt of a request, and waits for one.
 #include "chivefront/proxy/exchange.h"
+#include "chivefront/proxy/load_probe.h"
 #include "chivefront/proxy/waiting_request.h"
 #include "chivefront/routing/silence.h"
 
@@ -14,6 +15,10 @@
 constexpr base::Millis kRegistrationDelay{ 3000 };
 // A request that waits asks for permits in each poll of control.
 constexpr base::Millis kDemandPeriod{ 200 };
+// Upstreams that are asked for their load before a request is sent.
+constexpr int kMaxProbes = 3;
+// Few requests of other entries arrive at an upstream in this time.
+constexpr base::Millis kFreshLoad{ 30 };
 // Before all new requests, because the caller sees the pause.
 constexpr int kResumedStreamPriority = -1;
 
@@ -50,6 +55,22 @@
     criteria.m_streamVersion = m_streamVersion;
   }
   const std::string model = CurrentModel();
+  criteria.m_choice.m_tokensPerMs =
+    m_shared.m_readingPace.TokensPerMs({ m_service->m_name, model });
+  criteria.m_choice.m_priority = Priority();
+  if (!model.empty()) {
+    criteria.m_choice.m_promptTokens = m_metadata.m_promptTokens;
+    criteria.m_choice.m_maxAnswerTokens = m_metadata.m_maxAnswerTokens;
+    criteria.m_choice.m_workClass = routing::WorkClassOf(
+      m_metadata.m_promptTokens / criteria.m_choice.m_tokensPerMs,
+      m_config->MostUrgentGoal(m_service->m_name));
+    criteria.m_choice.m_division = m_shared.m_workClasses.DivisionOf(
+      m_service->m_name, m_shared.m_clock.Now());
+  }
+  if (m_service->m_engine) {
+    criteria.m_choice.m_memoryTokens =
+      static_cast<double>(m_service->m_engine->m_cacheTokens);
+  }
   for (size_t i = 0; i + 1 < m_metadata.m_promptParts.size(); ++i) {
     const PromptPart& part = m_metadata.m_promptParts[i];
     criteria.m_choice.m_sharedParts.push_back(
@@ -107,6 +128,30 @@
   return (now + aExpectedWait - m_receivedAt) * 4 < m_route->m_goal;
 }
 
+// Asks the upstreams that would be chosen for their load, until one with a
+// fresh report remains the best.
+net::Task<void>
+Exchange::RefreshLoads(const UpstreamCriteria& aCriteria)
+{
+  if (m_service->m_healthPath.empty() || CurrentModel().empty() ||
+      !m_shared.m_loadProbes.Pay(m_shared.m_clock.Now())) {
+    co_return;
+  }
+  for (int i = 0; i < detail::kMaxProbes; ++i) {
+    const UpstreamPointer upstream = m_shared.m_upstreams.Preview(aCriteria);
+    const base::TimePoint now = m_shared.m_clock.Now();
+    if (!upstream || upstream->m_instance.m_coldUntil > now ||
+        upstream->m_estimate.ReportAge(now) < detail::kFreshLoad) {
+      co_return;
+    }
+    co_await ProbeLoad(
+      m_shared, upstream, m_service->m_healthPath, m_caller->Executor());
+    if (m_abortReason != AbortReason::None) {
+      co_return;
+    }
+  }
+}
+
 // Chooses an upstream; waits for one if MayWaitForUpstream allows it. Responds
 // to the request and returns null if there is none.
 net::Task<UpstreamPointer>
@@ -119,6 +164,7 @@
                          priority);
   UpstreamCriteria criteria = Criteria();
   base::TimePoint demandAddedAt;
+  co_await RefreshLoads(criteria);
   while (m_abortReason == AbortReason::None) {
     const base::TimePoint now = m_shared.m_clock.Now();
     criteria.m_ticket = waiting.Ticket();
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -8,6 +8,8 @@
 #include "chivefront/routing/silence.h"
 
 namespace chivefront::proxy {
+namespace http = boost::beast::http;
+
 namespace detail {
 
 // Prompt tokens that the largest model of an idle upstream reads at least, per
@@ -42,6 +44,20 @@
   return ids;
 }
 
+// Prompt tokens that an upstream certainly read: those of no other request.
+// Returns 0 if the upstream may have had most of the prompt cached, because the
+// time to the answer then shows nothing of its pace.
+double
+TokensCertainlyRead(const RequestMetadata& aMetadata)
+{
+  double shared = 0;
+  for (size_t i = 0; i + 1 < aMetadata.m_promptParts.size(); ++i) {
+    shared += aMetadata.m_promptParts[i].m_tokens;
+  }
+  const double unshared = aMetadata.m_promptTokens - shared;
+  return unshared >= shared ? unshared : 0;
+}
+
 } // namespace detail
 
 // How long to wait for the head of a response before another upstream is tried.
@@ -196,7 +212,7 @@
 {
   if (m_headPending) {
     m_headPending = false;
-    aUpstream.m_estimate.OnHead();
+    aUpstream.m_estimate.OnHead(m_cost);
   }
 }
 
@@ -214,6 +230,41 @@
     "head/" + m_route->m_name + "/" + CurrentModel(), (waited + 1) / cost);
   m_slowResponse = ratio > detail::kSlowResponseRatio;
   aUpstream.m_estimate.OnLatencyRatio(ratio, m_headReceivedAt);
+  RecordReading(aUpstream);
+}
+
+// Records the time from the send to the head as a sample of the model's reading
+// pace, and the reading as work of the request's class.
+void
+Exchange::RecordReading(const Upstream& aUpstream)
+{
+  const std::string model = CurrentModel();
+  if (model.empty() || m_connection->Head().result() != http::status::ok) {
+    return;
+  }
+  const auto waited =
+    static_cast<double>((m_headReceivedAt - m_sentAt).Count());
+  m_shared.m_readingPace.Record(
+    { m_service->m_name, model },
+    detail::TokensCertainlyRead(m_metadata),
+    waited / aUpstream.m_estimate.HostSlowdown(m_headReceivedAt));
+  m_shared.m_workClasses.OnRead(
+    m_service->m_name, m_workClass, m_cost.m_readMs, m_headReceivedAt);
+}
+
+// Records the time in which the attempt ran as work of the request's class. The
+// upstream's slots share it.
+void
+Exchange::RecordRunningTime(const Upstream& aUpstream)
+{
+  if (!m_answerBegun || CurrentModel().empty()) {
+    return;
+  }
+  const base::TimePoint now = m_shared.m_clock.Now();
+  const auto ran = static_cast<double>((now - m_headReceivedAt).Count());
+  const double slots = std::max(1U, aUpstream.m_instance.m_slots);
+  m_shared.m_workClasses.OnRan(
+    m_service->m_name, m_workClass, ran / slots, now);
 }
 
 // Records the mean time between the chunks of a stream.
--- a/chivefront/proxy/shared_state.cc
+++ b/chivefront/proxy/shared_state.cc
@@ -80,6 +80,8 @@
   , m_escalated(
       aMetrics.AddCounter("chivefront_proxy_escalated_total",
                           "Answers dropped for one of a larger model."))
+  , m_probes(aMetrics.AddCounter("chivefront_proxy_probes_total",
+                                 "Upstreams asked for their load."))
   , m_idempotentLatency(aMetrics, RequestKind::Idempotent)
   , m_onceLatency(aMetrics, RequestKind::Once)
   , m_streamLatency(aMetrics, RequestKind::Stream)
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -15,7 +15,10 @@
 #include "chivefront/routing/budget.h"
 #include "chivefront/routing/crash_evidence.h"
 #include "chivefront/routing/latency_baselines.h"
+#include "chivefront/routing/load_probes.h"
+#include "chivefront/routing/reading_pace.h"
 #include "chivefront/routing/slow_threshold.h"
+#include "chivefront/routing/work_classes.h"
 #include "chivefront/site/watch.h"
 
 namespace chivefront::proxy {
@@ -92,6 +95,7 @@
   base::Counter& m_retries;
   base::Counter& m_resumed;
   base::Counter& m_escalated;
+  base::Counter& m_probes;
   ResponseLatency m_idempotentLatency;
   ResponseLatency m_onceLatency;
   ResponseLatency m_streamLatency;
@@ -119,6 +123,9 @@
     m_headTimeouts{};
   // Of events within a stream, by model.
   std::map<std::string, routing::AdaptiveTimeout> m_eventTimeouts{};
+  routing::LoadProbes m_loadProbes{};
+  routing::ReadingPace m_readingPace{};
+  routing::WorkClasses m_workClasses{};
   // By service.
   std::map<std::string, routing::WindowedRetryBudget> m_retryBudgets;
 
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -24,6 +24,7 @@
   : m_watch(aWatch)
   , m_clock(aClock)
   , m_permits(aSeed)
+  , m_random(aSeed)
 {
 }
 
@@ -241,6 +242,24 @@
                   AvailableUpstreams& aAvailable)
 {
   aAvailable = AvailableFor(aCriteria);
+  UpstreamPointer chosen = BestOf(aAvailable, aCriteria.m_choice);
+  if (chosen) {
+    TakePermits(*chosen, *aCriteria.m_service);
+  }
+  return chosen;
+}
+
+UpstreamPointer
+Upstreams::Preview(UpstreamCriteria aCriteria)
+{
+  aCriteria.m_addsDemand = false;
+  return BestOf(AvailableFor(aCriteria), aCriteria.m_choice);
+}
+
+UpstreamPointer
+Upstreams::BestOf(const AvailableUpstreams& aAvailable,
+                  const routing::ChoiceCriteria& aCriteria)
+{
   const std::vector<UpstreamPointer>& available = aAvailable.m_upstreams;
   if (available.empty()) {
     return nullptr;
@@ -251,10 +270,9 @@
                            &upstream->m_estimate,
                            upstream->m_instance.m_slots });
   }
-  UpstreamPointer chosen = available[routing::ChooseUpstream(
-    candidates, aCriteria.m_choice, m_clock.Now())];
-  TakePermits(*chosen, *aCriteria.m_service);
-  return chosen;
+  routing::ChoiceCriteria choice = aCriteria;
+  choice.m_random = m_random();
+  return available[routing::ChooseUpstream(candidates, choice, m_clock.Now())];
 }
 
 site::RateReport
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,7 @@
   uint64_t m_sentWhileResting = 0;
   uint64_t m_answersWhileResting = 0;
   std::vector<std::unique_ptr<UpstreamConnection>> m_idleConnections;
+  bool m_probing = false; // its load is being asked for
 };
 
 using UpstreamPointer = std::shared_ptr<Upstream>;
@@ -97,6 +99,9 @@
   UpstreamPointer Choose(const UpstreamCriteria& aCriteria,
                          AvailableUpstreams& aAvailable);
 
+  // The upstream that Choose would return now, or null. Takes no permit.
+  UpstreamPointer Preview(UpstreamCriteria aCriteria);
+
   // Whether Choose would return an upstream now. Takes no permit.
   bool HasAvailable(const UpstreamCriteria& aCriteria);
 
@@ -152,6 +157,8 @@
   void AddBounded(const std::vector<BoundedUpstream>& aBounded,
                   const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable);
+  UpstreamPointer BestOf(const AvailableUpstreams& aAvailable,
+                         const routing::ChoiceCriteria& aCriteria);
   size_t PaceUnlimited(AvailableUpstreams& aAvailable) const;
   void TakePermits(const Upstream& aUpstream, const routing::Service& aService);
   bool IsForgotten(const routing::Instance& aInstance) const;
@@ -162,6 +169,7 @@
   std::unordered_map<std::string, UpstreamPointer> m_upstreams;
   routing::RequestLimits m_requestLimits;
   routing::PermitClient m_permits;
+  std::mt19937_64 m_random; // decides between upstreams of about equal delay
   // Requests that wait for an upstream with a request limit, by service.
   std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
   struct Forgotten
