Count usage at entries and collect it at control processes

Cause: the number of requests that began to run is reported once per window and team; entries and control processes die, are cut off and change roles.

--- /dev/null
+++ b/chivefront/duty/usage_collector.cc
@@ -0,0 +1,164 @@
+// Bounded merging of reports, and the rule by which windows are decided.
+#include "chivefront/duty/usage_collector.h"
+
+#include <algorithm>
+
+namespace chivefront::duty {
+namespace detail {
+
+// Several times the number of entries, because a restarted one is a new holder.
+constexpr size_t kMaxHolders = 2048;
+// 300 entries with 6 windows of 36 teams. A count takes about 100 bytes.
+constexpr size_t kMaxCounts = 65536;
+constexpr size_t kMaxTeamBytes = 128;
+// More requests than all hosts begin in a window.
+constexpr uint64_t kMaxCount = uint64_t(1) << 32;
+// Part of the time until a report is due in which late counts are awaited. The
+// rest is for the decision, the calls and a change of the leader.
+constexpr int64_t kWaitDivisor = 3;
+// A window is decided long before.
+constexpr base::Millis kHolderLifetime{ 60 * 1000 };
+
+} // namespace detail
+
+void
+UsageCollector::Record(const std::string& aHolder,
+                       const UsageReport& aReport,
+                       bool aIsComplete,
+                       base::TimePoint aNow)
+{
+  if (m_holders.size() >= detail::kMaxHolders &&
+      m_holders.count(aHolder) == 0) {
+    m_refused += aReport.m_windows.size();
+    return;
+  }
+  Holder& holder = m_holders[aHolder];
+  holder.m_heardAt = aNow;
+  for (const WindowUsage& window : aReport.m_windows) {
+    if (window.m_window >= m_forgottenBefore) {
+      Merge(holder, window);
+    }
+  }
+  // An entry that has just turned to this process repeats its windows with its
+  // next report.
+  holder.m_closedBefore = aIsComplete ? aReport.m_closedBefore : 0;
+}
+
+// Totals never decrease, so an older report that arrives late changes nothing.
+void
+UsageCollector::Merge(Holder& aHolder, const WindowUsage& aWindow)
+{
+  if (aHolder.m_windows.size() >= kMaxUsageWindows &&
+      aHolder.m_windows.count(aWindow.m_window) == 0) {
+    Drop(aHolder, aHolder.m_windows.begin()); // the oldest
+  }
+  Counts& counts = aHolder.m_windows[aWindow.m_window];
+  for (const auto& [team, count] : aWindow.m_counts) {
+    const auto known = counts.find(team);
+    const bool isUsable = !team.empty() &&
+                          team.size() <= detail::kMaxTeamBytes &&
+                          count <= detail::kMaxCount;
+    const bool isFull =
+      known == counts.end() &&
+      (counts.size() >= kMaxUsageTeams || m_size >= detail::kMaxCounts);
+    if (!isUsable || isFull) {
+      ++m_refused;
+    } else if (known == counts.end()) {
+      counts.emplace(team, count);
+      ++m_size;
+    } else {
+      known->second = std::max(known->second, count);
+    }
+  }
+}
+
+void
+UsageCollector::Drop(Holder& aHolder,
+                     std::map<uint64_t, Counts>::iterator aWindow)
+{
+  m_size -= aWindow->second.size();
+  aHolder.m_windows.erase(aWindow);
+}
+
+// All live entries have closed the windows below. 0 if one of them is not known
+// here.
+uint64_t
+UsageCollector::ClosedByAll(const LiveHolders& aLiveHolders) const
+{
+  if (aLiveHolders.m_names.empty() ||
+      aLiveHolders.m_names.size() < aLiveHolders.m_expected) {
+    return 0;
+  }
+  uint64_t closedBefore = UINT64_MAX;
+  for (const std::string& name : aLiveHolders.m_names) {
+    const auto holder = m_holders.find(name);
+    closedBefore =
+      std::min(closedBefore,
+               holder != m_holders.end() ? holder->second.m_closedBefore : 0);
+  }
+  return closedBefore;
+}
+
+// The decision of the windows below can't wait any longer.
+uint64_t
+UsageCollector::OverdueBefore(int64_t aTrueTime) const
+{
+  const base::Millis wait = m_due / detail::kWaitDivisor;
+  return WindowAt(aTrueTime - wait.Count(), m_length);
+}
+
+std::vector<WindowUsage>
+UsageCollector::Decidable(int64_t aTrueTime,
+                          const LiveHolders& aLiveHolders) const
+{
+  // A holder can't close a window that has not ended.
+  const uint64_t before = std::max(
+    OverdueBefore(aTrueTime),
+    std::min(ClosedByAll(aLiveHolders), WindowAt(aTrueTime, m_length)));
+  std::map<uint64_t, Counts> totals;
+  for (const auto& [name, holder] : m_holders) {
+    for (auto window = holder.m_windows.begin();
+         window != holder.m_windows.end() && window->first < before;
+         ++window) {
+      for (const auto& [team, count] : window->second) {
+        totals[window->first][team] += count;
+      }
+    }
+  }
+  std::vector<WindowUsage> decidable;
+  for (auto& [number, counts] : totals) {
+    decidable.push_back({ number, std::move(counts) });
+  }
+  return decidable;
+}
+
+void
+UsageCollector::Forget(uint64_t aWindow)
+{
+  m_forgottenBefore = std::max(m_forgottenBefore, aWindow + 1);
+  for (auto& [name, holder] : m_holders) {
+    while (!holder.m_windows.empty() &&
+           holder.m_windows.begin()->first < m_forgottenBefore) {
+      Drop(holder, holder.m_windows.begin());
+    }
+  }
+}
+
+void
+UsageCollector::Expire(base::TimePoint aNow)
+{
+  for (auto holder = m_holders.begin(); holder != m_holders.end();) {
+    // A holder without windows is kept while it may be live, for what it has
+    // closed.
+    if (aNow - holder->second.m_heardAt < detail::kHolderLifetime) {
+      ++holder;
+      continue;
+    }
+    while (!holder->second.m_windows.empty()) {
+      Drop(holder->second, holder->second.m_windows.begin());
+    }
+    holder = m_holders.erase(holder);
+  }
+}
+
+} // namespace chivefront::duty
