Exchange usage and true time with the polls of entries

Cause: counts of entries must reach the leader, and entries need the true time, without further connections or messages. Change: a poll carries the wall clock, and the windows that changed; an answer carries the true time and which report was taken. site::UsageReporter is the entry's side, site::UsageCoordinator that of every control process; a leader names windows to decide 1.5 s after it began to lead. Fields are at the ends of the tables and unset unless usage is counted. site::Node offers DecidableUsage and ForgetUsage when NodeOptions::m_duties has the duty. Result: usage_exchange_test (5 cases), true_time_test, usage_test, watch_test, rate_coordinator_test and soft_state_test pass.

--- a/chivefront/base/clock.h
+++ b/chivefront/base/clock.h
@@ -1,6 +1,7 @@
 // The time types of all Chivefront processes: whole milliseconds on a steady
-// clock. Wall-clock time appears in log and event records only and never takes
-// part in a decision.
+// clock. Wall-clock time appears in log and event records. It takes part in no
+// decision but the usage windows, where a median over hosts replaces it
+// (duty/true_time.h).
 //
 //   const base::TimePoint deadline = clock.Now() + base::Millis(250);
 //   if (clock.Now() >= deadline) ...
@@ -113,7 +114,8 @@
   TimePoint m_now;
 };
 
-// Milliseconds since the Unix epoch, for log and event records only.
+// Milliseconds since the Unix epoch, for log and event records and as a reading
+// for duty::TrueTime only.
 int64_t
 WallClockMillis();
 
--- a/chivefront/control/watcher_table.cc
+++ b/chivefront/control/watcher_table.cc
@@ -141,6 +141,19 @@
     }));
 }
 
+std::vector<std::string>
+WatcherTable::LiveEntryNames(base::TimePoint aNow) const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, watcher] : m_watchers) {
+    if (watcher.m_role == wire::Role::Entry &&
+        aNow - watcher.m_lastHeardAt < kWatcherTimeout) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 size_t
 WatcherTable::LiveCount(base::TimePoint aNow) const
 {
--- a/chivefront/control/watcher_table.h
+++ b/chivefront/control/watcher_table.h
@@ -37,6 +37,7 @@
 
   // The number of live entry processes.
   uint32_t LiveEntries(base::TimePoint aNow) const;
+  std::vector<std::string> LiveEntryNames(base::TimePoint aNow) const;
   // The names of live watchers whose revision is below aRevision.
   std::vector<std::string> BehindRevision(uint64_t aRevision,
                                           base::TimePoint aNow) const;
--- a/chivefront/duty/true_time.cc
+++ b/chivefront/duty/true_time.cc
@@ -70,21 +70,24 @@
   });
 }
 
-// Whether more than half of the live entries have stated their clocks. A
-// process that is cut off with a few hosts has no quorum, and neither has a new
-// leader at first. The number of live entries is the median of what they know,
-// because a single one may be wrong.
-bool
-TrueTime::HasQuorum(base::TimePoint aNow) const
+uint32_t
+TrueTime::LiveEntries() const
 {
-  if (m_readings.empty() || aNow - m_readingSince < detail::kGatherTime) {
-    return false;
-  }
   std::vector<uint32_t> liveEntries;
   for (const auto& [process, reading] : m_readings) {
     liveEntries.push_back(reading.m_liveEntries);
   }
-  return m_readings.size() * 2 > detail::Median(std::move(liveEntries));
+  return liveEntries.empty() ? 0 : detail::Median(std::move(liveEntries));
+}
+
+// Whether more than half of the live entries have stated their clocks. A
+// process that is cut off with a few hosts has no quorum, and neither has a new
+// leader at first.
+bool
+TrueTime::HasQuorum(base::TimePoint aNow) const
+{
+  return !m_readings.empty() && aNow - m_readingSince >= detail::kGatherTime &&
+         m_readings.size() * 2 > LiveEntries();
 }
 
 // Of all readings, and of the own clock beside an even number of them.
--- a/chivefront/duty/true_time.h
+++ b/chivefront/duty/true_time.h
@@ -47,6 +47,10 @@
   // make a minority of the hosts half of the clocks.
   std::optional<int64_t> At(base::TimePoint aNow, int64_t aOwnWallTime);
 
+  // The number of live entries: the median of what they know, because a single
+  // one may be wrong. 0 if none is known.
+  uint32_t LiveEntries() const;
+
 private:
   struct Reading
   {
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -15,6 +15,7 @@
 #include "chivefront/site/rate_coordinator.h"
 #include "chivefront/site/registrations.h"
 #include "chivefront/site/rollout_supervisor.h"
+#include "chivefront/site/usage_coordinator.h"
 
 namespace chivefront::site {
 namespace detail {
@@ -70,6 +71,10 @@
                       aLog,
                       aMetrics)
   {
+    if (m_options.m_duties &&
+        m_options.m_duties->m_duties.count(duty::Duty::UsageReport) > 0) {
+      m_usage.emplace(*m_options.m_duties, aMetrics);
+    }
   }
 
   std::string Name() const { return m_options.m_listen.ToString(); }
@@ -164,6 +169,7 @@
   RateCoordinator m_rateCoordinator;
   DocumentSource m_documentSource;
   CrashCoordinator m_crashCoordinator{ m_log };
+  std::optional<UsageCoordinator> m_usage; // unset: not a duty here
   bool m_stopped = false;
 };
 
@@ -245,6 +251,9 @@
   }
   m_crashCoordinator.Answer(aRequest, registry, now, reply);
   m_rateCoordinator.Answer(aRequest, reply.fresh, now, reply);
+  if (m_usage) {
+    m_usage->Answer(aRequest, now, base::WallClockMillis(), reply);
+  }
   (void)aLink->Reply(aCorrelation, std::move(reply));
 }
 
@@ -284,6 +293,9 @@
   m_registrations.OnTick(now, OtherControlProcesses());
   m_rateCoordinator.Expire(m_registrations.Known(), now);
   m_groupReporter.Report(m_group.Status());
+  if (m_usage) {
+    m_usage->OnTick(m_group.IsLeader(), now);
+  }
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
   }
@@ -371,6 +383,24 @@
   return m_impl->m_group.IsLeader();
 }
 
+std::vector<duty::WindowUsage>
+Node::DecidableUsage()
+{
+  if (!m_impl->m_usage || !IsLeader()) {
+    return {};
+  }
+  return m_impl->m_usage->Decidable(
+    m_impl->m_watchers, m_impl->m_clock.Now(), base::WallClockMillis());
+}
+
+void
+Node::ForgetUsage(uint64_t aWindow)
+{
+  if (m_impl->m_usage) {
+    m_impl->m_usage->Forget(aWindow);
+  }
+}
+
 net::Task<absl::Status>
 Node::Register(routing::Instance aRecord)
 {
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -15,12 +15,14 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "chivefront/base/decision_log.h"
 #include "chivefront/base/metrics.h"
 #include "chivefront/consensus/group.h"
+#include "chivefront/duty/duty.h"
 #include "chivefront/net/link.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/site/store.h"
@@ -42,6 +44,8 @@
   // more voters (consensus::GroupOptions::m_targetVoters); the others are
   // standbys.
   uint32_t m_voters = 3;
+  // Unset: this deployment has no duties.
+  std::optional<duty::DutySettings> m_duties;
   // Called on another thread when the replicated log can't be written.
   consensus::Group::FatalFunction m_onFatal;
 };
@@ -74,6 +78,13 @@
   std::string Leader() const;
   bool IsLeader() const;
 
+  // The usage windows that may be decided, oldest first; the same ones until
+  // they are forgotten. None at a process that does not lead, or without the
+  // duty.
+  std::vector<duty::WindowUsage> DecidableUsage();
+  // Drops the usage windows up to aWindow, which are decided.
+  void ForgetUsage(uint64_t aWindow);
+
   // Merges an upstream's registration and sends it to the other control
   // processes. An outdated record is no error. When the upstream drains,
   // returns only once that is durable. Returns Overloaded if there is no room
--- /dev/null
+++ b/chivefront/site/usage_coordinator.h
@@ -0,0 +1,57 @@
+// The part of a control process that collects usage from the polls of entries,
+// tells them the true time, and names the windows that may be decided while it
+// leads.
+//
+// Soft state. Every control process takes counts; an entry that turns to
+// another one repeats what it keeps.
+#pragma once
+
+#include <optional>
+#include <vector>
+
+#include "chivefront/base/metrics.h"
+#include "chivefront/control/watcher_table.h"
+#include "chivefront/duty/true_time.h"
+#include "chivefront/duty/usage_collector.h"
+
+namespace chivefront::site {
+
+class UsageCoordinator
+{
+public:
+  UsageCoordinator(const duty::DutySettings& aSettings,
+                   base::Metrics& aMetrics);
+
+  // Takes the usage of a poll and adds the true time to the answer, if it is
+  // known. aReply.registry_epoch must be set. aWallTime is the wall clock of
+  // this host in Unix milliseconds. An entry that counts no usage, or windows
+  // of another length, gets no answer.
+  void Answer(const wire::WatchRequestT& aRequest,
+              base::TimePoint aNow,
+              int64_t aWallTime,
+              wire::WatchReplyT& aReply);
+
+  // Follows whether this process leads, and drops what is out of date.
+  void OnTick(bool aIsLeader, base::TimePoint aNow);
+
+  // Returns the windows that may be decided, oldest first. None while this
+  // process has led for a short time only, since the entries have not all
+  // reported to it yet, or while it does not know the true time.
+  std::vector<duty::WindowUsage> Decidable(
+    const control::WatcherTable& aWatchers,
+    base::TimePoint aNow,
+    int64_t aWallTime);
+
+  // Drops the windows up to aWindow, which are decided.
+  void Forget(uint64_t aWindow) { m_collector.Forget(aWindow); }
+
+private:
+  const base::Millis m_window;
+  duty::TrueTime m_time;
+  duty::UsageCollector m_collector;
+  std::optional<base::TimePoint> m_leadingSince;
+  base::Gauge& m_countsGauge;
+  base::Gauge& m_refusedGauge;
+};
+
+} // namespace chivefront::site
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -180,6 +180,9 @@
   if (m_view.m_leaderAnsweredAt != base::TimePoint()) {
     request.live_entries = m_view.m_liveEntries;
   }
+  if (m_usageReporter) {
+    m_usageReporter->AddTo(request);
+  }
   m_polledAt = now;
   return request;
 }
@@ -239,6 +242,9 @@
   AcceptInstances(aReply, now);
   AcceptCrashCauses(aReply, now);
   AcceptRates(aReply, now);
+  if (m_usageReporter) {
+    m_usageReporter->Accept(aReply, m_polledAt);
+  }
 }
 
 // An entry without a configuration does not take one from a process that has
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -27,6 +27,7 @@
 #include "chivefront/site/document_parts.h"
 #include "chivefront/site/rate_messages.h"
 #include "chivefront/site/store.h"
+#include "chivefront/site/usage_reporter.h"
 
 namespace chivefront::site {
 
@@ -73,6 +74,12 @@
   void SetEvidenceSource(EvidenceSource aSource);
   void SetCrashReportSource(CrashReportSource aSource);
   void SetRateExchange(RateReportSource aSource, RateAnswerSink aSink);
+  // Counts of usage go with the polls. Without a reporter the polls say nothing
+  // of usage.
+  void SetUsageReporter(UsageReporter* aReporter)
+  {
+    m_usageReporter = aReporter;
+  }
   // Adds control processes to poll, after a reload of the settings.
   void AddSeeds(const std::vector<std::string>& aNames);
   void Start();
@@ -123,7 +130,8 @@
   CrashReportSource m_crashReport;
   RateReportSource m_rateReport;
   RateAnswerSink m_rateAnswer;
-  base::TimePoint m_polledAt; // when the last poll was sent
+  UsageReporter* m_usageReporter = nullptr; // not owned
+  base::TimePoint m_polledAt;               // when the last poll was sent
   // Since when answers name fewer live entries than the view; unset: they do
   // not.
   base::TimePoint m_fewerEntriesSince;
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -80,6 +80,14 @@
 struct PermitGrantBuilder;
 struct PermitGrantT;
 
+struct UsageCount;
+struct UsageCountBuilder;
+struct UsageCountT;
+
+struct UsageWindow;
+struct UsageWindowBuilder;
+struct UsageWindowT;
+
 struct WatchRequest;
 struct WatchRequestBuilder;
 struct WatchRequestT;
@@ -2982,6 +2990,173 @@
 
 flatbuffers::Offset<PermitGrant> CreatePermitGrant(flatbuffers::FlatBufferBuilder &_fbb, const PermitGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct UsageCountT : public flatbuffers::NativeTable {
+  typedef UsageCount TableType;
+  std::string team{};
+  uint64_t requests = 0;
+};
+
+struct UsageCount FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageCountT NativeTableType;
+  typedef UsageCountBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TEAM = 4,
+    VT_REQUESTS = 6
+  };
+  const flatbuffers::String *team() const {
+    return GetPointer<const flatbuffers::String *>(VT_TEAM);
+  }
+  uint64_t requests() const {
+    return GetField<uint64_t>(VT_REQUESTS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TEAM) &&
+           verifier.VerifyString(team()) &&
+           VerifyField<uint64_t>(verifier, VT_REQUESTS, 8) &&
+           verifier.EndTable();
+  }
+  UsageCountT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageCountT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageCount> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageCountT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageCountBuilder {
+  typedef UsageCount Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_team(flatbuffers::Offset<flatbuffers::String> team) {
+    fbb_.AddOffset(UsageCount::VT_TEAM, team);
+  }
+  void add_requests(uint64_t requests) {
+    fbb_.AddElement<uint64_t>(UsageCount::VT_REQUESTS, requests, 0);
+  }
+  explicit UsageCountBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageCount> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageCount>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageCount> CreateUsageCount(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> team = 0,
+    uint64_t requests = 0) {
+  UsageCountBuilder builder_(_fbb);
+  builder_.add_requests(requests);
+  builder_.add_team(team);
+  return builder_.Finish();
+}
+
+struct UsageCount::Traits {
+  using type = UsageCount;
+  static auto constexpr Create = CreateUsageCount;
+};
+
+inline flatbuffers::Offset<UsageCount> CreateUsageCountDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *team = nullptr,
+    uint64_t requests = 0) {
+  auto team__ = team ? _fbb.CreateString(team) : 0;
+  return chivefront::wire::CreateUsageCount(
+      _fbb,
+      team__,
+      requests);
+}
+
+flatbuffers::Offset<UsageCount> CreateUsageCount(flatbuffers::FlatBufferBuilder &_fbb, const UsageCountT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct UsageWindowT : public flatbuffers::NativeTable {
+  typedef UsageWindow TableType;
+  uint64_t number = 0;
+  std::vector<std::unique_ptr<chivefront::wire::UsageCountT>> counts{};
+  UsageWindowT() = default;
+  UsageWindowT(const UsageWindowT &o);
+  UsageWindowT(UsageWindowT&&) FLATBUFFERS_NOEXCEPT = default;
+  UsageWindowT &operator=(UsageWindowT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct UsageWindow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageWindowT NativeTableType;
+  typedef UsageWindowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_COUNTS = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageCount>> *counts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageCount>> *>(VT_COUNTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           verifier.VerifyVectorOfTables(counts()) &&
+           verifier.EndTable();
+  }
+  UsageWindowT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageWindowT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageWindow> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageWindowBuilder {
+  typedef UsageWindow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(UsageWindow::VT_NUMBER, number, 0);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageCount>>> counts) {
+    fbb_.AddOffset(UsageWindow::VT_COUNTS, counts);
+  }
+  explicit UsageWindowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageWindow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageWindow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageCount>>> counts = 0) {
+  UsageWindowBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_counts(counts);
+  return builder_.Finish();
+}
+
+struct UsageWindow::Traits {
+  using type = UsageWindow;
+  static auto constexpr Create = CreateUsageWindow;
+};
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::UsageCount>> *counts = nullptr) {
+  auto counts__ = counts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageCount>>(*counts) : 0;
+  return chivefront::wire::CreateUsageWindow(
+      _fbb,
+      number,
+      counts__);
+}
+
+flatbuffers::Offset<UsageWindow> CreateUsageWindow(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WatchRequestT : public flatbuffers::NativeTable {
   typedef WatchRequest TableType;
   std::string holder{};
@@ -3001,6 +3176,11 @@
   uint32_t live_entries = 0;
   bool fetches_documents = false;
   std::vector<std::unique_ptr<chivefront::wire::PartSeenT>> parts_survived{};
+  uint32_t usage_window_ms = 0;
+  uint64_t wall_ms = 0;
+  std::vector<std::unique_ptr<chivefront::wire::UsageWindowT>> usage{};
+  uint64_t usage_sequence = 0;
+  uint64_t usage_closed_before = 0;
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3028,7 +3208,12 @@
     VT_PERMITS = 30,
     VT_LIVE_ENTRIES = 32,
     VT_FETCHES_DOCUMENTS = 34,
-    VT_PARTS_SURVIVED = 36
+    VT_PARTS_SURVIVED = 36,
+    VT_USAGE_WINDOW_MS = 38,
+    VT_WALL_MS = 40,
+    VT_USAGE = 42,
+    VT_USAGE_SEQUENCE = 44,
+    VT_USAGE_CLOSED_BEFORE = 46
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3081,6 +3266,21 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *>(VT_PARTS_SURVIVED);
   }
+  uint32_t usage_window_ms() const {
+    return GetField<uint32_t>(VT_USAGE_WINDOW_MS, 0);
+  }
+  uint64_t wall_ms() const {
+    return GetField<uint64_t>(VT_WALL_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>> *usage() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>> *>(VT_USAGE);
+  }
+  uint64_t usage_sequence() const {
+    return GetField<uint64_t>(VT_USAGE_SEQUENCE, 0);
+  }
+  uint64_t usage_closed_before() const {
+    return GetField<uint64_t>(VT_USAGE_CLOSED_BEFORE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3117,6 +3317,13 @@
            VerifyOffset(verifier, VT_PARTS_SURVIVED) &&
            verifier.VerifyVector(parts_survived()) &&
            verifier.VerifyVectorOfTables(parts_survived()) &&
+           VerifyField<uint32_t>(verifier, VT_USAGE_WINDOW_MS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_WALL_MS, 8) &&
+           VerifyOffset(verifier, VT_USAGE) &&
+           verifier.VerifyVector(usage()) &&
+           verifier.VerifyVectorOfTables(usage()) &&
+           VerifyField<uint64_t>(verifier, VT_USAGE_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_USAGE_CLOSED_BEFORE, 8) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3179,6 +3386,21 @@
   void add_parts_survived(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived) {
     fbb_.AddOffset(WatchRequest::VT_PARTS_SURVIVED, parts_survived);
   }
+  void add_usage_window_ms(uint32_t usage_window_ms) {
+    fbb_.AddElement<uint32_t>(WatchRequest::VT_USAGE_WINDOW_MS, usage_window_ms, 0);
+  }
+  void add_wall_ms(uint64_t wall_ms) {
+    fbb_.AddElement<uint64_t>(WatchRequest::VT_WALL_MS, wall_ms, 0);
+  }
+  void add_usage(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>>> usage) {
+    fbb_.AddOffset(WatchRequest::VT_USAGE, usage);
+  }
+  void add_usage_sequence(uint64_t usage_sequence) {
+    fbb_.AddElement<uint64_t>(WatchRequest::VT_USAGE_SEQUENCE, usage_sequence, 0);
+  }
+  void add_usage_closed_before(uint64_t usage_closed_before) {
+    fbb_.AddElement<uint64_t>(WatchRequest::VT_USAGE_CLOSED_BEFORE, usage_closed_before, 0);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3208,13 +3430,23 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits = 0,
     uint32_t live_entries = 0,
     bool fetches_documents = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived = 0,
+    uint32_t usage_window_ms = 0,
+    uint64_t wall_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>>> usage = 0,
+    uint64_t usage_sequence = 0,
+    uint64_t usage_closed_before = 0) {
   WatchRequestBuilder builder_(_fbb);
+  builder_.add_usage_closed_before(usage_closed_before);
+  builder_.add_usage_sequence(usage_sequence);
+  builder_.add_wall_ms(wall_ms);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_have_revision(have_revision);
+  builder_.add_usage(usage);
+  builder_.add_usage_window_ms(usage_window_ms);
   builder_.add_parts_survived(parts_survived);
   builder_.add_live_entries(live_entries);
   builder_.add_permits(permits);
@@ -3253,7 +3485,12 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits = nullptr,
     uint32_t live_entries = 0,
     bool fetches_documents = false,
-    const std::vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived = nullptr,
+    uint32_t usage_window_ms = 0,
+    uint64_t wall_ms = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::UsageWindow>> *usage = nullptr,
+    uint64_t usage_sequence = 0,
+    uint64_t usage_closed_before = 0) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -3263,6 +3500,7 @@
   auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>>(*request_limits) : 0;
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>>(*permits) : 0;
   auto parts_survived__ = parts_survived ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>>(*parts_survived) : 0;
+  auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageWindow>>(*usage) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       holder__,
@@ -3281,7 +3519,12 @@
       permits__,
       live_entries,
       fetches_documents,
-      parts_survived__);
+      parts_survived__,
+      usage_window_ms,
+      wall_ms,
+      usage__,
+      usage_sequence,
+      usage_closed_before);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3308,6 +3551,8 @@
   std::vector<std::unique_ptr<chivefront::wire::PermitGrantT>> permits{};
   bool unconfirmed = false;
   uint64_t document_number = 0;
+  uint64_t true_time_ms = 0;
+  uint64_t usage_sequence = 0;
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3338,7 +3583,9 @@
     VT_REQUEST_LIMITS = 36,
     VT_PERMITS = 38,
     VT_UNCONFIRMED = 40,
-    VT_DOCUMENT_NUMBER = 42
+    VT_DOCUMENT_NUMBER = 42,
+    VT_TRUE_TIME_MS = 44,
+    VT_USAGE_SEQUENCE = 46
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -3400,6 +3647,12 @@
   uint64_t document_number() const {
     return GetField<uint64_t>(VT_DOCUMENT_NUMBER, 0);
   }
+  uint64_t true_time_ms() const {
+    return GetField<uint64_t>(VT_TRUE_TIME_MS, 0);
+  }
+  uint64_t usage_sequence() const {
+    return GetField<uint64_t>(VT_USAGE_SEQUENCE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -3437,6 +3690,8 @@
            verifier.VerifyVectorOfTables(permits()) &&
            VerifyField<uint8_t>(verifier, VT_UNCONFIRMED, 1) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_NUMBER, 8) &&
+           VerifyField<uint64_t>(verifier, VT_TRUE_TIME_MS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_USAGE_SEQUENCE, 8) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3508,6 +3763,12 @@
   void add_document_number(uint64_t document_number) {
     fbb_.AddElement<uint64_t>(WatchReply::VT_DOCUMENT_NUMBER, document_number, 0);
   }
+  void add_true_time_ms(uint64_t true_time_ms) {
+    fbb_.AddElement<uint64_t>(WatchReply::VT_TRUE_TIME_MS, true_time_ms, 0);
+  }
+  void add_usage_sequence(uint64_t usage_sequence) {
+    fbb_.AddElement<uint64_t>(WatchReply::VT_USAGE_SEQUENCE, usage_sequence, 0);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3540,8 +3801,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits = 0,
     bool unconfirmed = false,
-    uint64_t document_number = 0) {
+    uint64_t document_number = 0,
+    uint64_t true_time_ms = 0,
+    uint64_t usage_sequence = 0) {
   WatchReplyBuilder builder_(_fbb);
+  builder_.add_usage_sequence(usage_sequence);
+  builder_.add_true_time_ms(true_time_ms);
   builder_.add_document_number(document_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
@@ -3591,7 +3856,9 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits = nullptr,
     bool unconfirmed = false,
-    uint64_t document_number = 0) {
+    uint64_t document_number = 0,
+    uint64_t true_time_ms = 0,
+    uint64_t usage_sequence = 0) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
@@ -3622,7 +3889,9 @@
       request_limits__,
       permits__,
       unconfirmed,
-      document_number);
+      document_number,
+      true_time_ms,
+      usage_sequence);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7859,6 +8128,76 @@
       _count);
 }
 
+inline UsageCountT *UsageCount::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageCountT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageCount::UnPackTo(UsageCountT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = team(); if (_e) _o->team = _e->str(); }
+  { auto _e = requests(); _o->requests = _e; }
+}
+
+inline flatbuffers::Offset<UsageCount> UsageCount::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageCountT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageCount(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageCount> CreateUsageCount(flatbuffers::FlatBufferBuilder &_fbb, const UsageCountT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageCountT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _team = _o->team.empty() ? 0 : _fbb.CreateString(_o->team);
+  auto _requests = _o->requests;
+  return chivefront::wire::CreateUsageCount(
+      _fbb,
+      _team,
+      _requests);
+}
+
+inline UsageWindowT::UsageWindowT(const UsageWindowT &o)
+      : number(o.number) {
+  counts.reserve(o.counts.size());
+  for (const auto &counts_ : o.counts) { counts.emplace_back((counts_) ? new chivefront::wire::UsageCountT(*counts_) : nullptr); }
+}
+
+inline UsageWindowT &UsageWindowT::operator=(UsageWindowT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(counts, o.counts);
+  return *this;
+}
+
+inline UsageWindowT *UsageWindow::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageWindowT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageWindow::UnPackTo(UsageWindowT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->counts[_i] = std::unique_ptr<chivefront::wire::UsageCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<UsageWindow> UsageWindow::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageWindow(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindow(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageWindowT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _counts = _o->counts.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageCount>> (_o->counts.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageCount(*__va->__fbb, __va->__o->counts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return chivefront::wire::CreateUsageWindow(
+      _fbb,
+      _number,
+      _counts);
+}
+
 inline WatchRequestT::WatchRequestT(const WatchRequestT &o)
       : holder(o.holder),
         role(o.role),
@@ -7868,7 +8207,11 @@
         report_sequence(o.report_sequence),
         have_number(o.have_number),
         live_entries(o.live_entries),
-        fetches_documents(o.fetches_documents) {
+        fetches_documents(o.fetches_documents),
+        usage_window_ms(o.usage_window_ms),
+        wall_ms(o.wall_ms),
+        usage_sequence(o.usage_sequence),
+        usage_closed_before(o.usage_closed_before) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
@@ -7885,6 +8228,8 @@
   for (const auto &permits_ : o.permits) { permits.emplace_back((permits_) ? new chivefront::wire::PermitRequestT(*permits_) : nullptr); }
   parts_survived.reserve(o.parts_survived.size());
   for (const auto &parts_survived_ : o.parts_survived) { parts_survived.emplace_back((parts_survived_) ? new chivefront::wire::PartSeenT(*parts_survived_) : nullptr); }
+  usage.reserve(o.usage.size());
+  for (const auto &usage_ : o.usage) { usage.emplace_back((usage_) ? new chivefront::wire::UsageWindowT(*usage_) : nullptr); }
 }
 
 inline WatchRequestT &WatchRequestT::operator=(WatchRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -7905,6 +8250,11 @@
   std::swap(live_entries, o.live_entries);
   std::swap(fetches_documents, o.fetches_documents);
   std::swap(parts_survived, o.parts_survived);
+  std::swap(usage_window_ms, o.usage_window_ms);
+  std::swap(wall_ms, o.wall_ms);
+  std::swap(usage, o.usage);
+  std::swap(usage_sequence, o.usage_sequence);
+  std::swap(usage_closed_before, o.usage_closed_before);
   return *this;
 }
 
@@ -7934,6 +8284,11 @@
   { auto _e = live_entries(); _o->live_entries = _e; }
   { auto _e = fetches_documents(); _o->fetches_documents = _e; }
   { auto _e = parts_survived(); if (_e) { _o->parts_survived.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_survived[_i] = std::unique_ptr<chivefront::wire::PartSeenT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = usage_window_ms(); _o->usage_window_ms = _e; }
+  { auto _e = wall_ms(); _o->wall_ms = _e; }
+  { auto _e = usage(); if (_e) { _o->usage.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usage[_i] = std::unique_ptr<chivefront::wire::UsageWindowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = usage_sequence(); _o->usage_sequence = _e; }
+  { auto _e = usage_closed_before(); _o->usage_closed_before = _e; }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7961,6 +8316,11 @@
   auto _live_entries = _o->live_entries;
   auto _fetches_documents = _o->fetches_documents;
   auto _parts_survived = _o->parts_survived.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>> (_o->parts_survived.size(), [](size_t i, _VectorArgs *__va) { return CreatePartSeen(*__va->__fbb, __va->__o->parts_survived[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _usage_window_ms = _o->usage_window_ms;
+  auto _wall_ms = _o->wall_ms;
+  auto _usage = _o->usage.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageWindow>> (_o->usage.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageWindow(*__va->__fbb, __va->__o->usage[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _usage_sequence = _o->usage_sequence;
+  auto _usage_closed_before = _o->usage_closed_before;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -7979,7 +8339,12 @@
       _permits,
       _live_entries,
       _fetches_documents,
-      _parts_survived);
+      _parts_survived,
+      _usage_window_ms,
+      _wall_ms,
+      _usage,
+      _usage_sequence,
+      _usage_closed_before);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -7997,7 +8362,9 @@
         members(o.members),
         suspect_parts(o.suspect_parts),
         unconfirmed(o.unconfirmed),
-        document_number(o.document_number) {
+        document_number(o.document_number),
+        true_time_ms(o.true_time_ms),
+        usage_sequence(o.usage_sequence) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -8031,6 +8398,8 @@
   std::swap(permits, o.permits);
   std::swap(unconfirmed, o.unconfirmed);
   std::swap(document_number, o.document_number);
+  std::swap(true_time_ms, o.true_time_ms);
+  std::swap(usage_sequence, o.usage_sequence);
   return *this;
 }
 
@@ -8063,6 +8432,8 @@
   { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = unconfirmed(); _o->unconfirmed = _e; }
   { auto _e = document_number(); _o->document_number = _e; }
+  { auto _e = true_time_ms(); _o->true_time_ms = _e; }
+  { auto _e = usage_sequence(); _o->usage_sequence = _e; }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8093,6 +8464,8 @@
   auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitGrant(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _unconfirmed = _o->unconfirmed;
   auto _document_number = _o->document_number;
+  auto _true_time_ms = _o->true_time_ms;
+  auto _usage_sequence = _o->usage_sequence;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -8114,7 +8487,9 @@
       _request_limits,
       _permits,
       _unconfirmed,
-      _document_number);
+      _document_number,
+      _true_time_ms,
+      _usage_sequence);
 }
 
 inline DocumentRequestT *DocumentRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
