Count the runs of each team at the entry

Cause: the usage report needs the requests of each team that began to run. Change: Exchange::RecordBegun counts a run at an upstream once, at the first bytes of the body of an answer, or at its head where no body is read or follows. An answer that says "not run" is no run.

--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -55,6 +55,12 @@
               m_options.m_domain,
               m_options.m_retryBudget }
 {
+  if (m_options.m_usageWindow > base::Millis(0)) {
+    m_usage.emplace(
+      m_options.m_usageWindow, m_shared.m_clock, base::WallClockMillis);
+    m_shared.m_usage = &*m_usage;
+    aWatch.SetUsageReporter(m_shared.m_usage);
+  }
   aWatch.SetEvidenceSource([this] { return m_rolloutEvidence.Rows(); });
   aWatch.SetCrashReportSource(
     [this](const std::set<routing::CauseKey>& aSuspects) {
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -30,6 +31,9 @@
   // Bodies held over all connections. A body is copied while it is sent on, so
   // this takes up to twice as much; the smallest hosts have 88 MB.
   size_t m_maxHeldBytes = 16 * 1024 * 1024;
+  // Length of the windows in which the requests of each team are counted; 0:
+  // they are not counted.
+  base::Millis m_usageWindow{ 0 };
 };
 
 class Entry
@@ -74,6 +78,7 @@
   routing::CrashEvidence m_crashEvidence;
   RequestMetrics m_metrics;
   base::Gauge& m_heldBytesGauge;
+  std::optional<site::UsageReporter> m_usage; // unset: not counted
   const std::shared_ptr<HeldBytes> m_heldBytes;
   SharedState m_shared;
   std::set<std::shared_ptr<CallerConnection>> m_callers;
--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -156,6 +156,7 @@
   int Priority() const;
   bool CanEscalate() const;
   void RecordPromptParts(Upstream& aUpstream) const;
+  void RecordBegun();
   void RecordAnswerBegun();
   void RecordSurvival();
   void RecordAnswered();
@@ -226,6 +227,7 @@
   base::Millis m_headTimeout;     // of the running attempt
   // The running attempt was left by this process, as its upstream was silent.
   bool m_leftUpstream = false;
+  bool m_begunRecorded = false; // for usage, of the running attempt
   // The upstream of the running attempt sent an event or a part of a body.
   bool m_answerBegun = false;
   base::TimePoint m_answerBegunAt; // set when m_answerBegun is
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -89,6 +89,7 @@
   m_leftUpstream = false;
   m_answerBegun = false;
   m_survivalRecorded = false;
+  m_begunRecorded = false; // without this line, usage counts a request once
   m_resumesStream = ResumeAfter().has_value();
   m_countedSuccess.reset();
   m_lastUpstream = aUpstream->m_instance.m_id;
@@ -253,6 +254,7 @@
   RecordHeadLatency(aUpstream);
   if (detail::PromisesNotRun(status)) {
     // The upstream has not said that the request did not run.
+    RecordBegun();
     m_connection->Close();
     RecordOutcome(aUpstream, false);
     co_return UpstreamError{ m_responseStatus, {}, {} };
@@ -261,6 +263,7 @@
   if (!detail::IsSuccess(status)) {
     if (m_caller->ResponseStarted()) {
       // Only events may be appended to a stream that has already started.
+      RecordBegun();
       m_connection->Close();
       RecordOutcome(aUpstream, status < detail::kFirstServerError);
       co_return UpstreamError{ m_responseStatus, {}, {} };
@@ -269,12 +272,14 @@
   }
   if (!metadata.m_sealed ||
       m_connection->Head().count(http::field::content_encoding) > 0) {
+    RecordBegun();
     m_connection->Close();
     co_return OutcomeUnknown{ "unsealed" };
   }
   if (metadata.m_confidence && CanEscalate() &&
       !routing::KeepsAnswer(m_modelIndex, *metadata.m_confidence) &&
       TryTakeRetry()) {
+    RecordBegun();
     m_connection->Close();
     co_return LowConfidence{ *metadata.m_confidence };
   }
@@ -321,6 +326,7 @@
   bool streaming = false; // part of the body has been forwarded
   while (true) {
     const auto chunk = co_await m_connection->ReadBody();
+    RecordBegun();
     if (m_abortReason != AbortReason::None) {
       co_return Aborted{};
     }
@@ -379,6 +385,7 @@
   running.Resume(m_headReceivedAt);
   while (true) {
     const auto chunk = co_await m_connection->ReadBody();
+    RecordBegun();
     if (m_abortReason != AbortReason::None) {
       co_return Aborted{};
     }
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -290,6 +290,22 @@
   }
 }
 
+// Counts usage: a run of a team's request at an upstream, once. It is called
+// when the answer shows that the request runs there: at the first bytes of its
+// body, or at the head if no body follows or none is read. An answer that says
+// that the request did not run, or that comes from another upstream than the
+// one meant, is no run, and neither is an attempt without an answer. A request
+// that is repeated, resumed or escalated counts again for each run. Requests
+// without a team are not counted.
+void
+Exchange::RecordBegun()
+{
+  if (m_shared.m_usage != nullptr && m_team != nullptr && !m_begunRecorded) {
+    m_begunRecorded = true;
+    m_shared.m_usage->Record(m_team->m_name);
+  }
+}
+
 void
 Exchange::RecordAnswerBegun()
 {
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -109,6 +109,7 @@
   const std::shared_ptr<HeldBytes> m_heldBytes;
   const std::string m_domain; // failure domain of this entry
   const RetryBudgetLimits m_retryLimits;
+  site::UsageReporter* m_usage = nullptr; // null: usage is not counted
   bool m_draining = false;
   base::TimePoint m_drainEnd; // while draining: when running requests are ended
   routing::LatencyBaselines m_baselines{};
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -242,10 +242,13 @@
     m_config = MakeConfig(aTimeout);
   }
 
-  static routing::ConfigPointer MakeConfig(base::Millis aTimeout)
+  static routing::ConfigPointer MakeConfig(
+    base::Millis aTimeout,
+    std::vector<routing::Team> aTeams = {})
   {
     routing::ConfigParts parts;
     parts.m_number = 1;
+    parts.m_teams = std::move(aTeams);
     parts.m_services.push_back({ "app" });
     for (const char* kind : { "plain", "once", "stream" }) {
       routing::Route route;
@@ -275,6 +278,7 @@
     options.m_domain = "near";
     options.m_retryBudget = { 1, 100, base::Millis(10000) };
     options.m_maxHeldBytes = m_maxHeldBytes;
+    options.m_usageWindow = m_usageWindow;
     m_entry = std::make_unique<Entry>(
       m_context, options, m_watch, m_headerCodec, m_log, m_metrics);
     BOOST_REQUIRE(m_entry->Start().ok());
@@ -457,6 +461,7 @@
   std::string m_nearVersion; // being rolled out; empty: no roll-out
   std::string m_farVersion;
   size_t m_maxHeldBytes = EntryOptions().m_maxHeldBytes;
+  base::Millis m_usageWindow{ 0 };
   bool m_onlyNear = false;                       // m_far is not registered
   bool m_withoutNear = false;                    // m_near is not registered
   std::unique_ptr<ScriptedUpstream> m_secondFar; // registered if it is there
