Gather usage again after a pause of the leader

Cause: a leader that was paused without losing its role would decide windows whose deadline passed meanwhile with the counts of before the pause. Change: a pause of more than 1 s between ticks restarts the time in which a new leader only gathers. Runs that an entry could not count show in its metrics.

--- a/chivefront/proxy/entry.cc
+++ b/chivefront/proxy/entry.cc
@@ -59,6 +59,9 @@
     m_usage.emplace(
       m_options.m_usageWindow, m_shared.m_clock, base::WallClockMillis);
     m_shared.m_usage = &*m_usage;
+    m_usageDroppedGauge = &aMetrics.AddGauge(
+      "chivefront_proxy_usage_dropped",
+      "Runs that were not counted since the start: too many teams.");
     aWatch.SetUsageReporter(m_shared.m_usage);
   }
   aWatch.SetEvidenceSource([this] { return m_rolloutEvidence.Rows(); });
@@ -116,6 +119,9 @@
 {
   m_upstreams.Sweep();
   m_heldBytesGauge.Set(static_cast<int64_t>(m_heldBytes->Total()));
+  if (m_usage) {
+    m_usageDroppedGauge->Set(static_cast<int64_t>(m_usage->DroppedCount()));
+  }
   co_return true;
 }
 
--- a/chivefront/proxy/entry.h
+++ b/chivefront/proxy/entry.h
@@ -79,6 +79,7 @@
   RequestMetrics m_metrics;
   base::Gauge& m_heldBytesGauge;
   std::optional<site::UsageReporter> m_usage; // unset: not counted
+  base::Gauge* m_usageDroppedGauge = nullptr; // null if m_usage is unset
   const std::shared_ptr<HeldBytes> m_heldBytes;
   SharedState m_shared;
   std::set<std::shared_ptr<CallerConnection>> m_callers;
--- a/chivefront/site/usage_coordinator.cc
+++ b/chivefront/site/usage_coordinator.cc
@@ -10,6 +10,9 @@
 // leader. Two polls that time out fit in besides.
 constexpr base::Millis kGatherTime{ 1500 };
 
+// A process without a tick for this long was paused.
+constexpr base::Millis kPauseThreshold{ 1000 };
+
 // The name of a poller without the number of its incarnation.
 std::string
 ProcessOfHolder(const std::string& aHolder)
@@ -59,9 +62,10 @@
 {
   if (!aIsLeader) {
     m_leadingSince.reset();
-  } else if (!m_leadingSince) {
+  } else if (!m_leadingSince || aNow - m_tickedAt > detail::kPauseThreshold) {
     m_leadingSince = aNow;
   }
+  m_tickedAt = aNow;
   m_collector.Expire(aNow);
   m_countsGauge.Set(static_cast<int64_t>(m_collector.Size()));
   m_refusedGauge.Set(static_cast<int64_t>(m_collector.RefusedCount()));
@@ -74,6 +78,7 @@
 {
   const auto trueTime = m_time.At(aNow, aWallTime);
   if (!trueTime || !m_leadingSince ||
+      aNow - m_tickedAt > detail::kPauseThreshold ||
       aNow - *m_leadingSince < detail::kGatherTime) {
     return {};
   }
--- a/chivefront/site/usage_coordinator.h
+++ b/chivefront/site/usage_coordinator.h
@@ -31,12 +31,14 @@
               int64_t aWallTime,
               wire::WatchReplyT& aReply);
 
-  // Follows whether this process leads, and drops what is out of date.
+  // Follows whether this process leads, and drops what is out of date. Call it
+  // several times a second.
   void OnTick(bool aIsLeader, base::TimePoint aNow);
 
   // Returns the windows that may be decided, oldest first. None while this
-  // process has led for a short time only, since the entries have not all
-  // reported to it yet, or while it does not know the true time.
+  // process has led for a short time only or was paused a short time ago, since
+  // the entries have not all reported to it yet, or while it does not know the
+  // true time.
   std::vector<duty::WindowUsage> Decidable(
     const control::WatcherTable& aWatchers,
     base::TimePoint aNow,
@@ -49,7 +51,9 @@
   const base::Millis m_window;
   duty::TrueTime m_time;
   duty::UsageCollector m_collector;
+  // Since when this process has led without a pause; unset: it does not lead.
   std::optional<base::TimePoint> m_leadingSince;
+  base::TimePoint m_tickedAt;
   base::Gauge& m_countsGauge;
   base::Gauge& m_refusedGauge;
 };
--- a/chivefront/site/usage_exchange_test.cc
+++ b/chivefront/site/usage_exchange_test.cc
@@ -203,6 +203,19 @@
   BOOST_TEST(leader.Decidable(m_clock.Now())[kFirst] == kPerWindow);
 }
 
+// Guards against a leader that decides with the counts of before its pause,
+// because the reports of the meantime have not been read yet.
+BOOST_FIXTURE_TEST_CASE(PausedLeaderHearsAllEntriesFirst, Deployment)
+{
+  RunFor(4000, m_control);
+  m_clock.Advance(base::Millis(6000)); // all hosts are paused
+  BOOST_TEST(m_control.Decidable(m_clock.Now()).empty());
+  m_control.m_usage.OnTick(true, m_clock.Now());
+  BOOST_TEST(m_control.Decidable(m_clock.Now()).empty());
+  RunFor(2000, m_control);
+  BOOST_TEST(m_control.Decidable(m_clock.Now())[kFirst] == kPerWindow * 4 / 5);
+}
+
 // Guards against an entry whose counts are lost after polls of a control
 // process that takes no usage, as one of an older release or of other settings.
 BOOST_FIXTURE_TEST_CASE(ProcessWithoutTheDutyTakesNoCounts, Deployment)
@@ -245,12 +258,22 @@
     }
     return wire::EncodeFrame(wire::MakeMessage(request)).size();
   };
+  const auto sizeOfReply = [](uint64_t aTrueTime) {
+    wire::WatchReplyT reply;
+    reply.fresh = true;
+    reply.true_time_ms = aTrueTime;
+    reply.usage_sequence = aTrueTime;
+    return wire::EncodeFrame(wire::MakeMessage(reply)).size();
+  };
+  const size_t replyBytes = sizeOfReply(kStart) - sizeOfReply(0);
   const size_t base = sizeOf(0, 0);
   const size_t windowBytes = sizeOf(2, 0) - sizeOf(1, 0);
   const size_t countBytes = (sizeOf(1, 101) - sizeOf(1, 1)) / 100;
   BOOST_TEST_MESSAGE("fixed " << sizeOf(1, 0) - base - windowBytes << " window "
                               << windowBytes << " count " << countBytes
-                              << " full " << sizeOf(6, 256) - base);
+                              << " full " << sizeOf(6, 256) - base << " reply "
+                              << replyBytes);
+  BOOST_TEST(replyBytes <= 72U);
   BOOST_TEST(sizeOf(1, 0) - base - windowBytes <= 96U);
   BOOST_TEST(windowBytes <= 48U);
   BOOST_TEST(countBytes <= 48U);
