Keep holders of duties and decided windows in the replicated state

Cause: a new holder needs a token that no one had, and must report the counts that the one before decided. At most 32 undelivered windows wait; older ones are given up and never decided again.

--- a/chivefront/site/state_test.cc
+++ b/chivefront/site/state_test.cc
@@ -97,6 +97,78 @@
   BOOST_TEST(other.Current()->m_number == 7U);
 }
 
+// Guards against a token that repeats or goes down after a restore.
+BOOST_FIXTURE_TEST_CASE(EachAcquisitionRaisesTheTokenOfItsDuty, Fixture)
+{
+  using duty::Duty;
+  const uint64_t owner = 0xfedcba9876543210; // above the signed range
+  Execute(AcquireDuty{ Duty::UsageReport, "a", owner });
+  Execute(AcquireDuty{ Duty::UsageReport, "b", 2 });
+  Execute(AcquireDuty{ Duty::Autoscaling, "b", 2 });
+  BOOST_REQUIRE(m_store.Restore(m_store.TakeSnapshot()).ok());
+  // The same process again: its commit tells it the token by its owner.
+  Execute(AcquireDuty{ Duty::UsageReport, "a", owner });
+  const duty::Holders holders = m_store.Current()->m_duties->HoldersByDuty();
+  BOOST_TEST((holders.at(Duty::UsageReport) == duty::Holder{ 3, "a", owner }));
+  BOOST_TEST((holders.at(Duty::Autoscaling) == duty::Holder{ 1, "b", 2 }));
+  BOOST_TEST(m_store.Current()->m_revision == 0U);
+  const auto unknown = DecodeOutcome(m_store.Apply(
+    9, R"({"acquire_duty":{"duty":"none","host":"a","owner":1}})"));
+  BOOST_TEST((unknown == Outcome::Unknown));
+}
+
+// Guards against two reports of a window with different counts.
+BOOST_FIXTURE_TEST_CASE(FirstDecisionOfAWindowWins, Fixture)
+{
+  Execute(DecideUsage{ { 7, { { "hule930", 412 }, { "fida11", 1 } } } });
+  Execute(DecideUsage{ { 7, { { "hule930", 413 } } } });
+  Execute(DecideUsage{ { 6, {} } });
+  Store other(m_clock);
+  BOOST_REQUIRE(other.Restore(m_store.TakeSnapshot()).ok());
+  const auto undelivered = other.Current()->m_duties->Undelivered();
+  BOOST_REQUIRE(undelivered.size() == 2U);
+  BOOST_TEST(undelivered[0].m_window == 6U);
+  BOOST_TEST(undelivered[1].m_counts.at("hule930") == 412U);
+  BOOST_TEST(undelivered[1].m_counts.at("fida11") == 1U);
+  Execute(ConfirmUsage{ 7 });
+  Execute(ConfirmUsage{ 7 });
+  Execute(ConfirmUsage{ 8 });
+  Execute(DecideUsage{ { 7, { { "hule930", 413 } } } });
+  const auto& duties = *m_store.Current()->m_duties;
+  BOOST_TEST(duties.Undelivered().size() == 1U);
+  BOOST_TEST(!duties.IsDecided(8));
+  BOOST_TEST(m_store.Current()->m_revision == 0U);
+}
+
+// Guards against unbounded state while the service is unreachable, and against
+// a second decision of a window that was forgotten.
+BOOST_FIXTURE_TEST_CASE(OldestWindowsAreGivenUp, Fixture)
+{
+  for (uint64_t window = 100; window < 300; ++window) {
+    Execute(DecideUsage{ { window, { { "hule930", window } } } });
+  }
+  const auto& duties = *m_store.Current()->m_duties;
+  const auto undelivered = duties.Undelivered();
+  BOOST_TEST(undelivered.size() == kMaxUndeliveredWindows);
+  BOOST_TEST(undelivered.back().m_window == 299U);
+  BOOST_TEST(duties.GivenUpCount() == 200U - kMaxUndeliveredWindows);
+  BOOST_TEST(duties.IsDecided(100));
+  BOOST_TEST(!duties.IsDecided(300));
+}
+
+// Guards against a release that can't read the snapshots of the one before.
+BOOST_FIXTURE_TEST_CASE(OlderSnapshotsHaveNoDuties, Fixture)
+{
+  Execute(AcquireDuty{ duty::Duty::UsageReport, "a", 1 });
+  const char* older =
+    R"({"revision":1,"number":0,"domains_out":["riga-a"],"rollouts":[]})";
+  BOOST_REQUIRE(m_store.Restore(older).ok());
+  BOOST_TEST(m_store.Current()->m_duties->HoldersByDuty().empty());
+  const auto broken = m_store.Restore(
+    R"({"revision":1,"number":0,"domains_out":[],"rollouts":[],"duties":{}})");
+  BOOST_TEST(!broken.ok());
+}
+
 BOOST_FIXTURE_TEST_CASE(StateIsEncodedForEntries, Fixture)
 {
   Execute(Configure{ 7, "seven" });
--- a/chivefront/site/store.cc
+++ b/chivefront/site/store.cc
@@ -113,11 +113,31 @@
   if (kind == "departure") {
     return RecordDeparture{ DepartureOf(fields) };
   }
+  if (kind == "acquire_duty") {
+    return AcquireDutyOf(fields);
+  }
+  if (kind == "decide_usage") {
+    return DecideUsageOf(fields);
+  }
+  if (kind == "confirm_usage") {
+    return ConfirmUsageOf(fields);
+  }
   return EndRollout{ Text(fields, "service"),
                      Text(fields, "version"),
                      StageOf(fields) };
 }
 
+template<typename DutyCommand>
+Outcome
+ExecuteDuty(State& aState, const DutyCommand& aCommand)
+{
+  auto duties = std::make_shared<DutyState>(*aState.m_duties);
+  if (duties->Execute(aCommand)) {
+    aState.m_duties = std::move(duties);
+  }
+  return Outcome::Accepted;
+}
+
 constexpr base::NameTable<Outcome, 3> kOutcomeNames{ {
   { { Outcome::Accepted, "accepted" },
     { Outcome::Busy, "busy" },
@@ -158,6 +178,7 @@
   auto next = std::make_shared<State>(*Current());
   const uint64_t before = next->m_revision;
   const auto departuresBefore = next->m_departures;
+  const auto dutiesBefore = next->m_duties;
   Outcome outcome = Outcome::Unknown;
   try {
     outcome =
@@ -166,7 +187,8 @@
   } catch (const std::exception&) {
     outcome = Outcome::Unknown; // reported to the proposer
   }
-  if (next->m_revision != before || next->m_departures != departuresBefore) {
+  if (next->m_revision != before || next->m_departures != departuresBefore ||
+      next->m_duties != dutiesBefore) {
     const std::lock_guard lock(m_lock);
     m_state = std::move(next);
   }
@@ -241,6 +263,24 @@
   return Outcome::Accepted;
 }
 
+Outcome
+Store::Execute(State& aState, const AcquireDuty& aCommand) const
+{
+  return ExecuteDuty(aState, aCommand);
+}
+
+Outcome
+Store::Execute(State& aState, const DecideUsage& aCommand) const
+{
+  return ExecuteDuty(aState, aCommand);
+}
+
+Outcome
+Store::Execute(State& aState, const ConfirmUsage& aCommand) const
+{
+  return ExecuteDuty(aState, aCommand);
+}
+
 // A replica that applies the command when it is committed sees an age of about
 // zero. A replica that replays its log later can only use the wall clock.
 base::TimePoint
@@ -276,7 +316,8 @@
                          { "number", state->m_number },
                          { "domains_out", std::move(domains) },
                          { "rollouts", std::move(rollouts) },
-                         { "departures", std::move(departures) } };
+                         { "departures", std::move(departures) },
+                         { "duties", state->m_duties->ToJson() } };
   if (state->m_document) {
     snapshot["document"] = *state->m_document;
   }
@@ -318,6 +359,10 @@
       }
       state->m_departures = std::move(departures);
     }
+    if (fields.contains("duties")) { // not in those of older releases
+      state->m_duties = std::make_shared<const DutyState>(
+        DutyState::Restore(fields.at("duties").as_object()));
+    }
   } catch (const std::exception& error) {
     return base::MakeError(base::ErrorKind::Corrupt, error.what());
   }
--- a/chivefront/site/store.h
+++ b/chivefront/site/store.h
@@ -1,6 +1,6 @@
 // The replicated state of a deployment whose configuration is one numbered
-// document: the document, failure domains out of service, roll-outs, and
-// upstreams that have said that they leave.
+// document: the document, failure domains out of service, roll-outs, upstreams
+// that have said that they leave, and the duties' holders and reports.
 //
 //   site::Store store;                          // passed to a consensus group
 //   group.Propose(site::Encode(site::Configure{ 7, text }), done);
@@ -24,6 +24,7 @@
 #include "chivefront/base/names.h"
 #include "chivefront/consensus/group.h"
 #include "chivefront/site/departures.h"
+#include "chivefront/site/duty_state.h"
 
 namespace chivefront::site {
 
@@ -72,8 +73,14 @@
   Departure m_departure;
 };
 
-using Command =
-  std::variant<Configure, SetDomain, StartRollout, EndRollout, RecordDeparture>;
+using Command = std::variant<Configure,
+                             SetDomain,
+                             StartRollout,
+                             EndRollout,
+                             RecordDeparture,
+                             AcquireDuty,
+                             DecideUsage,
+                             ConfirmUsage>;
 
 std::string
 Encode(const Command& aCommand);
@@ -109,6 +116,9 @@
   // Never null. Not counted in m_revision: entries learn it with the registry.
   std::shared_ptr<const Departures> m_departures =
     std::make_shared<const Departures>();
+  // Never null. Not counted in m_revision: entries don't use it.
+  std::shared_ptr<const DutyState> m_duties =
+    std::make_shared<const DutyState>();
 };
 
 class Store final : public consensus::StateMachine
@@ -129,6 +139,9 @@
   Outcome Execute(State& aState, const StartRollout& aCommand) const;
   Outcome Execute(State& aState, const EndRollout& aCommand) const;
   Outcome Execute(State& aState, const RecordDeparture& aCommand) const;
+  Outcome Execute(State& aState, const AcquireDuty& aCommand) const;
+  Outcome Execute(State& aState, const DecideUsage& aCommand) const;
+  Outcome Execute(State& aState, const ConfirmUsage& aCommand) const;
   base::TimePoint LocalTimeOf(int64_t aOrderedAt, base::Millis aSpan) const;
 
   const base::Clock& m_clock;
