Call the service of the duties from control processes

Cause: the settings name a service, and nothing called it. The control role runs the duties when the settings name some; sources of windows and orders are to be set in site::DutyOptions.

--- a/chivefront/net/http_client.cc
+++ b/chivefront/net/http_client.cc
@@ -64,6 +64,9 @@
       co_return base::MakeError(base::ErrorKind::NoUpstream, error.message());
     }
     m_stream.socket().set_option(Tcp::no_delay(true), error);
+    if (m_timeouts.m_resetUnlessAnswered) {
+      SetResetOnClose(true);
+    }
     co_return absl::OkStatus();
   }
 
@@ -95,6 +98,9 @@
     if (error) {
       co_return ClientError(base::ErrorKind::LinkClosed, error);
     }
+    if (m_timeouts.m_resetUnlessAnswered) {
+      SetResetOnClose(false);
+    }
     for (const auto& field : m_parser.get()) {
       m_headers.emplace_back(field.name_string(), field.value());
     }
@@ -132,6 +138,12 @@
   void Cancel() override { m_stream.close(); }
 
 private:
+  void SetResetOnClose(bool aReset)
+  {
+    beast::error_code ignored; // the socket may be closed already
+    m_stream.socket().set_option(Tcp::socket::linger(aReset, 0), ignored);
+  }
+
   beast::tcp_stream m_stream;
   const HttpTimeouts m_timeouts;
   ReadBuffer m_buffer;
--- a/chivefront/net/http_client.h
+++ b/chivefront/net/http_client.h
@@ -33,6 +33,9 @@
   // Size of the kernel's receive buffer; small when the kernel must not accept
   // much more data than the caller has read. 0 keeps the system's default.
   int m_receiveBufferBytes = 0;
+  // Until the response header has arrived, the connection ends by a reset, so
+  // that the kernel does not send the rest of a request that was ended.
+  bool m_resetUnlessAnswered = false;
 };
 
 class HttpClientStream
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -69,6 +69,7 @@
                       m_store,
                       aLog,
                       aMetrics)
+    , m_duties(MakeDutyRunner(aMetrics))
   {
   }
 
@@ -128,6 +129,30 @@
     return options;
   }
 
+  // Null when this process has no duties. The sources of windows and orders are
+  // set here if they belong to the node.
+  std::unique_ptr<DutyRunner> MakeDutyRunner(base::Metrics& aMetrics)
+  {
+    if (!m_options.m_duties) {
+      return nullptr;
+    }
+    DutyPorts ports;
+    ports.m_status = [this] { return m_group.Status(); };
+    ports.m_confirm = [this](consensus::Group::ConfirmCallback aDone) {
+      m_confirmer.Confirm(std::move(aDone));
+    };
+    ports.m_commit = [this](Command aCommand) {
+      return Commit(std::move(aCommand));
+    };
+    return std::make_unique<DutyRunner>(m_context.get_executor(),
+                                        *m_options.m_duties,
+                                        std::move(ports),
+                                        m_clock,
+                                        m_store,
+                                        aMetrics,
+                                        m_log);
+  }
+
   void Handle(const net::Link::Pointer& aLink, wire::MessageT& aMessage);
   void OnWatch(const net::Link::Pointer& aLink,
                uint64_t aCorrelation,
@@ -164,6 +189,7 @@
   RateCoordinator m_rateCoordinator;
   DocumentSource m_documentSource;
   CrashCoordinator m_crashCoordinator{ m_log };
+  const std::unique_ptr<DutyRunner> m_duties; // may be null
   bool m_stopped = false;
 };
 
@@ -284,6 +310,9 @@
   m_registrations.OnTick(now, OtherControlProcesses());
   m_rateCoordinator.Expire(m_registrations.Known(), now);
   m_groupReporter.Report(m_group.Status());
+  if (m_duties) {
+    m_duties->OnTick(now);
+  }
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
   }
@@ -394,6 +423,9 @@
 net::Task<void>
 Node::Leave()
 {
+  if (m_impl->m_duties) {
+    m_impl->m_duties->Stop();
+  }
   const base::TimePoint deadline =
     m_impl->m_clock.Now() + detail::kTransferTimeout;
   while (m_impl->m_group.IsLeader() && m_impl->m_clock.Now() < deadline) {
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -15,6 +15,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
 #include "chivefront/consensus/group.h"
 #include "chivefront/net/link.h"
 #include "chivefront/routing/registry.h"
+#include "chivefront/site/duty_runner.h"
 #include "chivefront/site/store.h"
 
 namespace chivefront::site {
@@ -44,6 +46,9 @@
   uint32_t m_voters = 3;
   // Called on another thread when the replicated log can't be written.
   consensus::Group::FatalFunction m_onFatal;
+  // The duties of this process; none: it has none. Without a source of windows
+  // in them no usage is reported.
+  std::optional<DutyOptions> m_duties;
 };
 
 class Node
