--- a/chivefront/duty/lease.cc
+++ b/chivefront/duty/lease.cc
@@ -8,7 +8,7 @@
 namespace {
 
 uint64_t
-TermOf(const detail::NotLeading&)
+TermOf(const detail::NeverLed&)
 {
   return 0;
 }
@@ -38,14 +38,15 @@
 LeaseStage
 Lease::Stage() const
 {
-  return static_cast<LeaseStage>(m_stage.index()); // in the same order
+  return m_leading ? static_cast<LeaseStage>(m_stage.index()) // same order
+                   : LeaseStage::NotLeading;
 }
 
 void
 Lease::Observe(std::optional<uint64_t> aLeadingTerm, base::TimePoint aNow)
 {
-  if (!aLeadingTerm) {
-    m_stage = detail::NotLeading{};
+  m_leading = aLeadingTerm.has_value();
+  if (!m_leading) {
     return;
   }
   // Another process may have held the duties between two terms.
@@ -65,7 +66,7 @@
 Lease::NextToAcquire() const
 {
   const auto* acquiring = std::get_if<detail::Acquiring>(&m_stage);
-  if (acquiring == nullptr) {
+  if (acquiring == nullptr || !m_leading) {
     return std::nullopt;
   }
   const auto missing =
@@ -85,7 +86,7 @@
     return;
   }
   acquiring->m_tokens[aDuty] = aHolder.m_token;
-  if (!NextToAcquire()) {
+  if (acquiring->m_tokens.size() == m_duties.size()) {
     m_stage =
       detail::Holding{ aTerm, std::move(acquiring->m_tokens), std::nullopt };
   }
@@ -129,7 +130,7 @@
 Lease::MaySend(Duty aDuty, base::TimePoint aNow) const
 {
   const auto* holding = std::get_if<detail::Holding>(&m_stage);
-  if (holding == nullptr || !holding->m_permittedUntil ||
+  if (holding == nullptr || !m_leading || !holding->m_permittedUntil ||
       aNow >= *holding->m_permittedUntil) {
     return std::nullopt;
   }
--- a/chivefront/duty/lease.h
+++ b/chivefront/duty/lease.h
@@ -75,7 +75,7 @@
 
 using Tokens = std::map<Duty, uint64_t>;
 
-struct NotLeading
+struct NeverLed
 {};
 
 struct Waiting
@@ -106,7 +106,10 @@
 public:
   Lease(LeaseTimes aTimes, std::set<Duty> aDuties, uint64_t aOwner);
 
-  // The term in which this process leads the group; none when it does not lead.
+  // The term in which this process leads the group; none when it does not lead
+  // or can't tell. A process that leads again in the same term goes on where it
+  // was: no other one led meanwhile, because a term has one leader, and a later
+  // term would have ended this one.
   void Observe(std::optional<uint64_t> aLeadingTerm, base::TimePoint aNow);
 
   // The duty that this process should acquire now.
@@ -127,7 +130,7 @@
   std::optional<uint64_t> MaySend(Duty aDuty, base::TimePoint aNow) const;
 
   LeaseStage Stage() const;
-  // The term of the stage; 0 when not leading.
+  // The last term in which this process led; 0 when it never did.
   uint64_t Term() const;
 
 private:
@@ -137,11 +140,12 @@
   const LeaseTimes m_times;
   const std::set<Duty> m_duties;
   const uint64_t m_owner;
-  std::variant<detail::NotLeading,
+  bool m_leading = false; // as observed last
+  std::variant<detail::NeverLed,
                detail::Waiting,
                detail::Acquiring,
                detail::Holding>
-    m_stage;
+    m_stage; // in the last term in which this process led
 };
 
 } // namespace chivefront::duty
--- a/chivefront/duty/lease_test.cc
+++ b/chivefront/duty/lease_test.cc
@@ -180,8 +180,9 @@
     FinishAcquisition(aHost);
     host.m_lease->Observe(host.m_believedTerm, m_now);
     SendCalls(aHost);
-    host.m_believedTerm =
-      m_leader == aHost ? std::optional(m_term) : std::nullopt;
+    // Host 0 does not notice that it is cut off; it goes on as a leader.
+    const bool believes = aHost == 0 ? m_leader == aHost : Leads(aHost);
+    host.m_believedTerm = believes ? std::optional(m_term) : std::nullopt;
     if (host.m_believedTerm) {
       // Whether the round succeeds is decided by the voters now.
       host.m_round = { m_term, m_now, Leads(aHost) };
@@ -303,6 +304,10 @@
   // A late reply of an earlier round does not shorten the permission.
   lease.OnConfirmed(4, end - Millis(400), holders);
   BOOST_TEST(lease.MaySend(Duty::UsageReport, end).has_value());
+  lease.Observe(std::nullopt, end);
+  BOOST_TEST(!lease.MaySend(Duty::UsageReport, end).has_value());
+  lease.Observe(4, end);
+  BOOST_TEST(lease.MaySend(Duty::UsageReport, end).value() == 3U);
   lease.Observe(5, end);
   BOOST_TEST(!lease.MaySend(Duty::UsageReport, end).has_value());
 }
--- a/chivefront/site/duty_runner.cc
+++ b/chivefront/site/duty_runner.cc
@@ -106,7 +106,8 @@
 {
   ObserveLeadership(aNow);
   const uint64_t term = m_lease.Term();
-  if (term != 0 && !m_confirming && !m_stopped) {
+  const bool leads = m_lease.Stage() != duty::LeaseStage::NotLeading;
+  if (leads && !m_confirming && !m_stopped) {
     m_confirming = true;
     Spawn([this, term, aNow] { return Confirm(term, aNow); });
   }
@@ -114,13 +115,15 @@
     m_acquiring = true;
     Spawn([this] { return Acquire(); });
   }
+  if (term != m_ordersTerm) {
+    // Another process may have changed what is in effect.
+    m_orders.clear();
+    m_lastDelivered.clear();
+    m_ordersTerm = term;
+  }
   if (IsHolding() && !m_stopped) {
     DecideWindows();
     TakeOrders();
-  } else {
-    // What is in effect is not known once another process has held the duty.
-    m_orders.clear();
-    m_lastDelivered.clear();
   }
   ConfirmWindows();
   if (IsHolding() && !m_sending && !m_stopped && NextReport()) {
@@ -394,7 +397,7 @@
   }
   const Subject subject{ aOrder.m_service, aOrder.m_domain };
   // An invalid order counts as delivered, so that it is not sent again.
-  if (IsHolding()) {
+  if (m_lease.Term() == m_ordersTerm) {
     m_lastDelivered[subject] = aOrder.m_desired;
   }
   const auto waiting = m_orders.find(subject);
--- a/chivefront/site/duty_runner.h
+++ b/chivefront/site/duty_runner.h
@@ -139,6 +139,7 @@
   std::set<uint64_t> m_settled; // need no call, but are not confirmed yet
   std::map<Subject, duty::ScaleOrder> m_orders; // to be sent
   std::map<Subject, uint32_t> m_lastDelivered;  // known to be in effect
+  uint64_t m_ordersTerm = 0; // in which the two maps above were filled
   // What was tried last. The next of each kind follows it, so that one that
   // fails always does not hold up the others.
   uint64_t m_lastWindow = 0;
