--- a/chivefront/site/duty_runner.cc
+++ b/chivefront/site/duty_runner.cc
@@ -222,7 +222,9 @@
                { { "window", window },
                  { "teams", teams },
                  { "requests", requests },
-                 { "result", base::MessageOf(outcome.status()) } });
+                 { "result",
+                   outcome.ok() ? std::string_view("committed")
+                                : base::MessageOf(outcome.status()) } });
 }
 
 // Confirms the windows that need no call any more, until the state says so.
@@ -436,8 +438,15 @@
   const auto state = m_store.Current();
   const auto waiting = state->m_duties->Undelivered().size();
   m_metrics.m_windowsWaiting.Set(static_cast<int64_t>(waiting));
-  m_metrics.m_windowsGivenUp.Set(
-    static_cast<int64_t>(state->m_duties->GivenUpCount()));
+  const uint64_t givenUp = state->m_duties->GivenUpCount();
+  m_metrics.m_windowsGivenUp.Set(static_cast<int64_t>(givenUp));
+  if (givenUp > m_reportedGivenUp && IsHolding()) {
+    m_log.Record(
+      "usage_windows_dropped",
+      base::LogCategory::Failure,
+      { { "dropped", givenUp - m_reportedGivenUp }, { "total", givenUp } });
+  }
+  m_reportedGivenUp = givenUp;
   m_metrics.m_ordersWaiting.Set(static_cast<int64_t>(m_orders.size()));
   for (const auto& [duty, holder] : state->m_duties->HoldersByDuty()) {
     const std::string label =
--- a/chivefront/site/duty_runner.h
+++ b/chivefront/site/duty_runner.h
@@ -148,6 +148,7 @@
   base::TimePoint m_nextCallAt;
   base::Millis m_backoff{ 0 }; // after the last call; 0: it succeeded
   std::map<duty::Duty, duty::Holder> m_reportedHolders; // by the metrics
+  uint64_t m_reportedGivenUp = 0;
 };
 
 } // namespace chivefront::site
--- a/chivefront/site/duty_runner_test.cc
+++ b/chivefront/site/duty_runner_test.cc
@@ -214,6 +214,22 @@
   BOOST_TEST(m_service->m_calls.size() == 2U);
 }
 
+// Guards against a pause of a whole lease, and a repeated order, after a moment
+// in which the leader could not tell that it led.
+BOOST_FIXTURE_TEST_CASE(LapseInTheSameTermKeepsTheToken, Fixture)
+{
+  m_orders = { { "chat", "riga-a", 6 } };
+  BOOST_REQUIRE(TickUntil([&] { return m_service->m_calls.size() == 1; }));
+  m_status.m_role = consensus::RaftRole::Follower;
+  m_closed = { { 7, {} } };
+  Tick(50);
+  BOOST_TEST(m_service->m_calls.size() == 1U);
+  m_status.m_role = consensus::RaftRole::Leader;
+  Tick(20);
+  BOOST_REQUIRE(m_service->m_calls.size() == 2U);
+  BOOST_TEST(m_service->m_calls.back().m_token == 1U);
+}
+
 // Guards against an outdated order that is sent after a newer one, and against
 // calls that change nothing.
 BOOST_FIXTURE_TEST_CASE(NewerOrderReplacesWaitingOne, Fixture)
