--- a/chivefront/site/duty_runner.cc
+++ b/chivefront/site/duty_runner.cc
@@ -31,25 +31,6 @@
            : duty::Duty::Autoscaling;
 }
 
-DutyMetrics::DutyMetrics(base::Metrics& aMetrics)
-  : m_metrics(aMetrics)
-  , m_windowsWaiting(
-      aMetrics.AddGauge("chivefront_duty_windows_waiting",
-                        "Usage windows decided and not yet delivered."))
-  , m_windowsGivenUp(
-      aMetrics.AddGauge("chivefront_duty_windows_given_up",
-                        "Usage windows that were never delivered."))
-  , m_lastWindow(aMetrics.AddGauge(
-      "chivefront_duty_last_window",
-      "Number of the usage window that this process delivered last."))
-  , m_ordersWaiting(aMetrics.AddGauge("chivefront_duty_orders_waiting",
-                                      "Scaling orders not yet delivered."))
-  , m_backoff(
-      aMetrics.AddGauge("chivefront_duty_backoff_ms",
-                        "Pause after the last failed call; 0: none failed."))
-{
-}
-
 } // namespace detail
 
 DutyRunner::DutyRunner(net::asio::any_io_executor aExecutor,
@@ -357,11 +338,7 @@
   const CallResult result =
     co_await m_options.m_caller->Call(*token, aReport, std::move(maySend));
   const std::string_view name = kCallResultNames.Name(result);
-  m_metrics.m_metrics
-    .AddCounter("chivefront_duty_calls_total",
-                "Calls to the service of the duties, by result.",
-                "result=\"" + std::string(name) + "\"")
-    .Increment();
+  m_metrics.CountCall(name);
   if (result != CallResult::Delivered) {
     m_log.Record("duty_call_failed",
                  base::LogCategory::Failure,
@@ -382,7 +359,7 @@
   const bool delivered = aResult == CallResult::Delivered;
   m_settled.insert(aUsage.m_window);
   if (delivered) {
-    m_metrics.m_lastWindow.Set(static_cast<int64_t>(aUsage.m_window));
+    m_metrics.ReportDelivered(aUsage.m_window);
   }
   m_log.Record(delivered ? "usage_delivered" : "usage_given_up",
                delivered ? base::LogCategory::State
@@ -429,17 +406,18 @@
                                   detail::kLongestBackoff)
                      : base::Millis(0);
   m_nextCallAt = std::max(aBegan + m_callInterval, now + m_backoff);
-  m_metrics.m_backoff.Set(m_backoff.Count());
+  m_metrics.ReportBackoff(m_backoff);
 }
 
 void
 DutyRunner::ReportMetrics()
 {
   const auto state = m_store.Current();
-  const auto waiting = state->m_duties->Undelivered().size();
-  m_metrics.m_windowsWaiting.Set(static_cast<int64_t>(waiting));
+  m_metrics.Report(*state->m_duties, [this](duty::Duty aDuty) {
+    return m_lease.MaySend(aDuty, m_clock.Now()).has_value();
+  });
+  m_metrics.ReportOrders(m_orders.size());
   const uint64_t givenUp = state->m_duties->GivenUpCount();
-  m_metrics.m_windowsGivenUp.Set(static_cast<int64_t>(givenUp));
   if (givenUp > m_reportedGivenUp && IsHolding()) {
     m_log.Record(
       "usage_windows_dropped",
@@ -447,36 +425,6 @@
       { { "dropped", givenUp - m_reportedGivenUp }, { "total", givenUp } });
   }
   m_reportedGivenUp = givenUp;
-  m_metrics.m_ordersWaiting.Set(static_cast<int64_t>(m_orders.size()));
-  for (const auto& [duty, holder] : state->m_duties->HoldersByDuty()) {
-    const std::string label =
-      "duty=\"" + std::string(duty::kDutyNames.Name(duty)) + "\"";
-    base::Metrics& metrics = m_metrics.m_metrics;
-    metrics
-      .AddGauge("chivefront_duty_token",
-                "Token of the duty's holder, as this process knows.",
-                label)
-      .Set(static_cast<int64_t>(holder.m_token));
-    metrics
-      .AddGauge("chivefront_duty_holding",
-                "1 while this process may make calls of the duty.",
-                label)
-      .Set(m_lease.MaySend(duty, m_clock.Now()) ? 1 : 0);
-    duty::Holder& reported = m_reportedHolders[duty];
-    if (reported == holder) {
-      continue;
-    }
-    const auto holderGauge = [&](const std::string& aHost) -> base::Gauge& {
-      return metrics.AddGauge("chivefront_duty_holder",
-                              "1 for the host that holds the duty.",
-                              label + ",host=\"" + aHost + "\"");
-    };
-    if (!reported.m_host.empty()) {
-      holderGauge(reported.m_host).Set(0);
-    }
-    holderGauge(holder.m_host).Set(1);
-    reported = holder;
-  }
 }
 
 } // namespace chivefront::site
--- a/chivefront/site/duty_runner.h
+++ b/chivefront/site/duty_runner.h
@@ -22,11 +22,11 @@
 
 #include "chivefront/base/decision_log.h"
 #include "chivefront/base/ids.h"
-#include "chivefront/base/metrics.h"
 #include "chivefront/consensus/group.h"
 #include "chivefront/duty/lease.h"
 #include "chivefront/net/task.h"
 #include "chivefront/site/duty_caller.h"
+#include "chivefront/site/duty_metrics.h"
 #include "chivefront/site/store.h"
 
 namespace chivefront::site {
@@ -53,22 +53,6 @@
   std::function<net::Task<absl::StatusOr<Outcome>>(Command)> m_commit;
 };
 
-namespace detail {
-
-struct DutyMetrics
-{
-  explicit DutyMetrics(base::Metrics& aMetrics);
-
-  base::Metrics& m_metrics;
-  base::Gauge& m_windowsWaiting;
-  base::Gauge& m_windowsGivenUp;
-  base::Gauge& m_lastWindow;
-  base::Gauge& m_ordersWaiting;
-  base::Gauge& m_backoff;
-};
-
-} // namespace detail
-
 class DutyRunner
 {
 public:
@@ -125,7 +109,7 @@
   const base::Clock& m_clock;
   const Store& m_store;
   base::DecisionLog& m_log;
-  detail::DutyMetrics m_metrics;
+  DutyMetrics m_metrics;
   const uint64_t m_owner = base::RandomBits(); // of this incarnation
   const base::Millis m_callInterval;           // shortest time between calls
   duty::Lease m_lease;
@@ -146,9 +130,8 @@
   Subject m_lastSubject;
   bool m_lastWasOrder = false;
   base::TimePoint m_nextCallAt;
-  base::Millis m_backoff{ 0 }; // after the last call; 0: it succeeded
-  std::map<duty::Duty, duty::Holder> m_reportedHolders; // by the metrics
-  uint64_t m_reportedGivenUp = 0;
+  base::Millis m_backoff{ 0 };    // after the last call; 0: it succeeded
+  uint64_t m_reportedGivenUp = 0; // windows, as logged
 };
 
 } // namespace chivefront::site
