--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -70,10 +70,11 @@
                       m_store,
                       aLog,
                       aMetrics)
+    , m_duties(MakeDutyRunner(aMetrics))
   {
-    if (m_options.m_duties &&
-        m_options.m_duties->m_duties.count(duty::Duty::UsageReport) > 0) {
-      m_usage.emplace(*m_options.m_duties, aMetrics);
+    if (m_options.m_duties && m_options.m_duties->m_settings.m_duties.count(
+                                duty::Duty::UsageReport) > 0) {
+      m_usage.emplace(m_options.m_duties->m_settings, aMetrics);
     }
   }
 
@@ -133,10 +134,41 @@
     return options;
   }
 
+  // Null when this process has no duties. The sources of windows and orders are
+  // set here if they belong to the node.
+  std::unique_ptr<DutyRunner> MakeDutyRunner(base::Metrics& aMetrics)
+  {
+    if (!m_options.m_duties) {
+      return nullptr;
+    }
+    DutyOptions options = *m_options.m_duties;
+    if (!options.m_closedWindows) {
+      options.m_closedWindows = [this] { return DecidableUsage(); };
+    }
+    DutyPorts ports;
+    ports.m_status = [this] { return m_group.Status(); };
+    ports.m_confirm = [this](consensus::Group::ConfirmCallback aDone) {
+      m_confirmer.Confirm(std::move(aDone));
+    };
+    ports.m_commit = [this](Command aCommand) {
+      return Commit(std::move(aCommand));
+    };
+    return std::make_unique<DutyRunner>(m_context.get_executor(),
+                                        std::move(options),
+                                        std::move(ports),
+                                        m_clock,
+                                        m_store,
+                                        aMetrics,
+                                        m_log);
+  }
+
   void Handle(const net::Link::Pointer& aLink, wire::MessageT& aMessage);
   void OnWatch(const net::Link::Pointer& aLink,
                uint64_t aCorrelation,
                const wire::WatchRequestT& aRequest);
+  // The usage windows that may be decided, oldest first. None at a process that
+  // does not lead.
+  std::vector<duty::WindowUsage> DecidableUsage();
   net::Task<absl::StatusOr<Outcome>> Commit(Command aCommand);
   std::set<std::string> OtherControlProcesses() const;
   net::Task<bool> OnTick();
@@ -169,7 +201,8 @@
   RateCoordinator m_rateCoordinator;
   DocumentSource m_documentSource;
   CrashCoordinator m_crashCoordinator{ m_log };
-  std::optional<UsageCoordinator> m_usage; // unset: not a duty here
+  std::optional<UsageCoordinator> m_usage;    // unset: not a duty here
+  const std::unique_ptr<DutyRunner> m_duties; // may be null
   bool m_stopped = false;
 };
 
@@ -286,6 +319,15 @@
   return names;
 }
 
+std::vector<duty::WindowUsage>
+Node::Impl::DecidableUsage()
+{
+  if (!m_usage || !m_group.IsLeader()) {
+    return {};
+  }
+  return m_usage->Decidable(m_watchers, m_clock.Now(), base::WallClockMillis());
+}
+
 net::Task<bool>
 Node::Impl::OnTick()
 {
@@ -296,6 +338,9 @@
   if (m_usage) {
     m_usage->OnTick(m_group.IsLeader(), now);
   }
+  if (m_duties) {
+    m_duties->OnTick(now);
+  }
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
   }
@@ -383,24 +428,6 @@
   return m_impl->m_group.IsLeader();
 }
 
-std::vector<duty::WindowUsage>
-Node::DecidableUsage()
-{
-  if (!m_impl->m_usage || !IsLeader()) {
-    return {};
-  }
-  return m_impl->m_usage->Decidable(
-    m_impl->m_watchers, m_impl->m_clock.Now(), base::WallClockMillis());
-}
-
-void
-Node::ForgetUsage(uint64_t aWindow)
-{
-  if (m_impl->m_usage) {
-    m_impl->m_usage->Forget(aWindow);
-  }
-}
-
 net::Task<absl::Status>
 Node::Register(routing::Instance aRecord)
 {
@@ -424,6 +451,9 @@
 net::Task<void>
 Node::Leave()
 {
+  if (m_impl->m_duties) {
+    m_impl->m_duties->Stop();
+  }
   const base::TimePoint deadline =
     m_impl->m_clock.Now() + detail::kTransferTimeout;
   while (m_impl->m_group.IsLeader() && m_impl->m_clock.Now() < deadline) {
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -25,6 +25,7 @@
 #include "chivefront/duty/duty.h"
 #include "chivefront/net/link.h"
 #include "chivefront/routing/registry.h"
+#include "chivefront/site/duty_runner.h"
 #include "chivefront/site/store.h"
 
 namespace chivefront::site {
@@ -44,10 +45,11 @@
   // more voters (consensus::GroupOptions::m_targetVoters); the others are
   // standbys.
   uint32_t m_voters = 3;
-  // Unset: this deployment has no duties.
-  std::optional<duty::DutySettings> m_duties;
   // Called on another thread when the replicated log can't be written.
   consensus::Group::FatalFunction m_onFatal;
+  // The duties of this process; none: it has none. Without a source of windows
+  // in them, the usage that entries report is the source.
+  std::optional<DutyOptions> m_duties;
 };
 
 class Node
@@ -78,13 +80,6 @@
   std::string Leader() const;
   bool IsLeader() const;
 
-  // The usage windows that may be decided, oldest first; the same ones until
-  // they are forgotten. None at a process that does not lead, or without the
-  // duty.
-  std::vector<duty::WindowUsage> DecidableUsage();
-  // Drops the usage windows up to aWindow, which are decided.
-  void ForgetUsage(uint64_t aWindow);
-
   // Merges an upstream's registration and sends it to the other control
   // processes. An outdated record is no error. When the upstream drains,
   // returns only once that is durable. Returns Overloaded if there is no room
