--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -1,4 +1,4 @@
-// Merging of registration records.
+// Merging of registration records, and what has changed in them.
 #include "chivefront/routing/registry.h"
 
 #include <algorithm>
@@ -11,45 +11,103 @@
 constexpr base::Millis kGoneRetention{ 60000 };
 // Several times the upstreams of a service that end under one request.
 constexpr size_t kMaxSuccessions = 256;
+// The end of the cold time differs by this much between records without a
+// change, because they travel for different times.
+constexpr base::Millis kColdTolerance{ 300 };
 
-} // namespace detail
+// Whether both ends of the cold time mean the same to someone who reads them at
+// aNow or later.
+bool
+IsSameCold(base::TimePoint aLeft, base::TimePoint aRight, base::TimePoint aNow)
+{
+  const base::TimePoint left = std::max(aLeft, aNow);
+  const base::TimePoint right = std::max(aRight, aNow);
+  return std::max(left, right) - std::min(left, right) <= kColdTolerance;
+}
 
+// Whether the records of one incarnation agree in all that does not change with
+// time, apart from the state.
 bool
-Registry::Merge(const Instance& aRecord)
+IsSameDescription(const Instance& aLeft, const Instance& aRight)
+{
+  const auto describe = [](const Instance& aInstance) {
+    return std::tie(aInstance.m_service,
+                    aInstance.m_address,
+                    aInstance.m_domain,
+                    aInstance.m_version,
+                    aInstance.m_slots);
+  };
+  return describe(aLeft) == describe(aRight);
+}
+
+} // namespace detail
+
+MergeResult
+Registry::MergeRecord(const Instance& aRecord)
 {
   if (aRecord.m_state == InstanceState::Gone) {
-    return Remove(aRecord.m_id, aRecord.m_born, aRecord.m_reportedAt);
+    return Remove(aRecord.m_id, aRecord.m_born, aRecord.m_reportedAt)
+             ? MergeResult::Changed
+             : MergeResult::Refused;
   }
   const auto found = m_records.find(aRecord.m_id);
   if (found == m_records.end() && IsFull()) {
-    return false;
+    return MergeResult::Refused;
   }
   if (found != m_records.end()) {
     const Instance& known = found->second.m_instance;
     // An incarnation that left does not come back.
     if (known.m_state == InstanceState::Gone &&
         known.m_born == aRecord.m_born) {
-      return false;
+      return MergeResult::Refused;
     }
     const auto age = std::tie(known.m_born, known.m_sequence);
     if (std::tie(aRecord.m_born, aRecord.m_sequence) <= age) {
-      return false;
+      return MergeResult::Refused;
+    }
+    // The incarnation has its address since the record that named it first.
+    if (known.m_born == aRecord.m_born &&
+        known.m_address == aRecord.m_address) {
+      return Update(found->second, aRecord);
     }
   }
   if (!ClaimAddress(aRecord)) {
-    return false;
+    return MergeResult::Refused;
   }
-  Instance merged = aRecord;
   if (found != m_records.end()) {
     const Instance& known = found->second.m_instance;
-    if (known.m_born != aRecord.m_born) {
-      RecordSuccession(known, aRecord.m_reportedAt);
-    } else if (aRecord.m_born != 0) { // 0: the incarnation is not known
-      merged.m_state = std::max(known.m_state, aRecord.m_state);
+    if (known.m_born == aRecord.m_born) {
+      return Update(found->second, aRecord);
     }
+    RecordSuccession(known, aRecord.m_reportedAt);
   }
-  Store(std::move(merged));
-  return true;
+  Store(aRecord);
+  return MergeResult::Changed;
+}
+
+// Takes over a later record of the same incarnation.
+MergeResult
+Registry::Update(Record& aRecord, const Instance& aNext)
+{
+  Instance& known = aRecord.m_instance;
+  const InstanceState before = known.m_state;
+  const bool isSame = detail::IsSameDescription(known, aNext) &&
+                      detail::IsSameCold(aRecord.m_statedColdUntil,
+                                         aNext.m_coldUntil,
+                                         aNext.m_reportedAt);
+  const base::TimePoint reportedAt =
+    std::max(known.m_reportedAt, aNext.m_reportedAt);
+  known = aNext;
+  known.m_reportedAt = reportedAt;
+  if (aNext.m_born != 0) { // 0: the incarnation is not known
+    known.m_state = std::max(before, aNext.m_state);
+  }
+  if (isSame && known.m_state == before && !aRecord.m_silent) {
+    aRecord.m_changed = ++m_sequence;
+    return MergeResult::Renewed;
+  }
+  Alter(aRecord);
+  return MergeResult::Changed;
 }
 
 void
@@ -79,7 +137,7 @@
     }
     RecordSuccession(other, aRecord.m_reportedAt);
     other.m_state = InstanceState::Gone;
-    known.m_changed = ++m_sequence;
+    Alter(known);
   }
   return true;
 }
@@ -88,7 +146,31 @@
 Registry::Store(Instance aRecord)
 {
   Record& stored = m_records[aRecord.m_id];
-  stored = { std::move(aRecord), ++m_sequence };
+  stored.m_instance = std::move(aRecord);
+  stored.m_vouched = false;
+  Alter(stored);
+}
+
+// To be called after each change that is not a renewal.
+void
+Registry::Alter(Record& aRecord)
+{
+  Notice(aRecord);
+  aRecord.m_altered = aRecord.m_noticed;
+  aRecord.m_changed = aRecord.m_noticed;
+  aRecord.m_statedColdUntil = aRecord.m_instance.m_coldUntil;
+  aRecord.m_silent = false; // MarkSilent finds out again
+  if (aRecord.m_instance.m_state != InstanceState::Gone) {
+    m_freshSince = std::min(m_freshSince, aRecord.m_instance.m_reportedAt);
+  }
+}
+
+void
+Registry::Notice(Record& aRecord)
+{
+  m_notices.erase(aRecord.m_noticed);
+  aRecord.m_noticed = ++m_sequence;
+  m_notices.emplace(aRecord.m_noticed, &aRecord);
 }
 
 // The end of an incarnation overtakes all its records: it has no number in
@@ -119,7 +201,7 @@
   known.m_state = InstanceState::Gone;
   known.m_reportedAt = aNow;
   ++known.m_sequence; // processes of an older release go by it
-  found->second.m_changed = ++m_sequence;
+  Alter(found->second);
   return true;
 }
 
@@ -136,7 +218,7 @@
   }
   known.m_state = InstanceState::Draining;
   ++known.m_sequence; // entries that know the older record go by it
-  found->second.m_changed = ++m_sequence;
+  Alter(found->second);
   return true;
 }
 
@@ -152,6 +234,101 @@
   return changed;
 }
 
+RegistryNews
+Registry::NewsSince(uint64_t aSequence, base::TimePoint aNow)
+{
+  if (aNow - m_freshSince > kSilentAfter) {
+    MarkSilent(aNow);
+  }
+  RegistryNews news;
+  news.m_freshness = aNow - m_freshSince;
+  news.m_whole = aSequence < m_removedUpTo || aSequence == 0;
+  const uint64_t since = news.m_whole ? 0 : aSequence;
+  for (auto next = m_notices.upper_bound(since); next != m_notices.end();
+       ++next) {
+    const Record& record = *next->second;
+    if (record.m_altered > since) {
+      news.m_changed.push_back(&record.m_instance);
+    }
+    if (record.m_silent) {
+      news.m_silent.push_back(&record.m_instance);
+    }
+  }
+  return news;
+}
+
+void
+Registry::MarkSilent(base::TimePoint aNow)
+{
+  base::TimePoint freshSince = aNow;
+  for (auto& [id, record] : m_records) {
+    const Instance& instance = record.m_instance;
+    if (instance.m_state == InstanceState::Gone || record.m_silent) {
+      continue;
+    }
+    if (aNow - instance.m_reportedAt > kSilentAfter) {
+      record.m_silent = true;
+      Notice(record);
+    } else {
+      freshSince = std::min(freshSince, instance.m_reportedAt);
+    }
+  }
+  m_freshSince = freshSince;
+}
+
+// A process whose record is older than the one known here, and differs from it,
+// might take the next one for a renewal of its own.
+bool
+Registry::MergeVouched(const Instance& aRecord)
+{
+  (void)Merge(aRecord);
+  const auto found = m_records.find(aRecord.m_id);
+  if (found == m_records.end() ||
+      found->second.m_instance.m_born != aRecord.m_born) {
+    return true; // a later incarnation is no renewal
+  }
+  found->second.m_vouched = true;
+  const Instance& known = found->second.m_instance;
+  return known.m_state == InstanceState::Gone ||
+         aRecord.m_state == InstanceState::Gone ||
+         (detail::IsSameDescription(known, aRecord) &&
+          detail::IsSameCold(
+            known.m_coldUntil, aRecord.m_coldUntil, known.m_reportedAt));
+}
+
+void
+Registry::NoteSilent(const std::string& aId,
+                     uint64_t aBorn,
+                     base::TimePoint aReportedAt)
+{
+  const auto found = m_records.find(aId);
+  if (found == m_records.end() || found->second.m_instance.m_born != aBorn) {
+    return;
+  }
+  Instance& known = found->second.m_instance;
+  found->second.m_vouched = false;
+  known.m_reportedAt = std::max(known.m_reportedAt, aReportedAt);
+}
+
+void
+Registry::StopVouching()
+{
+  for (auto& [id, record] : m_records) {
+    record.m_vouched = false;
+  }
+}
+
+void
+Registry::Renew(base::TimePoint aReportedAt)
+{
+  for (auto& [id, record] : m_records) {
+    Instance& known = record.m_instance;
+    if (record.m_vouched && known.m_state != InstanceState::Gone) {
+      known.m_reportedAt = std::max(known.m_reportedAt, aReportedAt);
+    }
+  }
+}
+
 const Instance*
 Registry::Find(const std::string& aId) const
 {
@@ -163,11 +340,16 @@
 Registry::Expire(base::TimePoint aNow)
 {
   std::erase_if(m_records, [&](const auto& aItem) {
-    const Instance& instance = aItem.second.m_instance;
-    const base::Millis retention = instance.m_state == InstanceState::Gone
-                                     ? detail::kGoneRetention
-                                     : kInstanceTimeout * 2;
-    return aNow - instance.m_reportedAt > retention;
+    const Record& record = aItem.second;
+    const base::Millis retention =
+      record.m_instance.m_state == InstanceState::Gone ? detail::kGoneRetention
+                                                       : kInstanceTimeout * 2;
+    const bool isOld = aNow - record.m_instance.m_reportedAt > retention;
+    if (isOld) {
+      m_removedUpTo = std::max(m_removedUpTo, record.m_noticed);
+      m_notices.erase(record.m_noticed);
+    }
+    return isOld;
   });
 }
 
--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -201,3 +201,190 @@
   registry.Expire(base::TimePoint(base::Millis(2000)) + kInstanceTimeout * 2);
   BOOST_TEST(registry.Find("a") == nullptr);
 }
+
+namespace {
+
+constexpr base::TimePoint
+At(int64_t aMillis)
+{
+  return base::TimePoint(base::Millis(aMillis));
+}
+
+// A control process and an entry that polls it.
+struct PolledRegistry
+{
+  void Register(const Instance& aRecord, int64_t aMillis)
+  {
+    Instance record = aRecord;
+    record.m_sequence = ++m_sequence;
+    record.m_reportedAt = At(aMillis);
+    m_control.Merge(record);
+  }
+
+  // Returns how many records and how many silent upstreams the answer names.
+  std::pair<size_t, size_t> Poll(int64_t aMillis)
+  {
+    const RegistryNews news = m_control.NewsSince(m_known, At(aMillis));
+    if (news.m_whole) {
+      m_entry.StopVouching();
+    }
+    for (const Instance* changed : news.m_changed) {
+      BOOST_TEST(m_entry.MergeVouched(*changed));
+    }
+    for (const Instance* silent : news.m_silent) {
+      m_entry.NoteSilent(silent->m_id, silent->m_born, silent->m_reportedAt);
+    }
+    m_entry.Renew(At(aMillis) - news.m_freshness);
+    m_known = m_control.Sequence();
+    return { news.m_changed.size(), news.m_silent.size() };
+  }
+
+  bool IsUsable(const std::string& aId, int64_t aMillis) const
+  {
+    const Instance* known = m_entry.Find(aId);
+    return known != nullptr && known->m_state == InstanceState::Ready &&
+           At(aMillis) - known->m_reportedAt <= kInstanceTimeout;
+  }
+
+  Registry m_control;
+  Registry m_entry;
+  uint64_t m_known = 0;
+  uint64_t m_sequence = 0;
+};
+
+using Counts = std::pair<size_t, size_t>;
+
+} // namespace
+
+// Guards against answers that grow with entries times upstreams: each renewal
+// was sent to each entry. The upstream must stay known all the same.
+BOOST_FIXTURE_TEST_CASE(RenewalsAreNotSent, PolledRegistry)
+{
+  Register(Record("a", 10, 0), 1000);
+  BOOST_TEST((Poll(1000) == Counts(1, 0)));
+  for (int64_t now = 2000; now < 60000; now += 1000) {
+    Register(Record("a", 10, 0), now);
+    m_control.Expire(At(now));
+    m_entry.Expire(At(now));
+    BOOST_TEST((Poll(now + 500) == Counts(0, 0)));
+    BOOST_TEST(IsUsable("a", now + 1000));
+  }
+}
+
+// Guards against an upstream that is kept for longer than without omitted
+// renewals, because others still register, and against one that is dropped
+// early. No poll comes after the one that names it as silent.
+BOOST_FIXTURE_TEST_CASE(SilentUpstreamExpiresByItsOwnTime, PolledRegistry)
+{
+  for (int64_t now = 1000; now <= 20000; now += 1000) {
+    Register(Record("a", 10, 0), now);
+    if (now <= 10000) {
+      Instance other = Record("b", 10, 0);
+      other.m_address.m_port = 81;
+      Register(other, now);
+    }
+    if (now <= 15000) {
+      Poll(now);
+    }
+  }
+  BOOST_TEST(IsUsable("b", 10000 + kInstanceTimeout.Count()));
+  BOOST_TEST(!IsUsable("b", 10000 + kInstanceTimeout.Count() + 1));
+  BOOST_TEST(IsUsable("a", 20000));
+  // It is sent again when it registers again.
+  Instance other = Record("b", 10, 0);
+  other.m_address.m_port = 81;
+  Register(other, 21000);
+  BOOST_TEST((Poll(21000) == Counts(1, 0)));
+  BOOST_TEST(IsUsable("b", 22000));
+}
+
+// Guards against a renewal that hides a change.
+BOOST_FIXTURE_TEST_CASE(EachChangeOfARecordIsSent, PolledRegistry)
+{
+  Instance record = Record("a", 10, 0);
+  record.m_coldUntil = At(5000);
+  const auto isSent = [&](int64_t aMillis) {
+    Register(record, aMillis);
+    return Poll(aMillis) == Counts(1, 0);
+  };
+  BOOST_TEST(isSent(1000));
+  record.m_coldUntil = At(5100); // the message took longer
+  BOOST_TEST(!isSent(1100));
+  record.m_coldUntil = At(7000);
+  BOOST_TEST(isSent(1200));
+  record.m_coldUntil = At(1300); // warm before its time
+  BOOST_TEST(isSent(1300));
+  record.m_slots = 3;
+  BOOST_TEST(isSent(1400));
+  record.m_version = "v2";
+  BOOST_TEST(isSent(1500));
+  record.m_domain = "z";
+  BOOST_TEST(isSent(1600));
+  record.m_service = "other";
+  BOOST_TEST(isSent(1700));
+  record.m_address.m_port = 99;
+  BOOST_TEST(isSent(1800));
+  record.m_state = InstanceState::Draining;
+  BOOST_TEST(isSent(1900));
+  record.m_born = 11;
+  record.m_state = InstanceState::Ready;
+  BOOST_TEST(isSent(2000));
+  BOOST_TEST(!isSent(2100));
+}
+
+// Guards against an entry that keeps an upstream that control has removed while
+// the entry did not poll: nothing names it as silent any more.
+BOOST_FIXTURE_TEST_CASE(RemovedRecordsBeginAWholeList, PolledRegistry)
+{
+  Instance other = Record("b", 10, 0);
+  other.m_address.m_port = 81;
+  Register(Record("a", 10, 0), 1000);
+  Register(other, 1000);
+  BOOST_TEST((Poll(1000) == Counts(2, 0)));
+  for (int64_t now = 2000; now <= 30000; now += 1000) {
+    Register(Record("a", 10, 0), now);
+    m_control.MarkSilent(At(now));
+    m_control.Expire(At(now));
+  }
+  BOOST_TEST(m_control.Find("b") == nullptr);
+  BOOST_TEST((Poll(30000) == Counts(1, 0)));
+  BOOST_TEST(IsUsable("a", 31000));
+  BOOST_TEST(!IsUsable("b", 30000));
+}
+
+// Guards against a control process that was paused and vouches for upstreams
+// that it has not heard of meanwhile.
+BOOST_FIXTURE_TEST_CASE(PausedProcessVouchesForNothing, PolledRegistry)
+{
+  Register(Record("a", 10, 0), 1000);
+  Poll(1000);
+  BOOST_TEST((Poll(9500) == Counts(0, 1)));
+  BOOST_TEST(!IsUsable("a", 9500));
+}
+
+// Guards against an entry that drops, or keeps, an upstream by what a process
+// knows of another incarnation, or of an older state of it.
+BOOST_AUTO_TEST_CASE(ProcessThatLagsVouchesForWhatItHolds)
+{
+  Registry entry;
+  Instance known = Record("a", 20, 5);
+  known.m_slots = 4;
+  entry.Merge(known);
+  BOOST_TEST(entry.MergeVouched(Record("a", 10, 9)));
+  entry.Renew(At(5000));
+  const auto reportedAt = [&] {
+    return entry.Find("a")->m_reportedAt.SinceBoot().Count();
+  };
+  BOOST_TEST(reportedAt() == 1000);
+  // The next record of the process may say 4 slots, or be a renewal of 3.
+  Instance older = Record("a", 20, 4);
+  older.m_slots = 3;
+  BOOST_TEST(!entry.MergeVouched(older));
+  older.m_slots = 4;
+  BOOST_TEST(entry.MergeVouched(older));
+  entry.Renew(At(5000));
+  BOOST_TEST(reportedAt() == 5000);
+  entry.NoteSilent("a", 20, At(3000)); // heard from another process since
+  entry.Renew(At(6000));
+  BOOST_TEST(reportedAt() == 5000);
+}
--- a/chivefront/site/messages.cc
+++ b/chivefront/site/messages.cc
@@ -114,8 +114,10 @@
                                       : routing::InstanceState::Ready;
   aInstance.m_born = aInfo.born;
   aInstance.m_sequence = aInfo.sequence;
-  aInstance.m_coldUntil = aNow + base::Millis(aInfo.warmup_ms);
   aInstance.m_reportedAt = aNow - base::Millis(aInfo.age_ms);
+  aInstance.m_coldUntil = aInfo.warmup_ms > 0
+                            ? aNow + base::Millis(aInfo.warmup_ms)
+                            : aInstance.m_reportedAt;
   return true;
 }
 
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -151,7 +151,6 @@
   base::Counter& m_watchCounter;
   base::Counter& m_commandCounter;
   Registrations m_registrations;
-  const uint64_t m_epoch = base::RandomBits(); // of the registry's numbers
   control::WatcherTable m_watchers;
   RolloutSupervisor m_rolloutSupervisor{
     m_watchers,
@@ -233,16 +232,8 @@
       aRequest.fetches_documents ? state->m_number : aRequest.have_number;
     reply.entries = ToEntries(*state, haveNumber, now);
   }
-  // Sequence numbers from another incarnation are not comparable.
-  const bool known = aRequest.registry_epoch == m_epoch;
-  const uint64_t since = known ? aRequest.registry_sequence : 0;
-  reply.registry_epoch = m_epoch;
+  m_registrations.Answer(aRequest, now, reply);
   const routing::Registry& registry = m_registrations.Known();
-  reply.registry_sequence = registry.Sequence();
-  for (const routing::Instance& instance : registry.ChangedSince(since)) {
-    reply.upstreams.push_back(
-      std::make_unique<wire::UpstreamInfoT>(ToWire(instance, now)));
-  }
   m_crashCoordinator.Answer(aRequest, registry, now, reply);
   m_rateCoordinator.Answer(aRequest, reply.fresh, now, reply);
   (void)aLink->Reply(aCorrelation, std::move(reply));
--- a/chivefront/site/registrations.cc
+++ b/chivefront/site/registrations.cc
@@ -5,6 +5,7 @@
 
 #include "chivefront/base/errors.h"
 #include "chivefront/site/messages.h"
+#include "chivefront/site/registry_feed.h"
 
 namespace chivefront::site {
 namespace detail {
@@ -175,6 +176,14 @@
              });
 }
 
+void
+Registrations::Answer(const wire::WatchRequestT& aRequest,
+                      base::TimePoint aNow,
+                      wire::WatchReplyT& aReply)
+{
+  AnswerRegistry(m_registry, m_epoch, aRequest, aNow, aReply);
+}
+
 void
 Registrations::OnLinkOpen(const std::string& aPeer)
 {
@@ -186,6 +195,7 @@
                       const std::set<std::string>& aOthers)
 {
   m_registry.Expire(aNow);
+  m_registry.MarkSilent(aNow);
   TakeOverDepartures(aNow);
   m_announcer.SetPeers(aOthers);
   m_announcer.Retry();
--- a/chivefront/site/registrations.h
+++ b/chivefront/site/registrations.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <string>
 
+#include "chivefront/base/ids.h"
 #include "chivefront/base/metrics.h"
 #include "chivefront/site/announcer.h"
 #include "chivefront/site/departure_recorder.h"
@@ -52,6 +53,10 @@
   void OnAnnounce(const net::Link::Pointer& aLink,
                   uint64_t aCorrelation,
                   const wire::AnnounceRequestT& aRequest);
+  // Fills in what the answer to a poll tells of upstreams.
+  void Answer(const wire::WatchRequestT& aRequest,
+              base::TimePoint aNow,
+              wire::WatchReplyT& aReply);
   // A link to another control process has opened.
   void OnLinkOpen(const std::string& aPeer);
   // Expires, takes over departures, announces again and saves. aOthers names
@@ -79,6 +84,7 @@
   base::TimePoint m_savedAt;
   uint64_t m_departuresTaken = 0; // number of the last one in m_registry
   routing::Registry m_registry;
+  const uint64_t m_epoch = base::RandomBits(); // of m_registry's numbers
   Announcer m_announcer;
   DepartureRecorder m_departureRecorder;
 };
--- a/chivefront/site/registry_sync_test.cc
+++ b/chivefront/site/registry_sync_test.cc
@@ -15,6 +15,7 @@
 #include "chivefront/net/testing/reserved_port.h"
 #include "chivefront/site/messages.h"
 #include "chivefront/site/node.h"
+#include "chivefront/site/watch.h"
 
 using namespace chivefront;
 using namespace chivefront::site;
@@ -37,6 +38,18 @@
 constexpr int kSetupBeats = 20;
 constexpr int64_t kBeatMillis = 400;
 
+// An event loop whose coroutines can be ended before what they use: the sockets
+// of a node need the loop's services after that.
+class TestContext : public net::asio::io_context
+{
+public:
+  TestContext()
+    : net::asio::io_context(1)
+  {
+  }
+  void EndCoroutines() { shutdown(); }
+};
+
 // One control process with an event loop of its own, so that it can freeze
 // while the others go on.
 class TestNode
@@ -54,7 +67,7 @@
   void Start(const std::vector<std::string>& aSeeds, bool aMayBootstrap = true)
   {
     m_identity.m_incarnation += 1;
-    m_context = std::make_unique<net::asio::io_context>(1);
+    m_context = std::make_unique<TestContext>();
     m_metrics = std::make_unique<base::Metrics>();
     NodeOptions options;
     options.m_folder = m_folder;
@@ -69,8 +82,9 @@
   void Stop()
   {
     m_node->Stop();
-    m_context.reset(); // its coroutines use the node
+    m_context->EndCoroutines(); // they use the node
     m_node.reset();
+    m_context.reset();
   }
 
   void RunFor(int64_t aMillis)
@@ -85,7 +99,7 @@
   base::EventLog m_events{ "test", "", 10 };
   base::DecisionLog m_log{ "test", base::SteadyClock::Instance() };
   std::unique_ptr<base::Metrics> m_metrics;
-  std::unique_ptr<net::asio::io_context> m_context;
+  std::unique_ptr<TestContext> m_context;
   std::unique_ptr<Node> m_node;
 };
 
@@ -399,3 +413,53 @@
     BOOST_TEST(Unregister(i), "node " << i);
   }
 }
+
+// Guards against an entry that loses an upstream that goes on registering,
+// because renewals are not sent to it, also when the process that it polls
+// ends; and against one that keeps an upstream that has ended silently.
+BOOST_FIXTURE_TEST_CASE(EntryKeepsWhatRegistersAndDropsWhatDoesNot, ThreeNodes)
+{
+  net::asio::io_context context{ 1 };
+  net::LinkIdentity identity;
+  identity.m_process = "entry";
+  base::DecisionLog log{ "test", base::SteadyClock::Instance() };
+  Watch watch(context,
+              identity,
+              m_seeds,
+              base::SteadyClock::Instance(),
+              log,
+              [](std::string_view) { return routing::Config::Build({}); });
+  watch.Start();
+  base::TimePoint registeredAt;
+  const auto runFor = [&](int64_t aMillis) {
+    for (int64_t ran = 0; ran < aMillis; ran += 20) {
+      RunFor(20);
+      context.restart();
+      context.poll();
+    }
+  };
+  const auto silence = [&] {
+    const routing::Instance* known = watch.View().m_registry.Find("i-1");
+    return known == nullptr
+             ? routing::kInstanceTimeout * 2
+             : base::SteadyClock::Instance().Now() - known->m_reportedAt;
+  };
+  for (int beat = 0; beat < 11; ++beat) { // longer than kInstanceTimeout
+    BOOST_TEST(Beat(InstanceState::Ready));
+    registeredAt = base::SteadyClock::Instance().Now();
+    runFor(1000);
+    const bool isUsable = silence() <= routing::kInstanceTimeout;
+    BOOST_TEST(isUsable, "beat " << beat);
+    if (beat == 3) { // the first node gets the registrations
+      const bool secondLeads = m_nodes[1]->m_node->IsLeader();
+      m_nodes[secondLeads ? 1 : 2]->Stop();
+    }
+  }
+  runFor(routing::kSilentAfter.Count() + 1000);
+  const bool knowsTheEnd =
+    base::SteadyClock::Instance().Now() - silence() <= registeredAt;
+  BOOST_TEST(knowsTheEnd);
+  watch.Stop();
+  context.restart();
+  context.run_for(std::chrono::milliseconds(300)); // the last poll
+}
--- a/chivefront/site/watch.cc
+++ b/chivefront/site/watch.cc
@@ -45,6 +45,7 @@
   , m_holder(aIdentity.m_process + "#" +
              std::to_string(aIdentity.m_incarnation))
   , m_documentLink(base::StableHash(m_holder))
+  , m_registryFeed(aLog)
 {
   AddSeeds(aSeeds);
 }
@@ -159,8 +160,7 @@
   request.have_revision = m_view.m_revision;
   request.have_number = m_view.m_number;
   request.fetches_documents = true;
-  request.registry_epoch = m_registryEpoch;
-  request.registry_sequence = m_registrySequence;
+  m_registryFeed.Ask(request);
   if (m_evidence) {
     for (wire::VersionEvidenceT& row : m_evidence()) {
       request.evidence.push_back(
@@ -236,7 +236,7 @@
     }
     WantDocument(aReply.document_number);
   }
-  AcceptInstances(aReply, now);
+  m_registryFeed.Accept(aReply, m_polledAt, now, m_view.m_registry);
   AcceptCrashCauses(aReply, now);
   AcceptRates(aReply, now);
 }
@@ -437,23 +437,6 @@
   co_return document.ok();
 }
 
-void
-Watch::AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow)
-{
-  for (const auto& info : aReply.upstreams) {
-    routing::Instance record;
-    if (!FromWire(*info, aNow, record)) {
-      m_log.Record("instance_unreadable",
-                   base::LogCategory::Failure,
-                   { { "upstream", info->name } });
-      continue;
-    }
-    (void)m_view.m_registry.Merge(record); // an outdated record is no error
-  }
-  m_registryEpoch = aReply.registry_epoch;
-  m_registrySequence = aReply.registry_sequence;
-}
-
 // A process that has just started to lead does not know all quarantined
 // causes, so one that is missing in an answer stays.
 void
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -26,6 +26,7 @@
 #include "chivefront/routing/registry.h"
 #include "chivefront/site/document_parts.h"
 #include "chivefront/site/rate_messages.h"
+#include "chivefront/site/registry_feed.h"
 #include "chivefront/site/store.h"
 
 namespace chivefront::site {
@@ -106,7 +107,6 @@
   net::Task<void> FetchDocument();
   net::Task<bool> FetchPart();
   net::Link::Pointer OpenLink(size_t& aIndex) const;
-  void AcceptInstances(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptMembers(const wire::WatchReplyT& aReply);
   void AcceptCrashCauses(const wire::WatchReplyT& aReply, base::TimePoint aNow);
   void AcceptRates(const wire::WatchReplyT& aReply, base::TimePoint aNow);
@@ -143,8 +143,7 @@
   uint64_t m_refusedNumber = 0;  // highest of a document that can't be decoded
   base::TimePoint m_wantedSince; // when the running fetch began
   bool m_fetching = false;
-  uint64_t m_registryEpoch = 0;
-  uint64_t m_registrySequence = 0;
+  RegistryFeed m_registryFeed;
   bool m_connected = false;    // last logged state
   bool m_hearsLeader = false;  // last logged state
   bool m_refusesState = false; // last logged state
--- a/chivefront/site/watch_test.cc
+++ b/chivefront/site/watch_test.cc
@@ -2,7 +2,9 @@
 #define BOOST_TEST_MODULE site_watch
 #include <boost/test/unit_test.hpp>
 
+#include "chivefront/base/ids.h"
 #include "chivefront/site/messages.h"
+#include "chivefront/site/registry_feed.h"
 #include "chivefront/site/watch.h"
 
 using namespace chivefront;
@@ -130,3 +132,179 @@
   BOOST_TEST(NumberAfterState(4, true, "") == 0U);
   BOOST_TEST(NumberAfterState(3, false, "") == 3U);
 }
+
+namespace {
+
+// A control process; an older one does not omit renewals.
+struct PolledProcess
+{
+  void Register(const std::string& aId,
+                const base::Clock& aClock,
+                routing::InstanceState aState = routing::InstanceState::Ready)
+  {
+    routing::Instance record;
+    record.m_id = aId;
+    record.m_service = "app";
+    record.m_address = { "10.0.0.1",
+                         static_cast<uint16_t>(base::StableHash(aId)) };
+    record.m_state = aState;
+    record.m_born = 1;
+    record.m_sequence = static_cast<uint64_t>(aClock.Now().SinceBoot().Count());
+    record.m_reportedAt = aClock.Now();
+    m_registry.Merge(record);
+  }
+
+  uint64_t m_epoch = 1;
+  bool m_isOld = false;
+  routing::Registry m_registry;
+};
+
+struct FeedFixture : WatchFixture
+{
+  // Returns the number of records in the answer.
+  size_t Poll(PolledProcess& aProcess, int64_t aAnswerTakes = 0)
+  {
+    wire::WatchRequestT request = m_watch.MakeRequest();
+    request.omit_renewals = request.omit_renewals && !aProcess.m_isOld;
+    wire::WatchReplyT reply;
+    AnswerRegistry(
+      aProcess.m_registry, aProcess.m_epoch, request, m_clock.Now(), reply);
+    m_clock.Advance(base::Millis(aAnswerTakes));
+    m_watch.Accept(reply);
+    return reply.upstreams.size();
+  }
+
+  bool IsUsable(const std::string& aId) const
+  {
+    const routing::Instance* known = m_watch.View().m_registry.Find(aId);
+    return known != nullptr &&
+           known->m_state == routing::InstanceState::Ready &&
+           m_clock.Now() - known->m_reportedAt <= routing::kInstanceTimeout;
+  }
+};
+
+} // namespace
+
+// Guards against an entry that keeps old upstreams after it has changed to
+// another control process, or to another incarnation of it, and against one
+// that loses upstreams by that.
+BOOST_FIXTURE_TEST_CASE(AnotherProcessBeginsWithAllUpstreams, FeedFixture)
+{
+  PolledProcess first;
+  PolledProcess second;
+  second.m_epoch = 2;
+  first.Register("lost", m_clock);
+  first.Register("kept", m_clock);
+  BOOST_TEST(Poll(first) == 2U);
+  BOOST_TEST(Poll(first) == 0U);
+  for (int i = 0; i < 10; ++i) { // only the second one hears of it now
+    m_clock.Advance(base::Millis(1000));
+    second.Register("kept", m_clock);
+    BOOST_TEST(Poll(second) == (i == 0 ? 1U : 0U));
+    BOOST_TEST(IsUsable("kept"));
+  }
+  BOOST_TEST(!IsUsable("lost"));
+  second.m_epoch = 3; // it has started again
+  BOOST_TEST(Poll(second) == 1U);
+}
+
+// Guards against a follower that hears of renewals seconds later than the
+// leader and by that takes time from upstreams that register.
+BOOST_FIXTURE_TEST_CASE(FollowerThatLagsTakesNoTimeAway, FeedFixture)
+{
+  PolledProcess leader;
+  PolledProcess follower;
+  follower.m_epoch = 2;
+  follower.Register("one", m_clock);
+  m_clock.Advance(base::Millis(5000));
+  leader.Register("one", m_clock);
+  Poll(leader);
+  Poll(follower); // names it as silent
+  m_clock.Advance(routing::kInstanceTimeout);
+  BOOST_TEST(IsUsable("one"));
+  m_clock.Advance(base::Millis(1));
+  BOOST_TEST(!IsUsable("one"));
+}
+
+// Guards against an upstream that leaves and still gets requests.
+BOOST_FIXTURE_TEST_CASE(DrainingIsHeardWithTheNextPoll, FeedFixture)
+{
+  PolledProcess process;
+  process.Register("one", m_clock);
+  Poll(process);
+  m_clock.Advance(base::Millis(200));
+  process.Register("one", m_clock, routing::InstanceState::Draining);
+  BOOST_TEST(Poll(process) == 1U);
+  BOOST_TEST(!IsUsable("one"));
+}
+
+// Guards against an entry and a control process of neighbouring releases that
+// drop or keep upstreams.
+BOOST_FIXTURE_TEST_CASE(OlderControlProcessSendsRenewals, FeedFixture)
+{
+  PolledProcess fresh;
+  PolledProcess old;
+  old.m_epoch = 2;
+  old.m_isOld = true;
+  for (int i = 0; i < 20; ++i) {
+    m_clock.Advance(base::Millis(1000));
+    fresh.Register("one", m_clock);
+    old.Register("one", m_clock);
+    Poll(i < 10 ? fresh : old);
+    BOOST_TEST(IsUsable("one"));
+  }
+  // What the newer process vouched for does not last with the older one.
+  m_clock.Advance(routing::kInstanceTimeout + base::Millis(1));
+  Poll(old);
+  BOOST_TEST(!IsUsable("one"));
+}
+
+// Guards against a control process that omits renewals towards an entry of an
+// older release, which would drop all upstreams.
+BOOST_FIXTURE_TEST_CASE(OlderEntryGetsRenewals, FeedFixture)
+{
+  PolledProcess process;
+  process.Register("one", m_clock);
+  wire::WatchRequestT request;
+  wire::WatchReplyT reply;
+  AnswerRegistry(
+    process.m_registry, process.m_epoch, request, m_clock.Now(), reply);
+  BOOST_TEST(reply.upstreams.size() == 1U);
+  m_clock.Advance(base::Millis(1000));
+  process.Register("one", m_clock);
+  request.registry_epoch = reply.registry_epoch;
+  request.registry_sequence = reply.registry_sequence;
+  wire::WatchReplyT next;
+  AnswerRegistry(
+    process.m_registry, process.m_epoch, request, m_clock.Now(), next);
+  BOOST_TEST(!next.omits_renewals);
+  BOOST_REQUIRE(next.upstreams.size() == 1U);
+  BOOST_TEST(next.upstreams.front()->age_ms == 0U);
+}
+
+// Guards against an entry out of reach of control that drops upstreams at once,
+// and against one that keeps them for longer than control would.
+BOOST_FIXTURE_TEST_CASE(OutOfReachTheLastViewHoldsForItsTime, FeedFixture)
+{
+  PolledProcess process;
+  process.Register("one", m_clock);
+  Poll(process);
+  m_clock.Advance(base::Millis(1000));
+  process.Register("one", m_clock);
+  Poll(process);
+  m_clock.Advance(routing::kInstanceTimeout - routing::kSilentAfter);
+  BOOST_TEST(IsUsable("one"));
+  m_clock.Advance(routing::kSilentAfter + base::Millis(1));
+  BOOST_TEST(!IsUsable("one"));
+}
+
+// Guards against an entry that was paused and reads an answer from before the
+// pause as if it were new.
+BOOST_FIXTURE_TEST_CASE(AnswerFromBeforeAPauseRenewsNothing, FeedFixture)
+{
+  PolledProcess process;
+  process.Register("one", m_clock);
+  Poll(process);
+  Poll(process, routing::kInstanceTimeout.Count() + 1);
+  BOOST_TEST(!IsUsable("one"));
+}
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -80,6 +80,10 @@
 struct PermitGrantBuilder;
 struct PermitGrantT;
 
+struct SilentUpstream;
+struct SilentUpstreamBuilder;
+struct SilentUpstreamT;
+
 struct WatchRequest;
 struct WatchRequestBuilder;
 struct WatchRequestT;
@@ -2982,6 +2986,100 @@
 
 flatbuffers::Offset<PermitGrant> CreatePermitGrant(flatbuffers::FlatBufferBuilder &_fbb, const PermitGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SilentUpstreamT : public flatbuffers::NativeTable {
+  typedef SilentUpstream TableType;
+  std::string name{};
+  uint64_t born = 0;
+  uint32_t age_ms = 0;
+};
+
+struct SilentUpstream FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SilentUpstreamT NativeTableType;
+  typedef SilentUpstreamBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_BORN = 6,
+    VT_AGE_MS = 8
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  SilentUpstreamT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SilentUpstreamT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SilentUpstream> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SilentUpstreamBuilder {
+  typedef SilentUpstream Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(SilentUpstream::VT_NAME, name);
+  }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(SilentUpstream::VT_BORN, born, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(SilentUpstream::VT_AGE_MS, age_ms, 0);
+  }
+  explicit SilentUpstreamBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SilentUpstream> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SilentUpstream>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SilentUpstream> CreateSilentUpstream(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t born = 0,
+    uint32_t age_ms = 0) {
+  SilentUpstreamBuilder builder_(_fbb);
+  builder_.add_born(born);
+  builder_.add_age_ms(age_ms);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct SilentUpstream::Traits {
+  using type = SilentUpstream;
+  static auto constexpr Create = CreateSilentUpstream;
+};
+
+inline flatbuffers::Offset<SilentUpstream> CreateSilentUpstreamDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    uint64_t born = 0,
+    uint32_t age_ms = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  return chivefront::wire::CreateSilentUpstream(
+      _fbb,
+      name__,
+      born,
+      age_ms);
+}
+
+flatbuffers::Offset<SilentUpstream> CreateSilentUpstream(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WatchRequestT : public flatbuffers::NativeTable {
   typedef WatchRequest TableType;
   std::string holder{};
@@ -3001,6 +3099,7 @@
   uint32_t live_entries = 0;
   bool fetches_documents = false;
   std::vector<std::unique_ptr<chivefront::wire::PartSeenT>> parts_survived{};
+  bool omit_renewals = false;
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3028,7 +3127,8 @@
     VT_PERMITS = 30,
     VT_LIVE_ENTRIES = 32,
     VT_FETCHES_DOCUMENTS = 34,
-    VT_PARTS_SURVIVED = 36
+    VT_PARTS_SURVIVED = 36,
+    VT_OMIT_RENEWALS = 38
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3081,6 +3181,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *>(VT_PARTS_SURVIVED);
   }
+  bool omit_renewals() const {
+    return GetField<uint8_t>(VT_OMIT_RENEWALS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3117,6 +3220,7 @@
            VerifyOffset(verifier, VT_PARTS_SURVIVED) &&
            verifier.VerifyVector(parts_survived()) &&
            verifier.VerifyVectorOfTables(parts_survived()) &&
+           VerifyField<uint8_t>(verifier, VT_OMIT_RENEWALS, 1) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3179,6 +3283,9 @@
   void add_parts_survived(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived) {
     fbb_.AddOffset(WatchRequest::VT_PARTS_SURVIVED, parts_survived);
   }
+  void add_omit_renewals(bool omit_renewals) {
+    fbb_.AddElement<uint8_t>(WatchRequest::VT_OMIT_RENEWALS, static_cast<uint8_t>(omit_renewals), 0);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3208,7 +3315,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitRequest>>> permits = 0,
     uint32_t live_entries = 0,
     bool fetches_documents = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived = 0,
+    bool omit_renewals = false) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
@@ -3225,6 +3333,7 @@
   builder_.add_reports(reports);
   builder_.add_evidence(evidence);
   builder_.add_holder(holder);
+  builder_.add_omit_renewals(omit_renewals);
   builder_.add_fetches_documents(fetches_documents);
   builder_.add_role(role);
   return builder_.Finish();
@@ -3253,7 +3362,8 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::PermitRequest>> *permits = nullptr,
     uint32_t live_entries = 0,
     bool fetches_documents = false,
-    const std::vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived = nullptr,
+    bool omit_renewals = false) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -3281,7 +3391,8 @@
       permits__,
       live_entries,
       fetches_documents,
-      parts_survived__);
+      parts_survived__,
+      omit_renewals);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3308,6 +3419,9 @@
   std::vector<std::unique_ptr<chivefront::wire::PermitGrantT>> permits{};
   bool unconfirmed = false;
   uint64_t document_number = 0;
+  bool omits_renewals = false;
+  uint32_t fresh_ms = 0;
+  std::vector<std::unique_ptr<chivefront::wire::SilentUpstreamT>> silent{};
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3338,7 +3452,10 @@
     VT_REQUEST_LIMITS = 36,
     VT_PERMITS = 38,
     VT_UNCONFIRMED = 40,
-    VT_DOCUMENT_NUMBER = 42
+    VT_DOCUMENT_NUMBER = 42,
+    VT_OMITS_RENEWALS = 44,
+    VT_FRESH_MS = 46,
+    VT_SILENT = 48
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -3400,6 +3517,15 @@
   uint64_t document_number() const {
     return GetField<uint64_t>(VT_DOCUMENT_NUMBER, 0);
   }
+  bool omits_renewals() const {
+    return GetField<uint8_t>(VT_OMITS_RENEWALS, 0) != 0;
+  }
+  uint32_t fresh_ms() const {
+    return GetField<uint32_t>(VT_FRESH_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *silent() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *>(VT_SILENT);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -3437,6 +3563,11 @@
            verifier.VerifyVectorOfTables(permits()) &&
            VerifyField<uint8_t>(verifier, VT_UNCONFIRMED, 1) &&
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OMITS_RENEWALS, 1) &&
+           VerifyField<uint32_t>(verifier, VT_FRESH_MS, 4) &&
+           VerifyOffset(verifier, VT_SILENT) &&
+           verifier.VerifyVector(silent()) &&
+           verifier.VerifyVectorOfTables(silent()) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3508,6 +3639,15 @@
   void add_document_number(uint64_t document_number) {
     fbb_.AddElement<uint64_t>(WatchReply::VT_DOCUMENT_NUMBER, document_number, 0);
   }
+  void add_omits_renewals(bool omits_renewals) {
+    fbb_.AddElement<uint8_t>(WatchReply::VT_OMITS_RENEWALS, static_cast<uint8_t>(omits_renewals), 0);
+  }
+  void add_fresh_ms(uint32_t fresh_ms) {
+    fbb_.AddElement<uint32_t>(WatchReply::VT_FRESH_MS, fresh_ms, 0);
+  }
+  void add_silent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>> silent) {
+    fbb_.AddOffset(WatchReply::VT_SILENT, silent);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3540,13 +3680,18 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::RequestLimit>>> request_limits = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PermitGrant>>> permits = 0,
     bool unconfirmed = false,
-    uint64_t document_number = 0) {
+    uint64_t document_number = 0,
+    bool omits_renewals = false,
+    uint32_t fresh_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>> silent = 0) {
   WatchReplyBuilder builder_(_fbb);
   builder_.add_document_number(document_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_revision(revision);
+  builder_.add_silent(silent);
+  builder_.add_fresh_ms(fresh_ms);
   builder_.add_permits(permits);
   builder_.add_request_limits(request_limits);
   builder_.add_quarantined_parts(quarantined_parts);
@@ -3558,6 +3703,7 @@
   builder_.add_upstreams(upstreams);
   builder_.add_entries(entries);
   builder_.add_age_ms(age_ms);
+  builder_.add_omits_renewals(omits_renewals);
   builder_.add_unconfirmed(unconfirmed);
   builder_.add_registry_snapshot(registry_snapshot);
   builder_.add_snapshot(snapshot);
@@ -3591,7 +3737,10 @@
     const std::vector<flatbuffers::Offset<chivefront::wire::RequestLimit>> *request_limits = nullptr,
     const std::vector<flatbuffers::Offset<chivefront::wire::PermitGrant>> *permits = nullptr,
     bool unconfirmed = false,
-    uint64_t document_number = 0) {
+    uint64_t document_number = 0,
+    bool omits_renewals = false,
+    uint32_t fresh_ms = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *silent = nullptr) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
@@ -3601,6 +3750,7 @@
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>(*quarantined_parts) : 0;
   auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>>(*request_limits) : 0;
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>>(*permits) : 0;
+  auto silent__ = silent ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>(*silent) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       age_ms,
@@ -3622,7 +3772,10 @@
       request_limits__,
       permits__,
       unconfirmed,
-      document_number);
+      document_number,
+      omits_renewals,
+      fresh_ms,
+      silent__);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -7859,6 +8012,38 @@
       _count);
 }
 
+inline SilentUpstreamT *SilentUpstream::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SilentUpstreamT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SilentUpstream::UnPackTo(SilentUpstreamT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = born(); _o->born = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<SilentUpstream> SilentUpstream::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSilentUpstream(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SilentUpstream> CreateSilentUpstream(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SilentUpstreamT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _born = _o->born;
+  auto _age_ms = _o->age_ms;
+  return chivefront::wire::CreateSilentUpstream(
+      _fbb,
+      _name,
+      _born,
+      _age_ms);
+}
+
 inline WatchRequestT::WatchRequestT(const WatchRequestT &o)
       : holder(o.holder),
         role(o.role),
@@ -7868,7 +8053,8 @@
         report_sequence(o.report_sequence),
         have_number(o.have_number),
         live_entries(o.live_entries),
-        fetches_documents(o.fetches_documents) {
+        fetches_documents(o.fetches_documents),
+        omit_renewals(o.omit_renewals) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
@@ -7905,6 +8091,7 @@
   std::swap(live_entries, o.live_entries);
   std::swap(fetches_documents, o.fetches_documents);
   std::swap(parts_survived, o.parts_survived);
+  std::swap(omit_renewals, o.omit_renewals);
   return *this;
 }
 
@@ -7934,6 +8121,7 @@
   { auto _e = live_entries(); _o->live_entries = _e; }
   { auto _e = fetches_documents(); _o->fetches_documents = _e; }
   { auto _e = parts_survived(); if (_e) { _o->parts_survived.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_survived[_i] = std::unique_ptr<chivefront::wire::PartSeenT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = omit_renewals(); _o->omit_renewals = _e; }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -7961,6 +8149,7 @@
   auto _live_entries = _o->live_entries;
   auto _fetches_documents = _o->fetches_documents;
   auto _parts_survived = _o->parts_survived.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>> (_o->parts_survived.size(), [](size_t i, _VectorArgs *__va) { return CreatePartSeen(*__va->__fbb, __va->__o->parts_survived[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _omit_renewals = _o->omit_renewals;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -7979,7 +8168,8 @@
       _permits,
       _live_entries,
       _fetches_documents,
-      _parts_survived);
+      _parts_survived,
+      _omit_renewals);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -7997,7 +8187,9 @@
         members(o.members),
         suspect_parts(o.suspect_parts),
         unconfirmed(o.unconfirmed),
-        document_number(o.document_number) {
+        document_number(o.document_number),
+        omits_renewals(o.omits_renewals),
+        fresh_ms(o.fresh_ms) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -8008,6 +8200,8 @@
   for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new chivefront::wire::RequestLimitT(*request_limits_) : nullptr); }
   permits.reserve(o.permits.size());
   for (const auto &permits_ : o.permits) { permits.emplace_back((permits_) ? new chivefront::wire::PermitGrantT(*permits_) : nullptr); }
+  silent.reserve(o.silent.size());
+  for (const auto &silent_ : o.silent) { silent.emplace_back((silent_) ? new chivefront::wire::SilentUpstreamT(*silent_) : nullptr); }
 }
 
 inline WatchReplyT &WatchReplyT::operator=(WatchReplyT o) FLATBUFFERS_NOEXCEPT {
@@ -8031,6 +8225,9 @@
   std::swap(permits, o.permits);
   std::swap(unconfirmed, o.unconfirmed);
   std::swap(document_number, o.document_number);
+  std::swap(omits_renewals, o.omits_renewals);
+  std::swap(fresh_ms, o.fresh_ms);
+  std::swap(silent, o.silent);
   return *this;
 }
 
@@ -8063,6 +8260,9 @@
   { auto _e = permits(); if (_e) { _o->permits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->permits[_i] = std::unique_ptr<chivefront::wire::PermitGrantT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = unconfirmed(); _o->unconfirmed = _e; }
   { auto _e = document_number(); _o->document_number = _e; }
+  { auto _e = omits_renewals(); _o->omits_renewals = _e; }
+  { auto _e = fresh_ms(); _o->fresh_ms = _e; }
+  { auto _e = silent(); if (_e) { _o->silent.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->silent[_i] = std::unique_ptr<chivefront::wire::SilentUpstreamT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8093,6 +8293,9 @@
   auto _permits = _o->permits.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>> (_o->permits.size(), [](size_t i, _VectorArgs *__va) { return CreatePermitGrant(*__va->__fbb, __va->__o->permits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _unconfirmed = _o->unconfirmed;
   auto _document_number = _o->document_number;
+  auto _omits_renewals = _o->omits_renewals;
+  auto _fresh_ms = _o->fresh_ms;
+  auto _silent = _o->silent.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> (_o->silent.size(), [](size_t i, _VectorArgs *__va) { return CreateSilentUpstream(*__va->__fbb, __va->__o->silent[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -8114,7 +8317,10 @@
       _request_limits,
       _permits,
       _unconfirmed,
-      _document_number);
+      _document_number,
+      _omits_renewals,
+      _fresh_ms,
+      _silent);
 }
 
 inline DocumentRequestT *DocumentRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
