Pass renewals on to control processes in batches

Cause: each registration went to each other control process at once, also when it changed nothing, and a record renewed while it was on its way was sent again without a pause. That grows with upstreams times processes.

Change: renewals wait and go to each process together, once in 2 s; the batches of different pairs of processes are spread over that time. A record that changes something, or registers again after a silence, goes at once as before. A renewal during an announcement belongs to the next batch.

The crash quarantine counts a loss when the upstream would have registered again, 1.6 s after it. With other control processes a renewal may now be 3 s later, so the loss counts after that time too; times of registrations are compared by their age, which the delay does not change. A request that crashes upstreams is therefore found up to 3 s later than before.

--- a/chivefront/routing/crash_quarantine.cc
+++ b/chivefront/routing/crash_quarantine.cc
@@ -91,9 +91,8 @@
                                base::TimePoint aNow) const
 {
   const base::Millis age = aNow - aAttempt.m_lostAt;
-  return aAttempt.m_answerBegun
-           ? age >= kRequestLossDelay && HasCrashed(aAttempt)
-           : age >= kReportDelay;
+  return aAttempt.m_answerBegun ? HasCrashed(aAttempt, aNow)
+                                : age >= kReportDelay;
 }
 
 bool
@@ -199,11 +198,15 @@
   return neverSurvived.empty() ? survived : neverSurvived;
 }
 
-// Whether the upstream of a lost attempt has not been heard since, or only by a
-// registration that came late.
+// Whether the upstream of a lost attempt would have been heard since and has
+// not been, or only by a registration that came late.
 bool
-CrashQuarantine::HasCrashed(const LostAttempt& aAttempt) const
+CrashQuarantine::HasCrashed(const LostAttempt& aAttempt,
+                            base::TimePoint aNow) const
 {
+  if (aNow - aAttempt.m_lostAt < kRequestLossDelay + m_registrationDelay) {
+    return false;
+  }
   const auto heard = m_heard.find(aAttempt.m_upstream);
   if (heard == m_heard.end() ||
       heard->second < aAttempt.m_lostAt + kHeardMargin) {
@@ -229,8 +232,8 @@
     }
     for (const auto& [id, attempt] : suspect.m_losses) {
       if (!suspect.IsCleared(attempt) &&
-          aNow - attempt.m_lostAt >= kRequestLossDelay &&
-          explained.count(attempt.m_upstream) == 0 && HasCrashed(attempt)) {
+          explained.count(attempt.m_upstream) == 0 &&
+          HasCrashed(attempt, aNow)) {
         inFlight[attempt.m_upstream].push_back(key);
       }
     }
--- a/chivefront/routing/crash_quarantine.h
+++ b/chivefront/routing/crash_quarantine.h
@@ -41,8 +41,9 @@
 // are refused.
 using QuarantinedCauses = std::map<CauseKey, base::TimePoint>;
 
-// A loss of a whole request counts after this time: by then an upstream that
-// lives has registered again, about once a second, and entries have reported.
+// A loss of a whole request counts after this time and the delay of
+// registrations: by then an upstream that lives has registered again, about
+// once a second, and entries have reported.
 inline constexpr base::Millis kRequestLossDelay{ 1600 };
 
 // What was found to crash upstreams.
@@ -60,6 +61,12 @@
   // Takes over decisions of an earlier leader. A later end wins.
   void Adopt(const QuarantinedCauses& aCauses);
 
+  // How much later than at its upstream a registration may be taken in. Until
+  // then a loss does not count for want of a registration.
+  void SetRegistrationDelay(base::Millis aDelay)
+  {
+    m_registrationDelay = aDelay;
+  }
   // Takes in which incarnations have registered, and when.
   void OnRegistry(const Registry& aRegistry);
   // The incarnation aUpstream (MakeUpstreamKey) sent a registration at aTime.
@@ -99,7 +106,7 @@
   std::set<uint64_t> UpstreamsCrashedBy(bool aWholeRequests) const;
   std::vector<CauseKey> FindGuiltyParts(base::TimePoint aNow) const;
   std::vector<CauseKey> FindGuiltyRequests(base::TimePoint aNow) const;
-  bool HasCrashed(const LostAttempt& aAttempt) const;
+  bool HasCrashed(const LostAttempt& aAttempt, base::TimePoint aNow) const;
   void Forget(base::TimePoint aNow);
 
   std::map<CauseKey, Suspect> m_suspects; // at most kMaxSuspects
@@ -108,6 +115,7 @@
   // Upstreams that have ended without unregistering, with the time by then.
   std::map<uint64_t, base::TimePoint> m_ended;
   QuarantinedCauses m_quarantined;
+  base::Millis m_registrationDelay;
 };
 
 } // namespace chivefront::routing
--- a/chivefront/routing/crash_quarantine_test.cc
+++ b/chivefront/routing/crash_quarantine_test.cc
@@ -315,6 +315,30 @@
   BOOST_TEST(DecideRequests(9000).empty());
 }
 
+// Guards against blaming a request for connections that break while the
+// upstreams live and register with another control process, which passes
+// renewals on in batches. A request that does crash upstreams is found later.
+BOOST_FIXTURE_TEST_CASE(DelayedRegistrationIsASignOfLife, Fixture)
+{
+  constexpr int64_t kDelay = 3000;
+  constexpr int64_t kCounts = kRequestLossDelay.Count() + kDelay;
+  m_quarantine.SetRegistrationDelay(base::Millis(kDelay));
+  for (int64_t at = 0; at < 60000; at += 5000) {
+    LoseUpstream(at, { kSound });
+    LoseUpstream(at, { kSound });
+    for (int64_t heard = 1100; heard <= kDelay + 1100; heard += 500) {
+      BOOST_TEST(DecideRequests(at + heard).empty());
+    }
+    m_quarantine.OnHeard(m_upstream, At(at + 1100));
+    m_quarantine.OnHeard(m_upstream - 1, At(at + 1100));
+  }
+  for (int64_t at = 60000; at < 63000; at += 1000) {
+    LoseUpstream(at, { kDeadly });
+  }
+  BOOST_TEST(DecideRequests(62100 + kCounts - 1).empty());
+  BOOST_TEST(DecideRequests(62100 + kCounts).count(kDeadly) == 1U);
+}
+
 // Guards against a crash that the last registration of the upstream hides: it
 // was sent just before the crash.
 BOOST_FIXTURE_TEST_CASE(RegistrationBeforeTheCrashIsNoSignOfLife, Fixture)
--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -42,6 +42,15 @@
 
 } // namespace detail
 
+bool
+IsRenewal(const Instance& aBefore, const Instance& aAfter)
+{
+  return aBefore.m_born == aAfter.m_born && aBefore.m_state == aAfter.m_state &&
+         detail::IsSameDescription(aBefore, aAfter) &&
+         detail::IsSameCold(
+           aBefore.m_coldUntil, aAfter.m_coldUntil, aAfter.m_reportedAt);
+}
+
 MergeResult
 Registry::MergeRecord(const Instance& aRecord)
 {
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -86,6 +86,11 @@
 // kInstanceTimeout, so that entries hear of it before the upstream expires.
 inline constexpr base::Millis kSilentAfter{ 4000 };
 
+// Whether aAfter, of the same upstream, brings only another time and sequence
+// number than aBefore.
+bool
+IsRenewal(const Instance& aBefore, const Instance& aAfter);
+
 enum class MergeResult
 {
   Refused, // outdated, repeated, or there is no room
--- a/chivefront/site/announcer.cc
+++ b/chivefront/site/announcer.cc
@@ -1,6 +1,7 @@
 // Announcements with acknowledgements, one at a time to each peer.
 #include "chivefront/site/announcer.h"
 
+#include "chivefront/base/ids.h"
 #include "chivefront/site/messages.h"
 
 namespace chivefront::site {
@@ -34,8 +35,15 @@
   std::erase_if(m_states, [&](const auto& aItem) {
     return aNames.count(aItem.first) == 0 && !aItem.second.m_calling;
   });
+  const base::TimePoint now = m_clock.Now();
   for (const std::string& name : aNames) {
-    if (m_states.try_emplace(name).second) {
+    const auto [state, isNew] = m_states.try_emplace(name);
+    if (isNew) {
+      // Batches to different processes and from different ones spread out.
+      const uint64_t phase = base::StableHash(m_name + ">" + name) %
+                             static_cast<uint64_t>(kRenewalPeriod.Count());
+      state->second.m_batchedAt =
+        now - base::Millis(static_cast<int64_t>(phase));
       // Its link may have opened before.
       AnnounceAll(name);
     }
@@ -51,6 +59,14 @@
   }
 }
 
+void
+Announcer::AnnounceRenewal(const std::string& aId)
+{
+  for (auto& [name, peer] : m_states) {
+    peer.m_renewed.insert(aId);
+  }
+}
+
 void
 Announcer::AnnounceAll(const std::string& aPeer)
 {
@@ -65,9 +81,15 @@
 }
 
 void
-Announcer::Retry()
+Announcer::OnTick()
 {
-  for (const auto& [name, peer] : m_states) {
+  const base::TimePoint now = m_clock.Now();
+  for (auto& [name, peer] : m_states) {
+    if (!peer.m_renewed.empty() && now - peer.m_batchedAt >= kRenewalPeriod) {
+      peer.m_batchedAt = now;
+      peer.m_unacknowledged.merge(peer.m_renewed);
+      peer.m_renewed.clear();
+    }
     Start(name);
   }
 }
@@ -137,7 +159,8 @@
   return request;
 }
 
-// A record that has changed since it was sent stays unacknowledged.
+// A record that has changed since it was sent stays unacknowledged. A renewal
+// since then belongs to the next batch.
 void
 Announcer::Settle(Peer& aPeer,
                   const std::vector<routing::Instance>& aRecords) const
@@ -145,9 +168,7 @@
   for (const routing::Instance& record : aRecords) {
     const routing::Instance* known = m_registry.Find(record.m_id);
     const bool isCurrent =
-      known == nullptr || (known->m_born == record.m_born &&
-                           known->m_sequence == record.m_sequence &&
-                           known->m_state == record.m_state);
+      known == nullptr || routing::IsRenewal(record, *known);
     if (isCurrent) {
       aPeer.m_unacknowledged.erase(record.m_id);
     }
--- a/chivefront/site/crash_coordinator.cc
+++ b/chivefront/site/crash_coordinator.cc
@@ -14,9 +14,11 @@
 void
 CrashCoordinator::Answer(const wire::WatchRequestT& aRequest,
                          const routing::Registry& aRegistry,
+                         base::Millis aRegistrationDelay,
                          base::TimePoint aNow,
                          wire::WatchReplyT& aReply)
 {
+  m_quarantine.SetRegistrationDelay(aRegistrationDelay);
   m_quarantine.Adopt(FromWire(aRequest.quarantined_parts, aNow));
   m_quarantine.Record(ReadCrashReport(aRequest, aNow));
   if (aNow - m_judgedAt >= detail::kCrashJudgePeriod) {
--- a/chivefront/site/crash_coordinator.h
+++ b/chivefront/site/crash_coordinator.h
@@ -2,7 +2,7 @@
 // it decides which requests and prompt parts are quarantined, and tells the
 // entries with the answers to their polls.
 //
-//   coordinator.Answer(poll, registry, now, reply);
+//   coordinator.Answer(poll, registry, registrationDelay, now, reply);
 #pragma once
 
 #include "chivefront/base/decision_log.h"
@@ -23,9 +23,11 @@
 
   // Takes in the report of a poll and fills in the answer. All entries poll the
   // leader, so it sees all losses. The entries repeat what is quarantined, so
-  // that a new leader knows it too.
+  // that a new leader knows it too. aRegistrationDelay: how much later than at
+  // its upstream a registration may arrive in aRegistry.
   void Answer(const wire::WatchRequestT& aRequest,
               const routing::Registry& aRegistry,
+              base::Millis aRegistrationDelay,
               base::TimePoint aNow,
               wire::WatchReplyT& aReply);
 
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -234,7 +234,8 @@
   }
   m_registrations.Answer(aRequest, now, reply);
   const routing::Registry& registry = m_registrations.Known();
-  m_crashCoordinator.Answer(aRequest, registry, now, reply);
+  m_crashCoordinator.Answer(
+    aRequest, registry, m_registrations.RegistrationDelay(), now, reply);
   m_rateCoordinator.Answer(aRequest, reply.fresh, now, reply);
   (void)aLink->Reply(aCorrelation, std::move(reply));
 }
--- a/chivefront/site/registrations.cc
+++ b/chivefront/site/registrations.cc
@@ -78,7 +78,8 @@
   const routing::Instance* known = m_registry.Find(aRecord.m_id);
   const bool changed = known == nullptr || known->m_state != aRecord.m_state ||
                        known->m_born != aRecord.m_born;
-  const bool isNew = Merge(aRecord);
+  const routing::MergeResult result = Merge(aRecord);
+  const bool isNew = result != routing::MergeResult::Refused;
   if (!isNew && m_registry.Find(aRecord.m_id) == nullptr &&
       m_registry.IsFull()) {
     co_return base::MakeError(base::ErrorKind::Overloaded,
@@ -95,8 +96,10 @@
         { "state", routing::kInstanceStateNames.Name(aRecord.m_state) },
         { "sequence", aRecord.m_sequence } });
   }
-  if (isNew) {
+  if (result == routing::MergeResult::Changed) {
     m_announcer.Announce(aRecord.m_id);
+  } else if (result == routing::MergeResult::Renewed) {
+    m_announcer.AnnounceRenewal(aRecord.m_id);
   }
   if (aRecord.m_state == routing::InstanceState::Ready) {
     co_return absl::OkStatus();
@@ -198,12 +201,12 @@
   m_registry.MarkSilent(aNow);
   TakeOverDepartures(aNow);
   m_announcer.SetPeers(aOthers);
-  m_announcer.Retry();
+  m_announcer.OnTick();
   Save(aNow);
 }
 
 // Merges a record, which may be from before the departure of its upstream.
-bool
+routing::MergeResult
 Registrations::Merge(routing::Instance aRecord)
 {
   using routing::InstanceState;
@@ -215,11 +218,11 @@
       aRecord.m_state = std::max(aRecord.m_state, state);
     }
   }
-  const bool isNew = m_registry.Merge(aRecord);
-  if (isNew) {
+  const routing::MergeResult result = m_registry.MergeRecord(aRecord);
+  if (result != routing::MergeResult::Refused) {
     m_recordCounter.Increment();
   }
-  return isNew;
+  return result;
 }
 
 // Takes over what the replicated log has brought since the last call. After a
--- a/chivefront/site/registrations.h
+++ b/chivefront/site/registrations.h
@@ -64,9 +64,14 @@
   void OnTick(base::TimePoint aNow, const std::set<std::string>& aOthers);
 
   const routing::Registry& Known() const { return m_registry; }
+  // How much later than at its upstream a registration may arrive in Known().
+  base::Millis RegistrationDelay() const
+  {
+    return m_announcer.HasPeers() ? kRenewalDelay : base::Millis();
+  }
 
 private:
-  bool Merge(routing::Instance aRecord);
+  routing::MergeResult Merge(routing::Instance aRecord);
   void TakeOverDepartures(base::TimePoint aNow);
   void AnswerOnceDurable(net::Link::Pointer aLink,
                          uint64_t aCorrelation,
