Hold no buffer for HTTP connections that are idle

Cause: a connection that waited for its next request kept a read buffer of 4 KB or more, the parser and the last request with its body. Upstreams keep a connection to their control process open and use it once in 1.2 s, so this grows with the upstreams: with a request of 300 bytes, 9.4 KB each, or 28 MB with 3,000 connections.

Change: the wait reads the first bytes of a request into 128 bytes of the connection; buffer and parser exist from then until the request is read, the request until it is answered.

--- a/chivefront/net/http_server.cc
+++ b/chivefront/net/http_server.cc
@@ -1,6 +1,7 @@
 // The HTTP server on Boost.Beast.
 #include "chivefront/net/http_server.h"
 
+#include <array>
 #include <optional>
 
 #include <boost/asio/redirect_error.hpp>
@@ -197,8 +198,40 @@
     co_return detail::ToStatus(error);
   }
 
-  // Reads one request into m_request. Returns false when there is none and the
-  // connection should be closed.
+  void ForgetRequest()
+  {
+    // An assignment would keep the memory of the body.
+    const HttpRequest ended = std::move(m_request);
+  }
+
+  // Waits until a request begins to arrive. Returns false when the connection
+  // should be closed. Nearly all connections are here at most times, so nothing
+  // large may be held meanwhile.
+  Task<bool> AwaitRequest()
+  {
+    ForgetRequest();
+    if (m_buffer.size() > 0) {
+      m_busy = true;
+      co_return true;
+    }
+    m_buffer.shrink_to_fit();
+    m_stream.expires_after(m_shared->m_limits.m_idleTimeout.ToChrono());
+    beast::error_code error;
+    const size_t size = co_await m_stream.async_read_some(
+      asio::buffer(m_firstBytes),
+      asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+      co_return false;
+    }
+    m_busy = true;
+    asio::buffer_copy(m_buffer.prepare(kReadBytes),
+                      asio::buffer(m_firstBytes, size));
+    m_buffer.commit(size);
+    co_return true;
+  }
+
+  // Reads one request into m_request, after its beginning has arrived. Returns
+  // false when the connection should be closed.
   Task<bool> ReadRequest()
   {
     http::request_parser<http::string_body> parser;
@@ -208,18 +241,8 @@
     m_buffer.AllowHead(m_shared->m_limits.m_headerBytes);
     beast::error_code error;
     auto token = asio::redirect_error(asio::use_awaitable, error);
-    // The idle timeout applies until the first byte arrives; from then on the
-    // whole request has to arrive within the receive timeout.
-    if (m_buffer.size() == 0) {
-      m_stream.expires_after(m_shared->m_limits.m_idleTimeout.ToChrono());
-      const size_t size =
-        co_await m_stream.async_read_some(m_buffer.prepare(kReadBytes), token);
-      if (error) {
-        co_return false;
-      }
-      m_buffer.commit(size);
-    }
-    m_busy = true;
+    // The idle timeout has applied until the first byte arrived; from then on
+    // the whole request has to arrive within the receive timeout.
     m_stream.expires_after(m_shared->m_limits.m_receiveTimeout.ToChrono());
     co_await http::async_read_header(m_stream, m_buffer, parser, token);
     if (!error && parser.get()[http::field::expect] == "100-continue") {
@@ -265,7 +288,12 @@
     do {
       m_busy = false;
       m_started = m_ended = m_streaming = false;
-      if (!co_await ReadRequest()) {
+      const bool begun = co_await AwaitRequest();
+      if (!begun) {
+        break;
+      }
+      const bool isRead = co_await ReadRequest();
+      if (!isRead) {
         break;
       }
       ++m_shared->m_active;
@@ -287,10 +315,12 @@
   }
 
   static constexpr size_t kReadBytes = 4096;
+  static constexpr size_t kFirstBytes = 128; // read without a buffer
   static constexpr char kContinue[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
   std::shared_ptr<Shared> m_shared;
   beast::tcp_stream m_stream;
+  std::array<char, kFirstBytes> m_firstBytes; // of a request
   ReadBuffer m_buffer;
   HttpRequest m_request;
   std::atomic<bool> m_busy{ false }; // a request is arriving or running
