Send long lists of upstreams to entries in parts

Cause: after a change of the leader all entries begin to poll the new one within 200 ms, and each gets all upstreams. With 300 entries and 3,000 upstreams that is 120 MB of answers queued at once, more than the 88 MB of a control process.

Change: an answer holds at most 256 records; the next answers go on. The answer that begins a list states the sequence number at that time, so that records removed before do not begin the list again. An entry that knows a record better than the polled process asks for all again only after the end of a list. Entries of older releases get the list in one answer, as before.

--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -243,18 +243,28 @@
   return changed;
 }
 
+// A record that was removed before the list of all records began is not on that
+// list, and one that is removed later has been noticed as silent, or gone, by
+// then.
 RegistryNews
-Registry::NewsSince(uint64_t aSequence, base::TimePoint aNow)
+Registry::NewsSince(const RegistryPosition& aPosition, base::TimePoint aNow)
 {
   if (aNow - m_freshSince > kSilentAfter) {
     MarkSilent(aNow);
   }
   RegistryNews news;
   news.m_freshness = aNow - m_freshSince;
-  news.m_whole = aSequence < m_removedUpTo || aSequence == 0;
-  const uint64_t since = news.m_whole ? 0 : aSequence;
+  news.m_whole =
+    aPosition.m_sequence == 0 ||
+    std::max(aPosition.m_sequence, aPosition.m_floor) < m_removedUpTo;
+  const uint64_t since = news.m_whole ? 0 : aPosition.m_sequence;
+  size_t count = 0;
   for (auto next = m_notices.upper_bound(since); next != m_notices.end();
        ++next) {
+    if (count == kMaxNews) {
+      return news; // m_sequence is that of the last record
+    }
+    ++count;
     const Record& record = *next->second;
     if (record.m_altered > since) {
       news.m_changed.push_back(&record.m_instance);
@@ -262,7 +272,9 @@
     if (record.m_silent) {
       news.m_silent.push_back(&record.m_instance);
     }
+    news.m_sequence = record.m_noticed;
   }
+  news.m_sequence = m_sequence;
   return news;
 }
 
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -98,11 +98,26 @@
   Changed,
 };
 
-// What an entry needs that knows a registry up to a sequence number. The
-// pointers are valid until the registry changes.
+// Records in RegistryNews, about 40 KB. Bounds what a control process queues
+// when hundreds of entries begin to poll it at once. With 5 polls a second an
+// entry has the records of 5,000 upstreams within 4 s, before the time has
+// passed for which another control process has vouched for them at least.
+inline constexpr size_t kMaxNews = 256;
+
+// How far an entry knows a registry.
+struct RegistryPosition
+{
+  uint64_t m_sequence = 0; // 0: not at all
+  // Sequence number when the list of all records began that the entry got.
+  uint64_t m_floor = 0;
+};
+
+// What an entry needs that knows a registry up to a position. The pointers are
+// valid until the registry changes.
 struct RegistryNews
 {
-  bool m_whole = false; // m_changed holds all records
+  bool m_whole = false;    // the list of all records begins
+  uint64_t m_sequence = 0; // what the entry knows with this, at least
   std::vector<const Instance*> m_changed;
   // Not vouched for until they appear in m_changed again.
   std::vector<const Instance*> m_silent;
@@ -139,9 +154,10 @@
   uint64_t Sequence() const { return m_sequence; }
   // The records that changed, renewals included.
   std::vector<Instance> ChangedSince(uint64_t aSequence) const;
-  // What changed without renewals. 0, or a number from before the removal of a
-  // record: all records.
-  RegistryNews NewsSince(uint64_t aSequence, base::TimePoint aNow);
+  // What changed without renewals, or the oldest kMaxNews of that. All records
+  // when a record has been removed that an entry at aPosition may hold.
+  RegistryNews NewsSince(const RegistryPosition& aPosition,
+                         base::TimePoint aNow);
   // Finds upstreams that have become silent. Call it periodically, so that
   // RegistryNews::m_freshness is close to the true value.
   void MarkSilent(base::TimePoint aNow);
--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -227,6 +227,7 @@
     const RegistryNews news = m_control.NewsSince(m_known, At(aMillis));
     if (news.m_whole) {
       m_entry.StopVouching();
+      m_known.m_floor = m_control.Sequence();
     }
     for (const Instance* changed : news.m_changed) {
       BOOST_TEST(m_entry.MergeVouched(*changed));
@@ -235,7 +236,7 @@
       m_entry.NoteSilent(silent->m_id, silent->m_born, silent->m_reportedAt);
     }
     m_entry.Renew(At(aMillis) - news.m_freshness);
-    m_known = m_control.Sequence();
+    m_known.m_sequence = news.m_sequence;
     return { news.m_changed.size(), news.m_silent.size() };
   }
 
@@ -248,7 +249,7 @@
 
   Registry m_control;
   Registry m_entry;
-  uint64_t m_known = 0;
+  RegistryPosition m_known;
   uint64_t m_sequence = 0;
 };
 
@@ -352,6 +353,55 @@
   BOOST_TEST(!IsUsable("b", 30000));
 }
 
+// Guards against a control process that runs out of memory when all entries
+// begin to poll it, and against a long list that never ends because older
+// records have been removed, or that vouches for what it has not named.
+BOOST_FIXTURE_TEST_CASE(LongListComesInParts, PolledRegistry)
+{
+  constexpr size_t kCount = 2 * kMaxNews + 10;
+  Instance removed = Record("removed", 10, 0);
+  removed.m_address.m_port = 81;
+  const auto registerAll = [&](int64_t aMillis) {
+    for (size_t i = 0; i < kCount; ++i) {
+      Instance record = Record("u" + std::to_string(i), 10, 0);
+      record.m_address.m_port = static_cast<uint16_t>(1000 + i);
+      Register(record, aMillis);
+    }
+  };
+  registerAll(1000);
+  Register(removed, 1000);
+  for (int64_t now = 2000; now <= 30000; now += 1000) {
+    registerAll(now);
+    m_control.MarkSilent(At(now));
+    m_control.Expire(At(now));
+  }
+  BOOST_TEST((Poll(30000) == Counts(kMaxNews, 0)));
+  m_entry.Merge(Record("unnamed", 10, 9));
+  BOOST_TEST((Poll(30200) == Counts(kMaxNews, 0)));
+  BOOST_TEST((Poll(30400) == Counts(10, 0)));
+  BOOST_TEST((Poll(30600) == Counts(0, 0)));
+  for (size_t i = 0; i < kCount; ++i) {
+    BOOST_TEST(IsUsable("u" + std::to_string(i), 31000));
+  }
+  BOOST_TEST(!IsUsable("unnamed", 31000));
+}
+
+// Guards against a list in parts that misses what happens to its first part
+// meanwhile.
+BOOST_FIXTURE_TEST_CASE(ChangesDuringALongListAreSent, PolledRegistry)
+{
+  for (size_t i = 0; i < kMaxNews + 5; ++i) {
+    Instance record = Record("u" + std::to_string(i), 10, 0);
+    record.m_address.m_port = static_cast<uint16_t>(1000 + i);
+    Register(record, 1000);
+  }
+  Poll(1000);
+  BOOST_TEST(m_control.Remove("u0", 10, At(1100)));
+  Poll(1200);
+  const bool gone = m_entry.Find("u0")->m_state == InstanceState::Gone;
+  BOOST_TEST(gone);
+}
+
 // Guards against a control process that was paused and vouches for upstreams
 // that it has not heard of meanwhile.
 BOOST_FIXTURE_TEST_CASE(PausedProcessVouchesForNothing, PolledRegistry)
--- a/chivefront/site/answer_size_test.cc
+++ b/chivefront/site/answer_size_test.cc
@@ -43,10 +43,13 @@
     for (size_t i = 0; i < m_upstreams; ++i) {
       Register(i, InstanceState::Ready);
     }
-    for (size_t entry = 0; entry < kEntries; ++entry) {
-      Poll(entry);
-    }
-    m_sent = {};
+    do { // until all entries know all
+      m_sent = {};
+      for (size_t entry = 0; entry < kEntries; ++entry) {
+        Poll(entry);
+      }
+      m_firstBytes.push_back(m_sent.m_bytes);
+    } while (m_sent.m_records > 0);
   }
 
   // Upstreams register and entries poll, spread over their periods.
@@ -74,6 +77,9 @@
     return m_sent;
   }
 
+  // Bytes of the answers to all entries, by poll, before Run.
+  const std::vector<size_t>& FirstBytes() const { return m_firstBytes; }
+
   // These upstreams drain from their next registration on.
   void Leave(std::set<size_t> aUpstreams) { m_leaving = std::move(aUpstreams); }
 
@@ -128,11 +134,15 @@
   {
     wire::WatchRequestT request;
     request.registry_epoch = kEpoch;
-    request.registry_sequence = m_known[aEntry];
+    request.registry_sequence = m_known[aEntry].m_sequence;
+    request.registry_floor = m_known[aEntry].m_floor;
     request.omit_renewals = !m_old;
     wire::WatchReplyT reply;
     AnswerRegistry(m_leader, kEpoch, request, Now(), reply);
-    m_known[aEntry] = reply.registry_sequence;
+    m_known[aEntry].m_sequence = reply.registry_sequence;
+    if (reply.registry_snapshot) {
+      m_known[aEntry].m_floor = reply.registry_floor;
+    }
     m_sent.m_records += reply.upstreams.size();
     m_sent.m_silent += reply.silent.size();
     m_sent.m_answers += 1;
@@ -146,7 +156,8 @@
   uint64_t m_sequence = 0;
   routing::Registry m_leader;
   std::map<size_t, std::map<std::string, routing::Instance>> m_waiting;
-  std::vector<uint64_t> m_known; // sequence number by entry
+  std::vector<routing::RegistryPosition> m_known; // by entry
+  std::vector<size_t> m_firstBytes;
   std::set<size_t> m_leaving;
   Sent m_sent;
 };
@@ -185,6 +196,24 @@
   BOOST_TEST(leaving.m_silent == 0U);
 }
 
+// Guards against a new leader that runs out of memory: all entries begin to
+// poll it at the same time, and what it queues for them grew with entries times
+// upstreams.
+BOOST_AUTO_TEST_CASE(FirstAnswersAreBounded)
+{
+  // More than any record here takes.
+  constexpr size_t kRecordBytes = 256;
+  const Site old(kUpstreams, true);
+  const Site site(kUpstreams, false);
+  BOOST_TEST_MESSAGE("first answers to 300 entries: "
+                     << site.FirstBytes().front() << " bytes in each of "
+                     << site.FirstBytes().size() - 1 << " polls; older form "
+                     << old.FirstBytes().front());
+  for (const size_t bytes : site.FirstBytes()) {
+    BOOST_TEST(bytes <= kEntries * (routing::kMaxNews + 1) * kRecordBytes);
+  }
+}
+
 // Guards against a count that misses renewals: the form of older releases sends
 // each upstream to each entry once in the period of registrations.
 BOOST_AUTO_TEST_CASE(OlderFormSendsEachRenewal)
--- a/chivefront/site/registry_feed.cc
+++ b/chivefront/site/registry_feed.cc
@@ -46,9 +46,11 @@
     aReply.registry_sequence = aRegistry.Sequence();
     return;
   }
-  const routing::RegistryNews news = aRegistry.NewsSince(since, aNow);
+  const routing::RegistryNews news =
+    aRegistry.NewsSince({ since, aRequest.registry_floor }, aNow);
   aReply.omits_renewals = true;
   aReply.registry_snapshot = news.m_whole;
+  aReply.registry_floor = news.m_whole ? aRegistry.Sequence() : 0;
   aReply.fresh_ms = static_cast<uint32_t>(news.m_freshness.Count());
   for (const routing::Instance* instance : news.m_changed) {
     detail::AddUpstream(*instance, aNow, aReply);
@@ -56,7 +58,8 @@
   for (const routing::Instance* instance : news.m_silent) {
     detail::AddSilent(*instance, aNow, aReply);
   }
-  aReply.registry_sequence = aRegistry.Sequence();
+  aReply.registry_sequence = news.m_sequence;
+  aReply.registry_more = news.m_sequence != aRegistry.Sequence();
 }
 
 void
@@ -64,6 +67,7 @@
 {
   aRequest.registry_epoch = m_epoch;
   aRequest.registry_sequence = m_sequence;
+  aRequest.registry_floor = m_floor;
   aRequest.omit_renewals = true;
 }
 
@@ -80,7 +84,9 @@
       aReply.registry_epoch != m_epoch) {
     aRegistry.StopVouching();
   }
-  bool inStep = true;
+  if (aReply.registry_epoch != m_epoch) {
+    m_inStep = true;
+  }
   for (const auto& info : aReply.upstreams) {
     routing::Instance record;
     if (!FromWire(*info, aNow, record)) {
@@ -88,7 +94,7 @@
                    base::LogCategory::Failure,
                    { { "upstream", info->name } });
     } else if (vouches) {
-      inStep = aRegistry.MergeVouched(record) && inStep;
+      m_inStep = aRegistry.MergeVouched(record) && m_inStep;
     } else {
       (void)aRegistry.Merge(record); // an outdated record is no error
     }
@@ -101,7 +107,14 @@
     aRegistry.Renew(aPolledAt - base::Millis(aReply.fresh_ms));
   }
   m_epoch = aReply.registry_epoch;
-  m_sequence = inStep ? aReply.registry_sequence : 0;
+  if (aReply.registry_snapshot) {
+    m_floor = aReply.registry_floor;
+  }
+  m_sequence = aReply.registry_sequence;
+  if (!m_inStep && !aReply.registry_more) {
+    m_sequence = 0;
+    m_inStep = true;
+  }
 }
 
 } // namespace chivefront::site
--- a/chivefront/site/registry_feed.h
+++ b/chivefront/site/registry_feed.h
@@ -50,6 +50,10 @@
   base::DecisionLog& m_log;
   uint64_t m_epoch = 0;
   uint64_t m_sequence = 0; // 0: asks for all records
+  uint64_t m_floor = 0;    // see routing::RegistryPosition
+  // The polled process has named no record that it knows less well; else it is
+  // asked for all again.
+  bool m_inStep = true;
 };
 
 } // namespace chivefront::site
--- a/chivefront/site/watch_test.cc
+++ b/chivefront/site/watch_test.cc
@@ -148,6 +148,7 @@
     record.m_address = { "10.0.0.1",
                          static_cast<uint16_t>(base::StableHash(aId)) };
     record.m_state = aState;
+    record.m_slots = m_slots;
     record.m_born = 1;
     record.m_sequence = static_cast<uint64_t>(aClock.Now().SinceBoot().Count());
     record.m_reportedAt = aClock.Now();
@@ -155,6 +156,7 @@
   }
 
   uint64_t m_epoch = 1;
+  uint32_t m_slots = 0; // of its upstreams
   bool m_isOld = false;
   routing::Registry m_registry;
 };
@@ -226,6 +228,27 @@
   BOOST_TEST(!IsUsable("one"));
 }
 
+// Guards against an entry that never hears of a change because the process that
+// it polls has missed the one before and takes it for a renewal.
+BOOST_FIXTURE_TEST_CASE(ProcessThatMissedAChangeIsAskedAgain, FeedFixture)
+{
+  PolledProcess leader;
+  PolledProcess follower;
+  follower.m_epoch = 2;
+  follower.Register("one", m_clock);
+  m_clock.Advance(base::Millis(1000));
+  leader.m_slots = 4;
+  leader.Register("one", m_clock);
+  Poll(leader);
+  BOOST_TEST(Poll(follower) == 1U);
+  BOOST_TEST(m_watch.View().m_registry.Find("one")->m_slots == 4U);
+  m_clock.Advance(base::Millis(1000));
+  follower.Register("one", m_clock); // a renewal to this process
+  BOOST_TEST(Poll(follower) == 1U);
+  BOOST_TEST(m_watch.View().m_registry.Find("one")->m_slots == 0U);
+  BOOST_TEST(Poll(follower) == 0U);
+}
+
 // Guards against an upstream that leaves and still gets requests.
 BOOST_FIXTURE_TEST_CASE(DrainingIsHeardWithTheNextPoll, FeedFixture)
 {
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -3100,6 +3100,7 @@
   bool fetches_documents = false;
   std::vector<std::unique_ptr<chivefront::wire::PartSeenT>> parts_survived{};
   bool omit_renewals = false;
+  uint64_t registry_floor = 0;
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3128,7 +3129,8 @@
     VT_LIVE_ENTRIES = 32,
     VT_FETCHES_DOCUMENTS = 34,
     VT_PARTS_SURVIVED = 36,
-    VT_OMIT_RENEWALS = 38
+    VT_OMIT_RENEWALS = 38,
+    VT_REGISTRY_FLOOR = 40
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3184,6 +3186,9 @@
   bool omit_renewals() const {
     return GetField<uint8_t>(VT_OMIT_RENEWALS, 0) != 0;
   }
+  uint64_t registry_floor() const {
+    return GetField<uint64_t>(VT_REGISTRY_FLOOR, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3221,6 +3226,7 @@
            verifier.VerifyVector(parts_survived()) &&
            verifier.VerifyVectorOfTables(parts_survived()) &&
            VerifyField<uint8_t>(verifier, VT_OMIT_RENEWALS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRY_FLOOR, 8) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3286,6 +3292,9 @@
   void add_omit_renewals(bool omit_renewals) {
     fbb_.AddElement<uint8_t>(WatchRequest::VT_OMIT_RENEWALS, static_cast<uint8_t>(omit_renewals), 0);
   }
+  void add_registry_floor(uint64_t registry_floor) {
+    fbb_.AddElement<uint64_t>(WatchRequest::VT_REGISTRY_FLOOR, registry_floor, 0);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3316,8 +3325,10 @@
     uint32_t live_entries = 0,
     bool fetches_documents = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::PartSeen>>> parts_survived = 0,
-    bool omit_renewals = false) {
+    bool omit_renewals = false,
+    uint64_t registry_floor = 0) {
   WatchRequestBuilder builder_(_fbb);
+  builder_.add_registry_floor(registry_floor);
   builder_.add_have_number(have_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
@@ -3363,7 +3374,8 @@
     uint32_t live_entries = 0,
     bool fetches_documents = false,
     const std::vector<flatbuffers::Offset<chivefront::wire::PartSeen>> *parts_survived = nullptr,
-    bool omit_renewals = false) {
+    bool omit_renewals = false,
+    uint64_t registry_floor = 0) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -3392,7 +3404,8 @@
       live_entries,
       fetches_documents,
       parts_survived__,
-      omit_renewals);
+      omit_renewals,
+      registry_floor);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3422,6 +3435,8 @@
   bool omits_renewals = false;
   uint32_t fresh_ms = 0;
   std::vector<std::unique_ptr<chivefront::wire::SilentUpstreamT>> silent{};
+  uint64_t registry_floor = 0;
+  bool registry_more = false;
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3455,7 +3470,9 @@
     VT_DOCUMENT_NUMBER = 42,
     VT_OMITS_RENEWALS = 44,
     VT_FRESH_MS = 46,
-    VT_SILENT = 48
+    VT_SILENT = 48,
+    VT_REGISTRY_FLOOR = 50,
+    VT_REGISTRY_MORE = 52
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -3526,6 +3543,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *silent() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *>(VT_SILENT);
   }
+  uint64_t registry_floor() const {
+    return GetField<uint64_t>(VT_REGISTRY_FLOOR, 0);
+  }
+  bool registry_more() const {
+    return GetField<uint8_t>(VT_REGISTRY_MORE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -3568,6 +3591,8 @@
            VerifyOffset(verifier, VT_SILENT) &&
            verifier.VerifyVector(silent()) &&
            verifier.VerifyVectorOfTables(silent()) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRY_FLOOR, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REGISTRY_MORE, 1) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3648,6 +3673,12 @@
   void add_silent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>> silent) {
     fbb_.AddOffset(WatchReply::VT_SILENT, silent);
   }
+  void add_registry_floor(uint64_t registry_floor) {
+    fbb_.AddElement<uint64_t>(WatchReply::VT_REGISTRY_FLOOR, registry_floor, 0);
+  }
+  void add_registry_more(bool registry_more) {
+    fbb_.AddElement<uint8_t>(WatchReply::VT_REGISTRY_MORE, static_cast<uint8_t>(registry_more), 0);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3683,8 +3714,11 @@
     uint64_t document_number = 0,
     bool omits_renewals = false,
     uint32_t fresh_ms = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>> silent = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>> silent = 0,
+    uint64_t registry_floor = 0,
+    bool registry_more = false) {
   WatchReplyBuilder builder_(_fbb);
+  builder_.add_registry_floor(registry_floor);
   builder_.add_document_number(document_number);
   builder_.add_report_sequence(report_sequence);
   builder_.add_registry_sequence(registry_sequence);
@@ -3703,6 +3737,7 @@
   builder_.add_upstreams(upstreams);
   builder_.add_entries(entries);
   builder_.add_age_ms(age_ms);
+  builder_.add_registry_more(registry_more);
   builder_.add_omits_renewals(omits_renewals);
   builder_.add_unconfirmed(unconfirmed);
   builder_.add_registry_snapshot(registry_snapshot);
@@ -3740,7 +3775,9 @@
     uint64_t document_number = 0,
     bool omits_renewals = false,
     uint32_t fresh_ms = 0,
-    const std::vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *silent = nullptr) {
+    const std::vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *silent = nullptr,
+    uint64_t registry_floor = 0,
+    bool registry_more = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
@@ -3775,7 +3812,9 @@
       document_number,
       omits_renewals,
       fresh_ms,
-      silent__);
+      silent__,
+      registry_floor,
+      registry_more);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8054,7 +8093,8 @@
         have_number(o.have_number),
         live_entries(o.live_entries),
         fetches_documents(o.fetches_documents),
-        omit_renewals(o.omit_renewals) {
+        omit_renewals(o.omit_renewals),
+        registry_floor(o.registry_floor) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
@@ -8092,6 +8132,7 @@
   std::swap(fetches_documents, o.fetches_documents);
   std::swap(parts_survived, o.parts_survived);
   std::swap(omit_renewals, o.omit_renewals);
+  std::swap(registry_floor, o.registry_floor);
   return *this;
 }
 
@@ -8122,6 +8163,7 @@
   { auto _e = fetches_documents(); _o->fetches_documents = _e; }
   { auto _e = parts_survived(); if (_e) { _o->parts_survived.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts_survived[_i] = std::unique_ptr<chivefront::wire::PartSeenT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = omit_renewals(); _o->omit_renewals = _e; }
+  { auto _e = registry_floor(); _o->registry_floor = _e; }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8150,6 +8192,7 @@
   auto _fetches_documents = _o->fetches_documents;
   auto _parts_survived = _o->parts_survived.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>> (_o->parts_survived.size(), [](size_t i, _VectorArgs *__va) { return CreatePartSeen(*__va->__fbb, __va->__o->parts_survived[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _omit_renewals = _o->omit_renewals;
+  auto _registry_floor = _o->registry_floor;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -8169,7 +8212,8 @@
       _live_entries,
       _fetches_documents,
       _parts_survived,
-      _omit_renewals);
+      _omit_renewals,
+      _registry_floor);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -8189,7 +8233,9 @@
         unconfirmed(o.unconfirmed),
         document_number(o.document_number),
         omits_renewals(o.omits_renewals),
-        fresh_ms(o.fresh_ms) {
+        fresh_ms(o.fresh_ms),
+        registry_floor(o.registry_floor),
+        registry_more(o.registry_more) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -8228,6 +8274,8 @@
   std::swap(omits_renewals, o.omits_renewals);
   std::swap(fresh_ms, o.fresh_ms);
   std::swap(silent, o.silent);
+  std::swap(registry_floor, o.registry_floor);
+  std::swap(registry_more, o.registry_more);
   return *this;
 }
 
@@ -8263,6 +8311,8 @@
   { auto _e = omits_renewals(); _o->omits_renewals = _e; }
   { auto _e = fresh_ms(); _o->fresh_ms = _e; }
   { auto _e = silent(); if (_e) { _o->silent.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->silent[_i] = std::unique_ptr<chivefront::wire::SilentUpstreamT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = registry_floor(); _o->registry_floor = _e; }
+  { auto _e = registry_more(); _o->registry_more = _e; }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8296,6 +8346,8 @@
   auto _omits_renewals = _o->omits_renewals;
   auto _fresh_ms = _o->fresh_ms;
   auto _silent = _o->silent.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> (_o->silent.size(), [](size_t i, _VectorArgs *__va) { return CreateSilentUpstream(*__va->__fbb, __va->__o->silent[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _registry_floor = _o->registry_floor;
+  auto _registry_more = _o->registry_more;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -8320,7 +8372,9 @@
       _document_number,
       _omits_renewals,
       _fresh_ms,
-      _silent);
+      _silent,
+      _registry_floor,
+      _registry_more);
 }
 
 inline DocumentRequestT *DocumentRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
