--- a/chivefront/site/registrations.cc
+++ b/chivefront/site/registrations.cc
@@ -5,6 +5,7 @@
 
 #include "chivefront/base/errors.h"
 #include "chivefront/site/messages.h"
+#include "chivefront/site/registry_feed.h"
 
 namespace chivefront::site {
 namespace detail {
@@ -77,7 +78,8 @@
   const routing::Instance* known = m_registry.Find(aRecord.m_id);
   const bool changed = known == nullptr || known->m_state != aRecord.m_state ||
                        known->m_born != aRecord.m_born;
-  const bool isNew = Merge(aRecord);
+  const routing::MergeResult result = Merge(aRecord);
+  const bool isNew = result != routing::MergeResult::Refused;
   if (!isNew && m_registry.Find(aRecord.m_id) == nullptr &&
       m_registry.IsFull()) {
     co_return base::MakeError(base::ErrorKind::Overloaded,
@@ -94,8 +96,10 @@
         { "state", routing::kInstanceStateNames.Name(aRecord.m_state) },
         { "sequence", aRecord.m_sequence } });
   }
-  if (isNew) {
+  if (result == routing::MergeResult::Changed) {
     m_announcer.Announce(aRecord.m_id);
+  } else if (result == routing::MergeResult::Renewed) {
+    m_announcer.AnnounceRenewal(aRecord.m_id);
   }
   if (aRecord.m_state == routing::InstanceState::Ready) {
     co_return absl::OkStatus();
@@ -175,6 +179,14 @@
              });
 }
 
+void
+Registrations::Answer(const wire::WatchRequestT& aRequest,
+                      base::TimePoint aNow,
+                      wire::WatchReplyT& aReply)
+{
+  AnswerRegistry(m_registry, m_epoch, aRequest, aNow, aReply);
+}
+
 void
 Registrations::OnLinkOpen(const std::string& aPeer)
 {
@@ -186,14 +198,15 @@
                       const std::set<std::string>& aOthers)
 {
   m_registry.Expire(aNow);
+  m_registry.MarkSilent(aNow);
   TakeOverDepartures(aNow);
   m_announcer.SetPeers(aOthers);
-  m_announcer.Retry();
+  m_announcer.OnTick();
   Save(aNow);
 }
 
 // Merges a record, which may be from before the departure of its upstream.
-bool
+routing::MergeResult
 Registrations::Merge(routing::Instance aRecord)
 {
   using routing::InstanceState;
@@ -205,11 +218,11 @@
       aRecord.m_state = std::max(aRecord.m_state, state);
     }
   }
-  const bool isNew = m_registry.Merge(aRecord);
-  if (isNew) {
+  const routing::MergeResult result = m_registry.MergeRecord(aRecord);
+  if (result != routing::MergeResult::Refused) {
     m_recordCounter.Increment();
   }
-  return isNew;
+  return result;
 }
 
 // Takes over what the replicated log has brought since the last call. After a
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -88,6 +88,10 @@
 struct UsageWindowBuilder;
 struct UsageWindowT;
 
+struct SilentUpstream;
+struct SilentUpstreamBuilder;
+struct SilentUpstreamT;
+
 struct WatchRequest;
 struct WatchRequestBuilder;
 struct WatchRequestT;
@@ -3157,6 +3161,100 @@
 
 flatbuffers::Offset<UsageWindow> CreateUsageWindow(flatbuffers::FlatBufferBuilder &_fbb, const UsageWindowT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct SilentUpstreamT : public flatbuffers::NativeTable {
+  typedef SilentUpstream TableType;
+  std::string name{};
+  uint64_t born = 0;
+  uint32_t age_ms = 0;
+};
+
+struct SilentUpstream FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SilentUpstreamT NativeTableType;
+  typedef SilentUpstreamBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_BORN = 6,
+    VT_AGE_MS = 8
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t born() const {
+    return GetField<uint64_t>(VT_BORN, 0);
+  }
+  uint32_t age_ms() const {
+    return GetField<uint32_t>(VT_AGE_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_BORN, 8) &&
+           VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
+           verifier.EndTable();
+  }
+  SilentUpstreamT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(SilentUpstreamT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<SilentUpstream> Pack(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct SilentUpstreamBuilder {
+  typedef SilentUpstream Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(SilentUpstream::VT_NAME, name);
+  }
+  void add_born(uint64_t born) {
+    fbb_.AddElement<uint64_t>(SilentUpstream::VT_BORN, born, 0);
+  }
+  void add_age_ms(uint32_t age_ms) {
+    fbb_.AddElement<uint32_t>(SilentUpstream::VT_AGE_MS, age_ms, 0);
+  }
+  explicit SilentUpstreamBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SilentUpstream> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SilentUpstream>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SilentUpstream> CreateSilentUpstream(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t born = 0,
+    uint32_t age_ms = 0) {
+  SilentUpstreamBuilder builder_(_fbb);
+  builder_.add_born(born);
+  builder_.add_age_ms(age_ms);
+  builder_.add_name(name);
+  return builder_.Finish();
+}
+
+struct SilentUpstream::Traits {
+  using type = SilentUpstream;
+  static auto constexpr Create = CreateSilentUpstream;
+};
+
+inline flatbuffers::Offset<SilentUpstream> CreateSilentUpstreamDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    uint64_t born = 0,
+    uint32_t age_ms = 0) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  return chivefront::wire::CreateSilentUpstream(
+      _fbb,
+      name__,
+      born,
+      age_ms);
+}
+
+flatbuffers::Offset<SilentUpstream> CreateSilentUpstream(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WatchRequestT : public flatbuffers::NativeTable {
   typedef WatchRequest TableType;
   std::string holder{};
@@ -3181,6 +3279,8 @@
   std::vector<std::unique_ptr<chivefront::wire::UsageWindowT>> usage{};
   uint64_t usage_sequence = 0;
   uint64_t usage_closed_before = 0;
+  bool omit_renewals = false;
+  uint64_t registry_floor = 0;
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3213,7 +3313,9 @@
     VT_WALL_MS = 40,
     VT_USAGE = 42,
     VT_USAGE_SEQUENCE = 44,
-    VT_USAGE_CLOSED_BEFORE = 46
+    VT_USAGE_CLOSED_BEFORE = 46,
+    VT_OMIT_RENEWALS = 48,
+    VT_REGISTRY_FLOOR = 50
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3281,6 +3383,12 @@
   uint64_t usage_closed_before() const {
     return GetField<uint64_t>(VT_USAGE_CLOSED_BEFORE, 0);
   }
+  bool omit_renewals() const {
+    return GetField<uint8_t>(VT_OMIT_RENEWALS, 0) != 0;
+  }
+  uint64_t registry_floor() const {
+    return GetField<uint64_t>(VT_REGISTRY_FLOOR, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3324,6 +3432,8 @@
            verifier.VerifyVectorOfTables(usage()) &&
            VerifyField<uint64_t>(verifier, VT_USAGE_SEQUENCE, 8) &&
            VerifyField<uint64_t>(verifier, VT_USAGE_CLOSED_BEFORE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OMIT_RENEWALS, 1) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRY_FLOOR, 8) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3401,6 +3511,12 @@
   void add_usage_closed_before(uint64_t usage_closed_before) {
     fbb_.AddElement<uint64_t>(WatchRequest::VT_USAGE_CLOSED_BEFORE, usage_closed_before, 0);
   }
+  void add_omit_renewals(bool omit_renewals) {
+    fbb_.AddElement<uint8_t>(WatchRequest::VT_OMIT_RENEWALS, static_cast<uint8_t>(omit_renewals), 0);
+  }
+  void add_registry_floor(uint64_t registry_floor) {
+    fbb_.AddElement<uint64_t>(WatchRequest::VT_REGISTRY_FLOOR, registry_floor, 0);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3435,8 +3551,11 @@
     uint64_t wall_ms = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>>> usage = 0,
     uint64_t usage_sequence = 0,
-    uint64_t usage_closed_before = 0) {
+    uint64_t usage_closed_before = 0,
+    bool omit_renewals = false,
+    uint64_t registry_floor = 0) {
   WatchRequestBuilder builder_(_fbb);
+  builder_.add_registry_floor(registry_floor);
   builder_.add_usage_closed_before(usage_closed_before);
   builder_.add_usage_sequence(usage_sequence);
   builder_.add_wall_ms(wall_ms);
@@ -3457,6 +3576,7 @@
   builder_.add_reports(reports);
   builder_.add_evidence(evidence);
   builder_.add_holder(holder);
+  builder_.add_omit_renewals(omit_renewals);
   builder_.add_fetches_documents(fetches_documents);
   builder_.add_role(role);
   return builder_.Finish();
@@ -3490,7 +3610,9 @@
     uint64_t wall_ms = 0,
     const std::vector<flatbuffers::Offset<chivefront::wire::UsageWindow>> *usage = nullptr,
     uint64_t usage_sequence = 0,
-    uint64_t usage_closed_before = 0) {
+    uint64_t usage_closed_before = 0,
+    bool omit_renewals = false,
+    uint64_t registry_floor = 0) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -3524,7 +3646,9 @@
       wall_ms,
       usage__,
       usage_sequence,
-      usage_closed_before);
+      usage_closed_before,
+      omit_renewals,
+      registry_floor);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3553,6 +3677,11 @@
   uint64_t document_number = 0;
   uint64_t true_time_ms = 0;
   uint64_t usage_sequence = 0;
+  bool omits_renewals = false;
+  uint32_t fresh_ms = 0;
+  std::vector<std::unique_ptr<chivefront::wire::SilentUpstreamT>> silent{};
+  uint64_t registry_floor = 0;
+  bool registry_more = false;
   WatchReplyT() = default;
   WatchReplyT(const WatchReplyT &o);
   WatchReplyT(WatchReplyT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3585,7 +3714,12 @@
     VT_UNCONFIRMED = 40,
     VT_DOCUMENT_NUMBER = 42,
     VT_TRUE_TIME_MS = 44,
-    VT_USAGE_SEQUENCE = 46
+    VT_USAGE_SEQUENCE = 46,
+    VT_OMITS_RENEWALS = 48,
+    VT_FRESH_MS = 50,
+    VT_SILENT = 52,
+    VT_REGISTRY_FLOOR = 54,
+    VT_REGISTRY_MORE = 56
   };
   uint32_t age_ms() const {
     return GetField<uint32_t>(VT_AGE_MS, 0);
@@ -3653,6 +3787,21 @@
   uint64_t usage_sequence() const {
     return GetField<uint64_t>(VT_USAGE_SEQUENCE, 0);
   }
+  bool omits_renewals() const {
+    return GetField<uint8_t>(VT_OMITS_RENEWALS, 0) != 0;
+  }
+  uint32_t fresh_ms() const {
+    return GetField<uint32_t>(VT_FRESH_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *silent() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *>(VT_SILENT);
+  }
+  uint64_t registry_floor() const {
+    return GetField<uint64_t>(VT_REGISTRY_FLOOR, 0);
+  }
+  bool registry_more() const {
+    return GetField<uint8_t>(VT_REGISTRY_MORE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_AGE_MS, 4) &&
@@ -3692,6 +3841,13 @@
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_NUMBER, 8) &&
            VerifyField<uint64_t>(verifier, VT_TRUE_TIME_MS, 8) &&
            VerifyField<uint64_t>(verifier, VT_USAGE_SEQUENCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OMITS_RENEWALS, 1) &&
+           VerifyField<uint32_t>(verifier, VT_FRESH_MS, 4) &&
+           VerifyOffset(verifier, VT_SILENT) &&
+           verifier.VerifyVector(silent()) &&
+           verifier.VerifyVectorOfTables(silent()) &&
+           VerifyField<uint64_t>(verifier, VT_REGISTRY_FLOOR, 8) &&
+           VerifyField<uint8_t>(verifier, VT_REGISTRY_MORE, 1) &&
            verifier.EndTable();
   }
   WatchReplyT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3769,6 +3925,21 @@
   void add_usage_sequence(uint64_t usage_sequence) {
     fbb_.AddElement<uint64_t>(WatchReply::VT_USAGE_SEQUENCE, usage_sequence, 0);
   }
+  void add_omits_renewals(bool omits_renewals) {
+    fbb_.AddElement<uint8_t>(WatchReply::VT_OMITS_RENEWALS, static_cast<uint8_t>(omits_renewals), 0);
+  }
+  void add_fresh_ms(uint32_t fresh_ms) {
+    fbb_.AddElement<uint32_t>(WatchReply::VT_FRESH_MS, fresh_ms, 0);
+  }
+  void add_silent(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>> silent) {
+    fbb_.AddOffset(WatchReply::VT_SILENT, silent);
+  }
+  void add_registry_floor(uint64_t registry_floor) {
+    fbb_.AddElement<uint64_t>(WatchReply::VT_REGISTRY_FLOOR, registry_floor, 0);
+  }
+  void add_registry_more(bool registry_more) {
+    fbb_.AddElement<uint8_t>(WatchReply::VT_REGISTRY_MORE, static_cast<uint8_t>(registry_more), 0);
+  }
   explicit WatchReplyBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3803,8 +3974,14 @@
     bool unconfirmed = false,
     uint64_t document_number = 0,
     uint64_t true_time_ms = 0,
-    uint64_t usage_sequence = 0) {
+    uint64_t usage_sequence = 0,
+    bool omits_renewals = false,
+    uint32_t fresh_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>> silent = 0,
+    uint64_t registry_floor = 0,
+    bool registry_more = false) {
   WatchReplyBuilder builder_(_fbb);
+  builder_.add_registry_floor(registry_floor);
   builder_.add_usage_sequence(usage_sequence);
   builder_.add_true_time_ms(true_time_ms);
   builder_.add_document_number(document_number);
@@ -3812,6 +3989,8 @@
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_revision(revision);
+  builder_.add_silent(silent);
+  builder_.add_fresh_ms(fresh_ms);
   builder_.add_permits(permits);
   builder_.add_request_limits(request_limits);
   builder_.add_quarantined_parts(quarantined_parts);
@@ -3823,6 +4002,8 @@
   builder_.add_upstreams(upstreams);
   builder_.add_entries(entries);
   builder_.add_age_ms(age_ms);
+  builder_.add_registry_more(registry_more);
+  builder_.add_omits_renewals(omits_renewals);
   builder_.add_unconfirmed(unconfirmed);
   builder_.add_registry_snapshot(registry_snapshot);
   builder_.add_snapshot(snapshot);
@@ -3858,7 +4039,12 @@
     bool unconfirmed = false,
     uint64_t document_number = 0,
     uint64_t true_time_ms = 0,
-    uint64_t usage_sequence = 0) {
+    uint64_t usage_sequence = 0,
+    bool omits_renewals = false,
+    uint32_t fresh_ms = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> *silent = nullptr,
+    uint64_t registry_floor = 0,
+    bool registry_more = false) {
   auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::ConfigEntry>>(*entries) : 0;
   auto upstreams__ = upstreams ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UpstreamInfo>>(*upstreams) : 0;
   auto suspects__ = suspects ? _fbb.CreateVector<uint64_t>(*suspects) : 0;
@@ -3868,6 +4054,7 @@
   auto quarantined_parts__ = quarantined_parts ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::QuarantinedPart>>(*quarantined_parts) : 0;
   auto request_limits__ = request_limits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::RequestLimit>>(*request_limits) : 0;
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitGrant>>(*permits) : 0;
+  auto silent__ = silent ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::SilentUpstream>>(*silent) : 0;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       age_ms,
@@ -3891,7 +4078,12 @@
       unconfirmed,
       document_number,
       true_time_ms,
-      usage_sequence);
+      usage_sequence,
+      omits_renewals,
+      fresh_ms,
+      silent__,
+      registry_floor,
+      registry_more);
 }
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8198,6 +8390,38 @@
       _counts);
 }
 
+inline SilentUpstreamT *SilentUpstream::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<SilentUpstreamT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void SilentUpstream::UnPackTo(SilentUpstreamT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = name(); if (_e) _o->name = _e->str(); }
+  { auto _e = born(); _o->born = _e; }
+  { auto _e = age_ms(); _o->age_ms = _e; }
+}
+
+inline flatbuffers::Offset<SilentUpstream> SilentUpstream::Pack(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateSilentUpstream(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<SilentUpstream> CreateSilentUpstream(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const SilentUpstreamT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _name = _o->name.empty() ? 0 : _fbb.CreateString(_o->name);
+  auto _born = _o->born;
+  auto _age_ms = _o->age_ms;
+  return chivefront::wire::CreateSilentUpstream(
+      _fbb,
+      _name,
+      _born,
+      _age_ms);
+}
+
 inline WatchRequestT::WatchRequestT(const WatchRequestT &o)
       : holder(o.holder),
         role(o.role),
@@ -8211,7 +8435,9 @@
         usage_window_ms(o.usage_window_ms),
         wall_ms(o.wall_ms),
         usage_sequence(o.usage_sequence),
-        usage_closed_before(o.usage_closed_before) {
+        usage_closed_before(o.usage_closed_before),
+        omit_renewals(o.omit_renewals),
+        registry_floor(o.registry_floor) {
   evidence.reserve(o.evidence.size());
   for (const auto &evidence_ : o.evidence) { evidence.emplace_back((evidence_) ? new chivefront::wire::VersionEvidenceT(*evidence_) : nullptr); }
   reports.reserve(o.reports.size());
@@ -8255,6 +8481,8 @@
   std::swap(usage, o.usage);
   std::swap(usage_sequence, o.usage_sequence);
   std::swap(usage_closed_before, o.usage_closed_before);
+  std::swap(omit_renewals, o.omit_renewals);
+  std::swap(registry_floor, o.registry_floor);
   return *this;
 }
 
@@ -8289,6 +8517,8 @@
   { auto _e = usage(); if (_e) { _o->usage.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->usage[_i] = std::unique_ptr<chivefront::wire::UsageWindowT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = usage_sequence(); _o->usage_sequence = _e; }
   { auto _e = usage_closed_before(); _o->usage_closed_before = _e; }
+  { auto _e = omit_renewals(); _o->omit_renewals = _e; }
+  { auto _e = registry_floor(); _o->registry_floor = _e; }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8321,6 +8551,8 @@
   auto _usage = _o->usage.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageWindow>> (_o->usage.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageWindow(*__va->__fbb, __va->__o->usage[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _usage_sequence = _o->usage_sequence;
   auto _usage_closed_before = _o->usage_closed_before;
+  auto _omit_renewals = _o->omit_renewals;
+  auto _registry_floor = _o->registry_floor;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -8344,7 +8576,9 @@
       _wall_ms,
       _usage,
       _usage_sequence,
-      _usage_closed_before);
+      _usage_closed_before,
+      _omit_renewals,
+      _registry_floor);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
@@ -8364,7 +8598,11 @@
         unconfirmed(o.unconfirmed),
         document_number(o.document_number),
         true_time_ms(o.true_time_ms),
-        usage_sequence(o.usage_sequence) {
+        usage_sequence(o.usage_sequence),
+        omits_renewals(o.omits_renewals),
+        fresh_ms(o.fresh_ms),
+        registry_floor(o.registry_floor),
+        registry_more(o.registry_more) {
   entries.reserve(o.entries.size());
   for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new chivefront::wire::ConfigEntryT(*entries_) : nullptr); }
   upstreams.reserve(o.upstreams.size());
@@ -8375,6 +8613,8 @@
   for (const auto &request_limits_ : o.request_limits) { request_limits.emplace_back((request_limits_) ? new chivefront::wire::RequestLimitT(*request_limits_) : nullptr); }
   permits.reserve(o.permits.size());
   for (const auto &permits_ : o.permits) { permits.emplace_back((permits_) ? new chivefront::wire::PermitGrantT(*permits_) : nullptr); }
+  silent.reserve(o.silent.size());
+  for (const auto &silent_ : o.silent) { silent.emplace_back((silent_) ? new chivefront::wire::SilentUpstreamT(*silent_) : nullptr); }
 }
 
 inline WatchReplyT &WatchReplyT::operator=(WatchReplyT o) FLATBUFFERS_NOEXCEPT {
@@ -8400,6 +8640,11 @@
   std::swap(document_number, o.document_number);
   std::swap(true_time_ms, o.true_time_ms);
   std::swap(usage_sequence, o.usage_sequence);
+  std::swap(omits_renewals, o.omits_renewals);
+  std::swap(fresh_ms, o.fresh_ms);
+  std::swap(silent, o.silent);
+  std::swap(registry_floor, o.registry_floor);
+  std::swap(registry_more, o.registry_more);
   return *this;
 }
 
@@ -8434,6 +8679,11 @@
   { auto _e = document_number(); _o->document_number = _e; }
   { auto _e = true_time_ms(); _o->true_time_ms = _e; }
   { auto _e = usage_sequence(); _o->usage_sequence = _e; }
+  { auto _e = omits_renewals(); _o->omits_renewals = _e; }
+  { auto _e = fresh_ms(); _o->fresh_ms = _e; }
+  { auto _e = silent(); if (_e) { _o->silent.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->silent[_i] = std::unique_ptr<chivefront::wire::SilentUpstreamT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = registry_floor(); _o->registry_floor = _e; }
+  { auto _e = registry_more(); _o->registry_more = _e; }
 }
 
 inline flatbuffers::Offset<WatchReply> WatchReply::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8466,6 +8716,11 @@
   auto _document_number = _o->document_number;
   auto _true_time_ms = _o->true_time_ms;
   auto _usage_sequence = _o->usage_sequence;
+  auto _omits_renewals = _o->omits_renewals;
+  auto _fresh_ms = _o->fresh_ms;
+  auto _silent = _o->silent.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::SilentUpstream>> (_o->silent.size(), [](size_t i, _VectorArgs *__va) { return CreateSilentUpstream(*__va->__fbb, __va->__o->silent[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _registry_floor = _o->registry_floor;
+  auto _registry_more = _o->registry_more;
   return chivefront::wire::CreateWatchReply(
       _fbb,
       _age_ms,
@@ -8489,7 +8744,12 @@
       _unconfirmed,
       _document_number,
       _true_time_ms,
-      _usage_sequence);
+      _usage_sequence,
+      _omits_renewals,
+      _fresh_ms,
+      _silent,
+      _registry_floor,
+      _registry_more);
 }
 
 inline DocumentRequestT *DocumentRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
