--- a/chivefront/duty/duty.h
+++ b/chivefront/duty/duty.h
@@ -43,6 +43,15 @@
   std::map<std::string, uint64_t> m_counts; // by team
 };
 
+// An order to the outside service: how many upstreams a service shall have in a
+// failure domain. It holds until the next order for both.
+struct ScaleOrder
+{
+  std::string m_service;
+  std::string m_domain;
+  uint32_t m_desired = 0;
+};
+
 // The number of the window that holds aTrueTime, in Unix milliseconds. aWindow
 // must be positive; a time before the epoch belongs to window 0.
 uint64_t
--- a/chivefront/routing/config.cc
+++ b/chivefront/routing/config.cc
@@ -39,6 +39,12 @@
     if (!m_serviceByName.emplace(service.m_name, &service).second) {
       return Invalid("service '" + service.m_name + "' appears twice");
     }
+    if (const auto& scaling = service.m_scaling;
+        scaling && (scaling->m_minUpstreams > scaling->m_maxUpstreams ||
+                    scaling->m_startup < base::Millis(0))) {
+      return Invalid("service '" + service.m_name +
+                     "' has invalid bounds of scaling");
+    }
   }
   for (const Route& route : m_parts.m_routes) {
     uint64_t weights = 0;
--- a/chivefront/routing/config.h
+++ b/chivefront/routing/config.h
@@ -18,6 +18,7 @@
 #include <absl/status/statusor.h>
 
 #include "chivefront/base/clock.h"
+#include "chivefront/duty/scaling_bounds.h"
 
 namespace chivefront::routing {
 
@@ -72,6 +73,7 @@
   base::Millis m_warmup{ 0 };    // how long a new upstream is cold
   double m_warmupPerSecond = 0;  // of a cold upstream, over all entries
   std::optional<EngineTraits> m_engine;
+  std::optional<duty::ScalingBounds> m_scaling; // absent: never scaled
 };
 
 // Limits on the requests and connections of callers.
@@ -103,9 +105,10 @@
 class Config
 {
 public:
-  // Returns Invalid when two services share a name, a route names an unknown
-  // service, two routes share host and prefix, a route's weights add up to 0, a
-  // timeout isn't positive, or two teams share a key.
+  // Returns Invalid when two services share a name, a service's scaling has a
+  // minimum above its maximum or a negative start-up time, a route names an
+  // unknown service, two routes share host and prefix, a route's weights add up
+  // to 0, a timeout isn't positive, or two teams share a key.
   static absl::StatusOr<std::shared_ptr<const Config>> Build(
     ConfigParts aParts);
 
