--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -98,6 +98,9 @@
   m_cost =
     routing::CostAt(aUpstream->m_estimate, Criteria().m_choice, m_chosenAt);
   aUpstream->m_estimate.OnSent(m_cost);
+  m_upstreamDomain = aUpstream->m_instance.m_domain;
+  const LoadCounter::Scope underWay =
+    m_shared.m_loads.CountUnderWay(*m_service, m_upstreamDomain);
   m_headPending = true;
   AttemptResult result = co_await SendAndReceive(aUpstream);
   m_stallTimer.cancel();
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -10,6 +10,7 @@
 #include "chivefront/base/metrics.h"
 #include "chivefront/proxy/header_codec.h"
 #include "chivefront/proxy/held_bytes.h"
+#include "chivefront/proxy/load_counter.h"
 #include "chivefront/proxy/upstreams.h"
 #include "chivefront/routing/adaptive_timeout.h"
 #include "chivefront/routing/budget.h"
@@ -114,6 +115,7 @@
   const std::string m_domain; // failure domain of this entry
   const RetryBudgetLimits m_retryLimits;
   site::UsageReporter* m_usage = nullptr; // null: usage is not counted
+  LoadCounter m_loads{};
   bool m_draining = false;
   base::TimePoint m_drainEnd; // while draining: when running requests are ended
   routing::LatencyBaselines m_baselines{};
--- a/chivefront/site/watch.h
+++ b/chivefront/site/watch.h
@@ -25,6 +25,7 @@
 #include "chivefront/routing/crash_quarantine.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/site/document_parts.h"
+#include "chivefront/site/load_collector.h"
 #include "chivefront/site/rate_messages.h"
 #include "chivefront/site/registry_feed.h"
 #include "chivefront/site/store.h"
@@ -65,6 +66,10 @@
   using RateReportSource = std::function<RateReport()>;
   using RateAnswerSink = std::function<void(const RateAnswer&)>;
 
+  // Returns the loads of services that may be scaled; none in a deployment
+  // without such services.
+  using LoadSource = std::function<std::vector<EntryLoad>()>;
+
   Watch(net::asio::io_context& aContext,
         const net::LinkIdentity& aIdentity,
         const std::vector<std::string>& aSeeds,
@@ -81,6 +86,7 @@
   {
     m_usageReporter = aReporter;
   }
+  void SetLoadSource(LoadSource aSource) { m_loads = std::move(aSource); }
   // Adds control processes to poll, after a reload of the settings.
   void AddSeeds(const std::vector<std::string>& aNames);
   void Start();
@@ -132,6 +138,7 @@
   RateAnswerSink m_rateAnswer;
   UsageReporter* m_usageReporter = nullptr; // not owned
   base::TimePoint m_polledAt;               // when the last poll was sent
+  LoadSource m_loads;
   // Since when answers name fewer live entries than the view; unset: they do
   // not.
   base::TimePoint m_fewerEntriesSince;
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -92,6 +92,10 @@
 struct SilentUpstreamBuilder;
 struct SilentUpstreamT;
 
+struct EntryLoad;
+struct EntryLoadBuilder;
+struct EntryLoadT;
+
 struct WatchRequest;
 struct WatchRequestBuilder;
 struct WatchRequestT;
@@ -3255,6 +3259,141 @@
 
 flatbuffers::Offset<SilentUpstream> CreateSilentUpstream(flatbuffers::FlatBufferBuilder &_fbb, const SilentUpstreamT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct EntryLoadT : public flatbuffers::NativeTable {
+  typedef EntryLoad TableType;
+  std::string service{};
+  std::string domain{};
+  uint32_t under_way = 0;
+  uint32_t waiting = 0;
+  uint64_t answers = 0;
+  uint64_t goals_missed = 0;
+};
+
+struct EntryLoad FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EntryLoadT NativeTableType;
+  typedef EntryLoadBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_DOMAIN = 6,
+    VT_UNDER_WAY = 8,
+    VT_WAITING = 10,
+    VT_ANSWERS = 12,
+    VT_GOALS_MISSED = 14
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_DOMAIN);
+  }
+  uint32_t under_way() const {
+    return GetField<uint32_t>(VT_UNDER_WAY, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  uint64_t answers() const {
+    return GetField<uint64_t>(VT_ANSWERS, 0);
+  }
+  uint64_t goals_missed() const {
+    return GetField<uint64_t>(VT_GOALS_MISSED, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_DOMAIN) &&
+           verifier.VerifyString(domain()) &&
+           VerifyField<uint32_t>(verifier, VT_UNDER_WAY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ANSWERS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_GOALS_MISSED, 8) &&
+           verifier.EndTable();
+  }
+  EntryLoadT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EntryLoadT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<EntryLoad> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct EntryLoadBuilder {
+  typedef EntryLoad Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(EntryLoad::VT_SERVICE, service);
+  }
+  void add_domain(flatbuffers::Offset<flatbuffers::String> domain) {
+    fbb_.AddOffset(EntryLoad::VT_DOMAIN, domain);
+  }
+  void add_under_way(uint32_t under_way) {
+    fbb_.AddElement<uint32_t>(EntryLoad::VT_UNDER_WAY, under_way, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(EntryLoad::VT_WAITING, waiting, 0);
+  }
+  void add_answers(uint64_t answers) {
+    fbb_.AddElement<uint64_t>(EntryLoad::VT_ANSWERS, answers, 0);
+  }
+  void add_goals_missed(uint64_t goals_missed) {
+    fbb_.AddElement<uint64_t>(EntryLoad::VT_GOALS_MISSED, goals_missed, 0);
+  }
+  explicit EntryLoadBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<EntryLoad> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<EntryLoad>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<EntryLoad> CreateEntryLoad(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> domain = 0,
+    uint32_t under_way = 0,
+    uint32_t waiting = 0,
+    uint64_t answers = 0,
+    uint64_t goals_missed = 0) {
+  EntryLoadBuilder builder_(_fbb);
+  builder_.add_goals_missed(goals_missed);
+  builder_.add_answers(answers);
+  builder_.add_waiting(waiting);
+  builder_.add_under_way(under_way);
+  builder_.add_domain(domain);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct EntryLoad::Traits {
+  using type = EntryLoad;
+  static auto constexpr Create = CreateEntryLoad;
+};
+
+inline flatbuffers::Offset<EntryLoad> CreateEntryLoadDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *domain = nullptr,
+    uint32_t under_way = 0,
+    uint32_t waiting = 0,
+    uint64_t answers = 0,
+    uint64_t goals_missed = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto domain__ = domain ? _fbb.CreateString(domain) : 0;
+  return chivefront::wire::CreateEntryLoad(
+      _fbb,
+      service__,
+      domain__,
+      under_way,
+      waiting,
+      answers,
+      goals_missed);
+}
+
+flatbuffers::Offset<EntryLoad> CreateEntryLoad(flatbuffers::FlatBufferBuilder &_fbb, const EntryLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct WatchRequestT : public flatbuffers::NativeTable {
   typedef WatchRequest TableType;
   std::string holder{};
@@ -3281,6 +3420,7 @@
   uint64_t usage_closed_before = 0;
   bool omit_renewals = false;
   uint64_t registry_floor = 0;
+  std::vector<std::unique_ptr<chivefront::wire::EntryLoadT>> loads{};
   WatchRequestT() = default;
   WatchRequestT(const WatchRequestT &o);
   WatchRequestT(WatchRequestT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3315,7 +3455,8 @@
     VT_USAGE_SEQUENCE = 44,
     VT_USAGE_CLOSED_BEFORE = 46,
     VT_OMIT_RENEWALS = 48,
-    VT_REGISTRY_FLOOR = 50
+    VT_REGISTRY_FLOOR = 50,
+    VT_LOADS = 52
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3389,6 +3530,9 @@
   uint64_t registry_floor() const {
     return GetField<uint64_t>(VT_REGISTRY_FLOOR, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::EntryLoad>> *loads() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::EntryLoad>> *>(VT_LOADS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_HOLDER) &&
@@ -3434,6 +3578,9 @@
            VerifyField<uint64_t>(verifier, VT_USAGE_CLOSED_BEFORE, 8) &&
            VerifyField<uint8_t>(verifier, VT_OMIT_RENEWALS, 1) &&
            VerifyField<uint64_t>(verifier, VT_REGISTRY_FLOOR, 8) &&
+           VerifyOffset(verifier, VT_LOADS) &&
+           verifier.VerifyVector(loads()) &&
+           verifier.VerifyVectorOfTables(loads()) &&
            verifier.EndTable();
   }
   WatchRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3517,6 +3664,9 @@
   void add_registry_floor(uint64_t registry_floor) {
     fbb_.AddElement<uint64_t>(WatchRequest::VT_REGISTRY_FLOOR, registry_floor, 0);
   }
+  void add_loads(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::EntryLoad>>> loads) {
+    fbb_.AddOffset(WatchRequest::VT_LOADS, loads);
+  }
   explicit WatchRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3553,7 +3703,8 @@
     uint64_t usage_sequence = 0,
     uint64_t usage_closed_before = 0,
     bool omit_renewals = false,
-    uint64_t registry_floor = 0) {
+    uint64_t registry_floor = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::EntryLoad>>> loads = 0) {
   WatchRequestBuilder builder_(_fbb);
   builder_.add_registry_floor(registry_floor);
   builder_.add_usage_closed_before(usage_closed_before);
@@ -3564,6 +3715,7 @@
   builder_.add_registry_sequence(registry_sequence);
   builder_.add_registry_epoch(registry_epoch);
   builder_.add_have_revision(have_revision);
+  builder_.add_loads(loads);
   builder_.add_usage(usage);
   builder_.add_usage_window_ms(usage_window_ms);
   builder_.add_parts_survived(parts_survived);
@@ -3612,7 +3764,8 @@
     uint64_t usage_sequence = 0,
     uint64_t usage_closed_before = 0,
     bool omit_renewals = false,
-    uint64_t registry_floor = 0) {
+    uint64_t registry_floor = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::EntryLoad>> *loads = nullptr) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   auto evidence__ = evidence ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::VersionEvidence>>(*evidence) : 0;
   auto reports__ = reports ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::HolderReport>>(*reports) : 0;
@@ -3623,6 +3776,7 @@
   auto permits__ = permits ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PermitRequest>>(*permits) : 0;
   auto parts_survived__ = parts_survived ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::PartSeen>>(*parts_survived) : 0;
   auto usage__ = usage ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageWindow>>(*usage) : 0;
+  auto loads__ = loads ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::EntryLoad>>(*loads) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       holder__,
@@ -3648,7 +3802,8 @@
       usage_sequence,
       usage_closed_before,
       omit_renewals,
-      registry_floor);
+      registry_floor,
+      loads__);
 }
 
 flatbuffers::Offset<WatchRequest> CreateWatchRequest(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -8422,6 +8577,47 @@
       _age_ms);
 }
 
+inline EntryLoadT *EntryLoad::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<EntryLoadT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void EntryLoad::UnPackTo(EntryLoadT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = domain(); if (_e) _o->domain = _e->str(); }
+  { auto _e = under_way(); _o->under_way = _e; }
+  { auto _e = waiting(); _o->waiting = _e; }
+  { auto _e = answers(); _o->answers = _e; }
+  { auto _e = goals_missed(); _o->goals_missed = _e; }
+}
+
+inline flatbuffers::Offset<EntryLoad> EntryLoad::Pack(flatbuffers::FlatBufferBuilder &_fbb, const EntryLoadT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateEntryLoad(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<EntryLoad> CreateEntryLoad(flatbuffers::FlatBufferBuilder &_fbb, const EntryLoadT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const EntryLoadT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
+  auto _under_way = _o->under_way;
+  auto _waiting = _o->waiting;
+  auto _answers = _o->answers;
+  auto _goals_missed = _o->goals_missed;
+  return chivefront::wire::CreateEntryLoad(
+      _fbb,
+      _service,
+      _domain,
+      _under_way,
+      _waiting,
+      _answers,
+      _goals_missed);
+}
+
 inline WatchRequestT::WatchRequestT(const WatchRequestT &o)
       : holder(o.holder),
         role(o.role),
@@ -8456,6 +8652,8 @@
   for (const auto &parts_survived_ : o.parts_survived) { parts_survived.emplace_back((parts_survived_) ? new chivefront::wire::PartSeenT(*parts_survived_) : nullptr); }
   usage.reserve(o.usage.size());
   for (const auto &usage_ : o.usage) { usage.emplace_back((usage_) ? new chivefront::wire::UsageWindowT(*usage_) : nullptr); }
+  loads.reserve(o.loads.size());
+  for (const auto &loads_ : o.loads) { loads.emplace_back((loads_) ? new chivefront::wire::EntryLoadT(*loads_) : nullptr); }
 }
 
 inline WatchRequestT &WatchRequestT::operator=(WatchRequestT o) FLATBUFFERS_NOEXCEPT {
@@ -8483,6 +8681,7 @@
   std::swap(usage_closed_before, o.usage_closed_before);
   std::swap(omit_renewals, o.omit_renewals);
   std::swap(registry_floor, o.registry_floor);
+  std::swap(loads, o.loads);
   return *this;
 }
 
@@ -8519,6 +8718,7 @@
   { auto _e = usage_closed_before(); _o->usage_closed_before = _e; }
   { auto _e = omit_renewals(); _o->omit_renewals = _e; }
   { auto _e = registry_floor(); _o->registry_floor = _e; }
+  { auto _e = loads(); if (_e) { _o->loads.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->loads[_i] = std::unique_ptr<chivefront::wire::EntryLoadT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<WatchRequest> WatchRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const WatchRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -8553,6 +8753,7 @@
   auto _usage_closed_before = _o->usage_closed_before;
   auto _omit_renewals = _o->omit_renewals;
   auto _registry_floor = _o->registry_floor;
+  auto _loads = _o->loads.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::EntryLoad>> (_o->loads.size(), [](size_t i, _VectorArgs *__va) { return CreateEntryLoad(*__va->__fbb, __va->__o->loads[i].get(), __va->__rehasher); }, &_va ) : 0;
   return chivefront::wire::CreateWatchRequest(
       _fbb,
       _holder,
@@ -8578,7 +8779,8 @@
       _usage_sequence,
       _usage_closed_before,
       _omit_renewals,
-      _registry_floor);
+      _registry_floor,
+      _loads);
 }
 
 inline WatchReplyT::WatchReplyT(const WatchReplyT &o)
