Relay usage between the control processes that vote

Cause: a host runs an entry and a control process. Change: with each tick a control process sends the rows that changed to the other voters, as the new one-way message UsageRelay. Relayed rows count, but neither make a holder live nor close a window.

--- a/chivefront/duty/usage_collector.cc
+++ b/chivefront/duty/usage_collector.cc
@@ -21,37 +21,84 @@
 
 } // namespace detail
 
+UsageCollector::Holder*
+UsageCollector::FindOrAdd(const std::string& aName, base::TimePoint aNow)
+{
+  if (m_holders.size() >= detail::kMaxHolders && m_holders.count(aName) == 0) {
+    return nullptr;
+  }
+  Holder& holder = m_holders[aName];
+  holder.m_heardAt = aNow;
+  return &holder;
+}
+
 void
 UsageCollector::Record(const std::string& aHolder,
                        const UsageReport& aReport,
                        bool aIsComplete,
                        base::TimePoint aNow)
 {
-  if (m_holders.size() >= detail::kMaxHolders &&
-      m_holders.count(aHolder) == 0) {
+  Holder* holder = FindOrAdd(aHolder, aNow);
+  if (holder == nullptr) {
     m_refused += aReport.m_windows.size();
     return;
   }
-  Holder& holder = m_holders[aHolder];
-  holder.m_heardAt = aNow;
   for (const WindowUsage& window : aReport.m_windows) {
-    if (window.m_window >= m_forgottenBefore) {
-      Merge(holder, window);
+    if (Merge(*holder, window)) {
+      holder->m_changed.insert(window.m_window);
     }
   }
   // An entry that has just turned to this process repeats its windows with its
   // next report.
-  holder.m_closedBefore = aIsComplete ? aReport.m_closedBefore : 0;
+  holder->m_closedBefore = aIsComplete ? aReport.m_closedBefore : 0;
 }
 
-// Totals never decrease, so an older report that arrives late changes nothing.
 void
+UsageCollector::RecordRelayed(const HolderUsage& aUsage, base::TimePoint aNow)
+{
+  Holder* holder = FindOrAdd(aUsage.m_holder, aNow);
+  if (holder == nullptr) {
+    m_refused += aUsage.m_windows.size();
+    return;
+  }
+  for (const WindowUsage& window : aUsage.m_windows) {
+    (void)Merge(*holder, window);
+  }
+}
+
+std::vector<HolderUsage>
+UsageCollector::TakeChanges()
+{
+  std::vector<HolderUsage> changes;
+  for (auto& [name, holder] : m_holders) {
+    HolderUsage usage{ name, {} };
+    for (const uint64_t number : holder.m_changed) {
+      const auto window = holder.m_windows.find(number);
+      if (window != holder.m_windows.end()) {
+        usage.m_windows.push_back({ number, window->second });
+      }
+    }
+    holder.m_changed.clear();
+    if (!usage.m_windows.empty()) {
+      changes.push_back(std::move(usage));
+    }
+  }
+  return changes;
+}
+
+// Totals never decrease, so an older report that arrives late changes nothing.
+// Returns whether a count has changed.
+bool
 UsageCollector::Merge(Holder& aHolder, const WindowUsage& aWindow)
 {
+  if (aWindow.m_window < m_forgottenBefore) {
+    return false;
+  }
   if (aHolder.m_windows.size() >= kMaxUsageWindows &&
       aHolder.m_windows.count(aWindow.m_window) == 0) {
     Drop(aHolder, aHolder.m_windows.begin()); // the oldest
   }
+  bool hasChanged = false;
   Counts& counts = aHolder.m_windows[aWindow.m_window];
   for (const auto& [team, count] : aWindow.m_counts) {
     const auto known = counts.find(team);
@@ -66,10 +113,13 @@
     } else if (known == counts.end()) {
       counts.emplace(team, count);
       ++m_size;
-    } else {
-      known->second = std::max(known->second, count);
+      hasChanged = true;
+    } else if (known->second < count) {
+      known->second = count;
+      hasChanged = true;
     }
   }
+  return hasChanged;
 }
 
 void
@@ -77,6 +127,7 @@
                      std::map<uint64_t, Counts>::iterator aWindow)
 {
   m_size -= aWindow->second.size();
+  aHolder.m_changed.erase(aWindow->first);
   aHolder.m_windows.erase(aWindow);
 }
 
--- a/chivefront/duty/usage_collector.h
+++ b/chivefront/duty/usage_collector.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,13 @@
   size_t m_expected = 0;
 };
 
+// Counts of one holder, for another control process.
+struct HolderUsage
+{
+  std::string m_holder;
+  std::vector<WindowUsage> m_windows;
+};
+
 class UsageCollector
 {
 public:
@@ -43,6 +51,13 @@
               bool aIsComplete,
               base::TimePoint aNow);
 
+  // Returns the windows that changed by Record since the last call, for the
+  // other control processes.
+  std::vector<HolderUsage> TakeChanges();
+  // Takes what another control process has taken of a holder. It does not show
+  // that the holder is live or has closed a window.
+  void RecordRelayed(const HolderUsage& aUsage, base::TimePoint aNow);
+
   // Returns the counts of the windows that may be decided, oldest first: those
   // that all live holders have closed, and those whose decision can't wait any
   // longer. A window without counts is left out.
@@ -68,9 +83,11 @@
     uint64_t m_closedBefore = 0;
     base::TimePoint m_heardAt;
     std::map<uint64_t, Counts> m_windows;
+    std::set<uint64_t> m_changed; // windows for TakeChanges
   };
 
-  void Merge(Holder& aHolder, const WindowUsage& aWindow);
+  Holder* FindOrAdd(const std::string& aName, base::TimePoint aNow);
+  bool Merge(Holder& aHolder, const WindowUsage& aWindow);
   void Drop(Holder& aHolder, std::map<uint64_t, Counts>::iterator aWindow);
   uint64_t ClosedByAll(const LiveHolders& aLiveHolders) const;
   uint64_t OverdueBefore(int64_t aTrueTime) const;
--- a/chivefront/duty/usage_test.cc
+++ b/chivefront/duty/usage_test.cc
@@ -215,6 +215,33 @@
   BOOST_TEST(leader.Decidable(kFirst, 6400, live) == 10U);
 }
 
+// Guards against the loss of an entry's counts when its host is lost together
+// with the control process that it reported to.
+BOOST_AUTO_TEST_CASE(EntryAndLeaderDie)
+{
+  Control former(1);
+  Control leader(2);
+  Entry dying("a#1");
+  Entry other("b#1");
+  for (Entry* entry : { &dying, &other }) {
+    (void)entry->Poll(former, 0);
+    entry->Begin(100, 5);
+    (void)entry->Poll(former, 1000);
+  }
+  for (const HolderUsage& usage : former.m_collector.TakeChanges()) {
+    leader.m_collector.RecordRelayed(usage, At(1000));
+    leader.m_collector.RecordRelayed(usage, At(1000));
+  }
+  BOOST_TEST(former.m_collector.TakeChanges().empty());
+  BOOST_TEST(leader.m_collector.TakeChanges().empty());
+  other.Begin(1100, 2);
+  (void)other.Poll(leader, 2000);
+  (void)other.Poll(leader, 5500);
+  BOOST_TEST(leader.Decidable(kFirst, 5600, { { "b#1" }, 1 }) == 12U);
+  // What is relayed does not close a window.
+  BOOST_TEST(leader.Decidable(kFirst, 5600, { { "a#1", "b#1" }, 2 }) == 0U);
+}
+
 // Guards against counts that are lost or moved to another window when the time
 // of an entry is corrected: its own clock was wrong before the first answer, or
 // the true time steps back at the start of a window.
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -139,6 +139,7 @@
                const wire::WatchRequestT& aRequest);
   net::Task<absl::StatusOr<Outcome>> Commit(Command aCommand);
   std::set<std::string> OtherControlProcesses() const;
+  void RelayUsage();
   net::Task<bool> OnTick();
 
   net::asio::io_context& m_context;
@@ -189,6 +190,11 @@
       m_registrations.OnAnnounce(
         aLink, aMessage.correlation, *body.AsAnnounceRequest());
       return;
+    case wire::Body::UsageRelay:
+      if (m_usage && aLink->Peer().m_role == wire::Role::Control) {
+        m_usage->AcceptRelay(*body.AsUsageRelay(), m_clock.Now());
+      }
+      return;
     case wire::Body::RaftEnvelope: {
       const wire::RaftEnvelopeT& envelope = *body.AsRaftEnvelope();
       if (aLink->Peer().m_role == wire::Role::Control) {
@@ -286,6 +292,23 @@
   return names;
 }
 
+// Only a process that votes can lead, and thus decide on usage.
+void
+Node::Impl::RelayUsage()
+{
+  const auto relay = m_usage->TakeRelay();
+  if (!relay) {
+    return;
+  }
+  for (const consensus::Replica& replica : m_group.Status().m_replicas) {
+    const net::Link::Pointer link =
+      replica.m_voter ? m_peers.LinkTo(replica.m_name) : nullptr;
+    if (link) {
+      (void)link->Send(wire::MakeMessage(*relay));
+    }
+  }
+}
+
 net::Task<bool>
 Node::Impl::OnTick()
 {
@@ -295,6 +318,7 @@
   m_groupReporter.Report(m_group.Status());
   if (m_usage) {
     m_usage->OnTick(m_group.IsLeader(), now);
+    RelayUsage();
   }
   if (!m_group.IsLeader()) {
     co_return !m_stopped;
--- a/chivefront/site/usage_coordinator.cc
+++ b/chivefront/site/usage_coordinator.cc
@@ -57,6 +57,28 @@
   aReply.usage_sequence = aRequest.usage_sequence;
 }
 
+std::optional<wire::UsageRelayT>
+UsageCoordinator::TakeRelay()
+{
+  const auto changes = m_collector.TakeChanges();
+  if (changes.empty()) {
+    return std::nullopt;
+  }
+  return MakeUsageRelay(m_window, changes);
+}
+
+void
+UsageCoordinator::AcceptRelay(const wire::UsageRelayT& aRelay,
+                              base::TimePoint aNow)
+{
+  if (aRelay.usage_window_ms != m_window.Count()) {
+    return;
+  }
+  for (const duty::HolderUsage& holder : ReadUsageRelay(aRelay)) {
+    m_collector.RecordRelayed(holder, aNow);
+  }
+}
+
 void
 UsageCoordinator::OnTick(bool aIsLeader, base::TimePoint aNow)
 {
--- a/chivefront/site/usage_coordinator.h
+++ b/chivefront/site/usage_coordinator.h
@@ -2,8 +2,9 @@
 // tells them the true time, and names the windows that may be decided while it
 // leads.
 //
-// Soft state. Every control process takes counts; an entry that turns to
-// another one repeats what it keeps.
+// Soft state. Every control process takes counts and relays them to the others
+// that vote, since a host may be lost with an entry and the leader; an entry
+// that turns to another process repeats what it keeps.
 #pragma once
 
 #include <optional>
@@ -31,6 +32,11 @@
               int64_t aWallTime,
               wire::WatchReplyT& aReply);
 
+  // Returns what entries have reported here since the last call, for the other
+  // control processes that vote. Nothing if there is nothing.
+  std::optional<wire::UsageRelayT> TakeRelay();
+  void AcceptRelay(const wire::UsageRelayT& aRelay, base::TimePoint aNow);
+
   // Follows whether this process leads, and drops what is out of date. Call it
   // several times a second.
   void OnTick(bool aIsLeader, base::TimePoint aNow);
--- a/chivefront/site/usage_exchange_test.cc
+++ b/chivefront/site/usage_exchange_test.cc
@@ -234,7 +234,7 @@
   BOOST_TEST(m_control.Answer(request, m_clock.Now()).true_time_ms == 0U);
 }
 
-// Guards against polls that grow unnoticed. The sizes are those of
+// Guards against polls and relays that grow unnoticed. The sizes are those of
 // docs/design/usage-counting.md.
 BOOST_FIXTURE_TEST_CASE(SizeOfPolls, Deployment)
 {
@@ -274,6 +274,18 @@
                               << " full " << sizeOf(6, 256) - base << " reply "
                               << replyBytes);
   BOOST_TEST(replyBytes <= 72U);
+  const auto sizeOfRelay = [](size_t aHolders) {
+    const duty::HolderUsage usage{ "edge-riga-a-1#12345678901234567890",
+                                   { { kFirst, { { "team1000", 412 } } } } };
+    return wire::EncodeFrame(
+             wire::MakeMessage(MakeUsageRelay(base::Millis(5000),
+                                              std::vector(aHolders, usage))))
+      .size();
+  };
+  const size_t holderBytes =
+    sizeOfRelay(2) - sizeOfRelay(1) - windowBytes - countBytes;
+  BOOST_TEST_MESSAGE("relay " << sizeOfRelay(1) << " holder " << holderBytes);
+  BOOST_TEST(holderBytes <= 80U);
   BOOST_TEST(sizeOf(1, 0) - base - windowBytes <= 96U);
   BOOST_TEST(windowBytes <= 48U);
   BOOST_TEST(countBytes <= 48U);
--- a/chivefront/site/usage_messages.cc
+++ b/chivefront/site/usage_messages.cc
@@ -1,16 +1,18 @@
-// Fields of usage reports in watch messages.
+// Fields of usage in messages.
 #include "chivefront/site/usage_messages.h"
 
 #include <memory>
 
 namespace chivefront::site {
+namespace detail {
 
-void
-AddUsageReport(const duty::UsageReport& aReport, wire::WatchRequestT& aRequest)
+using UsageRows = std::vector<std::unique_ptr<wire::UsageWindowT>>;
+
+UsageRows
+ToRows(const std::vector<duty::WindowUsage>& aWindows)
 {
-  aRequest.usage_sequence = aReport.m_sequence;
-  aRequest.usage_closed_before = aReport.m_closedBefore;
-  for (const duty::WindowUsage& window : aReport.m_windows) {
+  UsageRows rows;
+  for (const duty::WindowUsage& window : aWindows) {
     auto row = std::make_unique<wire::UsageWindowT>();
     row->number = window.m_window;
     for (const auto& [team, requests] : window.m_counts) {
@@ -19,25 +21,69 @@
       count->requests = requests;
       row->counts.push_back(std::move(count));
     }
-    aRequest.usage.push_back(std::move(row));
+    rows.push_back(std::move(row));
   }
+  return rows;
 }
 
-duty::UsageReport
-ReadUsageReport(const wire::WatchRequestT& aRequest)
+std::vector<duty::WindowUsage>
+FromRows(const UsageRows& aRows)
 {
-  duty::UsageReport report;
-  report.m_sequence = aRequest.usage_sequence;
-  report.m_closedBefore = aRequest.usage_closed_before;
-  for (const auto& row : aRequest.usage) {
+  std::vector<duty::WindowUsage> windows;
+  for (const auto& row : aRows) {
     duty::WindowUsage window;
     window.m_window = row->number;
     for (const auto& count : row->counts) {
       window.m_counts[count->team] = count->requests;
     }
-    report.m_windows.push_back(std::move(window));
+    windows.push_back(std::move(window));
   }
+  return windows;
+}
+
+} // namespace detail
+
+void
+AddUsageReport(const duty::UsageReport& aReport, wire::WatchRequestT& aRequest)
+{
+  aRequest.usage_sequence = aReport.m_sequence;
+  aRequest.usage_closed_before = aReport.m_closedBefore;
+  aRequest.usage = detail::ToRows(aReport.m_windows);
+}
+
+duty::UsageReport
+ReadUsageReport(const wire::WatchRequestT& aRequest)
+{
+  duty::UsageReport report;
+  report.m_sequence = aRequest.usage_sequence;
+  report.m_closedBefore = aRequest.usage_closed_before;
+  report.m_windows = detail::FromRows(aRequest.usage);
   return report;
 }
 
+wire::UsageRelayT
+MakeUsageRelay(base::Millis aWindow,
+               const std::vector<duty::HolderUsage>& aHolders)
+{
+  wire::UsageRelayT relay;
+  relay.usage_window_ms = static_cast<uint32_t>(aWindow.Count());
+  for (const duty::HolderUsage& holder : aHolders) {
+    auto row = std::make_unique<wire::UsageHolderT>();
+    row->holder = holder.m_holder;
+    row->windows = detail::ToRows(holder.m_windows);
+    relay.holders.push_back(std::move(row));
+  }
+  return relay;
+}
+
+std::vector<duty::HolderUsage>
+ReadUsageRelay(const wire::UsageRelayT& aRelay)
+{
+  std::vector<duty::HolderUsage> holders;
+  for (const auto& row : aRelay.holders) {
+    holders.push_back({ row->holder, detail::FromRows(row->windows) });
+  }
+  return holders;
+}
+
 } // namespace chivefront::site
--- a/chivefront/site/usage_messages.h
+++ b/chivefront/site/usage_messages.h
@@ -1,7 +1,7 @@
 // Conversion of usage reports to and from watch messages.
 #pragma once
 
-#include "chivefront/duty/usage_counter.h"
+#include "chivefront/duty/usage_collector.h"
 #include "chivefront/wire/protocol_generated.hpp"
 
 namespace chivefront::site {
@@ -13,4 +13,12 @@
 duty::UsageReport
 ReadUsageReport(const wire::WatchRequestT& aRequest);
 
+// Encodes what changed of holders, for other control processes. aWindow is the
+// length of a window.
+wire::UsageRelayT
+MakeUsageRelay(base::Millis aWindow,
+               const std::vector<duty::HolderUsage>& aHolders);
+std::vector<duty::HolderUsage>
+ReadUsageRelay(const wire::UsageRelayT& aRelay);
+
 } // namespace chivefront::site
--- a/chivefront/wire/protocol_generated.hpp
+++ b/chivefront/wire/protocol_generated.hpp
@@ -96,6 +96,14 @@
 struct WatchReplyBuilder;
 struct WatchReplyT;
 
+struct UsageHolder;
+struct UsageHolderBuilder;
+struct UsageHolderT;
+
+struct UsageRelay;
+struct UsageRelayBuilder;
+struct UsageRelayT;
+
 struct DocumentRequest;
 struct DocumentRequestBuilder;
 struct DocumentRequestT;
@@ -654,11 +662,12 @@
   LoadReport = 25,
   DocumentRequest = 26,
   DocumentReply = 27,
+  UsageRelay = 28,
   MIN = NONE,
-  MAX = DocumentReply
+  MAX = UsageRelay
 };
 
-inline const Body (&EnumValuesBody())[28] {
+inline const Body (&EnumValuesBody())[29] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -687,13 +696,14 @@
     Body::Settled,
     Body::LoadReport,
     Body::DocumentRequest,
-    Body::DocumentReply
+    Body::DocumentReply,
+    Body::UsageRelay
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[29] = {
+  static const char * const names[30] = {
     "NONE",
     "Hello",
     "Auth",
@@ -722,13 +732,14 @@
     "LoadReport",
     "DocumentRequest",
     "DocumentReply",
+    "UsageRelay",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::DocumentReply)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::UsageRelay)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -845,6 +856,10 @@
   static const Body enum_value = Body::DocumentReply;
 };
 
+template<> struct BodyTraits<chivefront::wire::UsageRelay> {
+  static const Body enum_value = Body::UsageRelay;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -957,6 +972,10 @@
   static const Body enum_value = Body::DocumentReply;
 };
 
+template<> struct BodyUnionTraits<chivefront::wire::UsageRelayT> {
+  static const Body enum_value = Body::UsageRelay;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -1203,6 +1222,14 @@
     return type == Body::DocumentReply ?
       reinterpret_cast<const chivefront::wire::DocumentReplyT *>(value) : nullptr;
   }
+  chivefront::wire::UsageRelayT *AsUsageRelay() {
+    return type == Body::UsageRelay ?
+      reinterpret_cast<chivefront::wire::UsageRelayT *>(value) : nullptr;
+  }
+  const chivefront::wire::UsageRelayT *AsUsageRelay() const {
+    return type == Body::UsageRelay ?
+      reinterpret_cast<const chivefront::wire::UsageRelayT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3896,6 +3923,180 @@
 
 flatbuffers::Offset<WatchReply> CreateWatchReply(flatbuffers::FlatBufferBuilder &_fbb, const WatchReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct UsageHolderT : public flatbuffers::NativeTable {
+  typedef UsageHolder TableType;
+  std::string holder{};
+  std::vector<std::unique_ptr<chivefront::wire::UsageWindowT>> windows{};
+  UsageHolderT() = default;
+  UsageHolderT(const UsageHolderT &o);
+  UsageHolderT(UsageHolderT&&) FLATBUFFERS_NOEXCEPT = default;
+  UsageHolderT &operator=(UsageHolderT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct UsageHolder FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageHolderT NativeTableType;
+  typedef UsageHolderBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDER = 4,
+    VT_WINDOWS = 6
+  };
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>> *windows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>> *>(VT_WINDOWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyOffset(verifier, VT_WINDOWS) &&
+           verifier.VerifyVector(windows()) &&
+           verifier.VerifyVectorOfTables(windows()) &&
+           verifier.EndTable();
+  }
+  UsageHolderT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageHolderT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageHolder> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageHolderT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageHolderBuilder {
+  typedef UsageHolder Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(UsageHolder::VT_HOLDER, holder);
+  }
+  void add_windows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>>> windows) {
+    fbb_.AddOffset(UsageHolder::VT_WINDOWS, windows);
+  }
+  explicit UsageHolderBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageHolder> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageHolder>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageHolder> CreateUsageHolder(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageWindow>>> windows = 0) {
+  UsageHolderBuilder builder_(_fbb);
+  builder_.add_windows(windows);
+  builder_.add_holder(holder);
+  return builder_.Finish();
+}
+
+struct UsageHolder::Traits {
+  using type = UsageHolder;
+  static auto constexpr Create = CreateUsageHolder;
+};
+
+inline flatbuffers::Offset<UsageHolder> CreateUsageHolderDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *holder = nullptr,
+    const std::vector<flatbuffers::Offset<chivefront::wire::UsageWindow>> *windows = nullptr) {
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
+  auto windows__ = windows ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageWindow>>(*windows) : 0;
+  return chivefront::wire::CreateUsageHolder(
+      _fbb,
+      holder__,
+      windows__);
+}
+
+flatbuffers::Offset<UsageHolder> CreateUsageHolder(flatbuffers::FlatBufferBuilder &_fbb, const UsageHolderT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct UsageRelayT : public flatbuffers::NativeTable {
+  typedef UsageRelay TableType;
+  uint32_t usage_window_ms = 0;
+  std::vector<std::unique_ptr<chivefront::wire::UsageHolderT>> holders{};
+  UsageRelayT() = default;
+  UsageRelayT(const UsageRelayT &o);
+  UsageRelayT(UsageRelayT&&) FLATBUFFERS_NOEXCEPT = default;
+  UsageRelayT &operator=(UsageRelayT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct UsageRelay FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageRelayT NativeTableType;
+  typedef UsageRelayBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_USAGE_WINDOW_MS = 4,
+    VT_HOLDERS = 6
+  };
+  uint32_t usage_window_ms() const {
+    return GetField<uint32_t>(VT_USAGE_WINDOW_MS, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageHolder>> *holders() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageHolder>> *>(VT_HOLDERS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint32_t>(verifier, VT_USAGE_WINDOW_MS, 4) &&
+           VerifyOffset(verifier, VT_HOLDERS) &&
+           verifier.VerifyVector(holders()) &&
+           verifier.VerifyVectorOfTables(holders()) &&
+           verifier.EndTable();
+  }
+  UsageRelayT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(UsageRelayT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<UsageRelay> Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageRelayT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct UsageRelayBuilder {
+  typedef UsageRelay Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_usage_window_ms(uint32_t usage_window_ms) {
+    fbb_.AddElement<uint32_t>(UsageRelay::VT_USAGE_WINDOW_MS, usage_window_ms, 0);
+  }
+  void add_holders(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageHolder>>> holders) {
+    fbb_.AddOffset(UsageRelay::VT_HOLDERS, holders);
+  }
+  explicit UsageRelayBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageRelay> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageRelay>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageRelay> CreateUsageRelay(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t usage_window_ms = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<chivefront::wire::UsageHolder>>> holders = 0) {
+  UsageRelayBuilder builder_(_fbb);
+  builder_.add_holders(holders);
+  builder_.add_usage_window_ms(usage_window_ms);
+  return builder_.Finish();
+}
+
+struct UsageRelay::Traits {
+  using type = UsageRelay;
+  static auto constexpr Create = CreateUsageRelay;
+};
+
+inline flatbuffers::Offset<UsageRelay> CreateUsageRelayDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint32_t usage_window_ms = 0,
+    const std::vector<flatbuffers::Offset<chivefront::wire::UsageHolder>> *holders = nullptr) {
+  auto holders__ = holders ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageHolder>>(*holders) : 0;
+  return chivefront::wire::CreateUsageRelay(
+      _fbb,
+      usage_window_ms,
+      holders__);
+}
+
+flatbuffers::Offset<UsageRelay> CreateUsageRelay(flatbuffers::FlatBufferBuilder &_fbb, const UsageRelayT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct DocumentRequestT : public flatbuffers::NativeTable {
   typedef DocumentRequest TableType;
   uint64_t number = 0;
@@ -7333,6 +7534,9 @@
   const chivefront::wire::DocumentReply *body_as_DocumentReply() const {
     return body_type() == chivefront::wire::Body::DocumentReply ? static_cast<const chivefront::wire::DocumentReply *>(body()) : nullptr;
   }
+  const chivefront::wire::UsageRelay *body_as_UsageRelay() const {
+    return body_type() == chivefront::wire::Body::UsageRelay ? static_cast<const chivefront::wire::UsageRelay *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_CORRELATION, 8) &&
@@ -7455,6 +7659,10 @@
   return body_as_DocumentReply();
 }
 
+template<> inline const chivefront::wire::UsageRelay *Message::body_as<chivefront::wire::UsageRelay>() const {
+  return body_as_UsageRelay();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -8492,6 +8700,88 @@
       _usage_sequence);
 }
 
+inline UsageHolderT::UsageHolderT(const UsageHolderT &o)
+      : holder(o.holder) {
+  windows.reserve(o.windows.size());
+  for (const auto &windows_ : o.windows) { windows.emplace_back((windows_) ? new chivefront::wire::UsageWindowT(*windows_) : nullptr); }
+}
+
+inline UsageHolderT &UsageHolderT::operator=(UsageHolderT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(holder, o.holder);
+  std::swap(windows, o.windows);
+  return *this;
+}
+
+inline UsageHolderT *UsageHolder::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageHolderT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageHolder::UnPackTo(UsageHolderT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = holder(); if (_e) _o->holder = _e->str(); }
+  { auto _e = windows(); if (_e) { _o->windows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->windows[_i] = std::unique_ptr<chivefront::wire::UsageWindowT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<UsageHolder> UsageHolder::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageHolderT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageHolder(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageHolder> CreateUsageHolder(flatbuffers::FlatBufferBuilder &_fbb, const UsageHolderT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageHolderT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _holder = _o->holder.empty() ? 0 : _fbb.CreateString(_o->holder);
+  auto _windows = _o->windows.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageWindow>> (_o->windows.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageWindow(*__va->__fbb, __va->__o->windows[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return chivefront::wire::CreateUsageHolder(
+      _fbb,
+      _holder,
+      _windows);
+}
+
+inline UsageRelayT::UsageRelayT(const UsageRelayT &o)
+      : usage_window_ms(o.usage_window_ms) {
+  holders.reserve(o.holders.size());
+  for (const auto &holders_ : o.holders) { holders.emplace_back((holders_) ? new chivefront::wire::UsageHolderT(*holders_) : nullptr); }
+}
+
+inline UsageRelayT &UsageRelayT::operator=(UsageRelayT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(usage_window_ms, o.usage_window_ms);
+  std::swap(holders, o.holders);
+  return *this;
+}
+
+inline UsageRelayT *UsageRelay::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<UsageRelayT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void UsageRelay::UnPackTo(UsageRelayT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = usage_window_ms(); _o->usage_window_ms = _e; }
+  { auto _e = holders(); if (_e) { _o->holders.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->holders[_i] = std::unique_ptr<chivefront::wire::UsageHolderT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<UsageRelay> UsageRelay::Pack(flatbuffers::FlatBufferBuilder &_fbb, const UsageRelayT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateUsageRelay(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<UsageRelay> CreateUsageRelay(flatbuffers::FlatBufferBuilder &_fbb, const UsageRelayT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const UsageRelayT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _usage_window_ms = _o->usage_window_ms;
+  auto _holders = _o->holders.size() ? _fbb.CreateVector<flatbuffers::Offset<chivefront::wire::UsageHolder>> (_o->holders.size(), [](size_t i, _VectorArgs *__va) { return CreateUsageHolder(*__va->__fbb, __va->__o->holders[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return chivefront::wire::CreateUsageRelay(
+      _fbb,
+      _usage_window_ms,
+      _holders);
+}
+
 inline DocumentRequestT *DocumentRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<DocumentRequestT>();
   UnPackTo(_o.get(), _resolver);
@@ -10001,6 +10291,10 @@
       auto ptr = reinterpret_cast<const chivefront::wire::DocumentReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::UsageRelay: {
+      auto ptr = reinterpret_cast<const chivefront::wire::UsageRelay *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -10128,6 +10422,10 @@
       auto ptr = reinterpret_cast<const chivefront::wire::DocumentReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::UsageRelay: {
+      auto ptr = reinterpret_cast<const chivefront::wire::UsageRelay *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -10243,6 +10541,10 @@
       auto ptr = reinterpret_cast<const chivefront::wire::DocumentReplyT *>(value);
       return CreateDocumentReply(_fbb, ptr, _rehasher).Union();
     }
+    case Body::UsageRelay: {
+      auto ptr = reinterpret_cast<const chivefront::wire::UsageRelayT *>(value);
+      return CreateUsageRelay(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -10357,6 +10659,10 @@
       value = new chivefront::wire::DocumentReplyT(*reinterpret_cast<chivefront::wire::DocumentReplyT *>(u.value));
       break;
     }
+    case Body::UsageRelay: {
+      value = new chivefront::wire::UsageRelayT(*reinterpret_cast<chivefront::wire::UsageRelayT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -10499,6 +10805,11 @@
       delete ptr;
       break;
     }
+    case Body::UsageRelay: {
+      auto ptr = reinterpret_cast<chivefront::wire::UsageRelayT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
