--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -172,6 +172,7 @@
   std::vector<duty::WindowUsage> DecidableUsage();
   net::Task<absl::StatusOr<Outcome>> Commit(Command aCommand);
   std::set<std::string> OtherControlProcesses() const;
+  void RelayUsage();
   net::Task<bool> OnTick();
 
   net::asio::io_context& m_context;
@@ -223,6 +224,11 @@
       m_registrations.OnAnnounce(
         aLink, aMessage.correlation, *body.AsAnnounceRequest());
       return;
+    case wire::Body::UsageRelay:
+      if (m_usage && aLink->Peer().m_role == wire::Role::Control) {
+        m_usage->AcceptRelay(*body.AsUsageRelay(), m_clock.Now());
+      }
+      return;
     case wire::Body::RaftEnvelope: {
       const wire::RaftEnvelopeT& envelope = *body.AsRaftEnvelope();
       if (aLink->Peer().m_role == wire::Role::Control) {
@@ -323,6 +329,23 @@
   return m_usage->Decidable(m_watchers, m_clock.Now(), base::WallClockMillis());
 }
 
+// Only a process that votes can lead, and thus decide on usage.
+void
+Node::Impl::RelayUsage()
+{
+  const auto relay = m_usage->TakeRelay();
+  if (!relay) {
+    return;
+  }
+  for (const consensus::Replica& replica : m_group.Status().m_replicas) {
+    const net::Link::Pointer link =
+      replica.m_voter ? m_peers.LinkTo(replica.m_name) : nullptr;
+    if (link) {
+      (void)link->Send(wire::MakeMessage(*relay));
+    }
+  }
+}
+
 net::Task<bool>
 Node::Impl::OnTick()
 {
@@ -333,6 +356,7 @@
   m_groupReporter.Report(m_group.Status());
   if (m_usage) {
     m_usage->OnTick(m_group.IsLeader(), now);
+    RelayUsage();
   }
   if (m_duties) {
     m_duties->OnTick(now);
