--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -230,13 +230,41 @@
     "head/" + m_route->m_name + "/" + CurrentModel(), (waited + 1) / cost);
   m_slowResponse = ratio > detail::kSlowResponseRatio;
   aUpstream.m_estimate.OnLatencyRatio(ratio, m_headReceivedAt);
+  RecordReading(aUpstream);
+}
+
+// Records the time from the send to the head as a sample of the model's reading
+// pace, and the reading as work of the request's class.
+void
+Exchange::RecordReading(const Upstream& aUpstream)
+{
   const std::string model = CurrentModel();
-  if (!model.empty() && m_connection->Head().result() == http::status::ok) {
-    m_shared.m_readingPace.Record(
-      { m_service->m_name, model },
-      detail::TokensCertainlyRead(m_metadata),
-      waited / aUpstream.m_estimate.HostSlowdown(m_headReceivedAt));
+  if (model.empty() || m_connection->Head().result() != http::status::ok) {
+    return;
+  }
+  const auto waited =
+    static_cast<double>((m_headReceivedAt - m_sentAt).Count());
+  m_shared.m_readingPace.Record(
+    { m_service->m_name, model },
+    detail::TokensCertainlyRead(m_metadata),
+    waited / aUpstream.m_estimate.HostSlowdown(m_headReceivedAt));
+  m_shared.m_workClasses.OnRead(
+    m_service->m_name, m_workClass, m_cost.m_readMs, m_headReceivedAt);
+}
+
+// Records the time in which the attempt ran as work of the request's class. The
+// upstream's slots share it.
+void
+Exchange::RecordRunningTime(const Upstream& aUpstream)
+{
+  if (!m_answerBegun || CurrentModel().empty()) {
+    return;
   }
+  const base::TimePoint now = m_shared.m_clock.Now();
+  const auto ran = static_cast<double>((now - m_headReceivedAt).Count());
+  const double slots = std::max(1U, aUpstream.m_instance.m_slots);
+  m_shared.m_workClasses.OnRan(
+    m_service->m_name, m_workClass, ran / slots, now);
 }
 
 // Records the mean time between the chunks of a stream.
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -52,17 +52,59 @@
 constexpr double kTolerableFailureShare = 0.25;
 constexpr double kFailurePenaltyMs = 2000;
 
+// For each candidate whether it is for work of the other class.
+std::vector<bool>
+OtherClass(const std::vector<Candidate>& aCandidates,
+           const ChoiceCriteria& aCriteria)
+{
+  std::vector<bool> others(aCandidates.size(), false);
+  if (!aCriteria.m_division) {
+    return others;
+  }
+  std::vector<DividedUpstream> upstreams;
+  upstreams.reserve(aCandidates.size());
+  for (const Candidate& candidate : aCandidates) {
+    upstreams.push_back(
+      { candidate.m_instance->m_id, candidate.m_instance->m_domain });
+  }
+  const auto classes = DivideUpstreams(upstreams, *aCriteria.m_division);
+  for (size_t i = 0; i < classes.size(); ++i) {
+    others[i] = classes[i] && *classes[i] != aCriteria.m_workClass;
+  }
+  return others;
+}
+
+// Delay that counts for an upstream that is for work of the other class. A
+// short request there waits for the rest of a long prompt that is sent
+// meanwhile, except at an idle upstream. A long one makes the short requests
+// wait for all of its prompt; it goes there if its own class takes longer.
+double
+OtherClassDelayMs(const Candidate& aCandidate,
+                  const ChoiceCriteria& aCriteria,
+                  base::TimePoint aNow)
+{
+  if (aCriteria.m_workClass == WorkClass::Long) {
+    return aCriteria.m_division->m_longReadMs;
+  }
+  return aCandidate.m_estimate->Load(aNow) < 1
+           ? 0
+           : aCriteria.m_division->m_longReadMs / 2;
+}
+
 // The candidates with the highest rendezvous hashes for the part, highest
-// first.
+// first; those of aOthers are left out.
 std::vector<size_t>
 AffinityRanks(const std::vector<Candidate>& aCandidates,
+              const std::vector<bool>& aOthers,
               const std::string& aPart)
 {
   std::vector<std::pair<uint64_t, size_t>> hashes;
   hashes.reserve(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
-    hashes.emplace_back(
-      StableHash(aPart + "@" + aCandidates[i].m_instance->m_id), i);
+    if (!aOthers[i]) {
+      hashes.emplace_back(
+        StableHash(aPart + "@" + aCandidates[i].m_instance->m_id), i);
+    }
   }
   const size_t count = std::min(hashes.size(), kAffinityRanks);
   std::partial_sort(hashes.begin(),
@@ -145,6 +187,7 @@
 // shared parts.
 std::vector<double>
 SharedReadShares(const std::vector<Candidate>& aCandidates,
+                 const std::vector<bool>& aOthers,
                  const ChoiceCriteria& aCriteria,
                  base::TimePoint aNow)
 {
@@ -157,8 +200,8 @@
   for (const SharedPromptPart& part : aCriteria.m_sharedParts) {
     sharedMs += part.m_tokens / aCriteria.m_tokensPerMs;
   }
-  for (const size_t index :
-       AffinityRanks(aCandidates, aCriteria.m_sharedParts.back().m_key)) {
+  for (const size_t index : AffinityRanks(
+         aCandidates, aOthers, aCriteria.m_sharedParts.back().m_key)) {
     shares[index] = kAffinityReadShare;
     if (LoadDelayMs(aCandidates[index], aCriteria, aNow) <=
         (1 - kAffinityReadShare) * sharedMs) {
@@ -250,13 +293,18 @@
                const ChoiceCriteria& aCriteria,
                base::TimePoint aNow)
 {
+  const std::vector<bool> others = detail::OtherClass(aCandidates, aCriteria);
   const std::vector<double> readShares =
-    detail::SharedReadShares(aCandidates, aCriteria, aNow);
+    detail::SharedReadShares(aCandidates, others, aCriteria, aNow);
   std::vector<double> delays;
   delays.reserve(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
     delays.push_back(
       detail::EstimatedDelayMs(aCandidates[i], aCriteria, readShares[i], aNow));
+    if (others[i]) {
+      delays.back() +=
+        detail::OtherClassDelayMs(aCandidates[i], aCriteria, aNow);
+    }
   }
   const auto best = static_cast<size_t>(
     std::min_element(delays.begin(), delays.end()) - delays.begin());
