Assume the mean load at upstreams without a report

Cause: an upstream whose report has expired appeared to be idle. Entries sent to it, and all of them to the first of several; short work used upstreams for long work that were busy.

Change: for requests with a model, an upstream without a report has the mean of what other entries have at those with reports, by class. Short work uses an upstream for long work only if that has reported to be idle, and otherwise counts a whole long prompt there; long work counts two in the other class. The draw among about equal upstreams also applies to requests with a model when no report states a slowdown. Work counts for 20 s in the division: an entry sends few long prompts. EntriesWithTheSameReportSpread now checks "as before" with a request without a model, because of the draw.

--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -2,6 +2,7 @@
 #include "chivefront/routing/choice.h"
 
 #include <algorithm>
+#include <array>
 #include <functional>
 #include <utility>
 
@@ -39,6 +40,9 @@
 // prompt for a model. Above 1, because it also delays the requests there and
 // takes room from other parts.
 constexpr double kOtherReadShare = 1.5;
+// Short requests that arrive while an upstream reads a long prompt and are
+// delayed by it.
+constexpr double kRequestsBehindLongPrompt = 2;
 // Upstreams whose delays differ by less count as equal, because the load of the
 // others' requests is known from reports only.
 constexpr double kEqualDelayMs = 8;
@@ -75,20 +79,22 @@
 }
 
 // Delay that counts for an upstream that is for work of the other class. A
-// short request there waits for the rest of a long prompt that is sent
-// meanwhile, except at an idle upstream. A long one makes the short requests
-// wait for all of its prompt; it goes there if its own class takes longer.
+// short request there waits for a long prompt that is sent meanwhile, except at
+// an upstream that has reported to be idle. A long one makes several short ones
+// wait; it goes there if its own class takes longer.
 double
 OtherClassDelayMs(const Candidate& aCandidate,
                   const ChoiceCriteria& aCriteria,
                   base::TimePoint aNow)
 {
+  const double longReadMs = aCriteria.m_division->m_longReadMs;
   if (aCriteria.m_workClass == WorkClass::Long) {
-    return aCriteria.m_division->m_longReadMs;
+    return kRequestsBehindLongPrompt * longReadMs;
   }
-  return aCandidate.m_estimate->Load(aNow) < 1
-           ? 0
-           : aCriteria.m_division->m_longReadMs / 2;
+  const UpstreamEstimate& estimate = *aCandidate.m_estimate;
+  const bool isIdle =
+    estimate.ReportWeight(aNow) > 0 && estimate.Load(aNow) < 1;
+  return isIdle ? 0 : longReadMs;
 }
 
 // The candidates with the highest rendezvous hashes for the part, highest
@@ -167,19 +173,59 @@
   return std::max(0.0, excess) / aCriteria.m_tokensPerMs;
 }
 
+// What other entries have at an upstream, as the mean of those whose reports
+// count. It is assumed for the others, which would otherwise appear to be idle.
+struct OthersAtUpstream
+{
+  double m_load = 0;
+  double m_workMs = 0;
+};
+
+// By class: at the upstreams for work of the request's class, and at those of
+// the other class. Nothing is assumed for requests without a model.
+std::array<OthersAtUpstream, 2>
+MeanOfOthers(const std::vector<Candidate>& aCandidates,
+             const std::vector<bool>& aOthers,
+             const ChoiceCriteria& aCriteria,
+             base::TimePoint aNow)
+{
+  std::array<OthersAtUpstream, 2> means;
+  std::array<double, 2> weights{};
+  for (size_t i = 0; i < aCandidates.size(); ++i) {
+    const UpstreamEstimate& estimate = *aCandidates[i].m_estimate;
+    const double weight =
+      aCriteria.m_promptTokens > 0 ? estimate.ReportWeight(aNow) : 0;
+    OthersAtUpstream& mean = means[aOthers[i] ? 1 : 0];
+    mean.m_load +=
+      weight > 0 ? weight * (estimate.Load(aNow) - estimate.InFlight()) : 0;
+    mean.m_workMs += weight > 0 ? estimate.OthersWorkMs(aNow) : 0;
+    weights[aOthers[i] ? 1 : 0] += weight;
+  }
+  for (size_t i = 0; i < means.size(); ++i) {
+    if (weights[i] > 0) {
+      means[i].m_load /= weights[i];
+      means[i].m_workMs /= weights[i];
+    }
+  }
+  return means;
+}
+
 // Delay before the candidate begins to read the prompt, on a host that is not
 // slowed down.
 double
 LoadDelayMs(const Candidate& aCandidate,
             const ChoiceCriteria& aCriteria,
+            const OthersAtUpstream& aMean,
             base::TimePoint aNow)
 {
   const UpstreamEstimate& estimate = *aCandidate.m_estimate;
-  const double load = estimate.Load(aNow);
+  const double unreported = 1 - estimate.ReportWeight(aNow);
+  const double load = estimate.Load(aNow) + (unreported < 1 ? 0 : aMean.m_load);
   const double slots = aCandidate.m_slots > 0 ? aCandidate.m_slots : 1;
   double delay = kDelayAtFullSlotsMs * load / slots;
   delay += load > slots ? (load - slots) * kQueueDelayPerRequestMs : 0;
   delay += estimate.WorkAheadMs(aCriteria.m_priority, aNow);
+  delay += unreported * aMean.m_workMs;
   return delay + MemoryDelayMs(estimate, aCriteria, aNow);
 }
 
@@ -189,6 +235,7 @@
 SharedReadShares(const std::vector<Candidate>& aCandidates,
                  const std::vector<bool>& aOthers,
                  const ChoiceCriteria& aCriteria,
+                 const OthersAtUpstream& aMean,
                  base::TimePoint aNow)
 {
   std::vector<double> shares(
@@ -203,7 +250,7 @@
   for (const size_t index : AffinityRanks(
          aCandidates, aOthers, aCriteria.m_sharedParts.back().m_key)) {
     shares[index] = kAffinityReadShare;
-    if (LoadDelayMs(aCandidates[index], aCriteria, aNow) <=
+    if (LoadDelayMs(aCandidates[index], aCriteria, aMean, aNow) <=
         (1 - kAffinityReadShare) * sharedMs) {
       break;
     }
@@ -214,6 +261,7 @@
 double
 EstimatedDelayMs(const Candidate& aCandidate,
                  const ChoiceCriteria& aCriteria,
+                 const OthersAtUpstream& aMean,
                  double aReadShare,
                  base::TimePoint aNow)
 {
@@ -223,7 +271,7 @@
     aReadShare * SharedTokensToRead(estimate, aCriteria, aNow) +
     UnsharedTokens(aCriteria);
   double delay = tokens / aCriteria.m_tokensPerMs;
-  delay += LoadDelayMs(aCandidate, aCriteria, aNow);
+  delay += LoadDelayMs(aCandidate, aCriteria, aMean, aNow);
   delay = delay * hostSlowdown + kAnswerWorkMs * (hostSlowdown - 1);
   delay += aCandidate.m_instance->m_domain == aCriteria.m_ownDomain
              ? 0
@@ -294,13 +342,18 @@
                base::TimePoint aNow)
 {
   const std::vector<bool> others = detail::OtherClass(aCandidates, aCriteria);
+  const std::array<detail::OthersAtUpstream, 2> means =
+    detail::MeanOfOthers(aCandidates, others, aCriteria, aNow);
   const std::vector<double> readShares =
-    detail::SharedReadShares(aCandidates, others, aCriteria, aNow);
+    detail::SharedReadShares(aCandidates, others, aCriteria, means[0], aNow);
   std::vector<double> delays;
   delays.reserve(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
-    delays.push_back(
-      detail::EstimatedDelayMs(aCandidates[i], aCriteria, readShares[i], aNow));
+    delays.push_back(detail::EstimatedDelayMs(aCandidates[i],
+                                              aCriteria,
+                                              means[others[i] ? 1 : 0],
+                                              readShares[i],
+                                              aNow));
     if (others[i]) {
       delays.back() +=
         detail::OtherClassDelayMs(aCandidates[i], aCriteria, aNow);
@@ -309,7 +362,8 @@
   const auto best = static_cast<size_t>(
     std::min_element(delays.begin(), delays.end()) - delays.begin());
   if (aCriteria.m_random &&
-      aCandidates[best].m_estimate->ReportsSlowdown(aNow)) {
+      (aCriteria.m_promptTokens > 0 ||
+       aCandidates[best].m_estimate->ReportsSlowdown(aNow))) {
     return detail::ChooseAmongEqual(aCandidates, delays, aCriteria, best, aNow);
   }
   return best;
--- a/chivefront/routing/expected_delay_test.cc
+++ b/chivefront/routing/expected_delay_test.cc
@@ -241,9 +241,41 @@
   criteria.m_sharedParts = { { "small/lead", 1000 } };
   fleet.m_estimates[2].OnPromptPartSent("small/lead", kNow);
   BOOST_TEST(fleet.Choose(criteria) == 2U);
-  // Without the fourth figure the choice is as it was.
+  // Without a model and the fourth figure the choice is as it was.
   Fleet plain(10);
   plain.m_estimates[0].OnLoad(1, 0, kNow);
-  criteria.m_sharedParts.clear();
-  BOOST_TEST(plain.Choose(criteria) == 1U);
+  ChoiceCriteria plainCriteria;
+  plainCriteria.m_random = criteria.m_random;
+  BOOST_TEST(plain.Choose(plainCriteria) == 1U);
+}
+
+// Load: entries that know no report. Guards against all of them choosing the
+// first upstream.
+BOOST_AUTO_TEST_CASE(EntriesWithoutReportsSpread)
+{
+  constexpr uint64_t kEntries = 26;
+  const Fleet fleet(10);
+  ChoiceCriteria criteria = Prompt(1500, kSmallTokensPerMs);
+  std::set<size_t> chosen;
+  for (uint64_t entry = 1; entry <= kEntries; ++entry) {
+    criteria.m_random = std::mt19937_64(entry)();
+    chosen.insert(fleet.Choose(criteria));
+  }
+  BOOST_TEST(chosen.size() >= 7U);
+}
+
+// Load: all upstreams busy, the report of one has expired. Guards against that
+// one counting as idle.
+BOOST_AUTO_TEST_CASE(UpstreamWithoutReportIsNotIdle)
+{
+  Fleet fleet(4);
+  fleet.m_estimates[0].OnLoad(50, 6, kNow);
+  fleet.m_estimates[1].OnLoad(40, 0, kNow);
+  fleet.m_estimates[2].OnLoad(50, 6, kNow);
+  BOOST_TEST(fleet.Choose(Prompt(1500, kSmallTokensPerMs)) == 1U);
+  // Nothing is assumed for requests without a model.
+  BOOST_TEST(fleet.Choose({}) == 3U);
+  // Still it is better than those known to be worse than the mean.
+  fleet.m_estimates[1].OnLoad(64, 30, kNow);
+  BOOST_TEST(fleet.Choose(Prompt(1500, kSmallTokensPerMs)) != 1U);
 }
--- a/chivefront/routing/upstream_estimate.cc
+++ b/chivefront/routing/upstream_estimate.cc
@@ -150,7 +150,13 @@
   if (lessUrgentCount > 0) {
     own += lessUrgent / lessUrgentCount;
   }
-  return own + OthersWaiting(aNow) * m_meanReadMs;
+  return own + OthersWorkMs(aNow);
+}
+
+double
+UpstreamEstimate::OthersWorkMs(base::TimePoint aNow) const
+{
+  return OthersWaiting(aNow) * m_meanReadMs;
 }
 
 double
--- a/chivefront/routing/upstream_estimate.h
+++ b/chivefront/routing/upstream_estimate.h
@@ -70,6 +70,10 @@
   // the less urgent ones the one that it may be reading. Waiting requests of
   // other entries count with the mean of this entry's own.
   double WorkAheadMs(int aPriority, base::TimePoint aNow) const;
+  // The share of WorkAheadMs that is of other entries.
+  double OthersWorkMs(base::TimePoint aNow) const;
+  // Weight of the last report, 1 when it arrived, 0 when it has expired.
+  double ReportWeight(base::TimePoint aNow) const;
   // Estimated tokens of the requests at the upstream in its memory. Requests of
   // other entries count with the mean of this entry's own. 0 if unknown.
   double OccupiedTokens(base::TimePoint aNow) const;
@@ -140,8 +144,6 @@
     double m_readMs = 0; // 0 if m_count is
   };
 
-  // Weight of the report, 1 when it arrives; 0 when it has expired.
-  double ReportWeight(base::TimePoint aNow) const;
   // Waiting requests of other entries.
   double OthersWaiting(base::TimePoint aNow) const;
   Pending& PendingOf(int aPriority);
--- a/chivefront/routing/work_classes.cc
+++ b/chivefront/routing/work_classes.cc
@@ -15,7 +15,7 @@
 constexpr double kLongShareOfGoal = 0.25;
 // Time constant of the sums. Longer than the gaps between long prompts of one
 // entry, so that the division does not follow single requests.
-constexpr double kDecayMs = 10000;
+constexpr double kDecayMs = 20000;
 // Recent prompts of each class below which their work is not known.
 constexpr double kMinCount = 3;
 // How many times as long the prompts of the long class must take.
--- a/chivefront/routing/work_classes_test.cc
+++ b/chivefront/routing/work_classes_test.cc
@@ -181,6 +181,9 @@
   const auto idle = static_cast<size_t>(
     std::find(fleet.m_classes.begin(), fleet.m_classes.end(), WorkClass::Long) -
     fleet.m_classes.begin());
+  fleet.m_estimates[idle] = UpstreamEstimate();
+  // Without a report it isn't known to be idle.
+  BOOST_TEST((fleet.ClassFor(WorkClass::Short, 1000) == WorkClass::Short));
   fleet.m_estimates[idle].OnLoad(0, 0, kNow);
   for (size_t i = 0; i < kCount; ++i) {
     if (i != idle) {
