Keep the reading pace under overload

Cause: when nearly all requests wait, so do the fastest of the samples, and the pace of a fast model fell far below the true one.

Change: of the samples whose upstream reports at least two waiting requests when the answer begins, one in eight is used.

The new test fails without the change (56 for a true 200) and passes with it; expected_delay_test, work_classes_test, choice_test, upstreams_test, proxy_test and proxy_stream_test pass.

--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -44,6 +44,10 @@
   return ids;
 }
 
+// If so many requests wait when an answer begins, its request is likely to have
+// waited as well.
+constexpr double kWaitingIfQueued = 2;
+
 // Prompt tokens that an upstream certainly read: those of no other request.
 // Returns 0 if the upstream may have had most of the prompt cached, because the
 // time to the answer then shows nothing of its pace.
@@ -230,7 +234,8 @@
   m_shared.m_readingPace.Record(
     { m_service->m_name, model },
     detail::TokensCertainlyRead(m_metadata),
-    waited / aUpstream.m_estimate.HostSlowdown(m_headReceivedAt));
+    waited / aUpstream.m_estimate.HostSlowdown(m_headReceivedAt),
+    aUpstream.m_estimate.Waiting(m_headReceivedAt) >= detail::kWaitingIfQueued);
   m_shared.m_workClasses.OnRead(
     m_service->m_name, m_workClass, m_cost.m_readMs, m_headReceivedAt);
 }
--- a/chivefront/routing/reading_pace.cc
+++ b/chivefront/routing/reading_pace.cc
@@ -10,6 +10,9 @@
 constexpr size_t kWindowSize = 96;
 constexpr size_t kMinSamples = 12;
 constexpr size_t kSamplesPerFit = 8;
+// One in so many of the samples that have queued is used. They are not left out
+// altogether, so that a wrong value is corrected under constant load as well.
+constexpr size_t kQueuedPerSample = 8;
 // Share of the samples below the line.
 constexpr double kFastShare = 0.15;
 // Weight of the fixed delay in the loss, relative to that of a sample. If all
@@ -77,12 +80,19 @@
 }
 
 void
-ReadingPace::Record(const ModelKey& aModel, double aTokens, double aWaitedMs)
+ReadingPace::Record(const ModelKey& aModel,
+                    double aTokens,
+                    double aWaitedMs,
+                    bool aQueued)
 {
   if (aTokens < detail::kMinTokens) {
     return;
   }
   Window& window = m_windows[aModel];
+  if (aQueued && window.m_samples.size() >= detail::kMinSamples &&
+      window.m_queuedCount++ % detail::kQueuedPerSample != 0) {
+    return;
+  }
   const Sample sample{ aTokens, aWaitedMs };
   if (window.m_samples.size() < detail::kWindowSize) {
     window.m_samples.push_back(sample);
--- a/chivefront/routing/reading_pace.h
+++ b/chivefront/routing/reading_pace.h
@@ -35,7 +35,12 @@
   // part that it may have cached must not count, because the answer would
   // appear to be faster than any upstream is. Few tokens show nothing and are
   // ignored. aWaitedMs: on a host that is not slowed down.
-  void Record(const ModelKey& aModel, double aTokens, double aWaitedMs);
+  // aQueued: requests waited at the upstream when the answer began, so this one
+  // is likely to have waited as well. Most of such samples are left out.
+  void Record(const ModelKey& aModel,
+              double aTokens,
+              double aWaitedMs,
+              bool aQueued = false);
 
   // kInitialTokensPerMs if there are too few samples.
   double TokensPerMs(const ModelKey& aModel) const;
@@ -51,6 +56,7 @@
     std::vector<Sample> m_samples; // at most detail::kWindowSize
     size_t m_next = 0;             // index that the next sample replaces
     size_t m_sinceFit = 0;         // samples since the last fit
+    size_t m_queuedCount = 0;      // samples seen that had queued
     double m_tokensPerMs = kInitialTokensPerMs;
   };
 
--- a/chivefront/routing/reading_pace_test.cc
+++ b/chivefront/routing/reading_pace_test.cc
@@ -21,6 +21,7 @@
   double m_minTokens = 2000;
   double m_maxTokens = 30000;
   double m_queuedShare = 0.7; // share of the requests that wait for others
+  bool m_isReported = false;  // the upstreams report what waits
   double m_cachedShare = 0;   // share whose prompt turns out to be cached
 };
 
@@ -41,9 +42,10 @@
     const bool cached = share(random) < aLoad.m_cachedShare;
     double waited = cached ? 0 : tokens / aLoad.m_tokensPerMs;
     waited += 10 + share(random) * kMaxBatchMs;
-    waited +=
-      share(random) < aLoad.m_queuedShare ? share(random) * kMaxQueueMs : 0;
-    aPace.Record(aModel, tokens, std::round(waited));
+    const bool queued = share(random) < aLoad.m_queuedShare;
+    waited += queued ? share(random) * kMaxQueueMs : 0;
+    aPace.Record(
+      aModel, tokens, std::round(waited), aLoad.m_isReported && queued);
   }
 }
 
@@ -70,6 +72,25 @@
   BOOST_TEST(pace.TokensPerMs(kSmall) < 300);
 }
 
+// Load: nearly all requests wait, as the upstreams report, for longer than the
+// prompts of a fast model take. Guards against a pace that falls by overload.
+BOOST_AUTO_TEST_CASE(OverloadDoesNotLowerThePace)
+{
+  ReadingPace pace;
+  Record(pace, kSmall, { .m_tokensPerMs = 200, .m_queuedShare = 0.3 }, 200);
+  Record(pace,
+         kSmall,
+         { .m_tokensPerMs = 200, .m_queuedShare = 0.95, .m_isReported = true },
+         1000);
+  BOOST_TEST(pace.TokensPerMs(kSmall) > 120);
+  // Still a wrong value is corrected.
+  Record(pace,
+         kSmall,
+         { .m_tokensPerMs = 2, .m_queuedShare = 1, .m_isReported = true },
+         800);
+  BOOST_TEST(pace.TokensPerMs(kSmall) < 4);
+}
+
 // Load: prompts of a fast model, most of whose answers take longer for the
 // batch than for reading. Guards against a pace that includes the batch.
 BOOST_AUTO_TEST_CASE(BatchDelayIsNotReading)
