--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -234,7 +234,7 @@
   base::Millis m_headTimeout;     // of the running attempt
   // The running attempt was left by this process, as its upstream was silent.
   bool m_leftUpstream = false;
-  bool m_begunRecorded = false; // for usage, of the running attempt
+  bool m_usageCounted = false; // the request began to run at an upstream
   // The upstream of the running attempt sent an event or a part of a body.
   bool m_answerBegun = false;
   base::TimePoint m_answerBegunAt; // set when m_answerBegun is
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -89,7 +89,6 @@
   m_leftUpstream = false;
   m_answerBegun = false;
   m_survivalRecorded = false;
-  m_begunRecorded = false; // without this line, usage counts a request once
   m_resumesStream = ResumeAfter().has_value();
   m_countedSuccess.reset();
   m_lastUpstream = aUpstream->m_instance.m_id;
