End nodes of registry_sync_test before their contexts

Cause: the fixture freed the io_context before the node, whose acceptor then unlinked itself from the freed service. Whether that broke the heap depended on its layout: with a larger Node::Impl the test aborted with "corrupted size vs. prev_size" or hung. Change: the order of the two lines; no check is touched.

--- a/chivefront/site/registry_sync_test.cc
+++ b/chivefront/site/registry_sync_test.cc
@@ -69,8 +69,8 @@
   void Stop()
   {
     m_node->Stop();
-    m_context.reset(); // its coroutines use the node
-    m_node.reset();
+    m_node.reset(); // its sockets use the context
+    m_context.reset();
   }
 
   void RunFor(int64_t aMillis)
