--- a/chivefront/routing/registry.cc
+++ b/chivefront/routing/registry.cc
@@ -179,6 +179,7 @@
 {
   m_notices.erase(aRecord.m_noticed);
   aRecord.m_noticed = ++m_sequence;
+  m_lastNotice = m_sequence;
   m_notices.emplace(aRecord.m_noticed, &aRecord);
 }
 
@@ -369,6 +370,7 @@
     if (isOld) {
       m_removedUpTo = std::max(m_removedUpTo, record.m_noticed);
       m_notices.erase(record.m_noticed);
+      m_lastNotice = ++m_sequence;
     }
     return isOld;
   });
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -152,6 +152,8 @@
 
   // Increases with each change.
   uint64_t Sequence() const { return m_sequence; }
+  // Sequence() of the last change that was no renewal, removals included.
+  uint64_t LastNotice() const { return m_lastNotice; }
   // The records that changed, renewals included.
   std::vector<Instance> ChangedSince(uint64_t aSequence) const;
   // What changed without renewals, or the oldest kMaxNews of that. All records
@@ -217,6 +219,7 @@
   std::map<uint64_t, const Record*> m_notices; // by m_noticed
   std::deque<SucceededInstance> m_succeeded;
   uint64_t m_sequence = 0;
+  uint64_t m_lastNotice = 0;
   // The highest m_noticed of a removed record. A process that knows less may
   // hold that record still.
   uint64_t m_removedUpTo = 0;
--- a/chivefront/routing/registry_test.cc
+++ b/chivefront/routing/registry_test.cc
@@ -198,8 +198,11 @@
   registry.Merge(Record("a", 10, 1));
   registry.Expire(base::TimePoint(base::Millis(1000)) + kInstanceTimeout);
   BOOST_TEST(registry.Find("a") != nullptr);
+  const uint64_t notice = registry.LastNotice();
   registry.Expire(base::TimePoint(base::Millis(2000)) + kInstanceTimeout * 2);
   BOOST_TEST(registry.Find("a") == nullptr);
+  // A copy on disk must not keep it.
+  BOOST_TEST(registry.LastNotice() > notice);
 }
 
 namespace {
@@ -263,8 +266,10 @@
 {
   Register(Record("a", 10, 0), 1000);
   BOOST_TEST((Poll(1000) == Counts(1, 0)));
+  const uint64_t notice = m_control.LastNotice();
   for (int64_t now = 2000; now < 60000; now += 1000) {
     Register(Record("a", 10, 0), now);
+    BOOST_TEST(m_control.LastNotice() == notice);
     m_control.Expire(At(now));
     m_entry.Expire(At(now));
     BOOST_TEST((Poll(now + 500) == Counts(0, 0)));
--- a/chivefront/site/registrations.cc
+++ b/chivefront/site/registrations.cc
@@ -56,14 +56,15 @@
   TakeOverDepartures(now);
 }
 
+// Without renewals: a process that reads the copy does not go by its times.
 void
 Registrations::Save(base::TimePoint aNow)
 {
-  if (m_options.m_diskless || m_registry.Sequence() == m_savedSequence ||
+  if (m_options.m_diskless || m_registry.LastNotice() == m_savedNotice ||
       aNow - m_savedAt < detail::kSavePeriod) {
     return;
   }
-  m_savedSequence = m_registry.Sequence();
+  m_savedNotice = m_registry.LastNotice();
   m_savedAt = aNow;
   if (const absl::Status status = m_file.Save(m_registry, aNow); !status.ok()) {
     m_log.Record("registry_not_saved",
--- a/chivefront/site/registrations.h
+++ b/chivefront/site/registrations.h
@@ -85,7 +85,7 @@
   const base::Clock& m_clock;
   base::Counter& m_recordCounter;
   RegistryFile m_file;
-  uint64_t m_savedSequence = 0; // of m_registry
+  uint64_t m_savedNotice = 0; // LastNotice() of m_registry
   base::TimePoint m_savedAt;
   uint64_t m_departuresTaken = 0; // number of the last one in m_registry
   routing::Registry m_registry;
