Name upstreams as silent after 5 s

Cause: each upstream that is named as silent must be sent in full again when it registers. A control process that lags by more than 0.6 s would name upstreams whose renewals come in batches, up to 3.4 s old without a lag, and by that make more work for itself.

Change: 5 s in place of 4. An entry still hears of it 3 s, 15 polls, before the upstream expires. The bound that entries go by is the age of the oldest renewal, so it does not rise by this while all upstreams register.

--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -82,9 +82,10 @@
 
 // An upstream that has not registered for this long is named to entries as
 // silent. Longer than the registration period, the delay of a relayed renewal
-// and that of the network together, so that silence is rare; half of
-// kInstanceTimeout, so that entries hear of it before the upstream expires.
-inline constexpr base::Millis kSilentAfter{ 4000 };
+// and that of a busy control process together, because each one that is named
+// must be sent again; several polls shorter than kInstanceTimeout, so that
+// entries hear of it before the upstream expires.
+inline constexpr base::Millis kSilentAfter{ 5000 };
 
 // Whether aAfter, of the same upstream, brings only another time and sequence
 // number than aBefore.
@@ -100,7 +101,7 @@
 
 // Records in RegistryNews, about 40 KB. Bounds what a control process queues
 // when hundreds of entries begin to poll it at once. With 5 polls a second an
-// entry has the records of 5,000 upstreams within 4 s, before the time has
+// entry has the records of 3,800 upstreams within 3 s, before the time has
 // passed for which another control process has vouched for them at least.
 inline constexpr size_t kMaxNews = 256;
 
