--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -82,9 +82,10 @@
 
 // An upstream that has not registered for this long is named to entries as
 // silent. Longer than the registration period, the delay of a relayed renewal
-// and that of the network together, so that silence is rare; half of
-// kInstanceTimeout, so that entries hear of it before the upstream expires.
-inline constexpr base::Millis kSilentAfter{ 4000 };
+// and that of a busy control process together, because each one that is named
+// must be sent again; several polls shorter than kInstanceTimeout, so that
+// entries hear of it before the upstream expires.
+inline constexpr base::Millis kSilentAfter{ 5000 };
 
 // Whether aAfter, of the same upstream, brings only another time and sequence
 // number than aBefore.
@@ -100,7 +101,7 @@
 
 // Records in RegistryNews, about 40 KB. Bounds what a control process queues
 // when hundreds of entries begin to poll it at once. With 5 polls a second an
-// entry has the records of 5,000 upstreams within 4 s, before the time has
+// entry has the records of 3,800 upstreams within 3 s, before the time has
 // passed for which another control process has vouched for them at least.
 inline constexpr size_t kMaxNews = 256;
 
@@ -152,6 +153,8 @@
 
   // Increases with each change.
   uint64_t Sequence() const { return m_sequence; }
+  // Sequence() of the last change that was no renewal, removals included.
+  uint64_t LastNotice() const { return m_lastNotice; }
   // The records that changed, renewals included.
   std::vector<Instance> ChangedSince(uint64_t aSequence) const;
   // What changed without renewals, or the oldest kMaxNews of that. All records
@@ -217,6 +220,7 @@
   std::map<uint64_t, const Record*> m_notices; // by m_noticed
   std::deque<SucceededInstance> m_succeeded;
   uint64_t m_sequence = 0;
+  uint64_t m_lastNotice = 0;
   // The highest m_noticed of a removed record. A process that knows less may
   // hold that record still.
   uint64_t m_removedUpTo = 0;
