Decide which share of requests leaves the failure domain

Cause: an upstream of another domain costs a constant of 20 ms, whatever the load, the bytes and the distance, and all entries change sides together when the difference of the delays passes it.

Change: routing::DomainChoice computes per domain a share that follows the relative gain of leaving at a bounded rate, and states it as a penalty per request from the request's ticket. Upstreams::Choose updates it from the available upstreams of services with engines, at most 5 times a second; other services keep the constant.

--- a/chivefront/proxy/exchange_choice.cc
+++ b/chivefront/proxy/exchange_choice.cc
@@ -46,6 +46,11 @@
                                  : m_metadata.m_sessionId;
   criteria.m_rolloutKey = { routing::StableHash(session),
                             !m_metadata.m_sessionId.empty() };
+  // A session leaves the failure domain as a whole.
+  criteria.m_choice.m_crossing = {
+    static_cast<double>(m_caller->Request().body().size()),
+    routing::TicketOf(criteria.m_rolloutKey.m_hash)
+  };
   if (m_caller->ResponseStarted()) {
     criteria.m_streamVersion = m_streamVersion;
   }
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -12,6 +12,7 @@
 // Shorter than the time after which upstreams close idle connections.
 constexpr base::Millis kMaxIdleTime{ 4000 };
 constexpr size_t kMaxIdleConnections = 16;
+constexpr base::Millis kDomainUpdatePeriod{ 200 };
 // A leaving upstream may register again after this entry has lost control and
 // the registration has expired. It has ended long before this time.
 constexpr base::Millis kForgottenRetention{ 600000 };
@@ -236,6 +237,28 @@
   }
 }
 
+// Null for services without engines. The candidates of a retry lack the
+// upstreams that were tried, so they say nothing about the domains.
+const routing::DomainChoice*
+Upstreams::UpdateDomainChoice(
+  const UpstreamCriteria& aCriteria,
+  const std::vector<routing::Candidate>& aCandidates)
+{
+  if (!aCriteria.m_service->m_engine) {
+    return nullptr;
+  }
+  const base::TimePoint now = m_clock.Now();
+  const auto [item, isNew] = m_domainChoices.try_emplace(
+    aCriteria.m_service->m_name, aCriteria.m_choice.m_ownDomain);
+  routing::DomainChoice& choice = item->second;
+  const bool isDue =
+    isNew || now - choice.UpdatedAt() >= detail::kDomainUpdatePeriod;
+  if (isDue && aCriteria.m_triedUpstreams.empty()) {
+    choice.Update(routing::SummarizeDomains(aCandidates, now), now);
+  }
+  return &choice;
+}
+
 UpstreamPointer
 Upstreams::Choose(const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable)
@@ -251,8 +274,10 @@
                            &upstream->m_estimate,
                            upstream->m_instance.m_slots });
   }
-  UpstreamPointer chosen = available[routing::ChooseUpstream(
-    candidates, aCriteria.m_choice, m_clock.Now())];
+  routing::ChoiceCriteria criteria = aCriteria.m_choice;
+  criteria.m_domainChoice = UpdateDomainChoice(aCriteria, candidates);
+  UpstreamPointer chosen =
+    available[routing::ChooseUpstream(candidates, criteria, m_clock.Now())];
   TakePermits(*chosen, *aCriteria.m_service);
   return chosen;
 }
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -152,6 +152,9 @@
   void AddBounded(const std::vector<BoundedUpstream>& aBounded,
                   const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable);
+  const routing::DomainChoice* UpdateDomainChoice(
+    const UpstreamCriteria& aCriteria,
+    const std::vector<routing::Candidate>& aCandidates);
   size_t PaceUnlimited(AvailableUpstreams& aAvailable) const;
   void TakePermits(const Upstream& aUpstream, const routing::Service& aService);
   bool IsForgotten(const routing::Instance& aInstance) const;
@@ -164,6 +167,8 @@
   routing::PermitClient m_permits;
   // Requests that wait for an upstream with a request limit, by service.
   std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
+  // By service; of services with engines only.
+  std::unordered_map<std::string, routing::DomainChoice> m_domainChoices;
   struct Forgotten
   {
     uint64_t m_born = 0; // of the youngest incarnation that was dropped
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -1,6 +1,9 @@
 // The delay estimate behind the choice of an upstream.
 #include "chivefront/routing/choice.h"
 
+#include <algorithm>
+#include <map>
+
 #include "chivefront/routing/config.h"
 
 namespace chivefront::routing {
@@ -69,6 +72,19 @@
   return tokens / aCriteria.m_tokensPerMs;
 }
 
+double
+DomainPenaltyMs(const Candidate& aCandidate,
+                const ChoiceCriteria& aCriteria,
+                base::TimePoint aNow)
+{
+  const std::string& domain = aCandidate.m_instance->m_domain;
+  if (aCriteria.m_domainChoice != nullptr) {
+    return aCriteria.m_domainChoice->PenaltyMs(
+      domain, aCriteria.m_crossing, aNow);
+  }
+  return domain == aCriteria.m_ownDomain ? 0 : kOtherDomainPenaltyMs;
+}
+
 double
 EstimatedDelayMs(const Candidate& aCandidate,
                  const ChoiceCriteria& aCriteria,
@@ -76,19 +92,9 @@
                  base::TimePoint aNow)
 {
   const UpstreamEstimate& estimate = *aCandidate.m_estimate;
-  const double load = estimate.Load(aNow);
-  const double slots = aCandidate.m_slots > 0 ? aCandidate.m_slots : 1;
   double delay = PromptReadMs(aCandidate, aCriteria, aHasAffinity, aNow);
-  delay += kDelayAtFullSlotsMs * load / slots;
-  delay += load > slots ? (load - slots) * kQueueDelayPerRequestMs : 0;
-  delay += kDelayPerWaitingPromptMs * estimate.Waiting(aNow);
-  delay += aCandidate.m_instance->m_domain == aCriteria.m_ownDomain
-             ? 0
-             : kOtherDomainPenaltyMs;
-  if (const double slowdown = estimate.Slowdown(aNow);
-      slowdown > kTolerableSlowdown) {
-    delay += kSlowPenaltyMs * (slowdown - 1);
-  }
+  delay += ExpectedWaitMs(aCandidate, aNow);
+  delay += DomainPenaltyMs(aCandidate, aCriteria, aNow);
   delay += estimate.IsSilent(aNow) ? kSilentPenaltyMs : 0;
   if (estimate.FailureShare() > kTolerableFailureShare) {
     delay +=
@@ -99,6 +105,51 @@
 
 } // namespace detail
 
+double
+ExpectedWaitMs(const Candidate& aCandidate, base::TimePoint aNow)
+{
+  const UpstreamEstimate& estimate = *aCandidate.m_estimate;
+  const double load = estimate.Load(aNow);
+  const double slots = aCandidate.m_slots > 0 ? aCandidate.m_slots : 1;
+  double wait = detail::kDelayAtFullSlotsMs * load / slots;
+  wait += load > slots ? (load - slots) * detail::kQueueDelayPerRequestMs : 0;
+  wait += detail::kDelayPerWaitingPromptMs * estimate.Waiting(aNow);
+  if (const double slowdown = estimate.Slowdown(aNow);
+      slowdown > detail::kTolerableSlowdown) {
+    wait += detail::kSlowPenaltyMs * (slowdown - 1);
+  }
+  return wait;
+}
+
+std::vector<DomainSummary>
+SummarizeDomains(const std::vector<Candidate>& aCandidates,
+                 base::TimePoint aNow)
+{
+  struct Sum
+  {
+    double m_count = 0;
+    double m_waitMs = 0;
+    double m_room = 0;
+  };
+  std::map<std::string, Sum> sums;
+  for (const Candidate& candidate : aCandidates) {
+    Sum& sum = sums[candidate.m_instance->m_domain];
+    const double slots = candidate.m_slots > 0 ? candidate.m_slots : 1;
+    sum.m_count += 1;
+    sum.m_waitMs += ExpectedWaitMs(candidate, aNow);
+    sum.m_room += std::max(0.0, 1 - candidate.m_estimate->Load(aNow) / slots);
+  }
+  std::vector<DomainSummary> summaries;
+  for (const auto& [domain, sum] : sums) {
+    DomainSummary summary;
+    summary.m_domain = domain;
+    summary.m_delayMs = sum.m_waitMs / sum.m_count;
+    summary.m_room = sum.m_room / sum.m_count;
+    summaries.push_back(std::move(summary));
+  }
+  return summaries;
+}
+
 size_t
 ChooseUpstream(const std::vector<Candidate>& aCandidates,
                const ChoiceCriteria& aCriteria,
--- a/chivefront/routing/choice.h
+++ b/chivefront/routing/choice.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "chivefront/routing/domain_choice.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/routing/upstream_estimate.h"
 
@@ -25,6 +26,9 @@
   std::string m_ownDomain;                     // failure domain of the entry
   std::vector<SharedPromptPart> m_sharedParts; // in the order of the prompt
   double m_tokensPerMs = 125; // prompt tokens that an idle upstream reads
+  // What it costs to leave m_ownDomain; null: a constant.
+  const DomainChoice* m_domainChoice = nullptr;
+  CrossingRequest m_crossing; // of the request, for m_domainChoice
 };
 
 struct Candidate
@@ -34,6 +38,16 @@
   uint32_t m_slots = 1;
 };
 
+// What a request without a prompt is expected to wait at aCandidate because of
+// its load and its slowness.
+double
+ExpectedWaitMs(const Candidate& aCandidate, base::TimePoint aNow);
+
+// The means over the candidates of each domain.
+std::vector<DomainSummary>
+SummarizeDomains(const std::vector<Candidate>& aCandidates,
+                 base::TimePoint aNow);
+
 // Returns an index into aCandidates, which must not be empty.
 size_t
 ChooseUpstream(const std::vector<Candidate>& aCandidates,
