--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -12,6 +12,7 @@
 // Shorter than the time after which upstreams close idle connections.
 constexpr base::Millis kMaxIdleTime{ 4000 };
 constexpr size_t kMaxIdleConnections = 16;
+constexpr base::Millis kDomainUpdatePeriod{ 200 };
 // A leaving upstream may register again after this entry has lost control and
 // the registration has expired. It has ended long before this time.
 constexpr base::Millis kForgottenRetention{ 600000 };
@@ -237,12 +238,34 @@
   }
 }
 
+// Null for services without engines. The candidates of a retry lack the
+// upstreams that were tried, so they say nothing about the domains.
+const routing::DomainChoice*
+Upstreams::UpdateDomainChoice(
+  const UpstreamCriteria& aCriteria,
+  const std::vector<routing::Candidate>& aCandidates)
+{
+  if (!aCriteria.m_service->m_engine) {
+    return nullptr;
+  }
+  const base::TimePoint now = m_clock.Now();
+  const auto [item, isNew] = m_domainChoices.try_emplace(
+    aCriteria.m_service->m_name, aCriteria.m_choice.m_ownDomain);
+  routing::DomainChoice& choice = item->second;
+  const bool isDue =
+    isNew || now - choice.UpdatedAt() >= detail::kDomainUpdatePeriod;
+  if (isDue && aCriteria.m_triedUpstreams.empty()) {
+    choice.Update(routing::SummarizeDomains(aCandidates, now), now);
+  }
+  return &choice;
+}
+
 UpstreamPointer
 Upstreams::Choose(const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable)
 {
   aAvailable = AvailableFor(aCriteria);
-  UpstreamPointer chosen = BestOf(aAvailable, aCriteria.m_choice);
+  UpstreamPointer chosen = BestOf(aAvailable, aCriteria);
   if (chosen) {
     TakePermits(*chosen, *aCriteria.m_service);
   }
@@ -253,12 +276,12 @@
 Upstreams::Preview(UpstreamCriteria aCriteria)
 {
   aCriteria.m_addsDemand = false;
-  return BestOf(AvailableFor(aCriteria), aCriteria.m_choice);
+  return BestOf(AvailableFor(aCriteria), aCriteria);
 }
 
 UpstreamPointer
 Upstreams::BestOf(const AvailableUpstreams& aAvailable,
-                  const routing::ChoiceCriteria& aCriteria)
+                  const UpstreamCriteria& aCriteria)
 {
   const std::vector<UpstreamPointer>& available = aAvailable.m_upstreams;
   if (available.empty()) {
@@ -270,7 +293,8 @@
                            &upstream->m_estimate,
                            upstream->m_instance.m_slots });
   }
-  routing::ChoiceCriteria choice = aCriteria;
+  routing::ChoiceCriteria choice = aCriteria.m_choice;
+  choice.m_domainChoice = UpdateDomainChoice(aCriteria, candidates);
   choice.m_random = m_random();
   return available[routing::ChooseUpstream(candidates, choice, m_clock.Now())];
 }
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -158,7 +158,10 @@
                   const UpstreamCriteria& aCriteria,
                   AvailableUpstreams& aAvailable);
   UpstreamPointer BestOf(const AvailableUpstreams& aAvailable,
-                         const routing::ChoiceCriteria& aCriteria);
+                         const UpstreamCriteria& aCriteria);
+  const routing::DomainChoice* UpdateDomainChoice(
+    const UpstreamCriteria& aCriteria,
+    const std::vector<routing::Candidate>& aCandidates);
   size_t PaceUnlimited(AvailableUpstreams& aAvailable) const;
   void TakePermits(const Upstream& aUpstream, const routing::Service& aService);
   bool IsForgotten(const routing::Instance& aInstance) const;
@@ -172,6 +175,8 @@
   std::mt19937_64 m_random; // decides between upstreams of about equal delay
   // Requests that wait for an upstream with a request limit, by service.
   std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
+  // By service; of services with engines only.
+  std::unordered_map<std::string, routing::DomainChoice> m_domainChoices;
   struct Forgotten
   {
     uint64_t m_born = 0; // of the youngest incarnation that was dropped
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <functional>
+#include <map>
 #include <utility>
 
 #include "chivefront/routing/config.h"
@@ -258,6 +259,19 @@
   return shares;
 }
 
+double
+DomainPenaltyMs(const Candidate& aCandidate,
+                const ChoiceCriteria& aCriteria,
+                base::TimePoint aNow)
+{
+  const std::string& domain = aCandidate.m_instance->m_domain;
+  if (aCriteria.m_domainChoice != nullptr) {
+    return aCriteria.m_domainChoice->PenaltyMs(
+      domain, aCriteria.m_crossing, aNow);
+  }
+  return domain == aCriteria.m_ownDomain ? 0 : kOtherDomainPenaltyMs;
+}
+
 double
 EstimatedDelayMs(const Candidate& aCandidate,
                  const ChoiceCriteria& aCriteria,
@@ -273,9 +287,7 @@
   double delay = tokens / aCriteria.m_tokensPerMs;
   delay += LoadDelayMs(aCandidate, aCriteria, aMean, aNow);
   delay = delay * hostSlowdown + kAnswerWorkMs * (hostSlowdown - 1);
-  delay += aCandidate.m_instance->m_domain == aCriteria.m_ownDomain
-             ? 0
-             : kOtherDomainPenaltyMs;
+  delay += DomainPenaltyMs(aCandidate, aCriteria, aNow);
   // The host's slowdown has been counted above.
   if (const double slowdown =
         estimate.Slowdown(aNow) / std::max(1.0, hostSlowdown);
@@ -336,6 +348,48 @@
   return cost;
 }
 
+double
+ExpectedWaitMs(const Candidate& aCandidate, base::TimePoint aNow)
+{
+  const UpstreamEstimate& estimate = *aCandidate.m_estimate;
+  double wait = detail::LoadDelayMs(aCandidate, ChoiceCriteria(), {}, aNow) *
+                estimate.HostSlowdown(aNow);
+  if (const double slowdown = estimate.Slowdown(aNow);
+      slowdown > detail::kTolerableSlowdown) {
+    wait += detail::kSlowPenaltyMs * (slowdown - 1);
+  }
+  return wait;
+}
+
+std::vector<DomainSummary>
+SummarizeDomains(const std::vector<Candidate>& aCandidates,
+                 base::TimePoint aNow)
+{
+  struct Sum
+  {
+    double m_count = 0;
+    double m_waitMs = 0;
+    double m_room = 0;
+  };
+  std::map<std::string, Sum> sums;
+  for (const Candidate& candidate : aCandidates) {
+    Sum& sum = sums[candidate.m_instance->m_domain];
+    const double slots = candidate.m_slots > 0 ? candidate.m_slots : 1;
+    sum.m_count += 1;
+    sum.m_waitMs += ExpectedWaitMs(candidate, aNow);
+    sum.m_room += std::max(0.0, 1 - candidate.m_estimate->Load(aNow) / slots);
+  }
+  std::vector<DomainSummary> summaries;
+  for (const auto& [domain, sum] : sums) {
+    DomainSummary summary;
+    summary.m_domain = domain;
+    summary.m_delayMs = sum.m_waitMs / sum.m_count;
+    summary.m_room = sum.m_room / sum.m_count;
+    summaries.push_back(std::move(summary));
+  }
+  return summaries;
+}
+
 size_t
 ChooseUpstream(const std::vector<Candidate>& aCandidates,
                const ChoiceCriteria& aCriteria,
--- a/chivefront/routing/choice.h
+++ b/chivefront/routing/choice.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "chivefront/routing/domain_choice.h"
 #include "chivefront/routing/reading_pace.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/routing/upstream_estimate.h"
@@ -41,6 +42,9 @@
   // Decides between upstreams of about the same delay; differs between requests
   // and between entries. Without it the first one is chosen.
   std::optional<uint64_t> m_random;
+  // What it costs to leave m_ownDomain; null: a constant.
+  const DomainChoice* m_domainChoice = nullptr;
+  CrossingRequest m_crossing; // of the request, for m_domainChoice
 };
 
 struct Candidate
@@ -56,6 +60,16 @@
        const ChoiceCriteria& aCriteria,
        base::TimePoint aNow);
 
+// What a request without a prompt is expected to wait at aCandidate because of
+// its load and its slowness.
+double
+ExpectedWaitMs(const Candidate& aCandidate, base::TimePoint aNow);
+
+// The means over the candidates of each domain.
+std::vector<DomainSummary>
+SummarizeDomains(const std::vector<Candidate>& aCandidates,
+                 base::TimePoint aNow);
+
 // Returns an index into aCandidates, which must not be empty.
 size_t
 ChooseUpstream(const std::vector<Candidate>& aCandidates,
