Learn the round trip to other failure domains

Cause: the decision to leave the failure domain took the round trip as 2 ms, so a link that has become narrow cost a request no more than a good one.

Change: the entry takes the kernel's smoothed round trip of each connection that a request has used, averages it per domain, and counts what it is beyond that of the own domain. One that was not measured for 20 s is unknown again, so that a link that has recovered is tried.

Result: domain_choice_test (12 cases) passes, as do the tests of proxy, routing and duty, and e2e_node (37 of 37).

--- a/chivefront/proxy/upstream_connection.cc
+++ b/chivefront/proxy/upstream_connection.cc
@@ -239,6 +239,21 @@
   return static_cast<size_t>(bytes);
 }
 
+std::optional<double>
+UpstreamConnection::RoundTripMs()
+{
+  constexpr double kMicrosPerMilli = 1000;
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (!m_socket.is_open() ||
+      getsockopt(
+        m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) != 0 ||
+      info.tcpi_rtt == 0) {
+    return std::nullopt;
+  }
+  return info.tcpi_rtt / kMicrosPerMilli;
+}
+
 void
 UpstreamConnection::Close()
 {
--- a/chivefront/proxy/upstream_connection.h
+++ b/chivefront/proxy/upstream_connection.h
@@ -55,6 +55,9 @@
   // response. Bytes that have arrived would be mistaken for the next response.
   bool IsIdle();
 
+  // The smoothed round trip that the kernel has measured, in milliseconds.
+  // Nothing if it has measured none.
+  std::optional<double> RoundTripMs();
   // Closes the connection; pending operations fail. If the upstream has not
   // acknowledged all bytes, the connection is reset: a request that is given up
   // must not reach the upstream later, when the network lets its bytes through.
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -254,7 +254,13 @@
   const bool isDue =
     isNew || now - choice.UpdatedAt() >= detail::kDomainUpdatePeriod;
   if (isDue && aCriteria.m_triedUpstreams.empty()) {
-    choice.Update(routing::SummarizeDomains(aCandidates, now), now);
+    std::vector<routing::DomainSummary> summaries =
+      routing::SummarizeDomains(aCandidates, now);
+    for (routing::DomainSummary& summary : summaries) {
+      summary.m_roundTripMs = m_roundTrips.BeyondOwnMs(
+        aCriteria.m_choice.m_ownDomain, summary.m_domain, now);
+    }
+    choice.Update(summaries, now);
   }
   return &choice;
 }
@@ -321,6 +327,10 @@
 Upstreams::ReturnConnection(Upstream& aUpstream,
                             std::unique_ptr<UpstreamConnection> aConnection)
 {
+  if (const std::optional<double> roundTrip = aConnection->RoundTripMs()) {
+    m_roundTrips.Record(
+      aUpstream.m_instance.m_domain, *roundTrip, m_clock.Now());
+  }
   if (!aConnection->Reusable() ||
       aUpstream.m_idleConnections.size() >= detail::kMaxIdleConnections) {
     return; // closes the connection
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -14,6 +14,7 @@
 #include "chivefront/routing/permit_client.h"
 #include "chivefront/routing/request_limits.h"
 #include "chivefront/routing/rollout_share.h"
+#include "chivefront/routing/round_trips.h"
 #include "chivefront/routing/upstream_estimate.h"
 #include "chivefront/routing/wait_queue.h"
 #include "chivefront/site/watch.h"
@@ -167,6 +168,7 @@
   routing::PermitClient m_permits;
   // Requests that wait for an upstream with a request limit, by service.
   std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
+  routing::RoundTrips m_roundTrips; // to upstreams
   // By service; of services with engines only.
   std::unordered_map<std::string, routing::DomainChoice> m_domainChoices;
   struct Forgotten
--- a/chivefront/routing/domain_choice_test.cc
+++ b/chivefront/routing/domain_choice_test.cc
@@ -10,6 +10,7 @@
 
 #include "chivefront/routing/choice.h"
 #include "chivefront/routing/domain_choice.h"
+#include "chivefront/routing/round_trips.h"
 
 using namespace chivefront;
 using namespace chivefront::routing;
@@ -266,6 +267,27 @@
   BOOST_TEST(choice.PenaltyMs("a", { 12000, 0.5 }, base::TimePoint()) == 0);
 }
 
+// Guards against the round trip within a domain that counts as distance, an
+// unknown one that counts as none, and a link that has recovered unseen.
+BOOST_AUTO_TEST_CASE(RoundTripsAreRelativeToOwnDomain)
+{
+  const base::TimePoint now;
+  RoundTrips trips;
+  trips.Record("b", 4, now);
+  BOOST_TEST(trips.BeyondOwnMs("a", "b", now) == 0);
+  trips.Record("a", 1, now);
+  BOOST_TEST(trips.BeyondOwnMs("a", "b", now) == 3);
+  BOOST_TEST(trips.BeyondOwnMs("b", "a", now) > 0);
+  for (int i = 0; i < 50; ++i) {
+    trips.Record("b", 401, now); // the link has become narrow
+  }
+  BOOST_TEST(trips.BeyondOwnMs("a", "b", now) > 350);
+  const base::TimePoint later = now + base::Millis(21000);
+  BOOST_TEST(trips.BeyondOwnMs("a", "b", later) == 0);
+  trips.Record("b", 4, later);
+  BOOST_TEST(trips.BeyondOwnMs("a", "b", later) == 3);
+}
+
 // Guards against entries of one domain that keep different shares because one
 // of them started later.
 BOOST_AUTO_TEST_CASE(EntriesAgree)
