--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -173,7 +173,6 @@
   void EndHeadWait(Upstream& aUpstream);
   void RecordHeadLatency(Upstream& aUpstream);
   void RecordReading(const Upstream& aUpstream);
-  void RecordRunningTime(const Upstream& aUpstream);
   void RecordEventInterval(Upstream& aUpstream);
   void RecordStartOfStream(const Upstream& aUpstream);
   bool IsSlow(const Upstream& aUpstream, std::string_view aMark);
@@ -217,8 +216,7 @@
   // Response of the last attempt that ended with UpstreamError.
   std::optional<UpstreamError> m_upstreamError;
   routing::RequestCost m_cost; // of the running attempt
-  routing::WorkClass m_workClass = routing::WorkClass::Short; // of the same
-  base::TimePoint m_chosenAt; // the upstream of the running attempt
+  base::TimePoint m_chosenAt;  // the upstream of the running attempt
   base::TimePoint m_sentAt;
   bool m_headPending = false; // counted as waiting for a head in the estimate
   base::TimePoint m_headReceivedAt; // of the running attempt; unset before it
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -94,9 +94,8 @@
   m_lastUpstream = aUpstream->m_instance.m_id;
   m_triedUpstreams.push_back(m_lastUpstream);
   m_chosenAt = m_shared.m_clock.Now();
-  const routing::ChoiceCriteria choice = Criteria().m_choice;
-  m_cost = routing::CostAt(aUpstream->m_estimate, choice, m_chosenAt);
-  m_workClass = choice.m_workClass;
+  m_cost =
+    routing::CostAt(aUpstream->m_estimate, Criteria().m_choice, m_chosenAt);
   aUpstream->m_estimate.OnSent(m_cost);
   m_upstreamDomain = aUpstream->m_instance.m_domain;
   const LoadCounter::Scope underWay =
@@ -108,7 +107,6 @@
   if (m_abortReason == AbortReason::DeadlineExceeded) {
     CountForVersion(*aUpstream, false);
   }
-  RecordRunningTime(*aUpstream);
   aUpstream->m_estimate.OnEnded(m_cost);
   m_eventSplitter.Restart();
   if (m_connection) {
--- a/chivefront/proxy/exchange_choice.cc
+++ b/chivefront/proxy/exchange_choice.cc
@@ -66,11 +66,6 @@
   if (!model.empty()) {
     criteria.m_choice.m_promptTokens = m_metadata.m_promptTokens;
     criteria.m_choice.m_maxAnswerTokens = m_metadata.m_maxAnswerTokens;
-    criteria.m_choice.m_workClass = routing::WorkClassOf(
-      m_metadata.m_promptTokens / criteria.m_choice.m_tokensPerMs,
-      m_config->MostUrgentGoal(m_service->m_name));
-    criteria.m_choice.m_division = m_shared.m_workClasses.DivisionOf(
-      m_service->m_name, m_shared.m_clock.Now());
   }
   if (m_service->m_engine) {
     criteria.m_choice.m_memoryTokens =
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -227,7 +227,7 @@
 }
 
 // Records the time from the send to the head as a sample of the model's reading
-// pace, and the reading as work of the request's class.
+// pace.
 void
 Exchange::RecordReading(const Upstream& aUpstream)
 {
@@ -242,23 +242,6 @@
     detail::TokensCertainlyRead(m_metadata),
     waited / aUpstream.m_estimate.HostSlowdown(m_headReceivedAt),
     aUpstream.m_estimate.Waiting(m_headReceivedAt) >= detail::kWaitingIfQueued);
-  m_shared.m_workClasses.OnRead(
-    m_service->m_name, m_workClass, m_cost.m_readMs, m_headReceivedAt);
-}
-
-// Records the time in which the attempt ran as work of the request's class. The
-// upstream's slots share it.
-void
-Exchange::RecordRunningTime(const Upstream& aUpstream)
-{
-  if (!m_answerBegun || CurrentModel().empty()) {
-    return;
-  }
-  const base::TimePoint now = m_shared.m_clock.Now();
-  const auto ran = static_cast<double>((now - m_headReceivedAt).Count());
-  const double slots = std::max(1U, aUpstream.m_instance.m_slots);
-  m_shared.m_workClasses.OnRan(
-    m_service->m_name, m_workClass, ran / slots, now);
 }
 
 // Records the mean time between the chunks of a stream.
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -19,7 +19,6 @@
 #include "chivefront/routing/load_probes.h"
 #include "chivefront/routing/reading_pace.h"
 #include "chivefront/routing/slow_threshold.h"
-#include "chivefront/routing/work_classes.h"
 #include "chivefront/site/watch.h"
 
 namespace chivefront::proxy {
@@ -128,7 +127,6 @@
   std::map<std::string, routing::AdaptiveTimeout> m_eventTimeouts{};
   routing::LoadProbes m_loadProbes{};
   routing::ReadingPace m_readingPace{};
-  routing::WorkClasses m_workClasses{};
   // By service.
   std::map<std::string, routing::WindowedRetryBudget> m_retryBudgets;
 
--- a/chivefront/routing/choice.cc
+++ b/chivefront/routing/choice.cc
@@ -2,7 +2,6 @@
 #include "chivefront/routing/choice.h"
 
 #include <algorithm>
-#include <array>
 #include <functional>
 #include <map>
 #include <utility>
@@ -41,9 +40,6 @@
 // prompt for a model. Above 1, because it also delays the requests there and
 // takes room from other parts.
 constexpr double kOtherReadShare = 1.5;
-// Short requests that arrive while an upstream reads a long prompt and are
-// delayed by it.
-constexpr double kRequestsBehindLongPrompt = 2;
 // Upstreams whose delays differ by less count as equal, because the load of the
 // others' requests is known from reports only.
 constexpr double kEqualDelayMs = 8;
@@ -57,61 +53,17 @@
 constexpr double kTolerableFailureShare = 0.25;
 constexpr double kFailurePenaltyMs = 2000;
 
-// For each candidate whether it is for work of the other class.
-std::vector<bool>
-OtherClass(const std::vector<Candidate>& aCandidates,
-           const ChoiceCriteria& aCriteria)
-{
-  std::vector<bool> others(aCandidates.size(), false);
-  if (!aCriteria.m_division) {
-    return others;
-  }
-  std::vector<DividedUpstream> upstreams;
-  upstreams.reserve(aCandidates.size());
-  for (const Candidate& candidate : aCandidates) {
-    upstreams.push_back(
-      { candidate.m_instance->m_id, candidate.m_instance->m_domain });
-  }
-  const auto classes = DivideUpstreams(upstreams, *aCriteria.m_division);
-  for (size_t i = 0; i < classes.size(); ++i) {
-    others[i] = classes[i] && *classes[i] != aCriteria.m_workClass;
-  }
-  return others;
-}
-
-// Delay that counts for an upstream that is for work of the other class. A
-// short request there waits for a long prompt that is sent meanwhile, except at
-// an upstream that has reported to be idle. A long one makes several short ones
-// wait; it goes there if its own class takes longer.
-double
-OtherClassDelayMs(const Candidate& aCandidate,
-                  const ChoiceCriteria& aCriteria,
-                  base::TimePoint aNow)
-{
-  const double longReadMs = aCriteria.m_division->m_longReadMs;
-  if (aCriteria.m_workClass == WorkClass::Long) {
-    return kRequestsBehindLongPrompt * longReadMs;
-  }
-  const UpstreamEstimate& estimate = *aCandidate.m_estimate;
-  const bool isIdle =
-    estimate.ReportWeight(aNow) > 0 && estimate.Load(aNow) < 1;
-  return isIdle ? 0 : longReadMs;
-}
-
 // The candidates with the highest rendezvous hashes for the part, highest
-// first; those of aOthers are left out.
+// first.
 std::vector<size_t>
 AffinityRanks(const std::vector<Candidate>& aCandidates,
-              const std::vector<bool>& aOthers,
               const std::string& aPart)
 {
   std::vector<std::pair<uint64_t, size_t>> hashes;
   hashes.reserve(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
-    if (!aOthers[i]) {
-      hashes.emplace_back(
-        StableHash(aPart + "@" + aCandidates[i].m_instance->m_id), i);
-    }
+    hashes.emplace_back(
+      StableHash(aPart + "@" + aCandidates[i].m_instance->m_id), i);
   }
   const size_t count = std::min(hashes.size(), kAffinityRanks);
   std::partial_sort(hashes.begin(),
@@ -182,33 +134,31 @@
   double m_workMs = 0;
 };
 
-// By class: at the upstreams for work of the request's class, and at those of
-// the other class. Nothing is assumed for requests without a model.
-std::array<OthersAtUpstream, 2>
+// Nothing is assumed for requests without a model.
+OthersAtUpstream
 MeanOfOthers(const std::vector<Candidate>& aCandidates,
-             const std::vector<bool>& aOthers,
              const ChoiceCriteria& aCriteria,
              base::TimePoint aNow)
 {
-  std::array<OthersAtUpstream, 2> means;
-  std::array<double, 2> weights{};
-  for (size_t i = 0; i < aCandidates.size(); ++i) {
-    const UpstreamEstimate& estimate = *aCandidates[i].m_estimate;
-    const double weight =
-      aCriteria.m_promptTokens > 0 ? estimate.ReportWeight(aNow) : 0;
-    OthersAtUpstream& mean = means[aOthers[i] ? 1 : 0];
-    mean.m_load +=
-      weight > 0 ? weight * (estimate.Load(aNow) - estimate.InFlight()) : 0;
-    mean.m_workMs += weight > 0 ? estimate.OthersWorkMs(aNow) : 0;
-    weights[aOthers[i] ? 1 : 0] += weight;
+  OthersAtUpstream mean;
+  double weights = 0;
+  if (aCriteria.m_promptTokens <= 0) {
+    return mean;
   }
-  for (size_t i = 0; i < means.size(); ++i) {
-    if (weights[i] > 0) {
-      means[i].m_load /= weights[i];
-      means[i].m_workMs /= weights[i];
+  for (const Candidate& candidate : aCandidates) {
+    const UpstreamEstimate& estimate = *candidate.m_estimate;
+    const double weight = estimate.ReportWeight(aNow);
+    if (weight > 0) {
+      mean.m_load += weight * (estimate.Load(aNow) - estimate.InFlight());
+      mean.m_workMs += estimate.OthersWorkMs(aNow);
+      weights += weight;
     }
   }
-  return means;
+  if (weights > 0) {
+    mean.m_load /= weights;
+    mean.m_workMs /= weights;
+  }
+  return mean;
 }
 
 // Delay before the candidate begins to read the prompt, on a host that is not
@@ -234,7 +184,6 @@
 // shared parts.
 std::vector<double>
 SharedReadShares(const std::vector<Candidate>& aCandidates,
-                 const std::vector<bool>& aOthers,
                  const ChoiceCriteria& aCriteria,
                  const OthersAtUpstream& aMean,
                  base::TimePoint aNow)
@@ -248,8 +197,8 @@
   for (const SharedPromptPart& part : aCriteria.m_sharedParts) {
     sharedMs += part.m_tokens / aCriteria.m_tokensPerMs;
   }
-  for (const size_t index : AffinityRanks(
-         aCandidates, aOthers, aCriteria.m_sharedParts.back().m_key)) {
+  for (const size_t index :
+       AffinityRanks(aCandidates, aCriteria.m_sharedParts.back().m_key)) {
     shares[index] = kAffinityReadShare;
     if (LoadDelayMs(aCandidates[index], aCriteria, aMean, aNow) <=
         (1 - kAffinityReadShare) * sharedMs) {
@@ -395,23 +344,15 @@
                const ChoiceCriteria& aCriteria,
                base::TimePoint aNow)
 {
-  const std::vector<bool> others = detail::OtherClass(aCandidates, aCriteria);
-  const std::array<detail::OthersAtUpstream, 2> means =
-    detail::MeanOfOthers(aCandidates, others, aCriteria, aNow);
+  const detail::OthersAtUpstream mean =
+    detail::MeanOfOthers(aCandidates, aCriteria, aNow);
   const std::vector<double> readShares =
-    detail::SharedReadShares(aCandidates, others, aCriteria, means[0], aNow);
+    detail::SharedReadShares(aCandidates, aCriteria, mean, aNow);
   std::vector<double> delays;
   delays.reserve(aCandidates.size());
   for (size_t i = 0; i < aCandidates.size(); ++i) {
-    delays.push_back(detail::EstimatedDelayMs(aCandidates[i],
-                                              aCriteria,
-                                              means[others[i] ? 1 : 0],
-                                              readShares[i],
-                                              aNow));
-    if (others[i]) {
-      delays.back() +=
-        detail::OtherClassDelayMs(aCandidates[i], aCriteria, aNow);
-    }
+    delays.push_back(detail::EstimatedDelayMs(
+      aCandidates[i], aCriteria, mean, readShares[i], aNow));
   }
   const auto best = static_cast<size_t>(
     std::min_element(delays.begin(), delays.end()) - delays.begin());
--- a/chivefront/routing/choice.h
+++ b/chivefront/routing/choice.h
@@ -13,7 +13,6 @@
 #include "chivefront/routing/reading_pace.h"
 #include "chivefront/routing/registry.h"
 #include "chivefront/routing/upstream_estimate.h"
-#include "chivefront/routing/work_classes.h"
 
 namespace chivefront::routing {
 
@@ -37,8 +36,6 @@
   double m_maxAnswerTokens = 0;
   int m_priority = 0;        // 0 is the most urgent
   double m_memoryTokens = 0; // memory of an upstream; 0: unknown
-  WorkClass m_workClass = WorkClass::Short;
-  std::optional<WorkDivision> m_division; // of the candidates between classes
   // Decides between upstreams of about the same delay; differs between requests
   // and between entries. Without it the first one is chosen.
   std::optional<uint64_t> m_random;
--- a/chivefront/routing/config.cc
+++ b/chivefront/routing/config.cc
@@ -107,29 +107,6 @@
   return found == m_serviceByName.end() ? nullptr : found->second;
 }
 
-base::Millis
-Config::MostUrgentGoal(const std::string& aService) const
-{
-  const Route* mostUrgent = nullptr;
-  for (const Route& route : m_parts.m_routes) {
-    const bool isServed = std::any_of(route.m_services.begin(),
-                                      route.m_services.end(),
-                                      [&](const WeightedService& aTarget) {
-                                        return aTarget.m_service == aService &&
-                                               aTarget.m_weight > 0;
-                                      });
-    if (!isServed || route.m_goal <= base::Millis(0)) {
-      continue;
-    }
-    if (mostUrgent == nullptr ||
-        std::pair(route.m_priority, route.m_goal) <
-          std::pair(mostUrgent->m_priority, mostUrgent->m_goal)) {
-      mostUrgent = &route;
-    }
-  }
-  return mostUrgent == nullptr ? base::Millis(0) : mostUrgent->m_goal;
-}
-
 const Team*
 Config::FindTeam(std::string_view aKey) const
 {
--- a/chivefront/routing/config.h
+++ b/chivefront/routing/config.h
@@ -120,9 +120,6 @@
   // The route of aHost with the longest prefix of aPath, or null.
   const Route* FindRoute(std::string_view aHost, std::string_view aPath) const;
   const Service* FindService(std::string_view aName) const;
-  // The latency goal of the service's most urgent route that has one, the
-  // shortest of equally urgent ones. 0: no route has one.
-  base::Millis MostUrgentGoal(const std::string& aService) const;
   // The team that holds aKey, or null.
   const Team* FindTeam(std::string_view aKey) const;
 
--- a/chivefront/routing/config_test.cc
+++ b/chivefront/routing/config_test.cc
@@ -94,26 +94,6 @@
   }
 }
 
-// Guards against a goal of another service, and against one of a less urgent
-// route that is shorter.
-BOOST_AUTO_TEST_CASE(MostUrgentGoalIsThatOfTheMostUrgentRoute)
-{
-  ConfigParts parts = MakeParts();
-  const std::string service = parts.m_services[0].m_name;
-  parts.m_routes.resize(2);
-  for (Route& route : parts.m_routes) {
-    route.m_services = { { service, 1 } };
-  }
-  parts.m_routes[0].m_goal = base::Millis(1000);
-  parts.m_routes[0].m_priority = 1;
-  parts.m_routes[1].m_goal = base::Millis(500);
-  parts.m_routes[1].m_priority = 2;
-  const auto config = Config::Build(std::move(parts));
-  BOOST_REQUIRE(config.ok());
-  BOOST_TEST((*config)->MostUrgentGoal(service).Count() == 1000);
-  BOOST_TEST((*config)->MostUrgentGoal("none").Count() == 0);
-}
-
 BOOST_AUTO_TEST_CASE(WeightsDivideRequests)
 {
   Route route = MakeRoute("split", "/s/");
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -144,7 +144,7 @@
     }
     DutyOptions options = *m_options.m_duties;
     if (!options.m_closedWindows) {
-      options.m_closedWindows = [this] { return DecidableUsage(); };
+      options.m_closedWindows = [this] { return UndecidedUsage(); };
     }
     DutyPorts ports;
     ports.m_status = [this] { return m_group.Status(); };
@@ -170,6 +170,8 @@
   // The usage windows that may be decided, oldest first. None at a process that
   // does not lead.
   std::vector<duty::WindowUsage> DecidableUsage();
+  // The same without those that the replicated state holds, which are dropped.
+  std::vector<duty::WindowUsage> UndecidedUsage();
   net::Task<absl::StatusOr<Outcome>> Commit(Command aCommand);
   std::set<std::string> OtherControlProcesses() const;
   void RelayUsage();
@@ -329,6 +331,21 @@
   return m_usage->Decidable(m_watchers, m_clock.Now(), base::WallClockMillis());
 }
 
+std::vector<duty::WindowUsage>
+Node::Impl::UndecidedUsage()
+{
+  std::vector<duty::WindowUsage> undecided;
+  const auto state = m_store.Current();
+  for (duty::WindowUsage& usage : DecidableUsage()) {
+    if (state->m_duties->IsDecided(usage.m_window)) {
+      m_usage->Forget(usage.m_window);
+    } else {
+      undecided.push_back(std::move(usage));
+    }
+  }
+  return undecided;
+}
+
 // Only a process that votes can lead, and thus decide on usage.
 void
 Node::Impl::RelayUsage()
@@ -442,6 +459,20 @@
   return m_impl->m_group.Status().m_leader;
 }
 
+std::vector<duty::WindowUsage>
+Node::DecidableUsage()
+{
+  return m_impl->DecidableUsage();
+}
+
+void
+Node::ForgetUsage(uint64_t aWindow)
+{
+  if (m_impl->m_usage) {
+    m_impl->m_usage->Forget(aWindow);
+  }
+}
+
 bool
 Node::IsLeader() const
 {
--- a/chivefront/site/node.h
+++ b/chivefront/site/node.h
@@ -80,6 +80,13 @@
   std::string Leader() const;
   bool IsLeader() const;
 
+  // The usage windows that may be decided, oldest first; the same ones until
+  // they are forgotten. None at a process that does not lead, or without the
+  // duty.
+  std::vector<duty::WindowUsage> DecidableUsage();
+  // Drops the usage windows up to aWindow, which are decided.
+  void ForgetUsage(uint64_t aWindow);
+
   // Merges an upstream's registration and sends it to the other control
   // processes. An outdated record is no error. When the upstream drains,
   // returns only once that is durable. Returns Overloaded if there is no room
--- a/chivefront/site/usage_node_test.cc
+++ b/chivefront/site/usage_node_test.cc
@@ -41,9 +41,13 @@
     options.m_seeds = aSeeds;
     options.m_mayBootstrap = true;
     options.m_duties.emplace();
-    options.m_duties->m_duties = { duty::Duty::UsageReport };
-    options.m_duties->m_window = kWindow;
-    options.m_duties->m_usageDue = kDue;
+    duty::DutySettings& settings = options.m_duties->m_settings;
+    settings.m_duties = { duty::Duty::UsageReport };
+    settings.m_window = kWindow;
+    settings.m_usageDue = kDue;
+    settings.m_callsPerSecond = 1;
+    // The test takes the windows itself; no duty is acquired meanwhile.
+    settings.m_lease = base::Millis(3600 * 1000);
     m_node = std::make_unique<Node>(
       *m_context, m_identity, options, m_events, m_metrics, m_log);
     BOOST_REQUIRE(m_node->Start().ok());
