--- a/chivefront/site/usage_exchange_test.cc
+++ b/chivefront/site/usage_exchange_test.cc
@@ -160,6 +160,7 @@
   wire::WatchRequestT plain;
   plain.holder = request.holder;
   plain.fetches_documents = true;
+  plain.omit_renewals = true; // in every poll
   BOOST_TEST(wire::EncodeFrame(wire::MakeMessage(request)).size() ==
              wire::EncodeFrame(wire::MakeMessage(plain)).size());
   deployment.RunFor(3000, deployment.m_control);
