--- a/chivefront/proxy/exchange.h
+++ b/chivefront/proxy/exchange.h
@@ -140,7 +140,6 @@
   void Abort(AbortReason aReason);
   base::Millis RequestTimeout(const routing::Route& aRoute) const;
   base::Millis HeadTimeout(const Upstream& aUpstream) const;
-  routing::AdaptiveTimeout& HeadTimeoutOf(const std::string& aModel) const;
   void StartStallTimer(const UpstreamPointer& aUpstream, base::Millis aWait);
   void OnStallTimer(const UpstreamPointer& aUpstream);
   void LeaveUpstream(Upstream& aUpstream);
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -72,12 +72,6 @@
   return m_route->m_goal / 2 + base::Millis(promptReadMs);
 }
 
-routing::AdaptiveTimeout&
-Exchange::HeadTimeoutOf(const std::string& aModel) const
-{
-  return m_shared.m_headTimeouts[{ m_route->m_name, aModel }];
-}
-
 // Calls OnStallTimer after aWait if the attempt is still running.
 void
 Exchange::StartStallTimer(const UpstreamPointer& aUpstream, base::Millis aWait)
@@ -156,9 +150,6 @@
       { "waited_ms", (now - m_sentAt).Count() },
       { "silent_ms", (now - m_silentSince).Count() },
       { "heard_ms", (now - estimate.LastReceivedAt()).Count() } });
-  if (!headReceived) {
-    HeadTimeoutOf(CurrentModel()).RecordAtLeast(now - m_sentAt);
-  }
   m_leftUpstream = true;
   LeaveUpstream(*aUpstream);
 }
@@ -215,7 +206,6 @@
   m_headReceivedAt = m_shared.m_clock.Now();
   m_silentSince = m_headReceivedAt;
   m_chunkCount = 0;
-  HeadTimeoutOf(CurrentModel()).Record(m_headReceivedAt - m_sentAt);
   const auto waited =
     static_cast<double>((m_headReceivedAt - m_sentAt).Count());
   const double cost = detail::kFixedCostTokens + m_metadata.m_promptTokens;
--- a/chivefront/proxy/shared_state.h
+++ b/chivefront/proxy/shared_state.h
@@ -120,9 +120,6 @@
   base::TimePoint m_drainEnd; // while draining: when running requests are ended
   routing::LatencyBaselines m_baselines{};
   routing::SlowThreshold m_slowThreshold{}; // of answers, by route and model
-  // Of answer heads, by route and model.
-  std::map<std::pair<std::string, std::string>, routing::AdaptiveTimeout>
-    m_headTimeouts{};
   // Of events within a stream, by model.
   std::map<std::string, routing::AdaptiveTimeout> m_eventTimeouts{};
   routing::LoadProbes m_loadProbes{};
--- a/chivefront/proxy/testing/entry_fixture.h
+++ b/chivefront/proxy/testing/entry_fixture.h
@@ -79,6 +79,11 @@
       metadata.m_retryAfter = base::Millis(ToNumber(Get(aFields, "Rest"), 0));
     }
     metadata.m_leaving = aFields.count("Leaving") > 0;
+    if (aFields.count("Waiting") > 0) {
+      metadata.m_load.emplace();
+      metadata.m_load->m_waiting =
+        static_cast<uint32_t>(ToNumber(Get(aFields, "Waiting"), 0));
+    }
     if (aFields.count("Sure") > 0) {
       metadata.m_confidence =
         static_cast<int>(ToNumber(Get(aFields, "Sure"), 0));
--- a/chivefront/routing/adaptive_timeout.h
+++ b/chivefront/routing/adaptive_timeout.h
@@ -1,14 +1,12 @@
-// How long to wait for something that upstreams send, such as the head of an
-// answer or the next event of a stream, before another upstream is tried. Does
-// no I/O; not thread-safe.
+// How long to wait for the next event of a stream before another upstream is
+// tried. Does no I/O; not thread-safe.
 //
 //   AdaptiveTimeout timeout;
 //   timeout.Record(waited);             // it arrived
-//   timeout.RecordAtLeast(waited);      // it had not when the wait was ended
 //   if (waited > timeout.Value()) ...   // much longer than usual
 //
-// A fixed timeout below what answers take under load makes each request lose
-// its place in a queue and begin anew in another one, which adds to the load.
+// A fixed timeout below the pauses that are usual under load makes streams move
+// to another upstream, which reads their prompts again and so adds to the load.
 // The timeout therefore follows the mean and the mean deviation, like a
 // retransmission timeout of TCP.
 #pragma once
@@ -38,17 +36,7 @@
     m_deviationMs += kDeviationWeight * (std::abs(error) - m_deviationMs);
   }
 
-  // A wait that was ended says only that the answer takes longer. One that is
-  // shorter than the mean says nothing.
-  void RecordAtLeast(base::Millis aWaited)
-  {
-    if (static_cast<double>(aWaited.Count()) > m_meanMs) {
-      Record(aWaited);
-    }
-  }
-
-  // Both are zero before the first record.
-  base::Millis Mean() const { return ToMillis(m_meanMs); }
+  // Zero before the first record.
   base::Millis Value() const
   {
     return ToMillis(m_meanMs + kDeviations * m_deviationMs);
--- a/chivefront/routing/adaptive_timeout_test.cc
+++ b/chivefront/routing/adaptive_timeout_test.cc
@@ -1,4 +1,4 @@
-// The timeout follows what answers take under load.
+// The timeout follows the pauses that are usual under load.
 #define BOOST_TEST_MODULE routing_adaptive_timeout
 #include <boost/test/unit_test.hpp>
 
@@ -15,10 +15,9 @@
 
 } // namespace
 
-// Guards against a burst in which all answers take two seconds and each request
-// is sent to three upstreams in turn, because it leaves each after half a
-// second and waits in a new queue.
-BOOST_AUTO_TEST_CASE(TimeoutGrowsWithTheLatencyOfABurst)
+// Load: the upstreams begin to read long prompts beside their streams. Guards
+// against a timeout that stays below the pauses which are usual by then.
+BOOST_AUTO_TEST_CASE(TimeoutGrowsWithThePausesOfABurst)
 {
   AdaptiveTimeout timeout;
   BOOST_TEST(timeout.Value().Count() == 0);
@@ -26,17 +25,14 @@
     timeout.Record(Millis(100 + i % 10));
   }
   BOOST_TEST(timeout.Value().Count() < 200);
-  // The requests that were left early teach that answers take longer.
-  int left = 0;
-  while (timeout.Value() < Millis(2000) && left < 100) {
-    ++left;
-    timeout.RecordAtLeast(std::max(Millis(500), timeout.Value()));
+  for (int i = 0; i < 20; ++i) {
+    timeout.Record(Millis(800));
   }
-  BOOST_TEST(left < 20);
+  BOOST_TEST(timeout.Value().Count() > 800);
 }
 
-// Guards against a timeout that stays long after a burst, so that requests at
-// an upstream that hangs wait for it.
+// Guards against a timeout that stays long after a burst, so that the streams
+// of an upstream that hangs wait for it.
 BOOST_AUTO_TEST_CASE(TimeoutShrinksAfterABurst)
 {
   AdaptiveTimeout timeout;
@@ -49,17 +45,6 @@
   BOOST_TEST(timeout.Value().Count() < 500);
 }
 
-// Guards against requests that are left soon at upstreams that hang and that
-// would lower the timeout of all others.
-BOOST_AUTO_TEST_CASE(EndedWaitsDoNotLowerTheTimeout)
-{
-  AdaptiveTimeout timeout;
-  timeout.Record(Millis(1000));
-  const Millis before = timeout.Value();
-  timeout.RecordAtLeast(Millis(400));
-  BOOST_TEST(timeout.Value().Count() == before.Count());
-}
-
 // Guards against streams that leave an upstream whose streams pause while it
 // reads long prompts, as all upstreams do at the time.
 BOOST_AUTO_TEST_CASE(UsualPausesAreNoStall)
