Mend what two readers of the change found

Cause: a probe could leave a request without an upstream and asked another upstream than the one chosen; the decision on domains mixed both sides of a roll-out; the table of pauses grew with model names of callers; a decided usage window could drop an older undecided one, a refused report was acknowledged, unknown counts of entries lowered the quorum of clocks.

--- a/chivefront/duty/duty.cc
+++ b/chivefront/duty/duty.cc
@@ -1,4 +1,4 @@
-// Numbers and limits of usage windows.
+// Numbers of usage windows.
 #include "chivefront/duty/duty.h"
 
 #include <algorithm>
@@ -12,10 +12,4 @@
                                aWindow.Count());
 }
 
-int64_t
-EndOfWindow(uint64_t aNumber, base::Millis aWindow)
-{
-  return (static_cast<int64_t>(aNumber) + 1) * aWindow.Count();
-}
-
 } // namespace chivefront::duty
--- a/chivefront/duty/duty.h
+++ b/chivefront/duty/duty.h
@@ -56,8 +56,5 @@
 // must be positive; a time before the epoch belongs to window 0.
 uint64_t
 WindowAt(int64_t aTrueTime, base::Millis aWindow);
-// The end of a window in Unix milliseconds.
-int64_t
-EndOfWindow(uint64_t aNumber, base::Millis aWindow);
 
 } // namespace chivefront::duty
--- a/chivefront/duty/lease_test.cc
+++ b/chivefront/duty/lease_test.cc
@@ -276,6 +276,8 @@
 
 } // namespace
 
+// Guards against a holder that sends before its wait, its grants or a
+// confirmation, or after the end of its permission.
 BOOST_AUTO_TEST_CASE(StagesFollowLeadershipWaitAndGrant)
 {
   Lease lease(kTimes, { Duty::UsageReport, Duty::Autoscaling }, 9);
@@ -348,6 +350,7 @@
   }
 }
 
+// Guards against violations that need more than three events.
 BOOST_AUTO_TEST_CASE(LongRandomOrdersKeepTheGuarantees)
 {
   size_t calls = 0;
--- a/chivefront/duty/scaling.cc
+++ b/chivefront/duty/scaling.cc
@@ -280,8 +280,9 @@
     subject.m_lowSince = aNow;
   }
   if (need > subject.m_inForce) {
-    const bool isFirst = aNow - subject.m_orderedAt >= detail::kIncreasePause;
-    return isFirst ? std::optional(need) : std::nullopt;
+    const bool mayIncrease =
+      aNow - subject.m_orderedAt >= detail::kIncreasePause;
+    return mayIncrease ? std::optional(need) : std::nullopt;
   }
   const uint32_t recent = subject.m_need.Get();
   if (recent >= subject.m_inForce || aLoad.m_inRollout ||
--- a/chivefront/duty/true_time.cc
+++ b/chivefront/duty/true_time.cc
@@ -75,7 +75,9 @@
 {
   std::vector<uint32_t> liveEntries;
   for (const auto& [process, reading] : m_readings) {
-    liveEntries.push_back(reading.m_liveEntries);
+    if (reading.m_liveEntries > 0) {
+      liveEntries.push_back(reading.m_liveEntries);
+    }
   }
   return liveEntries.empty() ? 0 : detail::Median(std::move(liveEntries));
 }
--- a/chivefront/duty/usage_collector.cc
+++ b/chivefront/duty/usage_collector.cc
@@ -32,7 +32,7 @@
   return &holder;
 }
 
-void
+bool
 UsageCollector::Record(const std::string& aHolder,
                        const UsageReport& aReport,
                        bool aIsComplete,
@@ -40,8 +40,10 @@
 {
   Holder* holder = FindOrAdd(aHolder, aNow);
   if (holder == nullptr) {
-    m_refused += aReport.m_windows.size();
-    return;
+    for (const WindowUsage& window : aReport.m_windows) {
+      m_refused += window.m_counts.size();
+    }
+    return false;
   }
   for (const WindowUsage& window : aReport.m_windows) {
     if (Merge(*holder, window)) {
@@ -51,6 +53,7 @@
   // An entry that has just turned to this process repeats its windows with its
   // next report.
   holder->m_closedBefore = aIsComplete ? aReport.m_closedBefore : 0;
+  return true;
 }
 
 void
@@ -58,7 +61,9 @@
 {
   Holder* holder = FindOrAdd(aUsage.m_holder, aNow);
   if (holder == nullptr) {
-    m_refused += aUsage.m_windows.size();
+    for (const WindowUsage& window : aUsage.m_windows) {
+      m_refused += window.m_counts.size();
+    }
     return;
   }
   for (const WindowUsage& window : aUsage.m_windows) {
@@ -96,7 +101,12 @@
   }
   if (aHolder.m_windows.size() >= kMaxUsageWindows &&
       aHolder.m_windows.count(aWindow.m_window) == 0) {
-    Drop(aHolder, aHolder.m_windows.begin()); // the oldest
+    const auto oldest = aHolder.m_windows.begin();
+    if (aWindow.m_window < oldest->first) {
+      m_refused += aWindow.m_counts.size();
+      return false;
+    }
+    Drop(aHolder, oldest);
   }
   bool hasChanged = false;
   Counts& counts = aHolder.m_windows[aWindow.m_window];
--- a/chivefront/duty/usage_collector.h
+++ b/chivefront/duty/usage_collector.h
@@ -46,7 +46,8 @@
   // Takes a report of aHolder, one incarnation of an entry. It may be late or
   // repeated. aIsComplete: the entry knows this process, so that all counts of
   // the windows that it calls closed are here.
-  void Record(const std::string& aHolder,
+  // Returns false if there is no room for the holder.
+  bool Record(const std::string& aHolder,
               const UsageReport& aReport,
               bool aIsComplete,
               base::TimePoint aNow);
--- a/chivefront/net/http_client.cc
+++ b/chivefront/net/http_client.cc
@@ -97,7 +97,7 @@
   // Reads the head of the final answer.
   Task<absl::Status> ReadHead()
   {
-    for (int i = 0; i < kMaxInterimAnswers; ++i) {
+    for (int i = 0; i <= kMaxInterimAnswers; ++i) {
       m_parser.emplace();
       m_parser->body_limit(boost::none);
       beast::error_code error;
--- a/chivefront/proxy/exchange_attempt.cc
+++ b/chivefront/proxy/exchange_attempt.cc
@@ -419,6 +419,8 @@
     if (events.empty()) {
       continue; // bytes without an event are no progress
     }
+    m_shared.m_eventTimeouts[CurrentModel()].Record(m_shared.m_clock.Now() -
+                                                    m_silentSince);
     RecordProgress(aUpstream);
     RecordAnswerBegun();
     RecordSurvival();
--- a/chivefront/proxy/exchange_choice.cc
+++ b/chivefront/proxy/exchange_choice.cc
@@ -144,11 +144,23 @@
         upstream->m_estimate.ReportAge(now) < detail::kFreshLoad) {
       co_return;
     }
+    // With a single upstream there is nothing to choose, and a probe that fails
+    // would leave none.
+    UpstreamCriteria others = aCriteria;
+    others.m_triedUpstreams.push_back(upstream->m_instance.m_id);
+    if (!m_shared.m_upstreams.HasAvailable(others)) {
+      co_return;
+    }
     co_await ProbeLoad(
       m_shared, upstream, m_service->m_healthPath, m_caller->Executor());
     if (m_abortReason != AbortReason::None) {
       co_return;
     }
+    const base::TimePoint after = m_shared.m_clock.Now();
+    if (upstream->m_estimate.ReportAge(after) >= detail::kFreshLoad &&
+        upstream->m_estimate.BackoffUntil() <= after) {
+      co_return; // it told no load, or another request asks it
+    }
   }
 }
 
@@ -162,11 +174,13 @@
     m_caller->ResponseStarted() ? detail::kResumedStreamPriority : Priority();
   WaitingRequest waiting(m_shared.m_upstreams.WaitQueueOf(m_service->m_name),
                          priority);
+  UpstreamCriteria criteria = Criteria();
+  criteria.m_ticket = waiting.Ticket();
+  criteria.m_choice.m_random = m_shared.m_upstreams.DrawRandom();
+  co_await RefreshLoads(criteria);
   const LoadCounter::Scope waits =
     m_shared.m_loads.CountWaiting(*m_service, m_shared.m_domain);
-  UpstreamCriteria criteria = Criteria();
   base::TimePoint demandAddedAt;
-  co_await RefreshLoads(criteria);
   while (m_abortReason == AbortReason::None) {
     const base::TimePoint now = m_shared.m_clock.Now();
     criteria.m_ticket = waiting.Ticket();
--- a/chivefront/proxy/exchange_health.cc
+++ b/chivefront/proxy/exchange_health.cc
@@ -129,8 +129,10 @@
     LeaveUpstream(*aUpstream);
     return;
   }
-  const base::Millis usualPause =
-    m_shared.m_eventTimeouts[CurrentModel()].Value();
+  const auto known = m_shared.m_eventTimeouts.find(CurrentModel());
+  const base::Millis usualPause = known == m_shared.m_eventTimeouts.end()
+                                    ? base::Millis(0)
+                                    : known->second.Value();
   const bool stalled =
     headReceived
       ? routing::IsStreamStalled(
@@ -183,12 +185,8 @@
 void
 Exchange::RecordProgress(Upstream& aUpstream)
 {
-  const base::TimePoint now = m_shared.m_clock.Now();
-  if (m_route->m_stream) {
-    m_shared.m_eventTimeouts[CurrentModel()].Record(now - m_silentSince);
-  }
-  m_silentSince = now;
-  aUpstream.m_estimate.OnBytesReceived(now);
+  m_silentSince = m_shared.m_clock.Now();
+  aUpstream.m_estimate.OnBytesReceived(m_silentSince);
 }
 
 void
--- a/chivefront/proxy/exchange_records.cc
+++ b/chivefront/proxy/exchange_records.cc
@@ -31,11 +31,11 @@
 }
 
 // Counts usage: a team's request, when it first begins to run at an upstream.
-// It is called when the answer shows that: at the first bytes of its body, or
-// at the head if no body follows or none is read. An answer that says that the
-// request did not run, or that comes from another upstream than the one meant,
-// is no run, and neither is an attempt without an answer. A request that is
-// repeated, resumed or escalated does not count again, as it is billed once.
+// It is called when the head of an answer that shows it has been read and its
+// body has begun or ended, also by a lost connection. An answer that says that
+// the request did not run, or that comes from another upstream than the one
+// meant, is no run, and neither is an attempt without an answer. A request that
+// is repeated, resumed or escalated does not count again, as it is billed once.
 // Requests without a team are not counted.
 void
 Exchange::RecordBegun()
--- a/chivefront/proxy/load_probe.cc
+++ b/chivefront/proxy/load_probe.cc
@@ -109,7 +109,9 @@
       load->m_running, load->m_waiting, now, load->m_slowdown);
     aShared.m_upstreams.ReturnConnection(*aUpstream, std::move(connection));
   } else {
-    aUpstream->m_estimate.OnOverloaded(now);
+    if (base::KindOf(load.status()) != base::ErrorKind::Unavailable) {
+      aUpstream->m_estimate.OnOverloaded(now);
+    }
     connection->Close();
   }
 }
--- a/chivefront/proxy/upstream_connection.cc
+++ b/chivefront/proxy/upstream_connection.cc
@@ -138,7 +138,7 @@
 net::Task<absl::Status>
 UpstreamConnection::ReadHead()
 {
-  for (int i = 0; i < detail::kMaxInterimResponses; ++i) {
+  for (int i = 0; i <= detail::kMaxInterimResponses; ++i) {
     m_parser.emplace();
     m_parser->body_limit(boost::none);
     m_parser->header_limit(detail::kMaxHeadBytes);
--- a/chivefront/proxy/upstreams.cc
+++ b/chivefront/proxy/upstreams.cc
@@ -249,8 +249,16 @@
     return nullptr;
   }
   const base::TimePoint now = m_clock.Now();
-  const auto [item, isNew] = m_domainChoices.try_emplace(
-    aCriteria.m_service->m_name, aCriteria.m_choice.m_ownDomain);
+  // During a roll-out the candidates are of one side only.
+  std::string key = aCriteria.m_service->m_name;
+  const auto& rollouts = m_watch.View().m_rollouts;
+  const auto rollout = rollouts.find(key);
+  if (rollout != rollouts.end() &&
+      aCandidates.front().m_instance->m_version == rollout->second.m_version) {
+    key += "/new";
+  }
+  const auto [item, isNew] =
+    m_domainChoices.try_emplace(key, aCriteria.m_choice.m_ownDomain);
   routing::DomainChoice& choice = item->second;
   const bool isDue =
     isNew || now - choice.UpdatedAt() >= detail::kDomainUpdatePeriod;
@@ -301,7 +309,9 @@
   }
   routing::ChoiceCriteria choice = aCriteria.m_choice;
   choice.m_domainChoice = UpdateDomainChoice(aCriteria, candidates);
-  choice.m_random = m_random();
+  if (!choice.m_random) {
+    choice.m_random = m_random();
+  }
   return available[routing::ChooseUpstream(candidates, choice, m_clock.Now())];
 }
 
--- a/chivefront/proxy/upstreams.h
+++ b/chivefront/proxy/upstreams.h
@@ -102,6 +102,9 @@
 
   // The upstream that Choose would return now, or null. Takes no permit.
   UpstreamPointer Preview(UpstreamCriteria aCriteria);
+  // A value for ChoiceCriteria::m_random, with which Preview and Choose decide
+  // alike.
+  uint64_t DrawRandom() { return m_random(); }
 
   // Whether Choose would return an upstream now. Takes no permit.
   bool HasAvailable(const UpstreamCriteria& aCriteria);
@@ -177,7 +180,7 @@
   // Requests that wait for an upstream with a request limit, by service.
   std::unordered_map<std::string, routing::WaitQueue> m_waitQueues;
   routing::RoundTrips m_roundTrips; // to upstreams
-  // By service; of services with engines only.
+  // By service, and by the side of a roll-out; of services with engines only.
   std::unordered_map<std::string, routing::DomainChoice> m_domainChoices;
   struct Forgotten
   {
--- a/chivefront/routing/load_probes.h
+++ b/chivefront/routing/load_probes.h
@@ -45,7 +45,8 @@
   static constexpr double kMinWaitingShare = 0.05;
   static constexpr double kReportWeight = 0.02;
   static constexpr double kProbeWeight = 0.05;
-  // Upstreams that answer probes like requests are not asked in vain.
+  // With more failed probes than this, upstreams queue health checks like
+  // requests, and asking them only delays the request.
   static constexpr double kMaxFailedShare = 0.5;
   static constexpr base::Millis kPause{ 10000 };
 
--- a/chivefront/routing/registry.h
+++ b/chivefront/routing/registry.h
@@ -2,7 +2,7 @@
 // that may arrive late, twice, out of order and from several control processes.
 //
 //   routing::Registry registry;
-//   registry.Merge(instance, now);
+//   registry.Merge(instance);
 //   for (const Instance& changed : registry.ChangedSince(sequence)) ...
 //   RegistryNews news = registry.NewsSince(sequence, now); // without renewals
 //
--- a/chivefront/routing/upstream_estimate.h
+++ b/chivefront/routing/upstream_estimate.h
@@ -65,8 +65,6 @@
   {
     return aNow - m_reported.m_receivedAt;
   }
-  // Requests that waited at the last report.
-  uint32_t ReportedWaiting() const { return m_reported.m_waiting; }
   // Estimated number of requests at the upstream, from all entries.
   double Load(base::TimePoint aNow) const;
   // Estimated number of those requests that have not begun to run.
--- a/chivefront/site/duty_metrics.cc
+++ b/chivefront/site/duty_metrics.cc
@@ -17,17 +17,17 @@
   , m_windowsWaiting(
       aMetrics.AddGauge("chivefront_duty_windows_waiting",
                         "Usage windows decided and not yet delivered."))
-  , m_windowsGivenUp(
-      aMetrics.AddGauge("chivefront_duty_windows_given_up",
-                        "Usage windows that were never delivered."))
+  , m_windowsGivenUp(aMetrics.AddGauge(
+      "chivefront_duty_windows_given_up",
+      "Usage windows dropped before their delivery, as too many waited."))
   , m_lastWindow(aMetrics.AddGauge(
       "chivefront_duty_last_window",
       "Number of the usage window that this process delivered last."))
   , m_ordersWaiting(aMetrics.AddGauge("chivefront_duty_orders_waiting",
                                       "Scaling orders not yet delivered."))
-  , m_backoff(
-      aMetrics.AddGauge("chivefront_duty_backoff_ms",
-                        "Pause after the last failed call; 0: none failed."))
+  , m_backoff(aMetrics.AddGauge(
+      "chivefront_duty_backoff_ms",
+      "Pause after the last call if it failed; 0: it did not."))
 {
 }
 
--- a/chivefront/site/duty_runner.cc
+++ b/chivefront/site/duty_runner.cc
@@ -197,15 +197,17 @@
   const absl::StatusOr<Outcome> outcome =
     co_await m_ports.m_commit(std::move(command));
   m_deciding.erase(window);
+  const bool committed = outcome.ok() && *outcome == Outcome::Accepted;
   m_log.Record("usage_decided",
-               outcome.ok() ? base::LogCategory::State
-                            : base::LogCategory::Failure,
+               committed ? base::LogCategory::State
+                         : base::LogCategory::Failure,
                { { "window", window },
                  { "teams", teams },
                  { "requests", requests },
                  { "result",
-                   outcome.ok() ? std::string_view("committed")
-                                : base::MessageOf(outcome.status()) } });
+                   committed      ? std::string_view("committed")
+                   : outcome.ok() ? std::string_view("not executed")
+                                  : base::MessageOf(outcome.status()) } });
 }
 
 // Confirms the windows that need no call any more, until the state says so.
--- a/chivefront/site/duty_state.h
+++ b/chivefront/site/duty_state.h
@@ -3,8 +3,9 @@
 //
 //   DutyState duties;
 //   duties.Execute(AcquireDuty{ duty::Duty::UsageReport, "edge-1", owner });
-//   duties.Execute(DecideUsage{ usage }); // the first decision of a window
-//   wins for (const duty::WindowUsage& usage : duties.Undelivered()) ...
+//   // The first decision of a window wins.
+//   duties.Execute(DecideUsage{ usage });
+//   for (const duty::WindowUsage& usage : duties.Undelivered()) ...
 //   duties.Execute(ConfirmUsage{ window });
 //
 // A window is reported to the outside service only after its decision is
--- a/chivefront/site/node.cc
+++ b/chivefront/site/node.cc
@@ -337,10 +337,10 @@
   std::vector<duty::WindowUsage> undecided;
   const auto state = m_store.Current();
   for (duty::WindowUsage& usage : DecidableUsage()) {
-    if (state->m_duties->IsDecided(usage.m_window)) {
-      m_usage->Forget(usage.m_window);
-    } else {
+    if (!state->m_duties->IsDecided(usage.m_window)) {
       undecided.push_back(std::move(usage));
+    } else if (undecided.empty()) { // Forget also drops all older windows
+      m_usage->Forget(usage.m_window);
     }
   }
   return undecided;
@@ -370,6 +370,8 @@
   m_registrations.OnTick(now, OtherControlProcesses());
   m_rateCoordinator.Expire(m_registrations.Known(), now);
   m_loadCollector.Expire(now);
+  // Nothing reads the totals yet. Taking them keeps the answers recent.
+  (void)m_loadCollector.TakeTotals(now);
   m_groupReporter.Report(m_group.Status());
   if (m_usage) {
     m_usage->OnTick(m_group.IsLeader(), now);
--- a/chivefront/site/usage_coordinator.cc
+++ b/chivefront/site/usage_coordinator.cc
@@ -52,9 +52,10 @@
     aReply.true_time_ms = static_cast<uint64_t>(*trueTime);
   }
   const bool isComplete = aRequest.registry_epoch == aReply.registry_epoch;
-  m_collector.Record(
-    aRequest.holder, ReadUsageReport(aRequest), isComplete, aNow);
-  aReply.usage_sequence = aRequest.usage_sequence;
+  if (m_collector.Record(
+        aRequest.holder, ReadUsageReport(aRequest), isComplete, aNow)) {
+    aReply.usage_sequence = aRequest.usage_sequence;
+  }
 }
 
 std::optional<wire::UsageRelayT>
