--- a/review/lib-2/engines.py
+++ b/review/lib-2/engines.py
@@ -150,8 +150,7 @@
                          f"5c1e07a2:119,{0xaa00+self.asked%3:08x}:449,{self.asked:08x}:1800")
 
     def watch(self, seconds, pause_s, engines, record):
-        """Asks for both kinds for some time. BROKEN if style-tag is served less
-        than a quarter as often as all requests."""
+        """Asks for both kinds for some time."""
         counts = {}
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -160,16 +159,21 @@
                     key = (kind, self.ask(kind, entry))
                     counts[key] = counts.get(key, 0) + 1
                 time.sleep(pause_s)
-        record.line(f"clients: in the last {seconds} s: {counts}")
-        record.line(f"engines: runs {[e.runs for e in engines]}, 421 answers "
-                    f"{[e.wrong for e in engines]}, crashes {[e.crashes for e in engines]}")
-        total = sum(counts.values())
-        served = sum(n for (_, status), n in counts.items() if status == 200)
-        tags = sum(n for (kind, _), n in counts.items() if kind == "style-tag")
-        served_tags = counts.get(("style-tag", 200), 0)
-        record.line(f"served: {served} of {total} of all, "
-                    f"{served_tags} of {tags} of style-tag")
-        return rig.BROKEN if served_tags / tags < served / total / 4 else rig.HELD
+        return judge(counts, seconds, engines, record)
+
+
+def judge(counts, seconds, engines, record):
+    """BROKEN if style-tag is served less than a quarter as often as all requests."""
+    record.line(f"clients: in the last {seconds} s: {counts}")
+    record.line(f"engines: runs {[e.runs for e in engines]}, 421 answers "
+                f"{[e.wrong for e in engines]}, crashes {[e.crashes for e in engines]}")
+    total = sum(counts.values())
+    served = sum(n for (_, status), n in counts.items() if status == 200)
+    tags = sum(n for (kind, _), n in counts.items() if kind == "style-tag")
+    served_tags = counts.get(("style-tag", 200), 0)
+    record.line(f"served: {served} of {total} of all, "
+                f"{served_tags} of {tags} of style-tag")
+    return rig.BROKEN if served_tags / tags < served / total / 4 else rig.HELD
 
 
 def start(deployment, record, model_engines):
