--- a/review/lib-2/engines.py
+++ b/review/lib-2/engines.py
@@ -2,6 +2,8 @@
 their clients."""
 import http.client
 import http.server
+import socket
+import struct
 import threading
 import time
 
@@ -14,33 +16,68 @@
 HOSTS = [("127.0.1.1", "addis-a"), ("127.0.1.2", "addis-b"), ("127.0.1.3", "addis-c")]
 
 
-class Engine(http.server.ThreadingHTTPServer):
-    """An engine. It registers itself, and again after a crash."""
+class Listener(http.server.ThreadingHTTPServer):
+    """The connections of an engine from one start to the next crash."""
 
     daemon_threads = True
     request_queue_size = 64
 
-    def __init__(self, name, service, zone, models, control, record):
-        super().__init__(("127.0.0.1", 0), Handler)
+    def __init__(self, engine):
+        super().__init__(("127.0.0.1", engine.port), Handler)
+        self.engine = engine
+        self.connections = []
+        threading.Thread(target=self.serve_forever, args=(0.02,), daemon=True).start()
+
+    def process_request(self, request, client_address):
+        self.connections.append(request)
+        super().process_request(request, client_address)
+
+    def crash(self):
+        """Refuses connections from now on, and resets those that are open."""
+        self.shutdown()
+        self.server_close()
+        for connection in self.connections:
+            try:
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                      struct.pack("ii", 1, 0))
+                connection.shutdown(socket.SHUT_RD)
+                connection.close()
+            except OSError:
+                pass  # it had been closed before
+
+    def handle_error(self, request, client_address):
+        pass  # a connection that was reset by the crash
+
+
+class Engine:
+    """An engine. It registers itself, and again after a crash."""
+
+    def __init__(self, name, service, zone, models, deployment, record):
         self.name, self.service, self.zone = name, service, zone
-        self.models, self.control, self.record = models, control, record
-        self.born = int(time.time() * 1000)
-        self.down_until = 0.0
+        self.models, self.control, self.record = models, deployment.seeds, record
+        self.port = deployment.reserve_ports(1)[0]
         self.runs = 0
         self.wrong = 0
         self.crashes = 0
-        threading.Thread(target=self.serve_forever, daemon=True).start()
+        self.lock = threading.Lock()
+        self.down_until = 0.0
+        self.start()
         threading.Thread(target=self.register, daemon=True).start()
 
+    def start(self):
+        self.born = int(time.time() * 1000)
+        self.listener = Listener(self)
+
     def is_down(self):
         return time.monotonic() < self.down_until
 
-    def verify_request(self, request, client_address):
-        return not self.is_down()  # closes new connections while it is down
-
     def crash(self):
-        self.crashes += 1
-        self.down_until = time.monotonic() + RESTART_S
+        with self.lock:
+            if self.is_down():
+                return
+            self.crashes += 1
+            self.down_until = time.monotonic() + RESTART_S
+        self.listener.crash()
 
     def register(self):
         sequence = 0
@@ -48,7 +85,8 @@
         while True:
             if self.is_down():
                 time.sleep(max(0.0, self.down_until - time.monotonic()))
-                self.born, sequence, due = int(time.time() * 1000), 0, 0.0
+                self.start()
+                sequence, due = 0, 0.0
                 self.record.line(f"engine {self.name}: started again")
             if time.monotonic() >= due:
                 sequence += 1
@@ -58,7 +96,7 @@
 
     def beat(self, sequence):
         body = {"service": self.service, "zone": self.zone, "version": "v1",
-                "address": f"127.0.0.1:{self.server_port}", "slots": 64,
+                "address": f"127.0.0.1:{self.port}", "slots": 64,
                 "state": "ready", "warmup-left-ms": 0, "stage": "both",
                 "models": [{"name": model, "version": 1, "adapters": []}
                            for model in self.models],
@@ -79,7 +117,7 @@
         pass
 
     def answer(self):
-        engine = self.server
+        engine = self.server.engine
         body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
         attempt = self.headers.get("X-Attempt-Id", "")
         if engine.is_down():
@@ -127,6 +165,7 @@
     def __init__(self, entries):
         self.entries = entries
         self.asked = 0
+        self.counts = {}  # of all requests that keep to the pages, by kind and status
 
     def send(self, entry, path, attempt, model="", parts=""):
         """One request; returns its status or the name of an error."""
@@ -145,26 +184,29 @@
         part of their prompt, a third of them the second; the last is their own."""
         self.asked += 1
         if kind == "supply-order":
-            return self.send(entry, "/supply-order/x", f"order-{self.asked}")
-        return self.send(entry, "/style-tag/x", f"tag-{self.asked}", "*",
-                         f"5c1e07a2:119,{0xaa00+self.asked%3:08x}:449,{self.asked:08x}:1800")
-
-    def watch(self, seconds, pause_s, engines, record):
+            status = self.send(entry, "/supply-order/x", f"order-{self.asked}")
+        else:
+            shared = f"5c1e07a2:119,{0xaa00 + self.asked % 3:08x}:449"
+            status = self.send(entry, "/style-tag/x", f"tag-{self.asked}", "*",
+                               f"{shared},{self.asked:08x}:1800")
+        self.counts[kind, status] = self.counts.get((kind, status), 0) + 1
+        return status
+
+    def watch(self, seconds, pause_s):
         """Asks for both kinds for some time."""
-        counts = {}
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             for entry in self.entries:
                 for kind in ("style-tag", "supply-order"):
-                    key = (kind, self.ask(kind, entry))
-                    counts[key] = counts.get(key, 0) + 1
+                    self.ask(kind, entry)
                 time.sleep(pause_s)
-        return judge(counts, seconds, engines, record)
 
 
-def judge(counts, seconds, engines, record):
-    """BROKEN if style-tag is served less than a quarter as often as all requests."""
-    record.line(f"clients: in the last {seconds} s: {counts}")
+def judge(clients, engines, record):
+    """BROKEN if style-tag is served less than a quarter as often as all requests,
+    over the whole run."""
+    counts = clients.counts
+    record.line(f"clients: in the whole run: {counts}")
     record.line(f"engines: runs {[e.runs for e in engines]}, 421 answers "
                 f"{[e.wrong for e in engines]}, crashes {[e.crashes for e in engines]}")
     total = sum(counts.values())
@@ -193,13 +235,13 @@
     if status != 200:
         raise rig.CannotRun("the configuration was not acknowledged")
     engines = [Engine(f"i-llm-{i}", "pleat-llm", HOSTS[i % 3][1], MODELS,
-                      deployment.seeds, record) for i in range(model_engines)]
+                      deployment, record) for i in range(model_engines)]
     engines += [Engine(f"i-desk-{i}", "order-desk", HOSTS[i][1], [],
-                       deployment.seeds, record) for i in range(3)]
+                       deployment, record) for i in range(3)]
     time.sleep(5)
     clients = Clients(entries)
     before = [clients.ask(kind, entry) for kind in ("style-tag", "supply-order")
-              for entry in entries for _ in range(5)]
+              for entry in entries]
     record.line(f"clients: before: {before}")
     if any(status != 200 for status in before):
         raise rig.CannotRun("not all requests were served at the start")
--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -255,11 +255,16 @@
         record.line("target/bin/chivefront-node is missing: run the build first")
         return NOT_RUN
     deployment = Deployment(record)
+    # Ends the processes also when the script is stopped.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     try:
         result = play(deployment, record)
     except CannotRun as error:
         record.line(f"could not run: {error}")
         result = NOT_RUN
+    except Exception as error:  # a fault of the case says nothing about the rule
+        record.line(f"could not run: {type(error).__name__}: {error}")
+        result = NOT_RUN
     finally:
         keep = os.environ.get("KEEP_LOGS")
         if keep:
