Give the vote of a host to its successor while both run

Cause: the group learnt of a replacement only from silence. The successor, which held everything, stayed a learner until its predecessor had been silent for 5 s, so the removal used up the loss that is to be borne.

Change: a process that joins with an empty disk after the first start is marked as a newcomer in the membership. The vote of an older member of its domain goes to another replica: the learner votes first, then the older voter becomes a learner; a leader hands over before. The removal of the older host then takes nothing from the group, at whatever moment. The field is new in the stored membership; older builds ignore it.

--- a/chivefront/consensus/codec.cc
+++ b/chivefront/consensus/codec.cc
@@ -52,7 +52,8 @@
                          replica.m_identity,
                          replica.m_voter,
                          aBuilder.CreateString(replica.m_domain),
-                         replica.m_diskless));
+                         replica.m_diskless,
+                         static_cast<uint8_t>(replica.m_succession)));
   }
   return aBuilder.CreateVector(members);
 }
@@ -77,6 +78,14 @@
   return aText == nullptr ? std::string() : aText->str();
 }
 
+// A value that this release doesn't know makes no newcomer.
+Succession
+ToSuccession(uint8_t aValue)
+{
+  const auto last = static_cast<uint8_t>(Succession::Open);
+  return aValue <= last ? static_cast<Succession>(aValue) : Succession::None;
+}
+
 template<typename Table>
 Membership
 UnpackMembers(const Table& aTable)
@@ -88,7 +97,8 @@
                              member->identity(),
                              member->voter(),
                              ToString(member->domain()),
-                             member->diskless() });
+                             member->diskless(),
+                             ToSuccession(member->succession()) });
     }
   }
   return membership;
--- a/chivefront/consensus/core.cc
+++ b/chivefront/consensus/core.cc
@@ -404,6 +404,7 @@
       }
     }
     ProposeMembershipChange(aNow);
+    HandOverSurplusVote(aNow);
     UpdateGrowth(aNow);
   } else if (aNow >= m_electionDue) {
     ResetElectionTimer(aNow);
--- a/chivefront/consensus/core.h
+++ b/chivefront/consensus/core.h
@@ -271,11 +271,17 @@
   bool MayAcknowledge() const;
   void UpdateGrowth(base::TimePoint aNow);
   std::set<uint64_t> ReadyLearners(base::TimePoint aNow) const;
+  std::set<uint64_t> HeardReplicas(base::TimePoint aNow) const;
   std::optional<Membership> AdmitReplica() const;
   std::optional<Membership> ReplaceLostVoter(base::TimePoint aNow) const;
+  bool IsBetterVoter(size_t aNext, base::TimePoint aNow) const;
   std::optional<Membership> AddVoter(base::TimePoint aNow) const;
   std::optional<Membership> RemoveSilentReplica(base::TimePoint aNow) const;
+  bool HasSurplusVote(base::TimePoint aNow) const;
   std::optional<Membership> RemoveSurplusVote(base::TimePoint aNow) const;
+  std::optional<size_t> FindSupersededVoter(base::TimePoint aNow) const;
+  bool IsSurplusVoter(base::TimePoint aNow) const;
+  void HandOverSurplusVote(base::TimePoint aNow);
   std::set<uint64_t> LostReplicas() const;
   bool KeepsTolerance(const Membership& aNext) const;
   bool HasSilentVoter(base::TimePoint aNow) const;
@@ -325,6 +331,10 @@
   size_t m_growthVoters = 0; // number of voters at the last tick
   base::TimePoint m_growthDeadline;
   bool m_growthTimedOut = false; // as of the last tick
+  // Earliest time of the next attempt to hand the leadership over because the
+  // vote of this replica is the surplus one. A transfer refuses commands, so a
+  // failed one is not repeated at once.
+  base::TimePoint m_handOverDue;
   // Replicas to be added as learners, by process name.
   std::map<std::string, Replica> m_admissionRequests;
 
--- a/chivefront/consensus/group.h
+++ b/chivefront/consensus/group.h
@@ -44,6 +44,15 @@
   virtual absl::Status Restore(std::string_view aSnapshot) = 0;
 };
 
+// Whether a member is a newcomer: a process that joined with an empty disk
+// after the first start of the deployment. Its host may have come to replace an
+// older host of its failure domain.
+enum class Succession : uint8_t
+{
+  None, // a member from the start, or one that came back with its disk
+  Open, // a newcomer; an older member of its domain may be about to leave
+};
+
 // A member of a group. m_identity is chosen at random when the data folder is
 // created, so a host that lost its disk comes back as another replica.
 struct Replica
@@ -54,6 +63,7 @@
   std::string m_domain; // failure domain; empty when not known
   // Its log and identity end with its process, so it never votes.
   bool m_diskless = false;
+  Succession m_succession = Succession::None;
 };
 
 struct GroupOptions
@@ -75,11 +85,15 @@
   // 0 for a static membership: the processes named in m_initialMembers are the
   // members, and all of them vote. Otherwise the membership is dynamic: any
   // process may join, as a learner at first, and at least this many members
-  // vote: all with a durable disk, or one fewer when their number is even. A
-  // voter that is silent for m_replaceAfter is replaced by a caught-up learner.
-  // The voters are spread over the failure domains, as far as members allow it.
+  // 0 for a static membership: the processes named in m_initialMembers are the
+  // members, and all of them vote. Otherwise the membership is dynamic: any
+  // process may join, as a learner at first, and at least this many members
+  // vote: all with a durable disk, or one fewer when their number is even. The
+  // voters are spread over the failure domains, as far as members allow it.
   // While voters are expected to join, commands get NotLeader.
   uint32_t m_targetVoters = 0;
+  // With dynamic membership, a voter that is silent for m_replaceAfter is
+  // replaced by a caught-up learner.
   base::Millis m_replaceAfter{ 5000 };
   std::string m_folder; // data folder of this group; not used when m_diskless
   base::Millis m_electionTimeout{ 400 };
--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -13,6 +13,11 @@
 // removed or becomes a learner then. A removed replica that returns becomes a
 // learner again.
 //
+// Succession: a newcomer, which joins with an empty disk after the first start,
+// may have come to replace an older member of its domain. It gets the vote of a
+// voter there while that one still runs, so the removal of the older host takes
+// nothing from the group.
+//
 // No change leaves a group that bears fewer losses than stated. A silent voter
 // counts for this, because it may only be cut off: with it, the voters left
 // after a lost disk can still be a majority. A single change can't replace a
@@ -58,16 +63,27 @@
                                  const Message& aMessage,
                                  TimePoint aNow)
 {
-  const Replica joining{
+  Replica joining{
     aName, aMessage.m_from, false, aMessage.m_domain, aMessage.m_diskless
   };
+  // A process that returns with its disk has left the stage Empty, and one
+  // without a disk can't take a vote.
+  if (aMessage.m_stage == Stage::Empty && !aMessage.m_mayBootstrap &&
+      !aMessage.m_diskless) {
+    joining.m_succession = Succession::Open;
+  }
   if (aName == m_options.m_name || m_peers.count(joining.m_identity) > 0) {
     return;
   }
   bool hasMember = false;
-  for (const auto& [identity, peer] : m_peers) {
-    hasMember = hasMember || peer.m_name == aName;
-    if (peer.m_name == aName && !HeardRecently(identity, aNow)) {
+  for (const Replica& member : Members()) {
+    if (member.m_name != aName) {
+      continue;
+    }
+    hasMember = true;
+    // A lost disk makes no newcomer: the host is the same.
+    joining.m_succession = member.m_succession;
+    if (!HeardRecently(member.m_identity, aNow)) {
       m_admissionRequests[aName] = joining;
     }
   }
@@ -210,23 +226,63 @@
   return std::nullopt;
 }
 
-// Dynamic membership: the change that takes the vote of a voter beyond the
-// target. While a voter is not heard, it waits: that voter may have to be
-// removed.
+// Dynamic membership: whether a voter beyond the target should give up its
+// vote. While a voter is not heard, it is kept: that voter may have to give up
+// its vote in its place.
+bool
+RaftCore::HasSurplusVote(TimePoint aNow) const
+{
+  return m_options.m_targetVoters > 0 && CountVoters() > TargetVoters() &&
+         std::all_of(
+           Members().begin(), Members().end(), [&](const Replica& aReplica) {
+             return !aReplica.m_voter ||
+                    aReplica.m_identity == m_options.m_identity ||
+                    HeardRecently(aReplica.m_identity, aNow);
+           });
+}
+
+// Index of the oldest voter whose host may be about to leave, because a
+// newcomer can take its place.
+std::optional<size_t>
+RaftCore::FindSupersededVoter(TimePoint aNow) const
+{
+  const Membership& members = Members();
+  const std::set<uint64_t> superseded =
+    SupersededMembers(members, HeardReplicas(aNow));
+  for (size_t i = 0; i < members.size(); ++i) {
+    if (members[i].m_voter && superseded.count(members[i].m_identity) > 0) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+// Whether the surplus vote is the one of this replica, the leader. It hands the
+// leadership over first.
+bool
+RaftCore::IsSurplusVoter(TimePoint aNow) const
+{
+  if (!HasSurplusVote(aNow)) {
+    return false;
+  }
+  const auto superseded = FindSupersededVoter(aNow);
+  return superseded &&
+         Members()[*superseded].m_identity == m_options.m_identity;
+}
+
+// The change that takes the vote of a voter beyond the target: of one that a
+// newcomer supersedes, or else of one in the most crowded domain.
 std::optional<Membership>
 RaftCore::RemoveSurplusVote(TimePoint aNow) const
 {
-  if (m_options.m_targetVoters == 0 || CountVoters() <= TargetVoters()) {
+  if (!HasSurplusVote(aNow) || IsSurplusVoter(aNow)) {
     return std::nullopt;
   }
   Membership next = Members();
-  for (const Replica& replica : next) {
-    if (replica.m_voter && replica.m_identity != m_options.m_identity &&
-        !HeardRecently(replica.m_identity, aNow)) {
-      return std::nullopt;
-    }
+  auto surplus = FindSupersededVoter(aNow);
+  if (!surplus) {
+    surplus = ChooseSurplusVoter(next, m_options.m_identity);
   }
-  const auto surplus = ChooseSurplusVoter(next, m_options.m_identity);
   if (!surplus) {
     return std::nullopt;
   }
@@ -234,6 +290,19 @@
   return KeepsTolerance(next) ? std::optional(next) : std::nullopt;
 }
 
+// Hands the leadership over so that the next leader can take the vote of this
+// replica.
+void
+RaftCore::HandOverSurplusVote(TimePoint aNow)
+{
+  if (aNow < m_handOverDue || m_transferTarget != 0 ||
+      m_memberships.back().first > m_commitIndex || !IsSurplusVoter(aNow)) {
+    return;
+  }
+  m_handOverDue = aNow + m_options.m_replaceAfter;
+  TransferLeadership(aNow);
+}
+
 bool
 RaftCore::HeardRecently(uint64_t aIdentity, TimePoint aNow) const
 {
@@ -310,21 +379,27 @@
   return ready;
 }
 
-// The change that adds a replica as a learner. It takes the place of an earlier
-// learner of the same process.
+// The replicas that answer, with this one.
+std::set<uint64_t>
+RaftCore::HeardReplicas(TimePoint aNow) const
+{
+  std::set<uint64_t> heard{ m_options.m_identity };
+  for (const auto& [identity, peer] : m_peers) {
+    if (HeardRecently(identity, aNow)) {
+      heard.insert(identity);
+    }
+  }
+  return heard;
+}
+
+// The change that adds a replica as a learner.
 std::optional<Membership>
 RaftCore::AdmitReplica() const
 {
   if (m_admissionRequests.empty()) {
     return std::nullopt;
   }
-  const Replica& joining = m_admissionRequests.begin()->second;
-  Membership next = Members();
-  std::erase_if(next, [&](const Replica& aReplica) {
-    return aReplica.m_name == joining.m_name && !aReplica.m_voter;
-  });
-  next.push_back(joining);
-  return next;
+  return WithLearner(Members(), m_admissionRequests.begin()->second);
 }
 
 // The change for a learner whose process was a voter under another identity.
@@ -359,22 +434,41 @@
   return std::nullopt;
 }
 
+// Whether the learner at aNext should vote in place of a voter that is heard.
+bool
+RaftCore::IsBetterVoter(size_t aNext, TimePoint aNow) const
+{
+  return m_options.m_targetVoters > 0 &&
+         (FindSupersededVoter(aNow) ||
+          IsBetterPlaced(
+            Members(), aNext, TargetVoters(), m_options.m_identity));
+}
+
 // The change that lets a learner vote: while there are too few voters, in
-// addition to a silent voter, or in addition to a voter in a domain whose loss
-// would leave no majority. The other voter is removed with the next change.
+// addition to a silent voter, in addition to a voter in a domain whose loss
+// would leave no majority, or in addition to a superseded voter. The other
+// voter gives up its vote with the next change. A superseded learner votes only
+// if no other can.
 std::optional<Membership>
 RaftCore::AddVoter(TimePoint aNow) const
 {
+  if (CountVoters() > TargetVoters()) {
+    return std::nullopt;
+  }
   Membership next = Members();
-  const auto chosen = ChooseNextVoter(next, ReadyLearners(aNow));
-  if (!chosen || CountVoters() > TargetVoters()) {
+  const std::set<uint64_t> ready = ReadyLearners(aNow);
+  if (ready.empty()) {
     return std::nullopt;
   }
-  const bool isNeeded =
-    CountVoters() < TargetVoters() || HasSilentVoter(aNow) ||
-    (m_options.m_targetVoters > 0 &&
-     IsBetterPlaced(next, *chosen, TargetVoters(), m_options.m_identity));
-  if (!isNeeded) {
+  std::set<uint64_t> staying = ready;
+  for (const uint64_t identity : SupersededMembers(next, HeardReplicas(aNow))) {
+    staying.erase(identity);
+  }
+  const auto chosen = ChooseNextVoter(next, staying.empty() ? ready : staying);
+  const bool isNeeded = CountVoters() < TargetVoters() ||
+                        HasSilentVoter(aNow) ||
+                        (!staying.empty() && IsBetterVoter(*chosen, aNow));
+  if (!chosen || !isNeeded) {
     return std::nullopt;
   }
   next[*chosen].m_voter = true;
--- a/chivefront/consensus/raft_generated.hpp
+++ b/chivefront/consensus/raft_generated.hpp
@@ -262,6 +262,7 @@
   bool voter = false;
   std::string domain{};
   bool diskless = false;
+  uint8_t succession = 0;
 };
 
 struct Member FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -273,7 +274,8 @@
     VT_IDENTITY = 6,
     VT_VOTER = 8,
     VT_DOMAIN = 10,
-    VT_DISKLESS = 12
+    VT_DISKLESS = 12,
+    VT_SUCCESSION = 14
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -290,6 +292,9 @@
   bool diskless() const {
     return GetField<uint8_t>(VT_DISKLESS, 0) != 0;
   }
+  uint8_t succession() const {
+    return GetField<uint8_t>(VT_SUCCESSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -299,6 +304,7 @@
            VerifyOffset(verifier, VT_DOMAIN) &&
            verifier.VerifyString(domain()) &&
            VerifyField<uint8_t>(verifier, VT_DISKLESS, 1) &&
+           VerifyField<uint8_t>(verifier, VT_SUCCESSION, 1) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -325,6 +331,9 @@
   void add_diskless(bool diskless) {
     fbb_.AddElement<uint8_t>(Member::VT_DISKLESS, static_cast<uint8_t>(diskless), 0);
   }
+  void add_succession(uint8_t succession) {
+    fbb_.AddElement<uint8_t>(Member::VT_SUCCESSION, succession, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -342,11 +351,13 @@
     uint64_t identity = 0,
     bool voter = false,
     flatbuffers::Offset<flatbuffers::String> domain = 0,
-    bool diskless = false) {
+    bool diskless = false,
+    uint8_t succession = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_identity(identity);
   builder_.add_domain(domain);
   builder_.add_name(name);
+  builder_.add_succession(succession);
   builder_.add_diskless(diskless);
   builder_.add_voter(voter);
   return builder_.Finish();
@@ -363,7 +374,8 @@
     uint64_t identity = 0,
     bool voter = false,
     const char *domain = nullptr,
-    bool diskless = false) {
+    bool diskless = false,
+    uint8_t succession = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto domain__ = domain ? _fbb.CreateString(domain) : 0;
   return chivefront::consensus::raft::CreateMember(
@@ -372,7 +384,8 @@
       identity,
       voter,
       domain__,
-      diskless);
+      diskless,
+      succession);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1130,6 +1143,7 @@
   { auto _e = voter(); _o->voter = _e; }
   { auto _e = domain(); if (_e) _o->domain = _e->str(); }
   { auto _e = diskless(); _o->diskless = _e; }
+  { auto _e = succession(); _o->succession = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1145,13 +1159,15 @@
   auto _voter = _o->voter;
   auto _domain = _o->domain.empty() ? 0 : _fbb.CreateString(_o->domain);
   auto _diskless = _o->diskless;
+  auto _succession = _o->succession;
   return chivefront::consensus::raft::CreateMember(
       _fbb,
       _name,
       _identity,
       _voter,
       _domain,
-      _diskless);
+      _diskless,
+      _succession);
 }
 
 inline MembershipT::MembershipT(const MembershipT &o) {
--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <sstream>
 
+#include "chivefront/consensus/voter_choice.h"
+
 namespace chivefront::consensus {
 namespace {
 
@@ -18,7 +20,9 @@
   const auto initial = static_cast<uint32_t>(m_initialNames.size());
   GroupOptions options;
   options.m_name = aName;
-  options.m_initialMembers = m_initialNames;
+  const auto seeds = m_seeds.find(aName);
+  options.m_initialMembers =
+    seeds == m_seeds.end() ? m_initialNames : seeds->second;
   if (isDynamic) {
     options.m_targetVoters =
       m_layout.m_targetVoters > 0 ? m_layout.m_targetVoters : initial;
@@ -31,7 +35,7 @@
   options.m_mayBootstrap =
     (m_layout.m_diskless.empty() && !m_layout.m_onlyFirstStartBootstraps) ||
     m_hosts.at(aName).m_starts == 0;
-  options.m_replaceAfter = base::Millis(1500);
+  options.m_replaceAfter = m_layout.m_replaceAfter;
   options.m_fastFirstElection = isDynamic;
   // Small limits, so that short runs start new segments, compact the log and
   // send snapshots.
@@ -101,6 +105,18 @@
   }
 }
 
+int64_t
+Simulation::LossesLeft(const Membership& aMembers) const
+{
+  std::set<uint64_t> lost;
+  for (const Replica& replica : aMembers) {
+    if (!HasDiskOf(replica)) {
+      lost.insert(replica.m_identity);
+    }
+  }
+  return ToleratedLosses(aMembers, lost);
+}
+
 void
 Simulation::Expect(bool aHolds, const std::string& aRule)
 {
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -29,6 +29,7 @@
   bool m_onlyFirstStartBootstraps = false;
   // Small, so that short runs send snapshots in several chunks.
   size_t m_snapshotChunkBytes = 200;
+  base::Millis m_replaceAfter{ 1500 }; // as in GroupOptions
 };
 
 class Simulation
@@ -66,6 +67,11 @@
   void CrashInsideWrite(const std::string& aName);
   void Restart(const std::string& aName);
   void LoseDisk(const std::string& aName);
+  // From its next start on, the host is told these names as initial members.
+  void SetSeeds(const std::string& aName, std::vector<std::string> aSeeds)
+  {
+    m_seeds[aName] = std::move(aSeeds);
+  }
   // While its disk is full, a replica is paused.
   void SetDiskFull(const std::string& aName, bool aFull)
   {
@@ -112,6 +118,10 @@
   {
     return m_hosts.at(aReplica.m_name).m_identity == aReplica.m_identity;
   }
+  // How many more voters of aMembers may be lost for good while the others hold
+  // a majority. Counts the disks that are lost in fact, whether the group knows
+  // or not.
+  int64_t LossesLeft(const Membership& aMembers) const;
   GroupStatus StatusOf(const std::string& aName)
   {
     return DriverOf(aName).Status(m_now);
@@ -189,6 +199,8 @@
   const std::vector<std::string> m_initialNames;
   const SimulationLayout m_layout;
   std::vector<std::string> m_names; // of all hosts
+  // By host, instead of m_initialNames.
+  std::map<std::string, std::vector<std::string>> m_seeds;
   base::EventLog m_events{ "simulation", "", 1 };
   base::TimePoint m_now;
   std::map<std::string, Host> m_hosts;
--- a/chivefront/consensus/voter_choice.cc
+++ b/chivefront/consensus/voter_choice.cc
@@ -66,6 +66,59 @@
     });
 }
 
+std::optional<size_t>
+FindSuccessor(const Membership& aMembers,
+              size_t aOlder,
+              const std::set<uint64_t>& aHeard)
+{
+  const Replica& older = aMembers[aOlder];
+  if (older.m_domain.empty() || older.m_diskless) {
+    return std::nullopt;
+  }
+  for (size_t i = aOlder + 1; i < aMembers.size(); ++i) {
+    const Replica& replica = aMembers[i];
+    if (replica.m_succession == Succession::Open &&
+        replica.m_domain == older.m_domain && replica.m_name != older.m_name &&
+        aHeard.count(replica.m_identity) > 0) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::set<uint64_t>
+SupersededMembers(const Membership& aMembers, const std::set<uint64_t>& aHeard)
+{
+  std::set<uint64_t> superseded;
+  for (size_t i = 0; i < aMembers.size(); ++i) {
+    if (FindSuccessor(aMembers, i, aHeard)) {
+      superseded.insert(aMembers[i].m_identity);
+    }
+  }
+  return superseded;
+}
+
+Membership
+WithLearner(const Membership& aMembers, const Replica& aJoining)
+{
+  Membership next = aMembers;
+  const auto isSameHost = [&](const Replica& aReplica) {
+    return aReplica.m_name == aJoining.m_name;
+  };
+  const auto known = std::find_if(next.begin(), next.end(), isSameHost);
+  if (known != next.end()) {
+    // Beside the old voter, or in the place of the old learner.
+    const auto place = known - next.begin() + (known->m_voter ? 1 : 0);
+    std::erase_if(next, [&](const Replica& aReplica) {
+      return isSameHost(aReplica) && !aReplica.m_voter;
+    });
+    next.insert(next.begin() + place, aJoining);
+    return next;
+  }
+  next.push_back(aJoining);
+  return next;
+}
+
 std::optional<size_t>
 ChooseSurplusVoter(const Membership& aMembers, uint64_t aLeader)
 {
--- a/chivefront/consensus/voter_choice.h
+++ b/chivefront/consensus/voter_choice.h
@@ -30,6 +30,27 @@
                size_t aTarget,
                uint64_t aLeader);
 
+// Index of the newcomer that can take the place of the member at aOlder: the
+// first one with an open succession in the same domain that joined later and is
+// in aHeard (identities). The members are in the order in which their hosts
+// joined. Nothing without such a newcomer, when the domain is not known, or for
+// a member without a disk, which has no vote.
+std::optional<size_t>
+FindSuccessor(const Membership& aMembers,
+              size_t aOlder,
+              const std::set<uint64_t>& aHeard);
+
+// Identities of the members with a successor in aHeard. Their hosts may be
+// removed at any moment, and at the same moment others be lost, so they should
+// have no vote when another replica can have it.
+std::set<uint64_t>
+SupersededMembers(const Membership& aMembers, const std::set<uint64_t>& aHeard);
+
+// The membership with aJoining as a learner. It keeps the place of its host
+// when that is a member already: an earlier learner of the host leaves.
+Membership
+WithLearner(const Membership& aMembers, const Replica& aJoining);
+
 // Index of the voter that should give up its vote when there is one more than
 // wanted: of the voters other than aLeader, the last one in the domain with the
 // most voters. Nothing without such a voter.
--- a/chivefront/consensus/voter_choice_test.cc
+++ b/chivefront/consensus/voter_choice_test.cc
@@ -20,6 +20,13 @@
   return { "host-" + std::to_string(aIdentity), aIdentity, false, aDomain };
 }
 
+Replica
+Newcomer(Replica aReplica)
+{
+  aReplica.m_succession = Succession::Open;
+  return aReplica;
+}
+
 } // namespace
 
 // Guards against three of five voters in one domain: the first learner in the
@@ -110,3 +117,46 @@
   two.push_back(Learner(5, ""));
   BOOST_TEST(ToleratedLosses(two, {}) == 0);
 }
+
+// Guards against a newcomer that takes the place of a host which it can't have
+// replaced: one of another domain, a later one, or one that has no vote.
+BOOST_AUTO_TEST_CASE(NewcomerSucceedsAnOlderMemberOfItsDomain)
+{
+  Membership members{
+    Voter(1, "a"), Voter(2, "b"), Newcomer(Learner(3, "b")), Learner(4, "b")
+  };
+  BOOST_TEST(!FindSuccessor(members, 0, { 1, 2, 3, 4 }).has_value());
+  BOOST_TEST(FindSuccessor(members, 1, { 1, 2, 3, 4 }).value() == 2U);
+  BOOST_TEST(!FindSuccessor(members, 1, { 1, 2, 4 }).has_value());
+  BOOST_TEST(!FindSuccessor(members, 3, { 1, 2, 3, 4 }).has_value());
+  BOOST_TEST(
+    (SupersededMembers(members, { 1, 2, 3 }) == std::set<uint64_t>{ 2 }));
+  members[1].m_diskless = true;
+  BOOST_TEST(!FindSuccessor(members, 1, { 1, 2, 3, 4 }).has_value());
+  // Hosts without a domain can't be matched.
+  const Membership unknown{ Voter(1, ""), Newcomer(Learner(2, "")) };
+  BOOST_TEST(!FindSuccessor(unknown, 0, { 1, 2 }).has_value());
+}
+
+// Guards against a host that loses its place before its successor when it loses
+// its disk.
+BOOST_AUTO_TEST_CASE(ReturningHostKeepsItsPlace)
+{
+  const Membership members{ Voter(1, "a"),
+                            Learner(2, "a"),
+                            Newcomer(Voter(3, "a")) };
+  Replica returning = Learner(12, "a");
+  returning.m_name = "host-2";
+  Membership next = WithLearner(members, returning);
+  BOOST_REQUIRE(next.size() == 3U);
+  BOOST_TEST(next[1].m_identity == 12U);
+  // Its old voter stays until the new replica has caught up.
+  returning.m_name = "host-1";
+  next = WithLearner(members, returning);
+  BOOST_REQUIRE(next.size() == 4U);
+  BOOST_TEST(next[0].m_identity == 1U);
+  BOOST_TEST(next[1].m_identity == 12U);
+  // A newcomer joins last.
+  next = WithLearner(members, Newcomer(Learner(4, "a")));
+  BOOST_TEST(next.back().m_identity == 4U);
+}
--- a/chivefront/site/group_reporter.cc
+++ b/chivefront/site/group_reporter.cc
@@ -16,18 +16,21 @@
 }
 
 // One word for each member: name, failure domain, role and identity. The
-// identity distinguishes a host that lost its disk from the host before.
+// identity distinguishes a host that lost its disk from the host before. A
+// newcomer is marked until an older member has left in its favour.
 std::string
 DescribeMembers(const consensus::GroupStatus& aStatus)
 {
   std::string text;
   for (const consensus::Replica& replica : aStatus.m_replicas) {
     text += text.empty() ? "" : " ";
-    text += replica.m_name + "/" + replica.m_domain +
-            (replica.m_voter      ? "/voter/"
-             : replica.m_diskless ? "/diskless/"
-                                  : "/learner/") +
-            std::to_string(replica.m_identity);
+    text +=
+      replica.m_name + "/" + replica.m_domain +
+      (replica.m_voter      ? "/voter/"
+       : replica.m_diskless ? "/diskless/"
+                            : "/learner/") +
+      std::to_string(replica.m_identity) +
+      (replica.m_succession == consensus::Succession::Open ? "/newcomer" : "");
   }
   return text;
 }
