--- a/chivefront/consensus/membership.cc
+++ b/chivefront/consensus/membership.cc
@@ -268,7 +268,7 @@
 }
 
 // Index of the oldest voter whose host may be about to leave, because a
-// newcomer can take its place.
+// newcomer can take its place. Nothing without such a voter.
 std::optional<size_t>
 RaftCore::FindSupersededVoter(TimePoint aNow) const
 {
--- a/chivefront/consensus/replacement_test.cc
+++ b/chivefront/consensus/replacement_test.cc
@@ -48,10 +48,6 @@
   Killed,  // the same, but the host does not hand its leadership over
 };
 
-constexpr Removal kRemovals[] = { Removal::Abrupt,
-                                  Removal::Planned,
-                                  Removal::Killed };
-
 struct Shape
 {
   size_t m_hosts = 0;
--- a/chivefront/consensus/simulation.h
+++ b/chivefront/consensus/simulation.h
@@ -29,7 +29,8 @@
   bool m_onlyFirstStartBootstraps = false;
   // Small, so that short runs send snapshots in several chunks.
   size_t m_snapshotChunkBytes = 200;
-  // As in GroupOptions; the removal of silent members takes a short run.
+  // As in GroupOptions. The second is shorter than there, so that short runs
+  // see silent members removed.
   base::Millis m_replaceAfter{ 1500 };
   base::Millis m_removeAfter{ 6000 };
 };
