Count lost disks in the simulation without the product's function

The judge of tolerance_test had counted by itself; since it moved into the simulation it used ToleratedLosses, so a fault of that function would have hidden itself. Change: Simulation::LossesLeft counts voters and disks itself again.

--- a/chivefront/consensus/simulation.cc
+++ b/chivefront/consensus/simulation.cc
@@ -4,8 +4,6 @@
 #include <algorithm>
 #include <sstream>
 
-#include "chivefront/consensus/voter_choice.h"
-
 namespace chivefront::consensus {
 namespace {
 
@@ -109,13 +107,15 @@
 int64_t
 Simulation::LossesLeft(const Membership& aMembers) const
 {
-  std::set<uint64_t> lost;
+  int64_t voters = 0;
+  int64_t alive = 0;
   for (const Replica& replica : aMembers) {
-    if (!HasDiskOf(replica)) {
-      lost.insert(replica.m_identity);
+    if (replica.m_voter) {
+      ++voters;
+      alive += HasDiskOf(replica) ? 1 : 0;
     }
   }
-  return ToleratedLosses(aMembers, lost);
+  return alive - (voters / 2 + 1);
 }
 
 void
