review: one heartbeat of another writer ends a service (case 12)

Cause: a record claims its address whatever its service, and an engine that it displaced is not taken back.

--- /dev/null
+++ b/review/12/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/lib-3/rig.py
+++ b/review/lib-3/rig.py
@@ -422,13 +422,19 @@
 def main(folder, case):
     """Runs case(record), which returns whether the rule held."""
     record = Record(folder)
+
+    def stop(*_):
+        raise CannotRun("stopped by a signal")
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, stop)
     try:
         held = case(record)
         record.add("result", rule="held" if held else "broken")
         code = 0 if held else 1
-    except CannotRun as error:
-        record.add("cannot run", why=error)
-        print(error, file=sys.stderr)
+    except Exception as error:  # an error is no broken rule
+        record.add("cannot run", why=repr(error))
+        print(repr(error), file=sys.stderr)
         code = 2
     record.close()
     sys.stdout.flush()
